Set up the build: formatter, Error Prone, architecture test, ids, error kinds, declared objects

Cause: an empty repository. The error table, value types for ids, declared objects and control commands are the interfaces that the packages share.

--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/package-info.java
@@ -0,0 +1,2 @@
+/** Command line: one class for each subcommand of the {@code wigeongrade} program. */
+package org.wigeongrade.command;
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/config/DeclaredSet.java
@@ -0,0 +1,34 @@
+package org.wigeongrade.decisions.config;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+
+/**
+ * The whole set of objects that operators declare; it is checked and published as one.
+ *
+ * <p>Invariant: lists are never null and never change. Immutable; safe for use from any thread.
+ */
+public record DeclaredSet(
+        List<ZoneDeclaration> zones,
+        List<ModelVersionDeclaration> modelVersions,
+        List<PoolDeclaration> pools,
+        List<GroupDeclaration> groups,
+        List<ServiceDeclaration> services,
+        List<OrganisationDeclaration> organisations) {
+    /** A set with no objects. */
+    public static final DeclaredSet EMPTY =
+            new DeclaredSet(List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+
+    public DeclaredSet {
+        zones = copyOf(zones);
+        modelVersions = copyOf(modelVersions);
+        pools = copyOf(pools);
+        groups = copyOf(groups);
+        services = copyOf(services);
+        organisations = copyOf(organisations);
+    }
+
+    private static <T> List<T> copyOf(List<T> list) {
+        return list == null ? ImmutableList.of() : ImmutableList.copyOf(list);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/config/PoolDeclaration.java
@@ -0,0 +1,33 @@
+package org.wigeongrade.decisions.config;
+
+import java.util.List;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.PoolName;
+
+/**
+ * Declares a pool of replicas of one model version.
+ *
+ * <p>{@code replicas} groups named {@code <pool>/<number>} are formed and spread over {@code zones}; groups declared by
+ * name come on top. {@code capacity} and {@code coldCapacity} are requests in flight for each replica.
+ * {@code warmSpares} VMs for each availability zone are kept out of groups for repairs. {@code longestRunMs} is the
+ * longest time that one request may run. {@code maxLoads} bounds the replicas that read the weight store at once.
+ * Immutable; safe for use from any thread.
+ */
+public record PoolDeclaration(
+        PoolName name,
+        ModelVersionName modelVersion,
+        int replicas,
+        int vmsPerReplica,
+        int capacity,
+        int coldCapacity,
+        PlacementWeight weighs,
+        int warmSpares,
+        boolean fencingChecked,
+        long longestRunMs,
+        int maxLoads,
+        List<AvailabilityZone> zones) {
+    public PoolDeclaration {
+        zones = zones == null ? List.of() : List.copyOf(zones);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/control/CommandResult.java
@@ -0,0 +1,24 @@
+package org.wigeongrade.decisions.control;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.ids.Revision;
+
+/** What applying a {@link Command} gave. Immutable; safe for use from any thread. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = CommandResult.Accepted.class, name = "accepted"),
+    @JsonSubTypes.Type(value = CommandResult.Refused.class, name = "refused"),
+    @JsonSubTypes.Type(value = CommandResult.AlreadyAnswered.class, name = "already_answered")
+})
+public sealed interface CommandResult {
+    /** The command took effect; {@code revision} is the configuration revision after it. */
+    record Accepted(Revision revision) implements CommandResult {}
+
+    /** The command changed nothing; {@code message} tells why and what to do. */
+    record Refused(ErrorKind kind, String message, Revision revision) implements CommandResult {}
+
+    /** The claimed request had completed before; {@code answer} is what it got. */
+    record AlreadyAnswered(StoredAnswer answer) implements CommandResult {}
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/errors/WigeongradeException.java
@@ -0,0 +1,32 @@
+package org.wigeongrade.errors;
+
+/** Unchecked exception with a code from the closed list of error kinds. Immutable; safe for use from any thread. */
+public final class WigeongradeException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ErrorKind kind;
+    private final long retryAfterMs;
+
+    public WigeongradeException(ErrorKind kind, String message) {
+        this(kind, message, kind.retryAfterMs(), null);
+    }
+
+    public WigeongradeException(ErrorKind kind, String message, Throwable cause) {
+        this(kind, message, kind.retryAfterMs(), cause);
+    }
+
+    public WigeongradeException(ErrorKind kind, String message, long retryAfterMs, Throwable cause) {
+        super(message, cause);
+        this.kind = kind;
+        this.retryAfterMs = retryAfterMs;
+    }
+
+    public ErrorKind kind() {
+        return kind;
+    }
+
+    /** Returns the time after which the caller may come back, in milliseconds; 0 if coming back does not help. */
+    public long retryAfterMs() {
+        return retryAfterMs;
+    }
+}
