Add the Thrift service between nodes, the endpoint client and reading of callers' requests

Cause: the parts around the decisions have no transport yet. Sends to endpoints use a fresh connection each, so that no answer can reach another request through a reused connection. Not measured yet.

--- /dev/null
+++ b/src/main/java/org/wigeongrade/callers/GenerationRequest.java
@@ -0,0 +1,120 @@
+package org.wigeongrade.callers;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+
+/**
+ * A caller's chat or text completion, read as far as routing needs.
+ *
+ * <p>Invariant: {@code body} keeps every field as the caller sent it. Immutable; safe for use from any thread.
+ */
+public record GenerationRequest(
+        GenerationApi api,
+        ObjectNode body,
+        String model,
+        boolean stream,
+        int priority,
+        ImmutableList<String> prefixes) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int PREFIX_CHARACTERS = 256;
+    private static final int MAX_PREFIXES = 32;
+    private static final int PREFIX_DIGEST_CHARACTERS = 16;
+    private static final int MAX_PRIORITY = 100;
+
+    /** Reads a body; throws with kind MALFORMED_REQUEST and the fault's place if it cannot be served. */
+    public static GenerationRequest read(GenerationApi api, byte[] bytes) {
+        final ObjectNode body = readObject(bytes);
+        final String model = requiredText(body, "model");
+        final JsonNode prompt = body.get(api.promptField());
+        if (prompt == null || !api.promptIsWellFormed(prompt)) {
+            throw malformed("'" + api.promptField() + "' must be " + api.promptShape());
+        }
+        return new GenerationRequest(
+                api, body, model, readStream(body), readPriority(body), prefixesOf(model, prompt.toString()));
+    }
+
+    /** Returns the body that asks an engine to go on after {@code text}; the caller's own body if the text is empty. */
+    public byte[] bodyContinuing(String text) {
+        if (text.isEmpty()) {
+            return body.toString().getBytes(StandardCharsets.UTF_8);
+        }
+        final ObjectNode continued = body.deepCopy();
+        continued.put("continue_from", text);
+        return continued.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static ObjectNode readObject(byte[] bytes) {
+        try {
+            final JsonNode node = MAPPER.readTree(bytes);
+            if (node instanceof ObjectNode object) {
+                return object;
+            }
+            throw malformed("the body must be a JSON object");
+        } catch (JsonProcessingException failure) {
+            throw malformed("the body is not JSON: " + failure.getOriginalMessage() + " at line "
+                    + failure.getLocation().getLineNr() + ", column "
+                    + failure.getLocation().getColumnNr());
+        } catch (IOException failure) {
+            throw new WigeongradeException(ErrorKind.MALFORMED_REQUEST, "the body cannot be read", failure);
+        }
+    }
+
+    private static String requiredText(ObjectNode body, String field) {
+        final JsonNode value = body.get(field);
+        if (value == null || !value.isTextual() || value.textValue().isBlank()) {
+            throw malformed("'" + field + "' must be a text that is not blank");
+        }
+        return value.textValue();
+    }
+
+    private static boolean readStream(ObjectNode body) {
+        final JsonNode value = body.get("stream");
+        if (value == null || value.isNull()) {
+            return false;
+        }
+        if (!value.isBoolean()) {
+            throw malformed("'stream' must be true or false");
+        }
+        return value.booleanValue();
+    }
+
+    private static int readPriority(ObjectNode body) {
+        final JsonNode value = body.get("priority");
+        if (value == null || value.isNull()) {
+            return 0;
+        }
+        if (!value.isInt() || Math.abs(value.intValue()) > MAX_PRIORITY) {
+            throw malformed("'priority' must be a whole number from -" + MAX_PRIORITY + " to " + MAX_PRIORITY);
+        }
+        return value.intValue();
+    }
+
+    /** Returns digests of ever longer beginnings of the prompt, the shortest first. */
+    private static ImmutableList<String> prefixesOf(String model, String prompt) {
+        final ImmutableList.Builder<String> digests = ImmutableList.builder();
+        final Hasher start = Hashing.sha256().newHasher().putString(model, StandardCharsets.UTF_8);
+        String previous = start.hash().toString();
+        final int blocks = Math.min(MAX_PREFIXES, prompt.length() / PREFIX_CHARACTERS);
+        for (int block = 0; block < blocks; block++) {
+            final String text = prompt.substring(block * PREFIX_CHARACTERS, (block + 1) * PREFIX_CHARACTERS);
+            previous = Hashing.sha256()
+                    .hashString(previous + text, StandardCharsets.UTF_8)
+                    .toString();
+            digests.add(previous.substring(0, PREFIX_DIGEST_CHARACTERS));
+        }
+        return digests.build();
+    }
+
+    private static WigeongradeException malformed(String message) {
+        return new WigeongradeException(ErrorKind.MALFORMED_REQUEST, message);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
@@ -0,0 +1,159 @@
+package org.wigeongrade.endpoints;
+
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableListMultimap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.timeout.ReadTimeoutException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+import ratpack.exec.ExecController;
+import ratpack.http.Headers;
+import ratpack.http.client.HttpClient;
+import ratpack.http.client.HttpClientReadTimeoutException;
+import ratpack.http.client.RequestSpec;
+import ratpack.http.client.StreamedResponse;
+
+/**
+ * Sends requests to endpoints, each on a fresh connection, and streams the answers to a listener.
+ *
+ * <p>Invariant: a connection serves one send, so bytes of one answer never reach another request. Thread safe; listener
+ * calls come from the event loops of the {@link ExecController}.
+ */
+public final class EndpointClient {
+    private static final int NO_POOLED_CONNECTIONS = 0;
+    private static final int CHUNK_BYTES = 16 * 1024;
+
+    private final ExecController execController;
+    private final HttpClient httpClient;
+    private final LongSupplier nanoClock;
+
+    public EndpointClient(ExecController execController, int maxAnswerBytes, LongSupplier nanoClock) throws Exception {
+        this.execController = execController;
+        this.nanoClock = nanoClock;
+        this.httpClient = HttpClient.of(spec -> spec.poolSize(NO_POOLED_CONNECTIONS)
+                .maxContentLength(maxAnswerBytes)
+                .responseMaxChunkSize(CHUNK_BYTES)
+                .execController(execController));
+    }
+
+    /** Starts a send. The listener gets every later event, also failures to connect. */
+    public SendHandle send(EndpointRequest request, AnswerListener listener) {
+        final SendHandle handle = new SendHandle();
+        execController
+                .fork()
+                .onError(failure -> listener.onFailure(classify(failure), describe(failure)))
+                .start(execution -> httpClient
+                        .requestStream(URI.create("http://" + request.address() + request.pathAndQuery()), spec -> {
+                            fill(spec, request);
+                        })
+                        .onError(failure -> {
+                            if (!handle.isCancelled()) {
+                                listener.onFailure(classify(failure), describe(failure));
+                            }
+                        })
+                        .then(answer -> read(answer, listener, handle)));
+        return handle;
+    }
+
+    private void fill(RequestSpec spec, EndpointRequest request) throws Exception {
+        final long leftNanos = Math.max(0, request.deadlineNanos() - nanoClock.getAsLong());
+        spec.method(request.method());
+        spec.redirects(0);
+        spec.decompressResponse(false);
+        spec.connectTimeout(request.connectTimeout());
+        spec.readTimeout(shorter(request.stallTimeout(), Duration.ofNanos(Math.max(1, leftNanos))));
+        spec.headers(headers -> {
+            request.headers().forEach(headers::set);
+            headers.set("X-Request-Id", request.attemptId().value());
+            headers.set("X-Request-Deadline-Ms", TimeUnit.NANOSECONDS.toMillis(leftNanos));
+            headers.set("X-Request-Priority", request.priority());
+        });
+        if (request.body().length > 0) {
+            spec.getBody().bytes(request.body());
+        }
+    }
+
+    private static Duration shorter(Duration first, Duration second) {
+        return first.compareTo(second) <= 0 ? first : second;
+    }
+
+    private static void read(StreamedResponse answer, AnswerListener listener, SendHandle handle) {
+        if (!handle.isCancelled()) {
+            listener.onHead(new AnswerHead(answer.getStatusCode(), copyOf(answer.getHeaders())));
+        }
+        answer.getBody().subscribe(new BodySubscriber(listener, handle));
+    }
+
+    private static ImmutableListMultimap<String, String> copyOf(Headers headers) {
+        final ImmutableListMultimap.Builder<String, String> copy = ImmutableListMultimap.builder();
+        for (Map.Entry<String, String> header : headers.getNettyHeaders()) {
+            copy.put(Ascii.toLowerCase(header.getKey()), header.getValue());
+        }
+        return copy.build();
+    }
+
+    private static SendFailure classify(Throwable failure) {
+        if (failure instanceof ConnectException) {
+            return SendFailure.CONNECT_FAILED;
+        }
+        if (failure instanceof HttpClientReadTimeoutException || failure instanceof ReadTimeoutException) {
+            return SendFailure.TIMED_OUT;
+        }
+        return SendFailure.CONNECTION_LOST;
+    }
+
+    private static String describe(Throwable failure) {
+        return failure.getClass().getSimpleName() + ": " + failure.getMessage();
+    }
+
+    /** Passes the body to the listener piece by piece. Called by one event loop. */
+    private static final class BodySubscriber implements Subscriber<ByteBuf> {
+        private final AnswerListener listener;
+        private final SendHandle handle;
+        private Subscription subscription;
+
+        BodySubscriber(AnswerListener listener, SendHandle handle) {
+            this.listener = listener;
+            this.handle = handle;
+        }
+
+        @Override
+        public void onSubscribe(Subscription newSubscription) {
+            subscription = newSubscription;
+            handle.onCancel(newSubscription::cancel);
+            newSubscription.request(1);
+        }
+
+        @Override
+        public void onNext(ByteBuf buffer) {
+            final byte[] bytes = ByteBufUtil.getBytes(buffer);
+            buffer.release();
+            if (handle.isCancelled()) {
+                return;
+            }
+            listener.onBytes(bytes);
+            subscription.request(1);
+        }
+
+        @Override
+        public void onError(Throwable failure) {
+            if (!handle.isCancelled()) {
+                listener.onFailure(classify(failure), describe(failure));
+            }
+        }
+
+        @Override
+        public void onComplete() {
+            if (!handle.isCancelled()) {
+                listener.onEnd();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/errors/Answers.java
@@ -0,0 +1,29 @@
+package org.wigeongrade.errors;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Renders an error as the JSON body that callers and operators get. Stateless; safe for use from any thread. */
+public final class Answers {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private Answers() {}
+
+    /**
+     * Returns {@code {"error":{"code","message","fix","run","retry_after_ms","request_id"}}}; {@code type} repeats the
+     * code for clients that read it there.
+     */
+    public static String json(WigeongradeException failure, String requestId) {
+        final ObjectNode error = MAPPER.createObjectNode();
+        error.put("code", failure.kind().code());
+        error.put("type", failure.kind().code());
+        error.put("message", failure.getMessage());
+        error.put("fix", failure.kind().fix());
+        error.put("run", failure.kind().runClaim().headerValue());
+        error.put("retry_after_ms", failure.retryAfterMs());
+        error.put("request_id", requestId);
+        final ObjectNode answer = MAPPER.createObjectNode();
+        answer.set("error", error);
+        return answer.toString();
+    }
+}
--- /dev/null
+++ b/src/main/thrift/node.thrift
@@ -0,0 +1,156 @@
+// What processes of this system say to each other beside the replicated log.
+namespace java org.wigeongrade.nodes.thrift
+
+// What one endpoint VM last announced, as an entry VM heard it.
+struct AnnouncementRecord {
+  1: string vm
+  2: i64 incarnation
+  3: string address
+  4: string availabilityZone
+  5: string fabricDomain
+  6: i32 accelerators
+  7: string kind
+  8: optional string serviceName
+  9: optional string groupName
+  10: i64 orderTerm
+  11: i64 orderSequence
+  12: optional string modelVersion
+  13: string state
+  14: i32 running
+  15: i32 waiting
+  16: i64 sequence
+  // Term and sending time (leader's monotonic clock) of the last pull reply received before this announcement.
+  17: i64 echoTerm
+  21: i64 echoSentAtNanos
+  // Time from the receipt of that reply to the receipt of this announcement; never negative.
+  22: i64 heardAfterEchoNanos
+  18: optional i64 cacheFirstSequence
+  19: list<string> cacheAdded
+  20: list<string> cacheRemoved
+}
+
+// What an entry VM holds or wants of one bounded thing; the fields are those of the share report in decisions.limits.
+struct ShareReportRecord {
+  1: string kind
+  2: string name
+  3: i64 sequence
+  4: i32 granted
+  5: i32 coldSlots
+  6: i32 inUse
+  7: i32 wanted
+  8: i64 warmCompletions
+  9: i64 coldSigns
+}
+
+struct ShareGrantRecord {
+  1: string kind
+  2: string name
+  3: i64 reportSequence
+  4: i32 slots
+  5: i32 coldSlots
+  6: i64 leaseNanos
+}
+
+// One request that was in flight at an endpoint when the endpoint was lost.
+struct CrashRecord {
+  1: string requestDigest
+  2: string endpoint
+  3: i64 endpointIncarnation
+  4: string requestId
+}
+
+// Whether a request that was in flight at a lost endpoint may be sent again.
+struct CrashDecision {
+  1: bool quarantined
+  2: i32 crashes
+  3: i64 waitMs
+}
+
+struct PullRequest {
+  1: string node
+  2: string availabilityZone
+  3: i64 incarnation
+  6: i64 revision
+  7: i64 endpointsDigest
+  8: i64 quarantineDigest
+  9: list<AnnouncementRecord> announcements
+  10: list<ShareReportRecord> shares
+  12: bool stopping
+  13: bool leaseHeld
+}
+
+struct EndpointRecord {
+  1: string id
+  2: string kind
+  3: string target
+  4: string modelVersion
+  5: string availabilityZone
+  6: string address
+  7: i32 capacity
+  8: i32 coldCapacity
+  9: bool cold
+  10: i64 longestRunMs
+  11: i64 incarnation
+  12: list<string> members
+}
+
+struct LoadRecord {
+  1: string endpoint
+  2: i32 running
+  3: i32 waiting
+  4: i64 ageNanos
+}
+
+struct CacheEventRecord {
+  1: string endpoint
+  2: i64 firstSequence
+  3: list<string> added
+  4: list<string> removed
+}
+
+struct PullReply {
+  1: bool leads
+  2: string leader
+  3: i64 term
+  4: i64 sentAtNanos
+  5: i64 viewLeaseNanos
+  6: i64 revision
+  // Present if the entry VM's revision differs: declared set and states of availability zones in JSON.
+  7: optional binary configuration
+  8: i64 endpointsDigest
+  // Present if the digest differs: every endpoint that may serve.
+  9: optional list<EndpointRecord> endpoints
+  // Time left of every endpoint's serving lease, but for those listed with less.
+  10: i64 servingLeaseNanos
+  11: map<string, i64> shorterServingLeaseNanos
+  12: list<ShareGrantRecord> grants
+  13: i64 quarantineDigest
+  // Present if the digest differs: quarantined request digests with their deadlines (milliseconds since the epoch).
+  14: optional map<string, i64> quarantined
+  15: list<LoadRecord> loads
+  16: list<CacheEventRecord> cacheEvents
+  // Requests seen in flight at one lost endpoint: send them one at a time and alone.
+  17: list<string> suspects
+}
+
+// A refusal or failure with a code from the closed list of error kinds.
+exception NodeFailure {
+  1: string kind
+  2: string message
+  3: i64 retryAfterMs
+}
+
+service NodeService {
+  // Entry VM to leader, at a fixed interval: reports what it saw and holds, gets the view with its lease.
+  PullReply pull(1: PullRequest request) throws (1: NodeFailure failure)
+  // Any VM to leader: proposes a control command (JSON), gets its result (JSON).
+  binary submit(1: binary command) throws (1: NodeFailure failure)
+  // Any VM to any VM: decision records that concern an object, in JSON.
+  binary explain(1: string kind, 2: string id) throws (1: NodeFailure failure)
+  // Any VM to the leader: the state of the fleet in JSON.
+  binary status() throws (1: NodeFailure failure)
+  // Entry VM to leader: reports a crash before the request is sent again.
+  CrashDecision crashed(1: CrashRecord crash) throws (1: NodeFailure failure)
+  // Entry VM to entry VM: the endpoint showed a sign of being cold; hold no slot of it unless named its cold holder.
+  void coldSign(1: string endpoint, 2: string fromNode)
+}
