--- /dev/null
+++ b/src/main/java/org/wigeongrade/settings/CheckedTable.java
@@ -0,0 +1,159 @@
+package org.wigeongrade.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * Reads one TOML table and reports every wrong, missing or unknown key with its line.
+ *
+ * <p>Invariant: a key that was asked for is known; {@link #reportUnknownKeys} reports the others, so it goes last. Not
+ * safe for use from several threads.
+ */
+public final class CheckedTable {
+    private final String file;
+    private final String object;
+    private final int line;
+    private final TomlTable table;
+    private final Consumer<Fault> faults;
+    private final Set<String> knownKeys = new TreeSet<>();
+
+    /** Creates a reader of {@code table}, which begins at {@code line} and is named {@code object} in faults. */
+    public CheckedTable(String file, String object, int line, TomlTable table, Consumer<Fault> faults) {
+        this.file = file;
+        this.object = object;
+        this.line = line;
+        this.table = table;
+        this.faults = faults;
+    }
+
+    /** Returns the line of the table, counted from 1. */
+    public int line() {
+        return line;
+    }
+
+    /** Returns the line of a key, or the line of the table if the key is absent. */
+    public int lineOf(String key) {
+        final TomlPosition position = table.inputPositionOf(List.of(key));
+        return position == null ? line : position.line();
+    }
+
+    /** Returns whether the table holds the key. */
+    public boolean has(String key) {
+        knownKeys.add(key);
+        return table.keySet().contains(key);
+    }
+
+    /** Reads an optional string. A value of another type is a fault and read as absent. */
+    public Optional<String> string(String key) {
+        return value(key, String.class, "a string in double quotes");
+    }
+
+    /** Reads a string and converts it; a failed conversion is a fault with the message of the exception. */
+    public <T> Optional<T> converted(String key, Function<String, T> conversion) {
+        final Optional<String> text = string(key);
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(conversion.apply(text.get()));
+        } catch (IllegalArgumentException e) {
+            report(key, e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    /** Reads and converts a string that must stand in the table. */
+    public <T> Optional<T> requiredConverted(String key, String expected, Function<String, T> conversion) {
+        if (!has(key)) {
+            report(key, "is missing; expected " + expected);
+            return Optional.empty();
+        }
+        return converted(key, conversion);
+    }
+
+    /** Reads an integer from {@code min} to {@code max}; a value outside is a fault and read as absent. */
+    public Optional<Long> integer(String key, long min, long max) {
+        final String expected = "an integer from " + min + " to " + max;
+        final Optional<Long> number = value(key, Long.class, expected);
+        if (number.isPresent() && (number.get() < min || number.get() > max)) {
+            report(key, "is " + number.get() + "; expected " + expected);
+            return Optional.empty();
+        }
+        return number;
+    }
+
+    /** Reads an optional boolean. */
+    public Optional<Boolean> bool(String key) {
+        return value(key, Boolean.class, "true or false");
+    }
+
+    /** Reads an optional array of strings; an element of another type is a fault. */
+    public List<String> strings(String key) {
+        final Optional<TomlArray> array = value(key, TomlArray.class, "an array of strings");
+        final List<String> strings = new ArrayList<>();
+        for (int i = 0; i < array.map(TomlArray::size).orElse(0); i++) {
+            if (array.get().get(i) instanceof String text) {
+                strings.add(text);
+            } else {
+                report(key, "element " + (i + 1) + " is not a string; expected an array of strings");
+            }
+        }
+        return strings;
+    }
+
+    /** Reads an optional array of tables, written {@code [[key]]}. */
+    public List<CheckedTable> tables(String key) {
+        final Optional<TomlArray> array = value(key, TomlArray.class, "tables written [[" + key + "]]");
+        final List<CheckedTable> tables = new ArrayList<>();
+        for (int i = 0; i < array.map(TomlArray::size).orElse(0); i++) {
+            if (array.get().get(i) instanceof TomlTable element) {
+                final int elementLine = array.get().inputPositionOf(i).line();
+                tables.add(new CheckedTable(file, key + " " + (i + 1), elementLine, element, faults));
+            } else {
+                report(key, "element " + (i + 1) + " is not a table; expected tables written [[" + key + "]]");
+            }
+        }
+        return tables;
+    }
+
+    /** Reports a fault at a key of this table. */
+    public void report(String key, String message) {
+        final String name = object.isEmpty() ? key : object + "." + key;
+        faults.accept(new Fault(file, lineOf(key), name, message));
+    }
+
+    /** Reports every key that was not asked for, with the nearest one that was. */
+    public void reportUnknownKeys() {
+        for (final String key : table.keySet()) {
+            if (!knownKeys.contains(key)) {
+                report(key, "is not a known key; expected " + expectedInsteadOf(key));
+            }
+        }
+    }
+
+    private String expectedInsteadOf(String key) {
+        return NearestName.find(key, knownKeys)
+                .map(nearest -> nearest + " (the nearest known key)")
+                .orElse("one of " + String.join(", ", knownKeys));
+    }
+
+    private <T> Optional<T> value(String key, Class<T> type, String expected) {
+        if (!has(key)) {
+            return Optional.empty();
+        }
+        final Object value = table.get(List.of(key));
+        if (!type.isInstance(value)) {
+            report(key, "is " + TomlKind.of(value).phrase() + "; expected " + expected);
+            return Optional.empty();
+        }
+        return Optional.of(type.cast(value));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/settings/NodeAddress.java
@@ -0,0 +1,56 @@
+package org.wigeongrade.settings;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+
+/**
+ * An IP number and a TCP port.
+ *
+ * <p>Invariant: {@code ip} is an IPv4 or IPv6 number, never a host name; {@code port} is from 1 to 65535. Immutable;
+ * safe for use from any thread.
+ */
+public record NodeAddress(String ip, int port) implements Comparable<NodeAddress> {
+    /** What messages tell the reader to write. */
+    public static final String EXPECTED = "an IP number and a port, for example \"127.0.0.1:8001\"";
+
+    public NodeAddress {
+        if (!InetAddresses.isInetAddress(ip) || port < 1 || port > 65_535) {
+            throw new IllegalArgumentException("'" + ip + ":" + port + "' is not an address; expected " + EXPECTED);
+        }
+    }
+
+    /** Reads {@code ip:port} or {@code [ipv6]:port}; throws {@link IllegalArgumentException} if it is malformed. */
+    public static NodeAddress of(String text) {
+        final HostAndPort parsed = parse(text);
+        return new NodeAddress(parsed.getHost(), parsed.getPortOrDefault(0));
+    }
+
+    private static HostAndPort parse(String text) {
+        try {
+            return HostAndPort.fromString(text);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("'" + text + "' is not an address; expected " + EXPECTED, e);
+        }
+    }
+
+    /** Returns whether the IP number stands for every address of the VM. */
+    public boolean isWildcard() {
+        return InetAddresses.forString(ip).isAnyLocalAddress();
+    }
+
+    /** Returns the address for opening or accepting connections; no name is looked up. */
+    public InetSocketAddress toSocketAddress() {
+        return new InetSocketAddress(InetAddresses.forString(ip), port);
+    }
+
+    @Override
+    public int compareTo(NodeAddress other) {
+        return toString().compareTo(other.toString());
+    }
+
+    @Override
+    public String toString() {
+        return HostAndPort.fromParts(ip, port).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one process: the keys, the file format and the checks that run before anything starts. */
+package org.wigeongrade.settings;
