--- /dev/null
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -0,0 +1,111 @@
+package org.wigeongrade.logging;
+
+import com.google.common.collect.ImmutableList;
+import java.lang.System.Logger.Level;
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+/**
+ * The closed list of log events. The message names its fields in braces; the values are given in that order.
+ *
+ * <p>Invariant: numbers are unique and never reused; docs/EVENTS.md lists the same events. Immutable; safe for use from
+ * any thread.
+ */
+public enum LogEvent {
+    NODE_STARTED(1001, Level.INFO, "node {node} of availability zone {zone} started and listens on {listen}"),
+    NODE_STOPPING(1002, Level.INFO, "node {node} is stopping because of {cause} with {in_flight} requests in flight"),
+    NODE_STOPPED(1003, Level.INFO, "node {node} stopped after {elapsed_ms} ms"),
+    NODE_STOP_CUT_SHORT(1004, Level.WARNING, "node {node} stopped with {in_flight} requests cut short by {cause}"),
+    NODE_START_FAILED(1005, Level.ERROR, "node {node} did not start: {cause}"),
+
+    VIEW_LEASE_LOST(1101, Level.WARNING, "view lease ran out at revision {revision}; no new work is sent"),
+    VIEW_LEASE_REGAINED(1102, Level.INFO, "view lease regained at revision {revision} after {elapsed_ms} ms"),
+    VIEW_PULL_FAILED(1103, Level.WARNING, "view pull from {peer} failed: {cause}"),
+    VIEW_CHANGED(1104, Level.INFO, "view of revision {revision} is in force on this node"),
+
+    LEADER_ELECTED(1201, Level.INFO, "node {node} leads the control VMs in term {term}"),
+    LEADER_LOST(1202, Level.WARNING, "leadership of node {node} in term {term} ended: {cause}"),
+    SNAPSHOT_TAKEN(1203, Level.INFO, "snapshot at log position {position} taken, {size_bytes} bytes"),
+    SNAPSHOT_INSTALLED(1204, Level.INFO, "snapshot at log position {position} installed from {peer}"),
+    DISK_FAILED(1205, Level.ERROR, "data folder {data_folder} failed: {cause}"),
+    LOG_TAIL_CUT(1206, Level.WARNING, "torn log tail cut at position {position}, {size_bytes} bytes dropped"),
+    REPLICA_DIVERGED(1207, Level.ERROR, "log replica differs from the leader at position {position}; node stops"),
+    VOTER_CAUGHT_UP(1208, Level.INFO, "control VM {peer} caught up at position {position} and votes"),
+    LOG_DISK_LOST(1209, Level.ERROR, "log of data folder {data_folder} is lost: {cause}; starting as a learner"),
+
+    CONFIGURATION_APPLIED(1301, Level.INFO, "configuration revision {revision} applied by {operator}, change {change}"),
+    CONFIGURATION_REFUSED(1302, Level.WARNING, "change {change} of {operator} refused with {code}: {cause}"),
+    ZONE_OUT(1303, Level.INFO, "availability zone {zone} taken out at revision {revision} by {operator}"),
+    ZONE_IN(1304, Level.INFO, "availability zone {zone} brought in at revision {revision} by {operator}"),
+
+    GROUP_FORMED(1401, Level.INFO, "group {group} formed of VMs {members}: {cause}"),
+    GROUP_DISSOLVED(1402, Level.INFO, "group {group} dissolved: {cause}"),
+    GROUP_SERVING(1403, Level.INFO, "group {group} serves model version {model_version}"),
+    GROUP_NOT_SERVING(1404, Level.WARNING, "group {group} stopped serving: {cause}"),
+    GROUP_MEMBER_LOST(1405, Level.WARNING, "group {group} lost VM {vm}: {cause}"),
+    ORDER_SENT(1406, Level.INFO, "order {order} for group {group} sent to VM {vm} with fencing token {token}"),
+    ORDER_REFUSED(1407, Level.WARNING, "order {order} for group {group} refused by VM {vm}: {cause}"),
+
+    ENDPOINT_COLD(1501, Level.WARNING, "endpoint {endpoint} is cold: {cause}; its load is held to {slots} requests"),
+    ENDPOINT_WARM(1502, Level.INFO, "endpoint {endpoint} is warm; its load may reach {slots} requests"),
+    ENDPOINT_ANNOUNCED(1503, Level.INFO, "endpoint VM {vm} announced itself with incarnation {incarnation}"),
+    ENDPOINT_ABSENT(1504, Level.WARNING, "endpoint VM {vm} stopped announcing itself"),
+    ENDPOINT_LEAVING(1505, Level.INFO, "endpoint {endpoint} is leaving; no new work is sent to it"),
+
+    REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
+    REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
+    STREAM_RESUMED(1603, Level.INFO, "stream of request {request} resumed on endpoint {endpoint}: {cause}"),
+    CLAIM_COMMITTED(1604, Level.DEBUG, "claim {key} of organisation {organisation} committed for one send"),
+    CLAIM_UNKNOWN(
+            1605, Level.WARNING, "claim {key} of organisation {organisation} ended with unknown outcome: {cause}"),
+    REQUEST_QUARANTINED(
+            1606, Level.WARNING, "request digest {digest} quarantined after it crashed {crashes} endpoints"),
+    ANSWER_REJECTED(1607, Level.WARNING, "answer of endpoint {endpoint} to request {request} rejected: {cause}"),
+    REQUEST_FAULT(1608, Level.ERROR, "request {request} met a fault of this system: {cause}"),
+
+    PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
+    PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
+    PEER_CALL_FAILED(1703, Level.WARNING, "call {call} to node {peer} failed: {cause}");
+
+    private static final Pattern FIELD = Pattern.compile("\\{([a-z_]+)}");
+
+    private final int number;
+    private final Level level;
+    private final String template;
+    private final ImmutableList<String> fields;
+
+    LogEvent(int number, Level level, String template) {
+        this.number = number;
+        this.level = level;
+        this.template = template;
+        this.fields = fieldsOf(template);
+    }
+
+    private static ImmutableList<String> fieldsOf(String template) {
+        return FIELD.matcher(template).results().map(match -> match.group(1)).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the number that docs and alerts refer to. */
+    public int number() {
+        return number;
+    }
+
+    /** Returns the name as it stands in the log, for example {@code node_started}. */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    public Level level() {
+        return level;
+    }
+
+    /** Returns the message with its field names in braces. */
+    public String template() {
+        return template;
+    }
+
+    /** Returns the field names in the order in which their values are given. */
+    public ImmutableList<String> fields() {
+        return fields;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/logging/LogSetup.java
@@ -0,0 +1,60 @@
+package org.wigeongrade.logging;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Optional;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
+
+/** Sends all log records of this process to stderr or to one file. Call it once, before other threads start. */
+public final class LogSetup {
+    /** Held here, since java.util.logging drops the level of a logger that nothing refers to. */
+    private static final Logger EVENTS = Logger.getLogger(EventLog.LOGGER_NAME);
+
+    private LogSetup() {}
+
+    /**
+     * Replaces every log handler. Records of libraries below {@code WARNING} are dropped.
+     *
+     * @throws UncheckedIOException if the file cannot be opened for appending
+     */
+    public static void install(LogLevel level, Optional<Path> file) {
+        LogManager.getLogManager().reset();
+        final Logger root = Logger.getLogger("");
+        root.setLevel(Level.WARNING);
+        root.addHandler(new FlushingHandler(open(file)));
+        EVENTS.setLevel(level.level());
+    }
+
+    private static OutputStream open(Optional<Path> file) {
+        if (file.isEmpty()) {
+            return System.err;
+        }
+        try {
+            return Files.newOutputStream(file.get(), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        } catch (IOException e) {
+            throw new UncheckedIOException("log file " + file.get() + " cannot be opened", e);
+        }
+    }
+
+    /** Writes each record at once. Safe for use from any thread. */
+    private static final class FlushingHandler extends StreamHandler {
+        FlushingHandler(OutputStream stream) {
+            super(stream, new LineFormatter());
+            setLevel(Level.ALL);
+        }
+
+        @Override
+        public synchronized void publish(LogRecord logRecord) {
+            super.publish(logRecord);
+            flush();
+        }
+    }
+}
