--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/config/DeclaredGroups.java
@@ -0,0 +1,54 @@
+package org.wigeongrade.decisions.config;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.PoolName;
+
+/** The groups that a declared set asks for. Stateless; safe for use from any thread. */
+public final class DeclaredGroups {
+    private DeclaredGroups() {}
+
+    /** Returns the name of a pool's numbered group; {@code number} counts from 1. */
+    public static GroupName numbered(PoolName pool, int number) {
+        return GroupName.of(pool.value() + "/" + number);
+    }
+
+    /** Returns the pool of that name, if it is declared. */
+    public static Optional<PoolDeclaration> pool(DeclaredSet set, PoolName name) {
+        return set.pools().stream().filter(pool -> pool.name().equals(name)).findFirst();
+    }
+
+    /** Returns the groups of a pool: those declared by name first, then the numbered ones. */
+    public static List<DeclaredGroup> of(DeclaredSet set, PoolDeclaration pool) {
+        final List<DeclaredGroup> groups = new ArrayList<>();
+        for (final GroupDeclaration group : set.groups()) {
+            if (group.pool().equals(pool.name())) {
+                groups.add(new DeclaredGroup(group.name(), pool, List.of(group.zone()), groups.size()));
+            }
+        }
+        final List<AvailabilityZone> zones = zonesOf(set, pool);
+        for (int number = 1; number <= pool.replicas(); number++) {
+            groups.add(new DeclaredGroup(numbered(pool.name(), number), pool, zones, groups.size()));
+        }
+        return groups;
+    }
+
+    /** Returns the declared group of that name in the pool, if there is one. */
+    public static Optional<DeclaredGroup> find(DeclaredSet set, PoolName pool, GroupName name) {
+        return pool(set, pool).stream()
+                .flatMap(declared -> of(set, declared).stream())
+                .filter(group -> group.name().equals(name))
+                .findFirst();
+    }
+
+    private static List<AvailabilityZone> zonesOf(DeclaredSet set, PoolDeclaration pool) {
+        if (!pool.zones().isEmpty()) {
+            return pool.zones();
+        }
+        return set.zones().stream().map(ZoneDeclaration::name).collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/config/ObjectKind.java
@@ -0,0 +1,21 @@
+package org.wigeongrade.decisions.config;
+
+import java.util.Locale;
+
+/** Kinds of object that operators can ask about. Immutable; safe for use from any thread. */
+public enum ObjectKind {
+    CONFIGURATION,
+    AVAILABILITY_ZONE,
+    MODEL_VERSION,
+    POOL,
+    GROUP,
+    SERVICE,
+    ORGANISATION,
+    VM,
+    REQUEST;
+
+    /** Returns the kind as it stands in declared files and messages, for example {@code model_version}. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/control/ConfigurationChange.java
@@ -0,0 +1,12 @@
+package org.wigeongrade.decisions.control;
+
+import java.util.List;
+import org.wigeongrade.decisions.config.ObjectId;
+import org.wigeongrade.ids.Revision;
+
+/** An accepted change of configuration and the objects it changed. Immutable; safe for use from any thread. */
+public record ConfigurationChange(Revision revision, String operator, List<ObjectId> changed, long atEpochMs) {
+    public ConfigurationChange {
+        changed = List.copyOf(changed);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -0,0 +1,313 @@
+package org.wigeongrade.decisions.control;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.wigeongrade.decisions.config.ConfigurationChecker;
+import org.wigeongrade.decisions.config.ConfigurationFault;
+import org.wigeongrade.decisions.config.DeclaredObjects;
+import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.decisions.config.ObjectId;
+import org.wigeongrade.decisions.config.ObjectKind;
+import org.wigeongrade.decisions.config.ServiceDeclaration;
+import org.wigeongrade.decisions.outcomes.Claim;
+import org.wigeongrade.decisions.outcomes.ClaimTable;
+import org.wigeongrade.decisions.outcomes.Quarantine;
+import org.wigeongrade.decisions.outcomes.QuarantineTable;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.OrganisationName;
+import org.wigeongrade.ids.Revision;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * The deterministic state machine of the control VMs.
+ *
+ * <p>Invariants: the state and every result depend on nothing but the commands so far; the revision and the time of the
+ * state never decrease; a VM belongs to at most one group; a change id takes effect at most once. Thread safe: each
+ * method holds this object's monitor and calls nothing that takes another lock. Returned values are immutable.
+ */
+public final class ControlState {
+    private static final String LEADER = "leader";
+
+    private final ZoneTable zones = new ZoneTable();
+    private final GroupTable groups = new GroupTable();
+    private final ChangeAnswers changeAnswers = new ChangeAnswers();
+    private final ConfigurationChanges changes = new ConfigurationChanges();
+    private final DecisionHistory history = new DecisionHistory();
+    private final ClaimTable claims = new ClaimTable();
+    private final QuarantineTable quarantines = new QuarantineTable();
+
+    private DeclaredSet declaredSet = DeclaredSet.EMPTY;
+    private Revision revision = Revision.NONE;
+    private long appliedIndex;
+    private long nowEpochMs;
+
+    /** Returns a state that goes on where the snapshot was taken. */
+    public static ControlState restore(ControlSnapshot snapshot) {
+        final ControlState state = new ControlState();
+        state.load(snapshot);
+        return state;
+    }
+
+    /** Replaces the whole state by that of the snapshot. */
+    public synchronized void load(ControlSnapshot snapshot) {
+        appliedIndex = snapshot.appliedIndex();
+        nowEpochMs = snapshot.nowEpochMs();
+        revision = snapshot.revision();
+        declaredSet = snapshot.declaredSet();
+        zones.restore(snapshot.zones());
+        groups.restore(snapshot.groups(), snapshot.lastFencingToken());
+        changeAnswers.restore(snapshot.changeAnswers());
+        changes.restore(snapshot.changes());
+        history.restore(snapshot.decisions());
+        claims.restore(snapshot.claims());
+        quarantines.restore(snapshot.quarantines());
+    }
+
+    /** Returns the whole state. */
+    public synchronized ControlSnapshot snapshot() {
+        return new ControlSnapshot(
+                appliedIndex,
+                nowEpochMs,
+                revision,
+                declaredSet,
+                groups.lastToken(),
+                zones.entries(),
+                groups.all(),
+                changeAnswers.all(),
+                changes.all(),
+                history.all(),
+                claims.claims(),
+                quarantines.entries());
+    }
+
+    /** Applies the command at a log position and returns its result. */
+    public synchronized CommandResult apply(long index, Command command) {
+        appliedIndex = index;
+        if (command instanceof Command.ApplyConfiguration apply) {
+            return applyConfiguration(apply);
+        }
+        if (command instanceof Command.SetZoneState set) {
+            return setZoneState(set);
+        }
+        if (command instanceof Command.FormGroup form) {
+            return formGroup(form);
+        }
+        if (command instanceof Command.DissolveGroup dissolve) {
+            return dissolveGroup(dissolve);
+        }
+        if (command instanceof Command.ClaimRequest claim) {
+            advanceTo(claim.proposedAtEpochMs());
+            return claims.claim(claim, nowEpochMs, longestRunMs(), revision);
+        }
+        if (command instanceof Command.FinishClaim finish) {
+            advanceTo(finish.proposedAtEpochMs());
+            return claims.finish(finish, nowEpochMs, revision);
+        }
+        if (command instanceof Command.QuarantineRequest quarantine) {
+            return quarantineRequest(quarantine);
+        }
+        return expire((Command.ExpireRecords) command);
+    }
+
+    private CommandResult applyConfiguration(Command.ApplyConfiguration command) {
+        advanceTo(command.proposedAtEpochMs());
+        final String digest = ControlCodec.digest(new Command.ApplyConfiguration(
+                command.changeId(), command.operator(), command.baseRevision(), command.declaredSet(), 0));
+        return changeAnswers.find(command.changeId(), digest, revision).orElseGet(() -> {
+            final CommandResult result = replaceDeclaredSet(command);
+            changeAnswers.add(command.changeId(), digest, result);
+            return result;
+        });
+    }
+
+    private CommandResult replaceDeclaredSet(Command.ApplyConfiguration command) {
+        if (!command.baseRevision().equals(revision)) {
+            return refuse(
+                    ObjectId.DECLARED_SET,
+                    command.operator(),
+                    ErrorKind.REVISION_CONFLICT,
+                    changes.conflict(command.baseRevision(), revision));
+        }
+        final List<ConfigurationFault> faults = ConfigurationChecker.check(command.declaredSet(), declaredSet);
+        if (ConfigurationChecker.refusesSet(faults)) {
+            return refuse(
+                    ObjectId.DECLARED_SET,
+                    command.operator(),
+                    ErrorKind.INVALID_CONFIGURATION,
+                    faults.stream().map(ConfigurationFault::toString).collect(Collectors.joining("\n")));
+        }
+        final List<ObjectId> changed = DeclaredObjects.changed(declaredSet, command.declaredSet());
+        declaredSet = command.declaredSet();
+        return acceptChange(command.operator(), changed, "declared", "change " + command.changeId());
+    }
+
+    private CommandResult setZoneState(Command.SetZoneState command) {
+        advanceTo(command.proposedAtEpochMs());
+        final String digest = ControlCodec.digest(new Command.SetZoneState(
+                command.changeId(), command.operator(), command.zone(), command.zoneState(), 0));
+        return changeAnswers.find(command.changeId(), digest, revision).orElseGet(() -> {
+            final CommandResult result = changeZone(command);
+            changeAnswers.add(command.changeId(), digest, result);
+            return result;
+        });
+    }
+
+    private CommandResult changeZone(Command.SetZoneState command) {
+        final ObjectId zone = ObjectId.of(ObjectKind.AVAILABILITY_ZONE, command.zone());
+        if (declaredSet.zones().stream().noneMatch(declared -> declared.name().equals(command.zone()))) {
+            return refuse(
+                    zone,
+                    command.operator(),
+                    ErrorKind.NOT_FOUND,
+                    zone + " is not declared; name one of "
+                            + zones.all(declaredSet).keySet());
+        }
+        zones.set(command.zone(), command.zoneState());
+        return acceptChange(
+                command.operator(),
+                List.of(zone),
+                "taken " + command.zoneState().label(),
+                "change " + command.changeId());
+    }
+
+    private CommandResult acceptChange(String operator, List<ObjectId> changed, String what, String why) {
+        revision = revision.next();
+        changes.add(new ConfigurationChange(revision, operator, changed, nowEpochMs));
+        changed.forEach(object -> decide(object, what, why, operator));
+        decide(ObjectId.DECLARED_SET, "revision " + revision + " accepted", why, operator);
+        return new CommandResult.Accepted(revision);
+    }
+
+    private CommandResult formGroup(Command.FormGroup command) {
+        advanceTo(command.proposedAtEpochMs());
+        final ObjectId group = ObjectId.of(ObjectKind.GROUP, command.group());
+        final Optional<GroupRefusal> refusal = groups.form(command, new GroupRules(declaredSet, zones));
+        if (refusal.isPresent()) {
+            return refuse(group, LEADER, ErrorKind.REVISION_CONFLICT, groupMessage(group, "formed", refusal.get()));
+        }
+        decide(group, "formed of " + command.members(), command.reason(), LEADER);
+        command.members().forEach(member -> decide(vm(member), "joined " + group, command.reason(), LEADER));
+        return new CommandResult.Accepted(revision);
+    }
+
+    private CommandResult dissolveGroup(Command.DissolveGroup command) {
+        advanceTo(command.proposedAtEpochMs());
+        final ObjectId group = ObjectId.of(ObjectKind.GROUP, command.group());
+        final List<VmIncarnation> members =
+                groups.find(command.group()).map(FormedGroup::members).orElse(List.of());
+        final Optional<GroupRefusal> refusal = groups.dissolve(command);
+        if (refusal.isPresent()) {
+            return refuse(group, LEADER, ErrorKind.REVISION_CONFLICT, groupMessage(group, "dissolved", refusal.get()));
+        }
+        decide(group, "dissolved", command.reason(), LEADER);
+        members.forEach(member -> decide(vm(member), "freed from " + group, command.reason(), LEADER));
+        return new CommandResult.Accepted(revision);
+    }
+
+    private CommandResult quarantineRequest(Command.QuarantineRequest command) {
+        advanceTo(command.proposedAtEpochMs());
+        quarantines.add(command.requestDigest(), command.reason(), nowEpochMs, command.untilEpochMs());
+        decide(
+                ObjectId.of(ObjectKind.REQUEST, command.requestDigest()),
+                "quarantined until epoch ms " + command.untilEpochMs(),
+                command.reason(),
+                LEADER);
+        return new CommandResult.Accepted(revision);
+    }
+
+    private CommandResult expire(Command.ExpireRecords command) {
+        advanceTo(command.proposedAtEpochMs());
+        claims.expire(nowEpochMs);
+        quarantines.expire(nowEpochMs);
+        return new CommandResult.Accepted(revision);
+    }
+
+    private void advanceTo(long proposedAtEpochMs) {
+        nowEpochMs = Math.max(nowEpochMs, proposedAtEpochMs);
+    }
+
+    private long longestRunMs() {
+        return declaredSet.services().stream()
+                .mapToLong(ServiceDeclaration::longestRunMs)
+                .max()
+                .orElse(0);
+    }
+
+    private CommandResult refuse(ObjectId object, String by, ErrorKind kind, String message) {
+        decide(object, "refused: " + kind.code(), message, by);
+        return new CommandResult.Refused(kind, message, revision);
+    }
+
+    private void decide(ObjectId object, String what, String why, String by) {
+        history.add(new Decision(object, what, why, by, nowEpochMs, revision, appliedIndex));
+    }
+
+    private static String groupMessage(ObjectId group, String verb, GroupRefusal refusal) {
+        return group + " was not " + verb + ": " + refusal.text() + " (" + refusal.code() + ")";
+    }
+
+    private static ObjectId vm(VmIncarnation member) {
+        return ObjectId.of(ObjectKind.VM, member.vm());
+    }
+
+    /** Returns the current configuration revision. */
+    public synchronized Revision revision() {
+        return revision;
+    }
+
+    /** Returns the declared set in force. */
+    public synchronized DeclaredSet declaredSet() {
+        return declaredSet;
+    }
+
+    /** Returns the state of each availability zone, in the order of names. */
+    public synchronized ImmutableMap<AvailabilityZone, ZoneState> zoneStates() {
+        return zones.all(declaredSet);
+    }
+
+    /** Returns the formed groups in the order of their names. */
+    public synchronized List<FormedGroup> groups() {
+        return groups.all();
+    }
+
+    /** Returns the group that the VM belongs to in any incarnation, if there is one. */
+    public synchronized Optional<GroupName> groupOf(VmName vm) {
+        return groups.groupOf(vm);
+    }
+
+    /** Returns the largest fencing token in the log; a newly issued one must be larger. */
+    public synchronized FencingToken lastFencingToken() {
+        return groups.lastToken();
+    }
+
+    /** Returns the kept decisions about an object, oldest first. */
+    public synchronized List<Decision> decisions(ObjectId object) {
+        return history.about(object);
+    }
+
+    /** Returns the claim of an idempotency key, if there is one. */
+    public synchronized Optional<Claim> claim(OrganisationName organisation, String idempotencyKey) {
+        return claims.find(organisation, idempotencyKey);
+    }
+
+    /** Returns the quarantined requests, in the order of their digests; some may be past their deadline. */
+    public synchronized List<Quarantine> quarantines() {
+        return quarantines.entries();
+    }
+
+    /** Returns the log position of the last command applied. */
+    public synchronized long appliedIndex() {
+        return appliedIndex;
+    }
+
+    /** Returns the time of the state: the latest wall clock in any command, in milliseconds since the epoch. */
+    public synchronized long nowEpochMs() {
+        return nowEpochMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/control/DecisionHistory.java
@@ -0,0 +1,54 @@
+package org.wigeongrade.decisions.control;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import org.wigeongrade.decisions.config.ObjectId;
+
+/**
+ * The last decisions about each object.
+ *
+ * <p>Invariant: keeps {@link #MAX_PER_OBJECT} decisions for each of the {@link #MAX_OBJECTS} objects decided about
+ * last. Not thread safe; {@link ControlState} guards it.
+ */
+final class DecisionHistory {
+    static final int MAX_PER_OBJECT = 16;
+    static final int MAX_OBJECTS = 4_096;
+
+    private final LinkedHashMap<ObjectId, Deque<Decision>> byObject = new LinkedHashMap<>();
+
+    void add(Decision decision) {
+        final Deque<Decision> earlier = byObject.remove(decision.object());
+        final Deque<Decision> decisions = earlier == null ? new ArrayDeque<>() : earlier;
+        decisions.addLast(decision);
+        if (decisions.size() > MAX_PER_OBJECT) {
+            decisions.removeFirst();
+        }
+        byObject.put(decision.object(), decisions);
+        if (byObject.size() > MAX_OBJECTS) {
+            byObject.remove(byObject.keySet().iterator().next());
+        }
+    }
+
+    /** Returns the kept decisions about an object, oldest first. */
+    List<Decision> about(ObjectId object) {
+        final Deque<Decision> decisions = byObject.get(object);
+        return decisions == null ? ImmutableList.of() : ImmutableList.copyOf(decisions);
+    }
+
+    /** Returns all kept decisions; the objects decided about last come last. */
+    List<Decision> all() {
+        return byObject.values().stream().flatMap(Collection::stream).collect(ImmutableList.toImmutableList());
+    }
+
+    void restore(List<Decision> decisions) {
+        byObject.clear();
+        for (final Decision decision : decisions) {
+            byObject.computeIfAbsent(decision.object(), id -> new ArrayDeque<>())
+                    .addLast(decision);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/control/FormedGroup.java
@@ -0,0 +1,41 @@
+package org.wigeongrade.decisions.control;
+
+import java.util.List;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.FabricDomain;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.PoolName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * A group that was formed and not dissolved since. The first member takes the requests.
+ *
+ * <p>Invariant: members are of one fabric domain and belong to no other group. Immutable; safe for use from any thread.
+ */
+public record FormedGroup(
+        GroupName group,
+        PoolName pool,
+        ModelVersionName modelVersion,
+        AvailabilityZone zone,
+        FabricDomain fabricDomain,
+        List<VmIncarnation> members,
+        FencingToken fencingToken,
+        String reason,
+        long formedAtEpochMs) {
+    public FormedGroup {
+        members = List.copyOf(members);
+    }
+
+    /** Returns whether the VM is a member, in any incarnation. */
+    public boolean hasVm(VmName vm) {
+        return members.stream().anyMatch(member -> member.vm().equals(vm));
+    }
+
+    /** Returns the member that takes the requests. */
+    public VmIncarnation first() {
+        return members.get(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/control/GroupTable.java
@@ -0,0 +1,110 @@
+package org.wigeongrade.decisions.control;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * The formed groups.
+ *
+ * <p>Invariant: each VM, in any incarnation, is a member of at most one group; fencing tokens increase with each
+ * command that is accepted. Not thread safe; {@link ControlState} guards it.
+ */
+final class GroupTable {
+    private final TreeMap<GroupName, FormedGroup> groups = new TreeMap<>();
+    private final Map<VmName, GroupName> groupOfVm = new HashMap<>();
+    private FencingToken lastToken = FencingToken.NONE;
+
+    /** Forms a group unless the table's invariants or the declared set speak against it. */
+    Optional<GroupRefusal> form(Command.FormGroup command, GroupRules rules) {
+        final Optional<GroupRefusal> refusal = rules.check(command).or(() -> checkMembers(command));
+        if (refusal.isPresent()) {
+            return refusal;
+        }
+        lastToken = command.fencingToken();
+        groups.put(command.group(), formed(command));
+        command.members().forEach(member -> groupOfVm.put(member.vm(), command.group()));
+        return Optional.empty();
+    }
+
+    private Optional<GroupRefusal> checkMembers(Command.FormGroup command) {
+        if (groups.containsKey(command.group())) {
+            return Optional.of(GroupRefusal.GROUP_ALREADY_FORMED);
+        }
+        if (command.members().stream().map(VmIncarnation::vm).distinct().count()
+                < command.members().size()) {
+            return Optional.of(GroupRefusal.MEMBER_REPEATED);
+        }
+        if (command.members().stream().anyMatch(member -> groupOfVm.containsKey(member.vm()))) {
+            return Optional.of(GroupRefusal.MEMBER_IN_ANOTHER_GROUP);
+        }
+        if (command.fencingToken().compareTo(lastToken) <= 0) {
+            return Optional.of(GroupRefusal.STALE_FENCING_TOKEN);
+        }
+        return Optional.empty();
+    }
+
+    /** Frees a group's members. The token is newly issued or the group's own; an older one is refused. */
+    Optional<GroupRefusal> dissolve(Command.DissolveGroup command) {
+        final FormedGroup group = groups.get(command.group());
+        if (group == null) {
+            return Optional.of(GroupRefusal.NOT_FORMED);
+        }
+        if (command.fencingToken().compareTo(group.fencingToken()) < 0) {
+            return Optional.of(GroupRefusal.STALE_FENCING_TOKEN);
+        }
+        groups.remove(command.group());
+        group.members().forEach(member -> groupOfVm.remove(member.vm()));
+        if (command.fencingToken().compareTo(lastToken) > 0) {
+            lastToken = command.fencingToken();
+        }
+        return Optional.empty();
+    }
+
+    Optional<FormedGroup> find(GroupName group) {
+        return Optional.ofNullable(groups.get(group));
+    }
+
+    Optional<GroupName> groupOf(VmName vm) {
+        return Optional.ofNullable(groupOfVm.get(vm));
+    }
+
+    FencingToken lastToken() {
+        return lastToken;
+    }
+
+    /** Returns the formed groups in the order of their names. */
+    List<FormedGroup> all() {
+        return ImmutableList.copyOf(groups.values());
+    }
+
+    void restore(List<FormedGroup> restored, FencingToken token) {
+        groups.clear();
+        groupOfVm.clear();
+        lastToken = token;
+        for (final FormedGroup group : restored) {
+            groups.put(group.group(), group);
+            group.members().forEach(member -> groupOfVm.put(member.vm(), group.group()));
+        }
+    }
+
+    private static FormedGroup formed(Command.FormGroup command) {
+        return new FormedGroup(
+                command.group(),
+                command.pool(),
+                command.modelVersion(),
+                command.zone(),
+                command.fabricDomain(),
+                command.members(),
+                command.fencingToken(),
+                command.reason(),
+                command.proposedAtEpochMs());
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/control/ZoneState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ZoneState.java
@@ -1,6 +1,8 @@
 package org.wigeongrade.decisions.control;
 
-/** Whether operators let an availability zone receive new work. */
+import java.util.Locale;
+
+/** Whether operators let an availability zone receive new work. Immutable; safe for use from any thread. */
 public enum ZoneState {
     IN,
     OUT;
@@ -9,4 +11,9 @@
     public boolean takesNewWork() {
         return this == IN;
     }
+
+    /** Returns the state as operators write it. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/membership/AnnouncementTable.java
@@ -0,0 +1,59 @@
+package org.wigeongrade.decisions.membership;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * The newest announcement of each endpoint VM.
+ *
+ * <p>Invariant: an announcement of an older incarnation, or of the same one with a lower or equal sequence, changes
+ * nothing while the newer one is kept. Entries stay for {@link #KEEP_EXPIRED_NANOS} after their lease, so that a late
+ * one cannot bring back an older state. Thread safe: each method holds this object's monitor and calls nothing that
+ * takes another lock.
+ */
+public final class AnnouncementTable {
+    /** How long an announcement is kept after its lease deadline, in nanoseconds. */
+    public static final long KEEP_EXPIRED_NANOS = 600L * 1_000_000_000;
+
+    private final TreeMap<VmName, Announcement> byVm = new TreeMap<>();
+
+    /** Records an announcement and returns whether it was newer than the one kept. */
+    public synchronized boolean record(Announcement announcement) {
+        final Announcement kept = byVm.get(announcement.vm().vm());
+        if (kept != null && !isNewer(announcement, kept)) {
+            return false;
+        }
+        byVm.put(announcement.vm().vm(), announcement);
+        return true;
+    }
+
+    private static boolean isNewer(Announcement announcement, Announcement kept) {
+        final long incarnation = announcement.vm().incarnation();
+        if (incarnation != kept.vm().incarnation()) {
+            return incarnation > kept.vm().incarnation();
+        }
+        return announcement.sequence() > kept.sequence();
+    }
+
+    /** Removes the entries whose lease ended longer ago than {@link #KEEP_EXPIRED_NANOS}. */
+    public synchronized void expire(long nowNanos) {
+        byVm.values().removeIf(kept -> nowNanos - kept.leaseDeadlineNanos() > KEEP_EXPIRED_NANOS);
+    }
+
+    /** Returns the announcement of a VM whose lease holds at {@code nowNanos}, if there is one. */
+    public synchronized Optional<Announcement> live(VmName vm, long nowNanos) {
+        return Optional.ofNullable(byVm.get(vm)).filter(kept -> isLive(kept, nowNanos));
+    }
+
+    /** Returns the announcements whose leases hold at {@code nowNanos}, in the order of VM names. */
+    public synchronized List<Announcement> live(long nowNanos) {
+        return byVm.values().stream().filter(kept -> isLive(kept, nowNanos)).collect(ImmutableList.toImmutableList());
+    }
+
+    private static boolean isLive(Announcement kept, long nowNanos) {
+        return kept.leaseDeadlineNanos() - nowNanos > 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/membership/ServingLeases.java
@@ -0,0 +1,75 @@
+package org.wigeongrade.decisions.membership;
+
+import java.util.Map;
+import java.util.Optional;
+import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.control.ZoneState;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.VmIncarnation;
+
+/**
+ * Decides whether groups and plain services may serve.
+ *
+ * <p>Invariant: a lease ends no later than the earliest announcement lease of the members, and there is none while any
+ * member is missing. Stateless; safe for use from any thread.
+ */
+public final class ServingLeases {
+    private ServingLeases() {}
+
+    /** Returns the lease of a formed group at {@code nowNanos}, on the clock of the announcement table. */
+    public static ServingLease of(
+            FormedGroup group, Map<AvailabilityZone, ZoneState> zones, AnnouncementTable announcements, long nowNanos) {
+        if (!takesNewWork(zones, group.zone())) {
+            return new ServingLease.Refused(NotServing.ZONE_OUT, Optional.empty());
+        }
+        long untilNanos = Long.MAX_VALUE;
+        boolean cold = false;
+        for (final VmIncarnation member : group.members()) {
+            final Optional<Announcement> announcement = announcements.live(member.vm(), nowNanos);
+            final Optional<NotServing> reason = reason(group, member, announcement);
+            if (reason.isPresent()) {
+                return new ServingLease.Refused(reason.get(), Optional.of(member.vm()));
+            }
+            final Announcement said = announcement.orElseThrow();
+            untilNanos = Math.min(untilNanos, said.leaseDeadlineNanos());
+            cold |= said.state() == EndpointState.COLD;
+        }
+        return new ServingLease.Serving(untilNanos, cold);
+    }
+
+    /** Returns when a group's serving lease ends, in nanoseconds; empty if it may not serve. */
+    public static Optional<Long> servingDeadlineNanos(
+            FormedGroup group, Map<AvailabilityZone, ZoneState> zones, AnnouncementTable announcements, long nowNanos) {
+        return of(group, zones, announcements, nowNanos).deadlineNanos().stream()
+                .boxed()
+                .findFirst();
+    }
+
+    /** Returns the lease of a plain service's VM, which serves alone. */
+    public static ServingLease ofService(Announcement said, Map<AvailabilityZone, ZoneState> zones) {
+        if (!takesNewWork(zones, said.zone())) {
+            return new ServingLease.Refused(
+                    NotServing.ZONE_OUT, Optional.of(said.vm().vm()));
+        }
+        if (!said.state().serves()) {
+            final NotServing reason =
+                    said.state() == EndpointState.LEAVING ? NotServing.MEMBER_LEAVING : NotServing.MEMBER_NOT_SERVING;
+            return new ServingLease.Refused(reason, Optional.of(said.vm().vm()));
+        }
+        return new ServingLease.Serving(said.leaseDeadlineNanos(), said.state() == EndpointState.COLD);
+    }
+
+    private static boolean takesNewWork(Map<AvailabilityZone, ZoneState> zones, AvailabilityZone zone) {
+        return zones.getOrDefault(zone, ZoneState.IN).takesNewWork();
+    }
+
+    private static Optional<NotServing> reason(
+            FormedGroup group, VmIncarnation member, Optional<Announcement> announcement) {
+        for (final NotServing reason : NotServing.values()) {
+            if (reason.applies(group, member, announcement)) {
+                return Optional.of(reason);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/Claim.java
@@ -0,0 +1,46 @@
+package org.wigeongrade.decisions.outcomes;
+
+import org.wigeongrade.decisions.control.StoredAnswer;
+import org.wigeongrade.errors.RunClaim;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.ids.OrganisationName;
+import org.wigeongrade.ids.RequestId;
+
+/**
+ * The claim of one idempotency key: who may send the request, once, and how that send ended.
+ *
+ * <p>Invariant: {@code outcome} is null while the send is open, then UNKNOWN or COMPLETED; {@code answer} is set for
+ * COMPLETED alone. The send may start until {@code sendDeadlineEpochMs} and has ended by {@code
+ * outcomeDeadlineEpochMs}. Immutable; safe for use from any thread.
+ */
+public record Claim(
+        OrganisationName organisation,
+        String idempotencyKey,
+        String requestDigest,
+        RequestId requestId,
+        NodeName entryVm,
+        long sendDeadlineEpochMs,
+        long outcomeDeadlineEpochMs,
+        long retainUntilEpochMs,
+        RunClaim outcome,
+        StoredAnswer answer) {
+    /** Returns this claim with the outcome of its send, kept until {@code retainUntilEpochMs}. */
+    Claim finished(RunClaim outcome, StoredAnswer answer, long retainUntilEpochMs) {
+        return new Claim(
+                organisation,
+                idempotencyKey,
+                requestDigest,
+                requestId,
+                entryVm,
+                sendDeadlineEpochMs,
+                outcomeDeadlineEpochMs,
+                retainUntilEpochMs,
+                outcome,
+                answer);
+    }
+
+    /** Returns whether the send may still be running at {@code nowEpochMs}. */
+    boolean isInProgress(long nowEpochMs) {
+        return outcome == null && nowEpochMs <= outcomeDeadlineEpochMs;
+    }
+}
