--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -45,6 +45,7 @@
     GROUP_MEMBER_LOST(1405, Level.WARNING, "group {group} lost VM {vm}: {cause}"),
     ORDER_SENT(1406, Level.INFO, "order {order} for group {group} sent to VM {vm} with fencing token {token}"),
     ORDER_REFUSED(1407, Level.WARNING, "order {order} for group {group} refused by VM {vm}: {cause}"),
+    PLACEMENT_FAILED(1408, Level.WARNING, "placement could not be carried out: {cause}"),
 
     ENDPOINT_COLD(1501, Level.WARNING, "endpoint {endpoint} is cold: {cause}; its load is held to {slots} requests"),
     ENDPOINT_WARM(1502, Level.INFO, "endpoint {endpoint} is warm; its load may reach {slots} requests"),
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/CrashRecords.java
@@ -0,0 +1,76 @@
+package org.wigeongrade.nodes;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import org.wigeongrade.decisions.outcomes.CrashReport;
+import org.wigeongrade.decisions.outcomes.EndpointLife;
+import org.wigeongrade.decisions.outcomes.SuspectList;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.nodes.thrift.CrashReportRecord;
+import org.wigeongrade.nodes.thrift.PullReply;
+import org.wigeongrade.nodes.thrift.RunRecord;
+import org.wigeongrade.nodes.thrift.SuspectRecord;
+
+/** Converts crash reports and suspects to and from their Thrift form. Stateless; safe for use from any thread. */
+public final class CrashRecords {
+    private CrashRecords() {}
+
+    public static CrashReportRecord write(CrashReport report, Collection<String> wantedTrials) {
+        final CrashReportRecord record = new CrashReportRecord();
+        record.setSequence(report.sequence());
+        record.setLosses(report.losses().stream()
+                .map(loss -> run(loss.requestDigest(), loss.life()))
+                .toList());
+        record.setCompletions(report.completions().stream()
+                .map(completion -> run(completion.requestDigest(), completion.life()))
+                .toList());
+        record.setWantedTrials(ImmutableList.copyOf(wantedTrials));
+        return record;
+    }
+
+    public static CrashReport read(CrashReportRecord record) {
+        return new CrashReport(
+                record.getSequence(),
+                record.getLosses().stream()
+                        .map(run -> new CrashReport.Loss(run.getRequestDigest(), life(run)))
+                        .collect(ImmutableSet.toImmutableSet()),
+                record.getCompletions().stream()
+                        .map(run -> new CrashReport.Completion(run.getRequestDigest(), life(run)))
+                        .collect(ImmutableSet.toImmutableSet()));
+    }
+
+    public static SuspectRecord write(SuspectList.Suspect suspect) {
+        final SuspectRecord record =
+                new SuspectRecord(suspect.requestDigest(), suspect.endpointsLost(), suspect.trialNanos());
+        suspect.trialHolder().ifPresent(holder -> record.setTrialHolder(holder.value()));
+        return record;
+    }
+
+    /** Reads the suspects of a pull reply; {@code quarantined} are the digests that the entry VM knows from it. */
+    public static SuspectList read(PullReply reply, Set<String> quarantined) {
+        return new SuspectList(
+                reply.getAcknowledgedCrashSequence(),
+                reply.getSuspects().stream().map(CrashRecords::suspect).toList(),
+                quarantined);
+    }
+
+    private static SuspectList.Suspect suspect(SuspectRecord record) {
+        return new SuspectList.Suspect(
+                record.getRequestDigest(),
+                record.getEndpointsLost(),
+                Optional.ofNullable(record.getTrialHolder()).map(NodeName::new),
+                record.getTrialNanos());
+    }
+
+    private static RunRecord run(String requestDigest, EndpointLife life) {
+        return new RunRecord(requestDigest, life.endpoint().value(), life.incarnation());
+    }
+
+    private static EndpointLife life(RunRecord run) {
+        return new EndpointLife(new EndpointId(run.getEndpoint()), run.getIncarnation());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/control/ConfigurationViews.java
@@ -0,0 +1,20 @@
+package org.wigeongrade.nodes.control;
+
+import org.wigeongrade.decisions.control.ControlState;
+import org.wigeongrade.decisions.control.ZoneEntry;
+import org.wigeongrade.nodes.ConfigurationView;
+
+/** Reads the configuration of the control state at one revision. Stateless; safe for use from any thread. */
+final class ConfigurationViews {
+    private ConfigurationViews() {}
+
+    static ConfigurationView of(ControlState state) {
+        final ControlState.PlacementFacts facts = state.placementFacts();
+        return new ConfigurationView(
+                facts.revision(),
+                facts.declaredSet(),
+                facts.zones().entrySet().stream()
+                        .map(entry -> new ZoneEntry(entry.getKey(), entry.getValue()))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/control/FleetSnapshots.java
@@ -0,0 +1,181 @@
+package org.wigeongrade.nodes.control;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.decisions.config.ModelVersionDeclaration;
+import org.wigeongrade.decisions.config.PoolDeclaration;
+import org.wigeongrade.decisions.config.ServiceDeclaration;
+import org.wigeongrade.decisions.control.ControlState;
+import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.control.ZoneState;
+import org.wigeongrade.decisions.limits.ShareKey;
+import org.wigeongrade.decisions.limits.ShareLedger;
+import org.wigeongrade.decisions.membership.Announcement;
+import org.wigeongrade.decisions.membership.AnnouncementTable;
+import org.wigeongrade.decisions.membership.EndpointKind;
+import org.wigeongrade.decisions.membership.ServingLease;
+import org.wigeongrade.decisions.membership.ServingLeases;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.nodes.thrift.EndpointRecord;
+import org.wigeongrade.nodes.thrift.LoadRecord;
+
+/**
+ * Works out which endpoints may serve, from the replicated state and the announcements.
+ *
+ * <p>Availability zones that are out stay listed: entry VMs leave them out by the configuration that they have in
+ * force. Not thread safe; one instance serves one call.
+ */
+final class FleetSnapshots {
+    private final DeclaredSet declaredSet;
+    private final List<FormedGroup> groups;
+    private final long appliedIndex;
+    private final AnnouncementTable announcements;
+    private final ShareLedger shares;
+    private final long announcementLeaseNanos;
+    private final long nowNanos;
+
+    private final ImmutableList.Builder<EndpointRecord> endpoints = ImmutableList.builder();
+    private final ImmutableMap.Builder<String, Long> deadlines = ImmutableMap.builder();
+    private final ImmutableList.Builder<LoadRecord> loads = ImmutableList.builder();
+    private final ImmutableMap.Builder<String, String> notServing = ImmutableMap.builder();
+
+    private FleetSnapshots(
+            ControlState state,
+            AnnouncementTable announcements,
+            ShareLedger shares,
+            long announcementLeaseNanos,
+            long nowNanos) {
+        this.appliedIndex = state.appliedIndex();
+        this.declaredSet = state.declaredSet();
+        this.groups = state.groups();
+        this.announcements = announcements;
+        this.shares = shares;
+        this.announcementLeaseNanos = announcementLeaseNanos;
+        this.nowNanos = nowNanos;
+    }
+
+    /** Returns the snapshot at {@code nowNanos}. */
+    static FleetSnapshot take(
+            ControlState state,
+            AnnouncementTable announcements,
+            ShareLedger shares,
+            long announcementLeaseNanos,
+            long nowNanos) {
+        return new FleetSnapshots(state, announcements, shares, announcementLeaseNanos, nowNanos).take();
+    }
+
+    private FleetSnapshot take() {
+        groups.forEach(this::addGroup);
+        announcements.live(nowNanos).stream()
+                .filter(said -> said.kind() == EndpointKind.SERVICE)
+                .forEach(this::addService);
+        final ImmutableList<EndpointRecord> list = endpoints.build();
+        return new FleetSnapshot(
+                nowNanos,
+                appliedIndex,
+                digest(list),
+                list,
+                deadlines.buildOrThrow(),
+                loads.build(),
+                notServing.buildOrThrow());
+    }
+
+    private void addGroup(FormedGroup group) {
+        final Optional<PoolDeclaration> pool = declaredSet.pools().stream()
+                .filter(declared -> declared.name().equals(group.pool()))
+                .findFirst();
+        if (pool.isEmpty()) {
+            notServing.put(group.group().value(), "pool '" + group.pool() + "' is no longer declared");
+            return;
+        }
+        final Map<AvailabilityZone, ZoneState> allIn = Map.of();
+        final ServingLease lease = ServingLeases.of(group, allIn, announcements, nowNanos);
+        if (lease instanceof ServingLease.Refused refused) {
+            notServing.put(group.group().value(), refused.message());
+            return;
+        }
+        final Announcement first =
+                announcements.live(group.first().vm(), nowNanos).orElseThrow();
+        final EndpointRecord record = common(group.group().value(), first, lease);
+        record.setKind(EndpointKind.ENGINE.label());
+        record.setTarget(modelOf(group.modelVersion(), pool.get()));
+        record.setModelVersion(group.modelVersion().value());
+        record.setAvailabilityZone(group.zone().value());
+        record.setCapacity(pool.get().capacity());
+        record.setColdCapacity(pool.get().coldCapacity());
+        record.setLongestRunMs(pool.get().longestRunMs());
+        record.setMembers(
+                group.members().stream().map(member -> member.vm().value()).toList());
+        record.setFencingTerm(group.fencingToken().term());
+        record.setFencingSequence(group.fencingToken().sequence());
+        add(record, first, lease);
+    }
+
+    private void addService(Announcement said) {
+        final Optional<ServiceDeclaration> service = declaredSet.services().stream()
+                .filter(declared -> said.service().filter(declared.name()::equals).isPresent())
+                .findFirst();
+        final ServingLease lease = ServingLeases.ofService(said, Map.of());
+        if (service.isEmpty() || lease instanceof ServingLease.Refused) {
+            return;
+        }
+        final EndpointRecord record = common(said.vm().vm().value(), said, lease);
+        record.setKind(EndpointKind.SERVICE.label());
+        record.setTarget(service.get().name().value());
+        record.setModelVersion("");
+        record.setAvailabilityZone(said.zone().value());
+        record.setCapacity(service.get().capacity());
+        record.setColdCapacity(service.get().coldCapacity());
+        record.setLongestRunMs(service.get().longestRunMs());
+        record.setMembers(List.of(said.vm().vm().value()));
+        add(record, said, lease);
+    }
+
+    private EndpointRecord common(String id, Announcement first, ServingLease lease) {
+        final EndpointRecord record = new EndpointRecord();
+        record.setId(id);
+        record.setAddress(first.address());
+        record.setCold(lease instanceof ServingLease.Serving serving && serving.cold());
+        record.setIncarnation(first.vm().incarnation());
+        record.setColdHolder(shares.coldHolder(ShareKey.endpointSlots(new EndpointId(id)))
+                .map(NodeName::value)
+                .orElse(""));
+        return record;
+    }
+
+    private void add(EndpointRecord record, Announcement first, ServingLease lease) {
+        endpoints.add(record);
+        deadlines.put(record.getId(), lease.deadlineNanos().orElseThrow());
+        final long heardNanos = first.leaseDeadlineNanos() - announcementLeaseNanos;
+        loads.add(new LoadRecord(
+                record.getId(), first.running(), first.waiting(), Math.max(0, nowNanos - heardNanos)));
+    }
+
+    /** Returns the name that callers ask for; the pool's own version stands in for one that is no longer declared. */
+    private String modelOf(ModelVersionName version, PoolDeclaration pool) {
+        return declaredModel(version).or(() -> declaredModel(pool.modelVersion())).orElse(version.value());
+    }
+
+    private Optional<String> declaredModel(ModelVersionName version) {
+        return declaredSet.modelVersions().stream()
+                .filter(declared -> declared.name().equals(version))
+                .map(ModelVersionDeclaration::model)
+                .findFirst();
+    }
+
+    private static long digest(List<EndpointRecord> records) {
+        final Hasher hasher = Hashing.murmur3_128().newHasher();
+        records.forEach(record -> hasher.putString(record.toString(), StandardCharsets.UTF_8));
+        return hasher.hash().asLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
@@ -0,0 +1,121 @@
+package org.wigeongrade.nodes.control;
+
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wigeongrade.decisions.control.Command;
+import org.wigeongrade.decisions.control.CommandResult;
+import org.wigeongrade.decisions.placement.PlacementAction;
+import org.wigeongrade.decisions.placement.PlacementInput;
+import org.wigeongrade.decisions.placement.PlacementPlanner;
+import org.wigeongrade.endpoints.OrderSender;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+
+/**
+ * Carries out the placement plan while this VM leads: commits its commands, then gives its orders.
+ *
+ * <p>Invariant: orders of a plan leave only if every command before them was committed and the lease is still valid.
+ * Its own thread runs every plan, one after another.
+ */
+public final class PlacementLoop implements AutoCloseable {
+    private static final long INTERVAL_MS = 200;
+
+    private final ControlRole control;
+    private final OrderSender orders;
+    private final ShareBounds shareBounds;
+    private final FleetMeasures measures;
+    private final EventLog events;
+    private final OrderPacing pacing = new OrderPacing();
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(
+            new ThreadFactoryBuilder().setNameFormat("placement").setDaemon(true).build());
+
+    public PlacementLoop(ControlRole control, OrderSender orders, FleetMeasures measures, EventLog events) {
+        this.control = control;
+        this.orders = orders;
+        this.measures = measures;
+        this.events = events;
+        this.shareBounds = new ShareBounds();
+    }
+
+    /** Begins to plan. */
+    public void start() {
+        thread.scheduleWithFixedDelay(this::runOnce, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        thread.shutdownNow();
+    }
+
+    private void runOnce() {
+        try {
+            control.leadership().ifPresent(this::plan);
+        } catch (WigeongradeException failure) {
+            events.write(LogEvent.PLACEMENT_FAILED, failure.getMessage());
+        } catch (RuntimeException failure) {
+            events.writeFault(LogEvent.PLACEMENT_FAILED, failure, failure.toString());
+        }
+    }
+
+    private void plan(Leadership leadership) {
+        final long nowNanos = control.nowNanos();
+        shareBounds.update(control.state(), leadership, nowNanos);
+        measures.update(control.state(), leadership, nowNanos);
+        final PlacementInput input = PlacementInput.of(
+                control.state(),
+                leadership.announcements(),
+                leadership.term(),
+                nowNanos,
+                control.nowEpochMs(),
+                leadership.membersKnownAtNanos(),
+                leadership.olderOrdersEndNanos());
+        final List<PlacementAction> plan = PlacementPlanner.plan(input);
+        for (final PlacementAction action : plan) {
+            if (!carryOut(action, nowNanos)) {
+                return;
+            }
+        }
+    }
+
+    /** Returns whether the rest of the plan may be carried out. */
+    private boolean carryOut(PlacementAction action, long nowNanos) {
+        if (action instanceof PlacementAction.FormGroup form) {
+            return commit(form.command()).isPresent() && logFormed(form.command());
+        }
+        if (action instanceof PlacementAction.DissolveGroup dissolve) {
+            return commit(dissolve.command()).isPresent() && logDissolved(dissolve.command());
+        }
+        if (action instanceof PlacementAction.SendOrder send && pacing.isDue(send.order(), nowNanos)) {
+            final boolean leads = control.leadership().isPresent();
+            if (leads) {
+                orders.send(send.order());
+            }
+            return leads;
+        }
+        return true;
+    }
+
+    private Optional<CommandResult> commit(Command command) {
+        final CommandResult result = control.submit(command);
+        if (result instanceof CommandResult.Refused refused) {
+            events.write(LogEvent.PLACEMENT_FAILED, refused.message());
+            return Optional.empty();
+        }
+        return Optional.of(result);
+    }
+
+    private boolean logFormed(Command.FormGroup command) {
+        events.write(LogEvent.GROUP_FORMED, command.group(), command.members(), command.reason());
+        return true;
+    }
+
+    private boolean logDissolved(Command.DissolveGroup command) {
+        events.write(LogEvent.GROUP_DISSOLVED, command.group(), command.reason());
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control role: applies the replicated log, answers pulls, places groups and gives orders. */
+package org.wigeongrade.nodes.control;
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -51,19 +51,27 @@
   6: i64 leaseNanos
 }
 
-// One request that was in flight at an endpoint when the endpoint was lost.
-struct CrashRecord {
+// One request digest and the life of the endpoint that it was in flight at.
+struct RunRecord {
   1: string requestDigest
   2: string endpoint
-  3: i64 endpointIncarnation
-  4: string requestId
+  3: i64 incarnation
+}
+
+// Requests that were in flight at lost endpoints, and suspects that completed since.
+struct CrashReportRecord {
+  1: i64 sequence
+  2: list<RunRecord> losses
+  3: list<RunRecord> completions
+  4: list<string> wantedTrials
 }
 
-// Whether a request that was in flight at a lost endpoint may be sent again.
-struct CrashDecision {
-  1: bool quarantined
-  2: i32 crashes
-  3: i64 waitMs
+// A request that was in flight at one lost endpoint; only the trial holder may run it.
+struct SuspectRecord {
+  1: string requestDigest
+  2: i32 endpointsLost
+  3: optional string trialHolder
+  4: i64 trialNanos
 }
 
 struct PullRequest {
@@ -77,6 +85,10 @@
   10: list<ShareReportRecord> shares
   12: bool stopping
   13: bool leaseHeld
+  // Position up to which this entry VM has the leader's cache events, and the term that gave it.
+  14: i64 cacheCursorTerm
+  15: i64 cacheCursor
+  16: CrashReportRecord crashReport
 }
 
 struct EndpointRecord {
@@ -92,6 +104,9 @@
   10: i64 longestRunMs
   11: i64 incarnation
   12: list<string> members
+  13: i64 fencingTerm
+  14: i64 fencingSequence
+  15: string coldHolder
 }
 
 struct LoadRecord {
@@ -106,6 +121,7 @@
   2: i64 firstSequence
   3: list<string> added
   4: list<string> removed
+  5: i64 incarnation
 }
 
 struct PullReply {
@@ -129,8 +145,9 @@
   14: optional map<string, i64> quarantined
   15: list<LoadRecord> loads
   16: list<CacheEventRecord> cacheEvents
-  // Requests seen in flight at one lost endpoint: send them one at a time and alone.
-  17: list<string> suspects
+  18: i64 cacheCursor
+  17: list<SuspectRecord> suspects
+  19: i64 acknowledgedCrashSequence
 }
 
 // A refusal or failure with a code from the closed list of error kinds.
@@ -149,8 +166,6 @@
   binary explain(1: string kind, 2: string id) throws (1: NodeFailure failure)
   // Any VM to the leader: the state of the fleet in JSON.
   binary status() throws (1: NodeFailure failure)
-  // Entry VM to leader: reports a crash before the request is sent again.
-  CrashDecision crashed(1: CrashRecord crash) throws (1: NodeFailure failure)
   // Entry VM to entry VM: the endpoint showed a sign of being cold; hold no slot of it unless named its cold holder.
   void coldSign(1: string endpoint, 2: string fromNode)
 }
