--- a/src/main/java/org/wigeongrade/decisions/config/DeclaredGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/config/DeclaredGroups.java
@@ -1,9 +1,11 @@
 package org.wigeongrade.decisions.config;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.PoolName;
@@ -37,6 +39,14 @@
         return groups;
     }
 
+    /** Returns the names of all groups that the set asks for. */
+    public static Set<GroupName> names(DeclaredSet set) {
+        return set.pools().stream()
+                .flatMap(pool -> of(set, pool).stream())
+                .map(DeclaredGroup::name)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns the declared group of that name in the pool, if there is one. */
     public static Optional<DeclaredGroup> find(DeclaredSet set, PoolName pool, GroupName name) {
         return pool(set, pool).stream()
--- a/src/main/java/org/wigeongrade/decisions/config/ObjectKind.java
+++ b/src/main/java/org/wigeongrade/decisions/config/ObjectKind.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.decisions.config;
 
+import java.util.List;
 import java.util.Locale;
 
 /** Kinds of object that operators can ask about. Immutable; safe for use from any thread. */
@@ -18,4 +19,9 @@
     public String label() {
         return name().toLowerCase(Locale.ROOT);
     }
+
+    /** Returns the kinds that operators declare, in the order in which they are listed. */
+    public static List<ObjectKind> declared() {
+        return List.of(AVAILABILITY_ZONE, MODEL_VERSION, POOL, GROUP, SERVICE, ORGANISATION);
+    }
 }
--- a/src/main/java/org/wigeongrade/decisions/control/ControlSnapshot.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlSnapshot.java
@@ -5,6 +5,7 @@
 import org.wigeongrade.decisions.outcomes.Claim;
 import org.wigeongrade.decisions.outcomes.Quarantine;
 import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.Revision;
 
 /**
@@ -21,6 +22,7 @@
         FencingToken lastFencingToken,
         List<ZoneEntry> zones,
         List<FormedGroup> groups,
+        List<GroupName> dissolvedGroups,
         List<ChangeAnswer> changeAnswers,
         List<ConfigurationChange> changes,
         List<Decision> decisions,
@@ -29,6 +31,7 @@
     public ControlSnapshot {
         zones = List.copyOf(zones);
         groups = List.copyOf(groups);
+        dissolvedGroups = List.copyOf(dissolvedGroups);
         changeAnswers = List.copyOf(changeAnswers);
         changes = List.copyOf(changes);
         decisions = List.copyOf(decisions);
--- a/src/main/java/org/wigeongrade/decisions/control/ControlState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.wigeongrade.decisions.config.ConfigurationChecker;
 import org.wigeongrade.decisions.config.ConfigurationFault;
@@ -61,7 +62,7 @@
         revision = snapshot.revision();
         declaredSet = snapshot.declaredSet();
         zones.restore(snapshot.zones());
-        groups.restore(snapshot.groups(), snapshot.lastFencingToken());
+        groups.restore(snapshot.groups(), snapshot.dissolvedGroups(), snapshot.lastFencingToken());
         changeAnswers.restore(snapshot.changeAnswers());
         changes.restore(snapshot.changes());
         history.restore(snapshot.decisions());
@@ -79,6 +80,7 @@
                 groups.lastToken(),
                 zones.entries(),
                 groups.all(),
+                List.copyOf(groups.dissolved()),
                 changeAnswers.all(),
                 changes.all(),
                 history.all(),
@@ -144,6 +146,7 @@
         }
         final List<ObjectId> changed = DeclaredObjects.changed(declaredSet, command.declaredSet());
         declaredSet = command.declaredSet();
+        groups.forgetUndeclared(declaredSet);
         return acceptChange(command.operator(), changed, "declared", "change " + command.changeId());
     }
 
@@ -286,6 +289,20 @@
         return groups.lastToken();
     }
 
+    /** Returns what placement decides from, all of it at one log position. */
+    public synchronized PlacementFacts placementFacts() {
+        return new PlacementFacts(
+                declaredSet, zones.all(declaredSet), groups.all(), groups.dissolved(), groups.lastToken());
+    }
+
+    /** What placement decides from, at one log position. Immutable; safe for use from any thread. */
+    public record PlacementFacts(
+            DeclaredSet declaredSet,
+            ImmutableMap<AvailabilityZone, ZoneState> zones,
+            List<FormedGroup> groups,
+            Set<GroupName> dissolvedGroups,
+            FencingToken lastToken) {}
+
     /** Returns the kept decisions about an object, oldest first. */
     public synchronized List<Decision> decisions(ObjectId object) {
         return history.about(object);
--- a/src/main/java/org/wigeongrade/decisions/control/GroupTable.java
+++ b/src/main/java/org/wigeongrade/decisions/control/GroupTable.java
@@ -1,11 +1,16 @@
 package org.wigeongrade.decisions.control;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import org.wigeongrade.decisions.config.DeclaredGroups;
+import org.wigeongrade.decisions.config.DeclaredSet;
 import org.wigeongrade.ids.FencingToken;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.VmIncarnation;
@@ -20,6 +25,7 @@
 final class GroupTable {
     private final TreeMap<GroupName, FormedGroup> groups = new TreeMap<>();
     private final Map<VmName, GroupName> groupOfVm = new HashMap<>();
+    private final TreeSet<GroupName> dissolved = new TreeSet<>();
     private FencingToken lastToken = FencingToken.NONE;
 
     /** Forms a group unless the table's invariants or the declared set speak against it. */
@@ -29,6 +35,7 @@
             return refusal;
         }
         lastToken = command.fencingToken();
+        dissolved.remove(command.group());
         groups.put(command.group(), formed(command));
         command.members().forEach(member -> groupOfVm.put(member.vm(), command.group()));
         return Optional.empty();
@@ -61,6 +68,7 @@
             return Optional.of(GroupRefusal.STALE_FENCING_TOKEN);
         }
         groups.remove(command.group());
+        dissolved.add(command.group());
         group.members().forEach(member -> groupOfVm.remove(member.vm()));
         if (command.fencingToken().compareTo(lastToken) > 0) {
             lastToken = command.fencingToken();
@@ -80,13 +88,26 @@
         return lastToken;
     }
 
+    /** Returns the groups that were dissolved, are still declared and were not formed again, in the order of names. */
+    Set<GroupName> dissolved() {
+        return ImmutableSet.copyOf(dissolved);
+    }
+
+    /** Drops the dissolved groups that the set no longer asks for. */
+    void forgetUndeclared(DeclaredSet set) {
+        final Set<GroupName> declared = DeclaredGroups.names(set);
+        dissolved.removeIf(group -> !declared.contains(group));
+    }
+
     /** Returns the formed groups in the order of their names. */
     List<FormedGroup> all() {
         return ImmutableList.copyOf(groups.values());
     }
 
-    void restore(List<FormedGroup> restored, FencingToken token) {
+    void restore(List<FormedGroup> restored, List<GroupName> restoredDissolved, FencingToken token) {
         groups.clear();
+        dissolved.clear();
+        dissolved.addAll(restoredDissolved);
         groupOfVm.clear();
         lastToken = token;
         for (final FormedGroup group : restored) {
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/placement/GroupNotDeclared.java
@@ -0,0 +1,25 @@
+package org.wigeongrade.decisions.placement;
+
+import java.util.Optional;
+import org.wigeongrade.decisions.control.FormedGroup;
+
+/** Finds groups that the declared set no longer asks for: with fewer replicas the highest numbers. Stateless. */
+final class GroupNotDeclared implements DissolveRule {
+    @Override
+    public PlacementReason reason() {
+        return PlacementReason.GROUP_NOT_DECLARED;
+    }
+
+    @Override
+    public boolean replacesServingGroup() {
+        return false;
+    }
+
+    @Override
+    public Optional<String> find(FormedGroup group, PlacementView view) {
+        final boolean wanted = view.declared(group.group())
+                .filter(declared -> declared.pool().name().equals(group.pool()))
+                .isPresent();
+        return wanted ? Optional.empty() : Optional.of("pool " + group.pool());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/placement/Order.java
@@ -0,0 +1,28 @@
+package org.wigeongrade.decisions.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * An order to one engine VM; sending it again has no further effect. {@code address} is {@code ip:port}. {@code
+ * members} are in rank order. Members, model version and weights are set for JOIN alone. Immutable; safe for use from
+ * any thread.
+ */
+public record Order(
+        OrderKind kind,
+        VmIncarnation vm,
+        String address,
+        GroupName group,
+        List<VmName> members,
+        Optional<ModelVersionName> modelVersion,
+        Optional<String> weights,
+        FencingToken fencingToken) {
+    public Order {
+        members = List.copyOf(members);
+    }
+}
