Add the command line: operators' subcommands by HTTP, node, exit codes

Operators' subcommands call entry VMs by HTTP, try the next one if one cannot be reached and send the same change id again after a lost answer. The node itself is not in this commit: NodeFactory is the place where it is connected.

--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/ApplyCommand.java
@@ -0,0 +1,42 @@
+package org.wigeongrade.command;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Publishes a whole declared set on top of a base revision. Not safe for use from several threads. */
+final class ApplyCommand extends ChangeSubcommand {
+    @Option(
+            name = "--base-revision",
+            required = true,
+            metaVar = "N",
+            usage = "revision that the change was made for, as 'get' prints it; 0 for the first")
+    private long baseRevision;
+
+    @Argument(required = true, metaVar = "FILE", usage = "TOML files that make up the whole declared set")
+    private List<Path> files = new ArrayList<>();
+
+    @Override
+    protected String helpText() {
+        return """
+                The set replaces the whole configuration. If another change was published since the base revision,
+                nothing changes and the answer names that change: read it with 'get', merge, apply again.
+                After a lost answer the same change goes to the next entry VM; it takes effect once only.
+
+                example: wigeongrade apply --entry 10.0.0.1:8001 --entry 10.0.0.2:8001 --base-revision 4 pools.toml
+                """;
+    }
+
+    @Override
+    protected ExitCode run(CommandIo io) {
+        final DeclaredFiles declared = DeclaredFiles.read(files);
+        final Map<String, String> query = changeQuery(io);
+        query.put("base_revision", Long.toString(baseRevision));
+        final OperatorCall call = OperatorCall.post(declared.joinedText(), query, "apply");
+        print(io, client(io).send(call, declared::placed));
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/EntryTransport.java
@@ -0,0 +1,70 @@
+package org.wigeongrade.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.RunClaim;
+import org.wigeongrade.settings.NodeAddress;
+
+/** Sends one call to one entry VM and classifies the outcome. Safe for use from any thread. */
+final class EntryTransport {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .build();
+
+    /** Sends the call; {@code timeout} bounds the wait for the answer. */
+    CallOutcome send(NodeAddress entry, OperatorCall call, Duration timeout) {
+        final HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + entry + call.pathAndQuery()))
+                .timeout(timeout)
+                .method(call.method(), HttpRequest.BodyPublishers.ofString(call.body()))
+                .build();
+        try {
+            return classify(client.send(request, HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8)));
+        } catch (ConnectException | HttpConnectTimeoutException e) {
+            return new CallOutcome.NotRun("no connection to " + entry, 0);
+        } catch (IOException e) {
+            return new CallOutcome.Unknown("the answer of " + entry + " was lost: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new CallOutcome.Unknown("interrupted while waiting for " + entry);
+        }
+    }
+
+    private static CallOutcome classify(HttpResponse<String> response) {
+        final int status = response.statusCode();
+        final JsonNode body;
+        try {
+            body = JSON.readTree(response.body());
+        } catch (JsonProcessingException e) {
+            return new CallOutcome.Unknown("the answer with HTTP status " + status + " is not JSON");
+        }
+        if (status == 200) {
+            return new CallOutcome.Answered(body);
+        }
+        final OperatorError error = OperatorError.of(status, body);
+        final boolean mayHaveRun = error.kind()
+                .map(ErrorKind::runClaim)
+                .filter(RunClaim.UNKNOWN::equals)
+                .isPresent();
+        if (mayHaveRun) {
+            return new CallOutcome.Unknown(error.code() + ": " + error.message());
+        }
+        return status == 503
+                ? new CallOutcome.NotRun(error.code() + ": " + error.message(), error.retryAfterMs())
+                : new CallOutcome.Refused(error);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/NodeCommand.java
@@ -0,0 +1,93 @@
+package org.wigeongrade.command;
+
+import com.google.common.collect.ImmutableList;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.kohsuke.args4j.Option;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogLevel;
+import org.wigeongrade.logging.LogSetup;
+import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.settings.Fault;
+import org.wigeongrade.settings.NodeSettings;
+import org.wigeongrade.settings.SettingsOutcome;
+import org.wigeongrade.settings.SettingsReader;
+
+/** Runs one node until it is stopped. Not safe for use from several threads. */
+final class NodeCommand extends Subcommand {
+    private static final NodeFactory NODES = NodeFactory.ABSENT;
+    private static final int SECOND_SIGNAL_EXIT = 143;
+
+    @Option(name = "--settings", required = true, metaVar = "FILE", usage = "TOML file with the node's settings")
+    private Path settingsFile;
+
+    @Option(name = "--check-only", usage = "check the settings file and exit")
+    private boolean checkOnly;
+
+    @Option(name = "--log-level", metaVar = "LEVEL", usage = "debug, info, warning or error (default: info)")
+    private String logLevel = "info";
+
+    @Option(name = "--log-file", metaVar = "FILE", usage = "append the log to this file (default: stderr)")
+    private Path logFile;
+
+    @Override
+    protected String helpText() {
+        return """
+                Every fault of the settings file is listed at once and nothing starts on a bad file.
+                SIGTERM or SIGINT stops the node gracefully; a second one ends the process at once (exit code 143).
+                """;
+    }
+
+    @Override
+    protected ExitCode run(CommandIo io) {
+        final NodeSettings settings = readSettings();
+        if (checkOnly) {
+            io.out().println("settings of node " + settings.name() + " are valid");
+            return ExitCode.OK;
+        }
+        installLog();
+        final NodeProcess node = NODES.create(settings, new EventLog(), new Metrics().withJvm());
+        StopSignals.install(node::stop, () -> Runtime.getRuntime().halt(SECOND_SIGNAL_EXIT));
+        node.start();
+        awaitStopped(node);
+        return ExitCode.OK;
+    }
+
+    private NodeSettings readSettings() {
+        final SettingsOutcome outcome = SettingsReader.readAll(settingsFile);
+        if (outcome instanceof SettingsOutcome.Valid valid) {
+            return valid.settings();
+        }
+        final ImmutableList<Fault> faults = ((SettingsOutcome.Invalid) outcome).faults();
+        throw new CommandException(
+                ExitCode.BAD_FILE,
+                ErrorKind.INVALID_CONFIGURATION.code(),
+                faults.size() + " fault(s) in settings file " + settingsFile + "; nothing was started",
+                faults.stream().map(Fault::toLine).toList(),
+                "mend every listed line and start the node again; docs/operators/settings.md explains each key");
+    }
+
+    private void installLog() {
+        try {
+            LogSetup.install(LogLevel.of(logLevel), Optional.ofNullable(logFile));
+        } catch (IllegalArgumentException e) {
+            throw CommandException.usage(e.getMessage(), "write --log-level info");
+        } catch (UncheckedIOException e) {
+            throw new CommandException(
+                    ExitCode.BAD_FILE,
+                    "bad_file",
+                    e.getMessage() + ": " + e.getCause(),
+                    "name a file that can be written");
+        }
+    }
+
+    private static void awaitStopped(NodeProcess node) {
+        try {
+            node.awaitStopped();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/OperatorError.java
@@ -0,0 +1,61 @@
+package org.wigeongrade.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.settings.Fault;
+
+/** An error answer of the operators' HTTP API. Immutable; safe for use from any thread. */
+record OperatorError(String code, String message, long retryAfterMs, List<Fault> faults) {
+    private static final String UNKNOWN_FIX = "see docs/ERRORS.md for the code";
+
+    OperatorError {
+        faults = ImmutableList.copyOf(faults);
+    }
+
+    /** Reads the {@code error} object of an answer; a missing field reads as empty. */
+    static OperatorError of(int httpStatus, JsonNode answer) {
+        final JsonNode error = answer.path("error");
+        final ImmutableList.Builder<Fault> faults = ImmutableList.builder();
+        error.path("faults").forEach(fault -> faults.add(faultOf(fault)));
+        return new OperatorError(
+                error.path("code").asText("http_" + httpStatus),
+                error.path("message").asText("the entry VM answered with HTTP status " + httpStatus),
+                error.path("retry_after_ms").asLong(0),
+                faults.build());
+    }
+
+    private static Fault faultOf(JsonNode fault) {
+        return new Fault(
+                fault.path("file").asText(""),
+                fault.path("line").asInt(0),
+                fault.path("object").asText(""),
+                fault.path("message").asText(""));
+    }
+
+    /** Returns the kind with this code; empty if this program does not know it. */
+    Optional<ErrorKind> kind() {
+        return Arrays.stream(ErrorKind.values())
+                .filter(kind -> kind.code().equals(code))
+                .findFirst();
+    }
+
+    /** Returns this error with each fault's place changed. */
+    OperatorError withPlaces(UnaryOperator<Fault> place) {
+        return new OperatorError(
+                code, message, retryAfterMs, faults.stream().map(place).toList());
+    }
+
+    CommandException toException() {
+        return new CommandException(
+                ExitCode.REFUSED,
+                code,
+                message,
+                faults.stream().map(Fault::toLine).toList(),
+                kind().map(ErrorKind::fix).orElse(UNKNOWN_FIX));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/Subcommand.java
@@ -0,0 +1,30 @@
+package org.wigeongrade.command;
+
+import org.kohsuke.args4j.Option;
+
+/**
+ * One subcommand: args4j fills the fields of an instance, then {@link #run} is called once.
+ *
+ * <p>Invariant: subclasses have a constructor without parameters, and each option has a usage text. Not safe for use
+ * from several threads.
+ */
+public abstract class Subcommand {
+    @Option(name = "--help", aliases = "-h", help = true, usage = "print this help")
+    private boolean help;
+
+    final boolean helpAsked() {
+        return help;
+    }
+
+    /** Returns further lines for the help, such as examples. */
+    protected String helpText() {
+        return "";
+    }
+
+    /**
+     * Runs the command.
+     *
+     * @throws CommandException with the exit code and what to do
+     */
+    protected abstract ExitCode run(CommandIo io);
+}
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -111,7 +111,7 @@
 
     /** States the configuration revision in force on this node. */
     public void setRevision(long revisionInForce) {
-        revision.set(revisionInForce);
+        revision.set((double) revisionInForce);
     }
 
     /** States whether this node leads the control VMs. */
--- a/src/main/java/org/wigeongrade/settings/SettingsReader.java
+++ b/src/main/java/org/wigeongrade/settings/SettingsReader.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,17 @@
      * @throws WigeongradeException with {@link ErrorKind#INVALID_CONFIGURATION} and every fault, one a line
      */
     public static NodeSettings read(Path file) {
-        return parse(file, readText(file)).orElseThrow();
+        return readAll(file).orElseThrow();
+    }
+
+    /** Reads and checks a settings file; a file that cannot be read is a fault. */
+    public static SettingsOutcome readAll(Path file) {
+        try {
+            return parse(file, Files.readString(file));
+        } catch (IOException e) {
+            final Fault fault = new Fault(file.toString(), 0, "file", "cannot be read: " + e);
+            return new SettingsOutcome.Invalid(ImmutableList.of(fault));
+        }
     }
 
     /** Parses the text of a settings file. A relative data folder is taken from the folder of {@code file}. */
@@ -47,16 +58,7 @@
         }
         return faults.isEmpty() && settings.isPresent()
                 ? new SettingsOutcome.Valid(settings.get())
-                : new SettingsOutcome.Invalid(ImmutableList.copyOf(faults));
-    }
-
-    private static String readText(Path file) {
-        try {
-            return Files.readString(file);
-        } catch (IOException e) {
-            throw new WigeongradeException(
-                    ErrorKind.INVALID_CONFIGURATION, "settings file " + file + " cannot be read: " + e, e);
-        }
+                : new SettingsOutcome.Invalid(ImmutableList.sortedCopyOf(Comparator.comparingInt(Fault::line), faults));
     }
 
     private static ImmutableList<Fault> syntaxFaults(Path file, TomlParseResult toml) {
