--- a/src/main/java/org/wigeongrade/endpoints/AnswerListener.java
+++ b/src/main/java/org/wigeongrade/endpoints/AnswerListener.java
@@ -9,8 +9,8 @@
     /** The status and headers arrived. */
     void onHead(AnswerHead head);
 
-    /** A piece of the body arrived. */
-    void onBytes(byte[] bytes);
+    /** A piece of the body arrived; the next one is read only after {@code readMore} ran, from any thread. */
+    void onBytes(byte[] bytes, Runnable readMore);
 
     /** The body ended as its framing promised. */
     void onEnd();
--- a/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
+++ b/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
@@ -138,8 +138,7 @@
             if (handle.isCancelled()) {
                 return;
             }
-            listener.onBytes(bytes);
-            subscription.request(1);
+            listener.onBytes(bytes, () -> subscription.request(1));
         }
 
         @Override
--- a/src/main/java/org/wigeongrade/endpoints/OrderSender.java
+++ b/src/main/java/org/wigeongrade/endpoints/OrderSender.java
@@ -90,7 +90,9 @@
         }
 
         @Override
-        public void onBytes(byte[] bytes) {}
+        public void onBytes(byte[] bytes, Runnable readMore) {
+            readMore.run();
+        }
 
         @Override
         public void onEnd() {}
--- a/src/main/java/org/wigeongrade/errors/ErrorKind.java
+++ b/src/main/java/org/wigeongrade/errors/ErrorKind.java
@@ -24,6 +24,7 @@
     CONTROL_UNAVAILABLE(503, RunClaim.NOT_RUN, 1_000, "No leader of the control VMs answered in time."),
     NO_WHOLE_GROUP(503, RunClaim.NOT_RUN, 2_000, "No whole group or service replica may serve this now."),
     NO_FREE_SLOT(503, RunClaim.NOT_RUN, 500, "Every endpoint that may serve this is at its capacity."),
+    SUSPECT_WAITING(503, RunClaim.NOT_RUN, 1_000, "An endpoint was lost while running this request; it runs alone next."),
     RETRY_BUDGET_SPENT(503, RunClaim.NOT_RUN, 1_000, "Endpoints refuse too often; retries are held back."),
     ENDPOINT_REFUSED(503, RunClaim.NOT_RUN, 500, "The endpoint refused the request before running it."),
     ENDPOINT_UNREACHABLE(503, RunClaim.NOT_RUN, 500, "No connection to the endpoint could be opened."),
--- a/src/main/java/org/wigeongrade/nodes/entry/AnnouncementInbox.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/AnnouncementInbox.java
@@ -47,6 +47,11 @@
         return all;
     }
 
+    /** Keeps announcements again whose pull failed, unless newer ones came meanwhile. */
+    public synchronized void putBack(List<AnnouncementRecord> records) {
+        records.forEach(record -> heard.putIfAbsent(record.getVm(), record));
+    }
+
     private static AnnouncementRecord newer(AnnouncementRecord earlier, AnnouncementRecord later) {
         if (isOlder(later, earlier)) {
             return earlier;
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
@@ -0,0 +1,116 @@
+package org.wigeongrade.nodes.entry;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
+import org.wigeongrade.decisions.limits.OrganisationAdmission;
+import org.wigeongrade.decisions.limits.ShareHolder;
+import org.wigeongrade.decisions.limits.ShareKey;
+import org.wigeongrade.decisions.outcomes.SuspectTable;
+import org.wigeongrade.decisions.routing.PrefixIndex;
+import org.wigeongrade.decisions.routing.RetryBudget;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.NodeName;
+
+/**
+ * The shared tables of one entry VM.
+ *
+ * <p>Invariant: {@code view} only ever moves forward. Thread safe: each table locks itself and no method here holds two
+ * locks, so there is no lock order between them.
+ */
+public final class EntryRole {
+    private static final int MAX_BLOCKS_FOR_EACH_ENGINE = 20_000;
+    private static final double RETRIES_FOR_EACH_REQUEST = 0.1;
+    private static final double RETRY_RESERVE = 20;
+
+    private final NodeName self;
+    private final AvailabilityZone zone;
+    private final AtomicReference<FleetView> view;
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final ShareHolder shares = new ShareHolder();
+    private final OrganisationAdmission admission = new OrganisationAdmission(shares);
+    private final SuspectTable suspects;
+    private final PrefixIndex prefixes = new PrefixIndex(MAX_BLOCKS_FOR_EACH_ENGINE);
+    private final RetryBudget retries = new RetryBudget(RETRIES_FOR_EACH_REQUEST, RETRY_RESERVE);
+    private final AnnouncementInbox inbox = new AnnouncementInbox();
+    private final DecisionRecords decisions = new DecisionRecords();
+    private final LongSupplier nanoClock;
+
+    public EntryRole(NodeName self, AvailabilityZone zone, long pullIntervalMs, LongSupplier nanoClock) {
+        this.self = self;
+        this.zone = zone;
+        this.nanoClock = nanoClock;
+        this.view = new AtomicReference<>(FleetView.none(nanoClock.getAsLong()));
+        this.suspects = new SuspectTable(self, pullIntervalMs);
+    }
+
+    public NodeName self() {
+        return self;
+    }
+
+    public AvailabilityZone zone() {
+        return zone;
+    }
+
+    public FleetView view() {
+        return view.get();
+    }
+
+    /** Replaces the view; only the puller calls this. */
+    void setView(FleetView next) {
+        view.set(next);
+    }
+
+    public ShareHolder shares() {
+        return shares;
+    }
+
+    public OrganisationAdmission admission() {
+        return admission;
+    }
+
+    public SuspectTable suspects() {
+        return suspects;
+    }
+
+    public PrefixIndex prefixes() {
+        return prefixes;
+    }
+
+    public RetryBudget retries() {
+        return retries;
+    }
+
+    public AnnouncementInbox inbox() {
+        return inbox;
+    }
+
+    public DecisionRecords decisions() {
+        return decisions;
+    }
+
+    /** Returns the time on this VM's monotonic clock, in nanoseconds. */
+    public long nowNanos() {
+        return nanoClock.getAsLong();
+    }
+
+    /** Takes no new requests from now on. */
+    public void stop() {
+        stopping.set(true);
+    }
+
+    public boolean isStopping() {
+        return stopping.get();
+    }
+
+    /** Returns whether the balancer may send callers here. */
+    public boolean isHealthy() {
+        return !isStopping() && view().hasLease(nowNanos());
+    }
+
+    /** Drops the slots of an endpoint that showed a sign of being cold; a peer saw it. */
+    public void coldSign(EndpointId endpoint) {
+        shares.coldSign(ShareKey.endpointSlots(endpoint));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetViews.java
@@ -0,0 +1,99 @@
+package org.wigeongrade.nodes.entry;
+
+import com.google.common.base.Strings;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.wigeongrade.decisions.routing.EndpointKind;
+import org.wigeongrade.decisions.routing.EndpointView;
+import org.wigeongrade.decisions.routing.LoadReport;
+import org.wigeongrade.decisions.routing.RouteTarget;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.nodes.ConfigurationView;
+import org.wigeongrade.nodes.thrift.EndpointRecord;
+import org.wigeongrade.nodes.thrift.LoadRecord;
+import org.wigeongrade.nodes.thrift.PullReply;
+
+/** Makes the next view from a pull reply. Stateless; safe for use from any thread. */
+final class FleetViews {
+    private static final String ENGINE = "engine";
+
+    private FleetViews() {}
+
+    /**
+     * Returns the view after a reply, or nothing if the reply is older than the view.
+     *
+     * @param sentNanos when the pull was sent, on this VM's monotonic clock; every lease counts from then
+     */
+    static Optional<FleetView> next(FleetView earlier, PullReply reply, long sentNanos) {
+        if (reply.getTerm() < earlier.term()
+                || reply.getRevision() < earlier.revision().value()) {
+            return Optional.empty();
+        }
+        final ConfigurationView configuration = reply.isSetConfiguration()
+                ? ConfigurationView.decode(reply.getConfiguration())
+                : earlier.configuration();
+        final ImmutableList<EndpointRecord> records =
+                reply.isSetEndpoints() ? ImmutableList.copyOf(reply.getEndpoints()) : earlier.records();
+        final ImmutableMap<String, Long> quarantined = reply.isSetQuarantined()
+                ? ImmutableMap.copyOf(reply.getQuarantined())
+                : earlier.quarantinedUntilEpochMs();
+        return Optional.of(new FleetView(
+                reply.getTerm(),
+                configuration,
+                reply.getEndpointsDigest(),
+                records,
+                endpoints(records, reply, configuration, sentNanos),
+                reply.getQuarantineDigest(),
+                quarantined,
+                sentNanos + reply.getViewLeaseNanos()));
+    }
+
+    private static ImmutableMap<EndpointId, EndpointView> endpoints(
+            ImmutableList<EndpointRecord> records, PullReply reply, ConfigurationView configuration, long sentNanos) {
+        final Map<String, LoadRecord> loads = new HashMap<>();
+        reply.getLoads().forEach(load -> loads.put(load.getEndpoint(), load));
+        final ImmutableMap.Builder<EndpointId, EndpointView> views = ImmutableMap.builder();
+        for (final EndpointRecord record : records) {
+            final long leaseNanos =
+                    reply.getShorterServingLeaseNanos().getOrDefault(record.getId(), reply.getServingLeaseNanos());
+            final EndpointView view =
+                    endpoint(record, configuration, sentNanos + leaseNanos, load(loads.get(record.getId()), sentNanos));
+            views.put(view.id(), view);
+        }
+        return views.buildKeepingLast();
+    }
+
+    private static EndpointView endpoint(
+            EndpointRecord record, ConfigurationView configuration, long servingDeadlineNanos, LoadReport load) {
+        final AvailabilityZone zone = new AvailabilityZone(record.getAvailabilityZone());
+        final EndpointKind kind = record.getKind().equals(ENGINE) ? EndpointKind.ENGINE : EndpointKind.SERVICE;
+        return new EndpointView(
+                new EndpointId(record.getId()),
+                record.getIncarnation(),
+                new RouteTarget(kind, record.getTarget()),
+                zone,
+                configuration.takesNewWork(zone),
+                false,
+                record.getAddress(),
+                record.getCapacity(),
+                record.getColdCapacity(),
+                record.isCold(),
+                Optional.ofNullable(Strings.emptyToNull(record.getColdHolder())).map(NodeName::new),
+                servingDeadlineNanos,
+                load,
+                new FencingToken(record.getFencingTerm(), record.getFencingSequence()));
+    }
+
+    private static LoadReport load(LoadRecord record, long sentNanos) {
+        if (record == null) {
+            return LoadReport.NONE;
+        }
+        return new LoadReport(record.getRunning(), record.getWaiting(), sentNanos - record.getAgeNanos());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -0,0 +1,264 @@
+package org.wigeongrade.nodes.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.wigeongrade.decisions.config.OrganisationDeclaration;
+import org.wigeongrade.decisions.limits.ShareGrant;
+import org.wigeongrade.decisions.limits.ShareKey;
+import org.wigeongrade.decisions.outcomes.EndpointLife;
+import org.wigeongrade.decisions.routing.EndpointView;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.nodes.ControlLink;
+import org.wigeongrade.nodes.CrashRecords;
+import org.wigeongrade.nodes.ShareRecords;
+import org.wigeongrade.nodes.thrift.AnnouncementRecord;
+import org.wigeongrade.nodes.thrift.PullReply;
+import org.wigeongrade.nodes.thrift.PullRequest;
+
+/**
+ * Pulls the view from the leader at a fixed interval and reports what this VM heard and holds.
+ *
+ * <p>Invariant: every lease in a reply counts from when its pull was sent. Its own thread makes every pull, one after
+ * another; {@link #pullSoon} may be called from any thread.
+ */
+public final class ViewPuller implements AutoCloseable {
+    private static final long FIRST_PULL_INTERVAL_MS = 100;
+
+    private final EntryRole entry;
+    private final ControlLink control;
+    private final EventLog events;
+    private final Metrics metrics;
+    private final long incarnation;
+    private final long intervalMs;
+    private final Thread thread = new Thread(this::run, "view-puller");
+    private final Set<ShareKey> reportedKeys = new LinkedHashSet<>();
+    private final Object wakeUp = new Object();
+    private boolean soon;
+    private volatile boolean closed;
+    private boolean leaseHeld;
+    private long leaseLostNanos;
+    private long cacheCursorTerm;
+    private long cacheCursor;
+
+    /** {@code incarnation} must be larger than that of every earlier life of this process. */
+    public ViewPuller(
+            EntryRole entry,
+            ControlLink control,
+            EventLog events,
+            Metrics metrics,
+            long incarnation,
+            long intervalMs) {
+        this.entry = entry;
+        this.control = control;
+        this.events = events;
+        this.metrics = metrics;
+        this.incarnation = incarnation;
+        this.intervalMs = intervalMs;
+        this.leaseLostNanos = entry.nowNanos();
+        thread.setDaemon(true);
+    }
+
+    /** Begins to pull. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Makes the next pull begin at once. */
+    public void pullSoon() {
+        synchronized (wakeUp) {
+            soon = true;
+            wakeUp.notifyAll();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        pullSoon();
+    }
+
+    private void run() {
+        while (!closed) {
+            try {
+                pullOnce();
+            } catch (RuntimeException failure) {
+                events.writeFault(
+                        LogEvent.VIEW_PULL_FAILED, failure, leaderName(), failure.toString());
+            }
+            noteLease();
+            await(leaseHeld ? intervalMs : Math.min(intervalMs, FIRST_PULL_INTERVAL_MS));
+        }
+    }
+
+    private void pullOnce() {
+        final List<AnnouncementRecord> announcements = entry.inbox().drain();
+        final PullRequest request = request(announcements);
+        final long sentNanos = entry.nowNanos();
+        final Optional<PullReply> reply = control.pull(request);
+        if (reply.isEmpty()) {
+            entry.inbox().putBack(announcements);
+            return;
+        }
+        apply(reply.get(), sentNanos);
+    }
+
+    private PullRequest request(List<AnnouncementRecord> announcements) {
+        final FleetView view = entry.view();
+        final long nowNanos = entry.nowNanos();
+        final PullRequest request = new PullRequest();
+        request.setNode(entry.self().value());
+        request.setAvailabilityZone(entry.zone().value());
+        request.setIncarnation(incarnation);
+        request.setRevision(view.revision().value());
+        request.setEndpointsDigest(view.endpointsDigest());
+        request.setQuarantineDigest(view.quarantineDigest());
+        request.setAnnouncements(announcements);
+        request.setStopping(entry.isStopping());
+        request.setLeaseHeld(view.hasLease(nowNanos));
+        request.setCacheCursorTerm(cacheCursorTerm);
+        request.setCacheCursor(cacheCursor);
+        request.setCrashReport(CrashRecords.write(
+                entry.suspects().report(), entry.suspects().wantedTrials(nowNanos)));
+        request.setShares(keys(view).stream()
+                .map(key -> entry.shares().report(key, nowNanos))
+                .map(ShareRecords::write)
+                .toList());
+        return request;
+    }
+
+    /** Returns the shares to report: those of the view, and those of gone endpoints while work under them goes on. */
+    private ImmutableList<ShareKey> keys(FleetView view) {
+        final Set<ShareKey> current = new LinkedHashSet<>();
+        view.all().forEach(endpoint -> current.add(ShareKey.endpointSlots(endpoint.id())));
+        for (final OrganisationDeclaration organisation :
+                view.configuration().declaredSet().organisations()) {
+            current.add(ShareKey.inFlight(organisation.name()));
+            current.add(ShareKey.requestRate(organisation.name()));
+            current.add(ShareKey.tokensPerMinute(organisation.name()));
+        }
+        for (final ShareKey key : ImmutableList.copyOf(reportedKeys)) {
+            if (!current.contains(key) && entry.shares().inUse(key) == 0) {
+                entry.shares().giveBack(key);
+                reportedKeys.remove(key);
+            }
+        }
+        reportedKeys.addAll(current);
+        if (entry.isStopping()) {
+            reportedKeys.forEach(key -> entry.shares().giveBack(key));
+        }
+        return ImmutableList.copyOf(reportedKeys);
+    }
+
+    private void apply(PullReply reply, long sentNanos) {
+        final FleetView earlier = entry.view();
+        final Optional<FleetView> next = FleetViews.next(earlier, reply, sentNanos);
+        if (next.isEmpty()) {
+            events.write(LogEvent.VIEW_PULL_FAILED, leaderName(), "the reply is older than the view in force");
+            return;
+        }
+        noteChangedEndpoints(earlier, next.get());
+        entry.setView(next.get());
+        entry.inbox().replyReceived(reply.getTerm(), reply.getSentAtNanos(), entry.nowNanos());
+        applyGrants(reply, sentNanos);
+        entry.suspects()
+                .apply(
+                        CrashRecords.read(
+                                reply,
+                                ImmutableSet.copyOf(
+                                        next.get().quarantinedUntilEpochMs().keySet())),
+                        sentNanos);
+        applyCacheEvents(reply);
+        if (!earlier.revision().equals(next.get().revision())) {
+            metrics.setRevision(next.get().revision().value());
+            events.write(LogEvent.VIEW_CHANGED, next.get().revision());
+        }
+    }
+
+    /** Treats an endpoint in a new life as cold, and the requests in flight in its old life as suspects. */
+    private void noteChangedEndpoints(FleetView earlier, FleetView next) {
+        for (final Map.Entry<EndpointId, EndpointView> known : earlier.endpoints().entrySet()) {
+            final EndpointView before = known.getValue();
+            final Optional<EndpointView> after = next.endpoint(known.getKey());
+            if (after.isEmpty()) {
+                entry.prefixes().remove(known.getKey());
+                continue;
+            }
+            final boolean otherLife = before.incarnation() != after.get().incarnation();
+            final boolean turnedCold = !before.cold() && after.get().cold();
+            if (otherLife) {
+                entry.suspects().endpointLost(new EndpointLife(before.id(), before.incarnation()));
+            }
+            if (otherLife || turnedCold) {
+                entry.coldSign(before.id());
+            }
+        }
+    }
+
+    private void applyGrants(PullReply reply, long sentNanos) {
+        reply.getGrants().forEach(record -> {
+            final ShareGrant grant = ShareRecords.read(record);
+            entry.shares().applyGrant(grant, grant.deadlineNanos(sentNanos));
+        });
+    }
+
+    private void applyCacheEvents(PullReply reply) {
+        reply.getCacheEvents()
+                .forEach(event -> entry.prefixes()
+                        .apply(
+                                new EndpointId(event.getEndpoint()),
+                                event.getIncarnation(),
+                                event.getFirstSequence(),
+                                event.getAdded(),
+                                event.getRemoved()));
+        cacheCursorTerm = reply.getTerm();
+        cacheCursor = reply.getCacheCursor();
+    }
+
+    private void noteLease() {
+        final boolean held = entry.view().hasLease(entry.nowNanos());
+        metrics.setViewLease(held);
+        if (held && !leaseHeld) {
+            events.write(
+                    LogEvent.VIEW_LEASE_REGAINED,
+                    entry.view().revision(),
+                    TimeUnit.NANOSECONDS.toMillis(entry.nowNanos() - leaseLostNanos));
+        }
+        if (!held && leaseHeld) {
+            leaseLostNanos = entry.nowNanos();
+            events.write(LogEvent.VIEW_LEASE_LOST, entry.view().revision());
+        }
+        leaseHeld = held;
+    }
+
+    private String leaderName() {
+        return control.leader().map(Object::toString).orElse("unknown");
+    }
+
+    private void await(long waitMs) {
+        synchronized (wakeUp) {
+            final long deadlineNanos = entry.nowNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+            while (!soon) {
+                final long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - entry.nowNanos());
+                if (leftMs <= 0) {
+                    break;
+                }
+                try {
+                    wakeUp.wait(leftMs);
+                } catch (InterruptedException interrupted) {
+                    closed = true;
+                    return;
+                }
+            }
+            soon = false;
+        }
+    }
+}
