--- a/src/main/java/org/wigeongrade/callers/ClaimKeeper.java
+++ b/src/main/java/org/wigeongrade/callers/ClaimKeeper.java
@@ -73,8 +73,7 @@
                 storable ? answer.get() : null,
                 services.epochMsClock().getAsLong());
         try {
-            final long deadlineNanos =
-                    services.entry().nowNanos() + TimeUnit.MILLISECONDS.toNanos(FINISH_TIMEOUT_MS);
+            final long deadlineNanos = services.entry().nowNanos() + TimeUnit.MILLISECONDS.toNanos(FINISH_TIMEOUT_MS);
             return services.control().submit(command, deadlineNanos) instanceof CommandResult.Accepted;
         } catch (WigeongradeException failure) {
             services.events()
@@ -94,8 +93,7 @@
         if (result instanceof CommandResult.Refused refused) {
             return new Outcome.Refused(new WigeongradeException(refused.kind(), refused.message()));
         }
-        services.events()
-                .write(LogEvent.CLAIM_COMMITTED, call.idempotencyKey().orElseThrow(), call.organisation());
+        services.events().write(LogEvent.CLAIM_COMMITTED, call.idempotencyKey().orElseThrow(), call.organisation());
         return new Outcome.Claimed(deadlineNanos);
     }
 }
--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -100,8 +100,8 @@
         this.onEnd = onEnd;
         this.retries = new Retries(services.entry().retries());
         this.arrivedNanos = services.entry().nowNanos();
-        this.deadlineNanos = arrivedNanos
-                + TimeUnit.MILLISECONDS.toNanos(services.limits().requestTimeoutMs());
+        this.deadlineNanos =
+                arrivedNanos + TimeUnit.MILLISECONDS.toNanos(services.limits().requestTimeoutMs());
         this.assembler = new StreamAssembler("gen-" + requestId.value());
     }
 
@@ -168,7 +168,8 @@
 
     /** Returns the endpoints that this request must not go to: those it was tried on, and other model versions. */
     private ImmutableSet<EndpointId> excluded() {
-        final ImmutableSet.Builder<EndpointId> excluded = ImmutableSet.<EndpointId>builder().addAll(tried);
+        final ImmutableSet.Builder<EndpointId> excluded =
+                ImmutableSet.<EndpointId>builder().addAll(tried);
         if (modelVersion.isPresent()) {
             services.entry().view().all().stream()
                     .map(EndpointView::id)
@@ -231,10 +232,14 @@
                 services.entry().nowNanos()));
         final String endpoint = running.ready().endpoint().id().value();
         if (refusal.isPresent()) {
-            notes.add(endpoint, "not retried", refusal.get().code() + " after " + outcome.event().code());
+            notes.add(
+                    endpoint,
+                    "not retried",
+                    refusal.get().code() + " after " + outcome.event().code());
             giveUp(new WigeongradeException(
                     outcome.event().errorKind().orElse(ErrorKind.ENDPOINT_FAILED),
-                    "endpoint " + endpoint + ": " + detail + "; not retried: " + refusal.get().code()));
+                    "endpoint " + endpoint + ": " + detail + "; not retried: "
+                            + refusal.get().code()));
             return;
         }
         tried.add(running.ready().endpoint().id());
@@ -274,7 +279,8 @@
         final WigeongradeException told = truthful(failure);
         services.metrics().refused(told.kind());
         notes.add("", "refused", told.kind().code() + ": " + told.getMessage());
-        services.events().write(LogEvent.REQUEST_REFUSED, requestId, "-", told.kind().code(), told.getMessage());
+        services.events()
+                .write(LogEvent.REQUEST_REFUSED, requestId, "-", told.kind().code(), told.getMessage());
         if (stream.isPresent()) {
             final String event = "data: " + Answers.json(told, requestId.value()) + "\n\n";
             stream.get().push(event.getBytes(StandardCharsets.UTF_8), () -> {});
@@ -423,7 +429,8 @@
             answered(running);
             if (stream.isPresent()) {
                 giveUp(new WigeongradeException(
-                        ErrorKind.ENDPOINT_FAILED, "the engine refused to go on: status " + running.head().status()));
+                        ErrorKind.ENDPOINT_FAILED,
+                        "the engine refused to go on: status " + running.head().status()));
                 return;
             }
             passOn(running, errorBody.toByteArray());
--- a/src/main/java/org/wigeongrade/callers/ServiceCall.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceCall.java
@@ -34,7 +34,8 @@
     String digest() {
         return Hashing.sha256()
                 .newHasher()
-                .putString(organisation + "\n" + service.name() + "\n" + method + "\n" + pathAndQuery + "\n",
+                .putString(
+                        organisation + "\n" + service.name() + "\n" + method + "\n" + pathAndQuery + "\n",
                         StandardCharsets.UTF_8)
                 .putBytes(body)
                 .hash()
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -89,8 +89,8 @@
         this.retries = new Retries(services.entry().retries());
         this.arrivedNanos = services.entry().nowNanos();
         this.deadlineNanos = arrivedNanos
-                + TimeUnit.MILLISECONDS.toNanos(
-                        Math.min(services.limits().requestTimeoutMs(), call.service().longestRunMs()));
+                + TimeUnit.MILLISECONDS.toNanos(Math.min(
+                        services.limits().requestTimeoutMs(), call.service().longestRunMs()));
     }
 
     /** Sends the first attempt, claims it first, or refuses at once. */
@@ -127,7 +127,10 @@
         if (outcome instanceof ClaimKeeper.Outcome.Claimed claimed) {
             synchronized (this) {
                 claimDeadlineNanos = OptionalLong.of(claimed.sendDeadlineNanos());
-                notes.add("", "claimed", "idempotency key " + call.idempotencyKey().orElseThrow());
+                notes.add(
+                        "",
+                        "claimed",
+                        "idempotency key " + call.idempotencyKey().orElseThrow());
             }
             attempt();
             return;
@@ -153,8 +156,7 @@
                 services.entry().zone(),
                 services.entry().self(),
                 false);
-        final Dispatch dispatch =
-                dispatcher.dispatch(wanted, requestDigest, claimDeadlineNanos, deadlineNanos, notes);
+        final Dispatch dispatch = dispatcher.dispatch(wanted, requestDigest, claimDeadlineNanos, deadlineNanos, notes);
         if (dispatch instanceof Dispatch.Refused refused) {
             giveUp(refused.failure());
             return;
@@ -216,7 +218,11 @@
         notes.add(endpoint, "retried", outcome.event().code() + ": " + detail);
         services.metrics().retried(RetryReasons.of(outcome.event(), false));
         services.events()
-                .write(LogEvent.REQUEST_RETRIED, requestId, endpoint, outcome.event().code());
+                .write(
+                        LogEvent.REQUEST_RETRIED,
+                        requestId,
+                        endpoint,
+                        outcome.event().code());
         attempt();
     }
 
@@ -238,10 +244,7 @@
         if (!running.head().statesCold()) {
             services.entry().shares().completedWarm(ShareKey.endpointSlots(endpoint));
         }
-        notes.add(
-                endpoint.value(),
-                "answered",
-                "status " + running.head().status() + ", attempt " + attempts);
+        notes.add(endpoint.value(), "answered", "status " + running.head().status() + ", attempt " + attempts);
     }
 
     /** Ends the call with an error; a claim is settled first, so that a resend learns the same. */
@@ -334,8 +337,7 @@
                 services.metrics().firstByteSent(services.entry().nowNanos() - arrivedNanos);
                 final BodyStream body = new BodyStream(ServiceExchange.this::callerGone);
                 stream = Optional.of(body);
-                result.accept(
-                        new CallerResult.Streamed(head.status(), AnswerHeaders.forCaller(head.headers()), body));
+                result.accept(new CallerResult.Streamed(head.status(), AnswerHeaders.forCaller(head.headers()), body));
             }
         }
 
@@ -405,8 +407,7 @@
             synchronized (ServiceExchange.this) {
                 final AttemptOutcome outcome = running.wholeAnswer();
                 if (outcome.event() != AttemptEvent.ANSWERED) {
-                    attemptFailed(
-                            running, outcome, "status " + running.head().status());
+                    attemptFailed(running, outcome, "status " + running.head().status());
                     return;
                 }
                 answered(running);
--- a/src/main/java/org/wigeongrade/decisions/control/ControlState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -292,11 +292,12 @@
     /** Returns what placement decides from, all of it at one log position. */
     public synchronized PlacementFacts placementFacts() {
         return new PlacementFacts(
-                declaredSet, zones.all(declaredSet), groups.all(), groups.dissolved(), groups.lastToken());
+                revision, declaredSet, zones.all(declaredSet), groups.all(), groups.dissolved(), groups.lastToken());
     }
 
     /** What placement decides from, at one log position. Immutable; safe for use from any thread. */
     public record PlacementFacts(
+            Revision revision,
             DeclaredSet declaredSet,
             ImmutableMap<AvailabilityZone, ZoneState> zones,
             List<FormedGroup> groups,
--- a/src/main/java/org/wigeongrade/nodes/ConfigurationView.java
+++ b/src/main/java/org/wigeongrade/nodes/ConfigurationView.java
@@ -14,8 +14,7 @@
 /** One configuration revision as entry VMs get it. Immutable; safe for use from any thread. */
 public record ConfigurationView(Revision revision, DeclaredSet declaredSet, List<ZoneEntry> zones) {
     /** The configuration before any change. */
-    public static final ConfigurationView EMPTY =
-            new ConfigurationView(Revision.NONE, DeclaredSet.EMPTY, List.of());
+    public static final ConfigurationView EMPTY = new ConfigurationView(Revision.NONE, DeclaredSet.EMPTY, List.of());
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
--- a/src/main/java/org/wigeongrade/nodes/ControlLink.java
+++ b/src/main/java/org/wigeongrade/nodes/ControlLink.java
@@ -84,8 +84,8 @@
     public CommandResult submit(Command command, long deadlineNanos) {
         final byte[] encoded = ControlCodec.encode(command);
         boolean mayTakeEffect = false;
-        WigeongradeException last = new WigeongradeException(
-                ErrorKind.CONTROL_UNAVAILABLE, "no control VM answered before the deadline");
+        WigeongradeException last =
+                new WigeongradeException(ErrorKind.CONTROL_UNAVAILABLE, "no control VM answered before the deadline");
         while (nanoClock.getAsLong() - deadlineNanos < 0) {
             for (final NodeName node : targets()) {
                 try {
--- a/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
@@ -1,7 +1,6 @@
 package org.wigeongrade.nodes.control;
 
 import com.google.common.util.concurrent.Uninterruptibles;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -100,7 +99,9 @@
             throw new WigeongradeException(ErrorKind.INTERNAL, "the command failed: " + failure.getCause(), failure);
         } catch (TimeoutException failure) {
             throw new WigeongradeException(
-                    ErrorKind.OUTCOME_UNKNOWN, "no quorum committed the command within " + COMMIT_TIMEOUT_MS + " ms", failure);
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    "no quorum committed the command within " + COMMIT_TIMEOUT_MS + " ms",
+                    failure);
         }
     }
 
--- a/src/main/java/org/wigeongrade/nodes/control/FleetMeasures.java
+++ b/src/main/java/org/wigeongrade/nodes/control/FleetMeasures.java
@@ -97,7 +97,7 @@
                         fleet.notServing().getOrDefault(group.group().value(), "unknown"));
             }
         }
-        serving.removeIf(name ->
-                state.groups().stream().noneMatch(group -> group.group().equals(name)));
+        serving.removeIf(
+                name -> state.groups().stream().noneMatch(group -> group.group().equals(name)));
     }
 }
--- a/src/main/java/org/wigeongrade/nodes/control/FleetSnapshots.java
+++ b/src/main/java/org/wigeongrade/nodes/control/FleetSnapshots.java
@@ -123,7 +123,8 @@
 
     private void addService(Announcement said) {
         final Optional<ServiceDeclaration> service = declaredSet.services().stream()
-                .filter(declared -> said.service().filter(declared.name()::equals).isPresent())
+                .filter(declared ->
+                        said.service().filter(declared.name()::equals).isPresent())
                 .findFirst();
         final ServingLease lease = ServingLeases.ofService(said, Map.of());
         if (service.isEmpty() || lease instanceof ServingLease.Refused) {
@@ -157,13 +158,14 @@
         endpoints.add(record);
         deadlines.put(record.getId(), lease.deadlineNanos().orElseThrow());
         final long heardNanos = first.leaseDeadlineNanos() - announcementLeaseNanos;
-        loads.add(new LoadRecord(
-                record.getId(), first.running(), first.waiting(), Math.max(0, nowNanos - heardNanos)));
+        loads.add(new LoadRecord(record.getId(), first.running(), first.waiting(), Math.max(0, nowNanos - heardNanos)));
     }
 
     /** Returns the name that callers ask for; the pool's own version stands in for one that is no longer declared. */
     private String modelOf(ModelVersionName version, PoolDeclaration pool) {
-        return declaredModel(version).or(() -> declaredModel(pool.modelVersion())).orElse(version.value());
+        return declaredModel(version)
+                .or(() -> declaredModel(pool.modelVersion()))
+                .orElse(version.value());
     }
 
     private Optional<String> declaredModel(ModelVersionName version) {
--- a/src/main/java/org/wigeongrade/nodes/control/Leadership.java
+++ b/src/main/java/org/wigeongrade/nodes/control/Leadership.java
@@ -85,8 +85,8 @@
                 .filter(taken -> taken.appliedIndex() == state.appliedIndex())
                 .isPresent();
         if (!fresh) {
-            snapshot = Optional.of(FleetSnapshots.take(
-                    state, announcements, shares, timings.announcementLeaseNanos(), nowNanos));
+            snapshot = Optional.of(
+                    FleetSnapshots.take(state, announcements, shares, timings.announcementLeaseNanos(), nowNanos));
         }
         return snapshot.orElseThrow();
     }
--- a/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
@@ -31,8 +31,11 @@
     private final FleetMeasures measures;
     private final EventLog events;
     private final OrderPacing pacing = new OrderPacing();
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(
-            new ThreadFactoryBuilder().setNameFormat("placement").setDaemon(true).build());
+    private final ScheduledExecutorService thread =
+            Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
+                    .setNameFormat("placement")
+                    .setDaemon(true)
+                    .build());
 
     public PlacementLoop(ControlRole control, OrderSender orders, FleetMeasures measures, EventLog events) {
         this.control = control;
--- a/src/main/java/org/wigeongrade/nodes/control/PullAnswerer.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullAnswerer.java
@@ -96,7 +96,8 @@
         final EndpointId endpoint = endpointOf(said);
         leadership
                 .shares()
-                .endpointReport(ShareKey.endpointSlots(endpoint), said.running() + said.waiting(), heardNanos, nowNanos);
+                .endpointReport(
+                        ShareKey.endpointSlots(endpoint), said.running() + said.waiting(), heardNanos, nowNanos);
         if (record.isSetCacheFirstSequence()) {
             leadership
                     .cacheEvents()
@@ -178,8 +179,7 @@
                                 .collect(ImmutableSet.toImmutableSet()),
                         nowNanos);
         reply.setAcknowledgedCrashSequence(suspects.acknowledgedSequence());
-        reply.setSuspects(
-                suspects.suspects().stream().map(CrashRecords::write).toList());
+        reply.setSuspects(suspects.suspects().stream().map(CrashRecords::write).toList());
     }
 
     private static void putCacheEvents(PullReply reply, PullRequest request, Leadership leadership) {
--- a/src/main/java/org/wigeongrade/nodes/control/ShareBounds.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ShareBounds.java
@@ -40,10 +40,7 @@
         final Warmth warmth = endpoint.isCold() ? Warmth.COLD : Warmth.WARM;
         leadership.shares().setBound(key, bound, warmth);
         final Life life = new Life(
-                leadership.term(),
-                endpoint.getIncarnation(),
-                endpoint.getFencingTerm(),
-                endpoint.getFencingSequence());
+                leadership.term(), endpoint.getIncarnation(), endpoint.getFencingTerm(), endpoint.getFencingSequence());
         final Life earlier = lives.put(endpoint.getId(), life);
         final boolean sameTerm = earlier != null && earlier.term() == life.term();
         if (sameTerm && !earlier.equals(life)) {
--- a/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
@@ -30,14 +30,7 @@
     /** The view of a process that has pulled none. */
     public static FleetView none(long nowNanos) {
         return new FleetView(
-                0,
-                ConfigurationView.EMPTY,
-                0,
-                ImmutableList.of(),
-                ImmutableMap.of(),
-                0,
-                ImmutableMap.of(),
-                nowNanos);
+                0, ConfigurationView.EMPTY, 0, ImmutableList.of(), ImmutableMap.of(), 0, ImmutableMap.of(), nowNanos);
     }
 
     /** Returns whether new work may be sent on this view. */
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -51,12 +51,7 @@
 
     /** {@code incarnation} must be larger than that of every earlier life of this process. */
     public ViewPuller(
-            EntryRole entry,
-            ControlLink control,
-            EventLog events,
-            Metrics metrics,
-            long incarnation,
-            long intervalMs) {
+            EntryRole entry, ControlLink control, EventLog events, Metrics metrics, long incarnation, long intervalMs) {
         this.entry = entry;
         this.control = control;
         this.events = events;
@@ -91,8 +86,7 @@
             try {
                 pullOnce();
             } catch (RuntimeException failure) {
-                events.writeFault(
-                        LogEvent.VIEW_PULL_FAILED, failure, leaderName(), failure.toString());
+                events.writeFault(LogEvent.VIEW_PULL_FAILED, failure, leaderName(), failure.toString());
             }
             noteLease();
             await(leaseHeld ? intervalMs : Math.min(intervalMs, FIRST_PULL_INTERVAL_MS));
@@ -126,8 +120,8 @@
         request.setLeaseHeld(view.hasLease(nowNanos));
         request.setCacheCursorTerm(cacheCursorTerm);
         request.setCacheCursor(cacheCursor);
-        request.setCrashReport(CrashRecords.write(
-                entry.suspects().report(), entry.suspects().wantedTrials(nowNanos)));
+        request.setCrashReport(
+                CrashRecords.write(entry.suspects().report(), entry.suspects().wantedTrials(nowNanos)));
         request.setShares(keys(view).stream()
                 .map(key -> entry.shares().report(key, nowNanos))
                 .map(ShareRecords::write)
@@ -185,7 +179,8 @@
 
     /** Treats an endpoint in a new life as cold, and the requests in flight in its old life as suspects. */
     private void noteChangedEndpoints(FleetView earlier, FleetView next) {
-        for (final Map.Entry<EndpointId, EndpointView> known : earlier.endpoints().entrySet()) {
+        for (final Map.Entry<EndpointId, EndpointView> known :
+                earlier.endpoints().entrySet()) {
             final EndpointView before = known.getValue();
             final Optional<EndpointView> after = next.endpoint(known.getKey());
             if (after.isEmpty()) {
