--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/LoadRun.java
@@ -0,0 +1,76 @@
+package org.wigeongrade.bench;
+
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * One open-loop run: each request starts at its scheduled time, whatever became of the earlier ones, and its latency
+ * counts from that time. Safe for use from any thread; {@link #run} blocks its caller.
+ */
+public final class LoadRun {
+    private final LoadPlan plan;
+    private final ModelClient client;
+    private final Semaphore slots;
+    private final LoadResult result = new LoadResult();
+
+    public LoadRun(LoadPlan plan, ModelClient client) {
+        this.plan = plan;
+        this.client = client;
+        this.slots = new Semaphore(plan.maxInFlight());
+    }
+
+    /** Sends the plan's requests and returns when all have ended. */
+    public LoadResult run() {
+        SplittableRandom random = new SplittableRandom(plan.seed());
+        long startNanos = System.nanoTime();
+        double periodNanos = TimeUnit.SECONDS.toNanos(1) / plan.requestsPerSecond();
+        for (long i = 0; i < plan.requests(); i++) {
+            long dueNanos = startNanos + (long) (i * periodNanos);
+            waitUntil(dueNanos);
+            send(i, dueNanos, random);
+        }
+        slots.acquireUninterruptibly(plan.maxInFlight());
+        result.setElapsedNanos(System.nanoTime() - startNanos);
+        return result;
+    }
+
+    private static void waitUntil(long dueNanos) {
+        long leftNanos = dueNanos - System.nanoTime();
+        while (leftNanos > 0) {
+            LockSupport.parkNanos(leftNanos);
+            leftNanos = dueNanos - System.nanoTime();
+        }
+    }
+
+    private void send(long number, long dueNanos, SplittableRandom random) {
+        String operation = "load-" + plan.seed() + "-" + number;
+        ModelCall call =
+                ModelCall.of(plan.workload(), plan.model(), prompt(operation, random), plan.maxTokens(), operation);
+        if (!slots.tryAcquire()) {
+            result.addNotSent();
+            return;
+        }
+        String target = plan.targets().get((int) (number % plan.targets().size()));
+        String key = plan.keys().get((int) (number % plan.keys().size()));
+        CompletableFuture<Void> unused = client.send(target, call, key, operation, plan.timeoutMs(), dueNanos)
+                .thenAccept(this::take);
+    }
+
+    private void take(CallResult callResult) {
+        result.add(callResult);
+        slots.release();
+    }
+
+    private String prompt(String operation, SplittableRandom random) {
+        String prefix = plan.sharedPrefixes() == 0 ? "" : sharedPrefix(random.nextInt(plan.sharedPrefixes()));
+        return prefix + operation;
+    }
+
+    private String sharedPrefix(int number) {
+        String word = "guideline-" + number + ' ';
+        return word.repeat(plan.promptChars() / word.length() + 1).substring(0, plan.promptChars());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/ModelCall.java
@@ -0,0 +1,35 @@
+package org.wigeongrade.bench;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import org.wigeongrade.standin.AnswerText;
+import org.wigeongrade.standin.Prompt;
+import org.wigeongrade.standin.StandinJson;
+
+/**
+ * One request to a model together with the answer that is due.
+ *
+ * <p>Immutable; safe for use from any thread.
+ */
+public record ModelCall(String path, String body, String operation, String digest, String expectedAnswer) {
+    /** Returns a call; {@code operation} names it in the journals of the stand-ins. */
+    public static ModelCall of(Workload workload, String model, String text, int maxTokens, String operation) {
+        ObjectNode body = StandinJson.MAPPER.createObjectNode();
+        body.put("model", model);
+        body.put("max_tokens", maxTokens);
+        body.put("stream", workload.isStream());
+        body.put("user", operation);
+        if (workload.isChat()) {
+            body.putArray("messages").add(StandinJson.MAPPER.valueToTree(Map.of("role", "user", "content", text)));
+        } else {
+            body.put("prompt", text);
+        }
+        Prompt prompt = Prompt.of(body).orElseThrow();
+        return new ModelCall(
+                workload.path(),
+                body.toString(),
+                operation,
+                prompt.digest(),
+                AnswerText.whole(model, prompt.digest(), maxTokens));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/standin/Announcer.java
@@ -0,0 +1,72 @@
+package org.wigeongrade.standin;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Sends one VM's announcement to the next entry VM each {@value #PERIOD_MS} ms. Safe for use from any thread.
+ */
+final class Announcer implements AutoCloseable {
+    static final long PERIOD_MS = 500;
+    private static final Duration TIMEOUT = Duration.ofMillis(450);
+
+    private final EntryBalancer balancer;
+    private final HttpClient client;
+    private final Supplier<Optional<Announcement>> announcement;
+    private final ScheduledExecutorService timer;
+
+    /** {@code announcement} gives the next one to send; empty while the VM is silent. */
+    Announcer(EntryBalancer balancer, HttpClient client, Supplier<Optional<Announcement>> announcement) {
+        this.balancer = balancer;
+        this.client = client;
+        this.announcement = announcement;
+        this.timer = Executors.newScheduledThreadPool(1, Threads.daemon("announcer"));
+    }
+
+    void start() {
+        ScheduledFuture<?> unused = timer.scheduleAtFixedRate(this::announce, 0, PERIOD_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends an announcement now, beside the periodic ones. */
+    void announceNow() {
+        timer.execute(this::announce);
+    }
+
+    private void announce() {
+        announcement.get().ifPresent(message -> send(StandinJson.write(message), 2));
+    }
+
+    private void send(String json, int triesLeft) {
+        Optional<String> entry = balancer.next();
+        if (entry.isEmpty() || triesLeft == 0) {
+            return;
+        }
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + entry.get() + "/v1/announcements"))
+                .timeout(TIMEOUT)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(json))
+                .build();
+        CompletableFuture<?> unused = client.sendAsync(request, HttpResponse.BodyHandlers.discarding())
+                .whenComplete((answer, failure) -> {
+                    if (failure != null && EntryBalancer.isRefused(failure)) {
+                        balancer.reportRefused(entry.get());
+                        send(json, triesLeft - 1);
+                    }
+                });
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/standin/EngineStandin.java
@@ -0,0 +1,134 @@
+package org.wigeongrade.standin;
+
+import java.net.http.HttpClient;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Stands in for model engines: one or several VMs in this process, each with its own address and announcements.
+ *
+ * <p>Safe for use from any thread.
+ */
+public final class EngineStandin implements AutoCloseable {
+    private static final int TIMER_THREADS = 2;
+
+    private final ScheduledExecutorService timer =
+            Executors.newScheduledThreadPool(TIMER_THREADS, Threads.daemon("engine"));
+    private final Journal journal;
+    private final EntryBalancer balancer;
+    private final List<AutoCloseable> parts = new ArrayList<>();
+
+    private EngineStandin(Options options) {
+        this.journal = options.openJournal();
+        this.balancer = new EntryBalancer(options.entryAddresses(), options.httpClient());
+    }
+
+    /** Starts the VMs that {@code options} name. */
+    public static EngineStandin start(Options options) throws Exception {
+        EngineStandin standin = new EngineStandin(options);
+        for (int i = 0; i < options.vmNames().size(); i++) {
+            standin.startVm(options, i);
+        }
+        return standin;
+    }
+
+    private void startVm(Options options, int index) throws Exception {
+        EngineSettings settings = options.settings(index);
+        EngineVm engine = new EngineVm(settings, timer, journal);
+        parts.add(StandinServer.start(
+                settings.address(), options.threads, chain -> new EngineHandlers(engine).addTo(chain)));
+        Announcer announcer = new Announcer(balancer, options.httpClient(), engine::announcement);
+        parts.add(announcer);
+        announcer.start();
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable part : parts) {
+            part.close();
+        }
+        balancer.close();
+        timer.shutdownNow();
+        journal.close();
+    }
+
+    /** Command line options of the engine stand-in. Not safe for concurrent use. */
+    public static final class Options extends HostOptions implements StandinCommand {
+        @Option(name = "--domain", usage = "fabric domain; several with commas are dealt out over the VMs in blocks")
+        private String domain = "domain-a";
+
+        @Option(name = "--accelerators", usage = "accelerators of each VM")
+        private int accelerators = 8;
+
+        @Option(name = "--fencing", usage = "checked or ignored")
+        private String fencing = "checked";
+
+        @Option(name = "--load-ms", usage = "time to load a model version, in milliseconds")
+        private long loadMs = 500;
+
+        @Option(name = "--capacity", usage = "requests that run at once when warm")
+        private int capacity = 8;
+
+        @Option(name = "--cold-capacity", usage = "requests that it bears in flight when cold")
+        private int coldCapacity = 2;
+
+        @Option(name = "--cold-requests", usage = "completed answers after which it is warm")
+        private int coldRequests = 4;
+
+        @Option(name = "--cold-grace-ms", usage = "time after turning cold without failure, in milliseconds")
+        private long coldGraceMs = 0;
+
+        @Option(name = "--down-ms", usage = "time that a failed VM stays silent; 0 ends the process")
+        private long downMs = 0;
+
+        @Option(name = "--prefill-ms", usage = "time for each uncached block of the prompt, in milliseconds")
+        private long prefillMs = 1;
+
+        @Option(name = "--token-ms", usage = "time between tokens, in milliseconds")
+        private long tokenMs = 5;
+
+        @Option(name = "--report-lag-ms", usage = "lag of the load report, in milliseconds")
+        private long reportLagMs = 0;
+
+        @Option(name = "--cache-blocks", usage = "size of the prefix cache in blocks")
+        private int cacheBlocks = 1024;
+
+        private HttpClient client;
+
+        private HttpClient httpClient() {
+            if (client == null) {
+                client = StandinCommand.newHttpClient();
+            }
+            return client;
+        }
+
+        private EngineSettings settings(int index) {
+            return new EngineSettings(
+                    vmNames().get(index),
+                    addresses().get(index),
+                    dealt(zone, index),
+                    dealt(domain, index),
+                    accelerators,
+                    "checked".equals(fencing),
+                    loadMs,
+                    capacity,
+                    coldCapacity,
+                    coldRequests,
+                    coldGraceMs,
+                    downMs,
+                    prefillMs,
+                    tokenMs,
+                    reportLagMs,
+                    cacheBlocks,
+                    seed + index);
+        }
+
+        @Override
+        public AutoCloseable start() throws Exception {
+            return EngineStandin.start(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/standin/EngineState.java
@@ -0,0 +1,23 @@
+package org.wigeongrade.standin;
+
+import java.util.Locale;
+
+/** State that an endpoint VM announces. */
+enum EngineState {
+    IDLE,
+    LOADING,
+    COLD,
+    WARM,
+    LEAVING;
+
+    boolean takesRequests() {
+        return switch (this) {
+            case COLD, WARM -> true;
+            case IDLE, LOADING, LEAVING -> false;
+        };
+    }
+
+    String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/standin/Journal.java
@@ -0,0 +1,105 @@
+package org.wigeongrade.standin;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a stand-in did, as JSON lines: the latest {@value #LINES_KEPT} in memory, all of them in the file if there is one.
+ *
+ * <p>Invariant: an entry is in the file before {@link #add} returns, so it survives a kill of the process. Safe for use
+ * from any thread.
+ */
+public final class Journal implements AutoCloseable {
+    private static final int LINES_KEPT = 50_000;
+
+    private final Deque<String> lines = new ArrayDeque<>();
+    private final Optional<FileChannel> file;
+
+    private Journal(Optional<FileChannel> file) {
+        this.file = file;
+    }
+
+    /** Returns a journal that is kept in memory only. */
+    public static Journal inMemory() {
+        return new Journal(Optional.empty());
+    }
+
+    /** Returns a journal that appends to {@code path}; throws {@link UncheckedIOException} if it cannot be opened. */
+    public static Journal appendingTo(Path path) {
+        try {
+            return new Journal(
+                    Optional.of(FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.APPEND)));
+        } catch (IOException e) {
+            throw new UncheckedIOException("journal " + path + " cannot be opened; give a writable file", e);
+        }
+    }
+
+    /** Reads the whole lines of a journal file. A torn last line is left out. */
+    public static List<JournalEntry> read(Path path) {
+        try {
+            return Files.readAllLines(path).stream()
+                    .filter(line -> line.endsWith("}"))
+                    .map(Journal::parse)
+                    .toList();
+        } catch (IOException e) {
+            throw new UncheckedIOException("journal " + path + " cannot be read", e);
+        }
+    }
+
+    private static JournalEntry parse(String line) {
+        try {
+            return StandinJson.MAPPER.readValue(line, JournalEntry.class);
+        } catch (IOException e) {
+            throw new UncheckedIOException("journal line '" + line + "' cannot be read", e);
+        }
+    }
+
+    /** Appends one entry. */
+    public synchronized void add(JournalEntry entry) {
+        String line = StandinJson.write(entry);
+        file.ifPresent(channel -> append(channel, line));
+        lines.addLast(line);
+        if (lines.size() > LINES_KEPT) {
+            lines.removeFirst();
+        }
+    }
+
+    private static void append(FileChannel channel, String line) {
+        ByteBuffer bytes = ByteBuffer.wrap((line + '\n').getBytes(StandardCharsets.UTF_8));
+        try {
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("journal cannot be written", e);
+        }
+    }
+
+    /** Returns the kept lines, one entry each, oldest first. */
+    public synchronized String text() {
+        return lines.isEmpty() ? "" : String.join("\n", lines) + '\n';
+    }
+
+    @Override
+    public void close() {
+        file.ifPresent(Journal::closeQuietly);
+    }
+
+    private static void closeQuietly(FileChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException("journal cannot be closed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/standin/ServiceStandin.java
@@ -0,0 +1,159 @@
+package org.wigeongrade.standin;
+
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.kohsuke.args4j.Option;
+import ratpack.exec.Execution;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+
+/**
+ * Stands in for a plain service such as a ledger: one or several VMs in this process.
+ *
+ * <p>Safe for use from any thread.
+ */
+public final class ServiceStandin implements AutoCloseable {
+    private final Journal journal;
+    private final EntryBalancer balancer;
+    private final HttpClient client = StandinCommand.newHttpClient();
+    private final List<AutoCloseable> parts = new ArrayList<>();
+
+    private ServiceStandin(Options options) {
+        this.journal = options.openJournal();
+        this.balancer = new EntryBalancer(options.entryAddresses(), client);
+    }
+
+    /** Starts the VMs that {@code options} name. */
+    public static ServiceStandin start(Options options) throws Exception {
+        ServiceStandin standin = new ServiceStandin(options);
+        for (int i = 0; i < options.vmNames().size(); i++) {
+            standin.startVm(options, i);
+        }
+        return standin;
+    }
+
+    private void startVm(Options options, int index) throws Exception {
+        ServiceVm.Settings settings = options.settings(index);
+        ServiceVm vm = new ServiceVm(settings, journal);
+        vm.apply(options.faults());
+        parts.add(StandinServer.start(settings.address(), options.threads, chain -> addTo(chain, vm)));
+        Announcer announcer = new Announcer(balancer, client, vm::announcement);
+        parts.add(announcer);
+        announcer.start();
+    }
+
+    private static void addTo(Chain chain, ServiceVm vm) throws Exception {
+        chain.get("standin/journal", ctx -> ctx.render(vm.journal().text()));
+        chain.post(
+                "standin/faults",
+                ctx -> ctx.getRequest().getBody().then(body -> {
+                    vm.apply(StandinJson.MAPPER.readValue(body.getText(), Faults.class));
+                    ctx.render("");
+                }));
+        chain.all(ctx -> ctx.getRequest().getBody().then(body -> serve(ctx, vm, body.getText())));
+    }
+
+    private static void serve(Context ctx, ServiceVm vm, String body) {
+        ServiceVm.Call call = new ServiceVm.Call(
+                StandinServer.header(ctx, "X-Request-Id", ""),
+                ctx.getRequest().getMethod().getName(),
+                ctx.getRequest().getUri(),
+                StandinServer.header(ctx, "Idempotency-Key", null),
+                body);
+        boolean cold = vm.isCold();
+        if (!vm.take(call)) {
+            StandinServer.sendRefusal(ctx, 503, "fault_switch");
+            return;
+        }
+        Execution.sleep(Duration.ofNanos(vm.workNanos()), () -> answer(ctx, vm, call, cold));
+    }
+
+    private static void answer(Context ctx, ServiceVm vm, ServiceVm.Call call, boolean cold) {
+        long executed = vm.execute(call);
+        if (vm.faults().current().hang()) {
+            Execution.sleep(Duration.ofMillis(20), () -> waitForHang(ctx, vm, call, cold, executed));
+            return;
+        }
+        reply(ctx, vm, call, cold, executed);
+    }
+
+    private static void waitForHang(Context ctx, ServiceVm vm, ServiceVm.Call call, boolean cold, long executed) {
+        if (vm.faults().current().hang()) {
+            Execution.sleep(Duration.ofMillis(20), () -> waitForHang(ctx, vm, call, cold, executed));
+            return;
+        }
+        reply(ctx, vm, call, cold, executed);
+    }
+
+    private static void reply(Context ctx, ServiceVm vm, ServiceVm.Call call, boolean cold, long executed) {
+        if (vm.faults().dropsAnswer()) {
+            vm.finish(call, JournalEvent.DROPPED);
+            StandinServer.cutConnection(ctx);
+            return;
+        }
+        vm.finish(call, JournalEvent.COMPLETED);
+        String id = vm.faults().givesWrongId() ? "attempt-of-another-request" : call.attempt();
+        ctx.getResponse().getHeaders().set("X-Request-Id", id);
+        if (cold) {
+            ctx.getResponse().getHeaders().set("X-Endpoint-State", "cold");
+        }
+        Map<String, Object> answer = new HashMap<>();
+        answer.put("executed", executed);
+        answer.put("method", call.method());
+        answer.put("path", call.path());
+        answer.put("digest", call.digest());
+        StandinServer.sendJson(ctx, 200, answer);
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable part : parts) {
+            part.close();
+        }
+        balancer.close();
+        journal.close();
+    }
+
+    /** Command line options of the service stand-in. Not safe for concurrent use. */
+    public static final class Options extends HostOptions implements StandinCommand {
+        @Option(name = "--service", usage = "name of the service")
+        private String service = "ledger";
+
+        @Option(name = "--cold-capacity", usage = "calls that it bears in flight when cold")
+        private int coldCapacity = 2;
+
+        @Option(name = "--cold-requests", usage = "answered calls after which it is warm; 0 starts warm")
+        private int coldRequests = 0;
+
+        @Option(name = "--work-ms", usage = "time that a call runs, in milliseconds")
+        private long workMs = 2;
+
+        @Option(name = "--drop-answers-ratio", usage = "share of answers that are dropped after the call ran")
+        private double dropAnswersRatio = 0;
+
+        private ServiceVm.Settings settings(int index) {
+            return new ServiceVm.Settings(
+                    vmNames().get(index),
+                    addresses().get(index),
+                    dealt(zone, index),
+                    service,
+                    coldCapacity,
+                    coldRequests,
+                    workMs,
+                    seed + index);
+        }
+
+        private Faults faults() {
+            return new Faults(0, dropAnswersRatio, 0, 0, 0, false, false, false);
+        }
+
+        @Override
+        public AutoCloseable start() throws Exception {
+            return ServiceStandin.start(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/standin/Threads.java
@@ -0,0 +1,19 @@
+package org.wigeongrade.standin;
+
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Thread factories of the stand-ins. Stateless; safe for use from any thread. */
+final class Threads {
+    private Threads() {}
+
+    /** Returns a factory of named daemon threads. */
+    static ThreadFactory daemon(String name) {
+        AtomicInteger count = new AtomicInteger();
+        return task -> {
+            Thread thread = new Thread(task, name + '-' + count.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
