--- a/src/main/java/org/wigeongrade/operators/DeclaredSetReader.java
+++ b/src/main/java/org/wigeongrade/operators/DeclaredSetReader.java
@@ -12,6 +12,7 @@
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
 import org.wigeongrade.decisions.config.DeclaredSet;
 import org.wigeongrade.decisions.config.GroupDeclaration;
 import org.wigeongrade.decisions.config.ModelVersionDeclaration;
@@ -89,7 +90,7 @@
             faults.add(fileFault(file, position, TableReader.UNKNOWN_KEY, message));
             return;
         }
-        if (!(parsed.get(List.of(tableName)) instanceof TomlArray array) || !array.containsTables()) {
+        if (!(parsed.get(List.of(tableName)) instanceof TomlArray array) || !isListOfTables(array)) {
             final String message = tableName + " must be a list of tables; write [[" + tableName + "]]";
             faults.add(fileFault(file, position, TableReader.WRONG_TYPE, message));
             return;
@@ -178,6 +179,10 @@
         return name;
     }
 
+    private static boolean isListOfTables(TomlArray array) {
+        return array.toList().stream().allMatch(TomlTable.class::isInstance);
+    }
+
     private static ObjectKind kindOf(String tableName) {
         return ObjectKind.declared().stream()
                 .filter(kind -> kind.label().equals(tableName))
