--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/VirtualFleet.java
@@ -0,0 +1,139 @@
+package org.wigeongrade.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.decisions.control.Command;
+import org.wigeongrade.decisions.control.CommandResult;
+import org.wigeongrade.decisions.control.ControlState;
+import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.control.ZoneState;
+import org.wigeongrade.decisions.membership.AnnouncementTable;
+import org.wigeongrade.decisions.membership.ServingLeases;
+import org.wigeongrade.decisions.placement.PlacementAction;
+import org.wigeongrade.decisions.placement.PlacementInput;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.ChangeId;
+
+/**
+ * One leader's control state and planner beside virtual engine VMs, in virtual time.
+ *
+ * <p>Invariant: the course of events depends on the calls alone. Not thread safe.
+ */
+public final class VirtualFleet {
+    /** How long an announcement counts, in nanoseconds. */
+    public static final long LEASE_NANOS = 3_000_000_000L;
+
+    private final List<VirtualVm> vms;
+    private final Function<PlacementInput, List<PlacementAction>> planner;
+    private final List<Command> log = new ArrayList<>();
+    private final List<PlacementAction> lastPlan = new ArrayList<>();
+
+    private ControlState state = new ControlState();
+    private AnnouncementTable announcements = new AnnouncementTable();
+    private long nowNanos;
+    private long term = 1;
+    private long membersKnownAtNanos;
+    private long changes;
+
+    public VirtualFleet(List<VirtualVm> vms, Function<PlacementInput, List<PlacementAction>> planner) {
+        this.vms = List.copyOf(vms);
+        this.planner = planner;
+    }
+
+    /** Declares a set on top of the current revision. */
+    public CommandResult declare(DeclaredSet set) {
+        return apply(new Command.ApplyConfiguration(nextChange(), "operator", state.revision(), set, nowEpochMs()));
+    }
+
+    /** Takes an availability zone out or in. */
+    public CommandResult setZone(AvailabilityZone zone, ZoneState zoneState) {
+        return apply(new Command.SetZoneState(nextChange(), "operator", zone, zoneState, nowEpochMs()));
+    }
+
+    private ChangeId nextChange() {
+        changes++;
+        return ChangeId.of("change-" + changes);
+    }
+
+    /** Replaces the leader: a new term, a state restored from a snapshot and no announcements. */
+    public void changeLeader() {
+        term++;
+        state = ControlState.restore(state.snapshot());
+        announcements = new AnnouncementTable();
+        membersKnownAtNanos = nowNanos + LEASE_NANOS;
+    }
+
+    /** Moves time on, takes in announcements, makes one plan and carries it out. */
+    public void step(long stepNanos) {
+        nowNanos += stepNanos;
+        vms.forEach(vm -> vm.announce(nowNanos, LEASE_NANOS).ifPresent(announcements::record));
+        lastPlan.clear();
+        lastPlan.addAll(planner.apply(PlacementInput.of(
+                state, announcements, term, nowNanos, nowEpochMs(), membersKnownAtNanos, membersKnownAtNanos)));
+        lastPlan.forEach(this::carryOut);
+    }
+
+    private void carryOut(PlacementAction action) {
+        if (action instanceof PlacementAction.FormGroup form) {
+            apply(form.command());
+        }
+        if (action instanceof PlacementAction.DissolveGroup dissolve) {
+            apply(dissolve.command());
+        }
+        if (action instanceof PlacementAction.SendOrder send) {
+            vms.stream()
+                    .filter(vm -> vm.name().equals(send.order().vm().vm()))
+                    .forEach(vm -> vm.order(send.order(), nowNanos));
+        }
+    }
+
+    private CommandResult apply(Command command) {
+        log.add(command);
+        return state.apply(log.size(), command);
+    }
+
+    /** Returns whether the group may serve now. */
+    public boolean serves(FormedGroup group) {
+        final Optional<Long> deadlineNanos =
+                ServingLeases.servingDeadlineNanos(group, state.zoneStates(), announcements, nowNanos);
+        return deadlineNanos.isPresent();
+    }
+
+    /** Returns the formed groups that may serve now. */
+    public List<FormedGroup> servingGroups() {
+        return state.groups().stream().filter(this::serves).toList();
+    }
+
+    public ControlState state() {
+        return state;
+    }
+
+    public AnnouncementTable announcements() {
+        return announcements;
+    }
+
+    /** Returns every command so far, in the order of the log. */
+    public List<Command> log() {
+        return List.copyOf(log);
+    }
+
+    /** Returns the actions of the last step. */
+    public List<PlacementAction> lastPlan() {
+        return List.copyOf(lastPlan);
+    }
+
+    public List<VirtualVm> vms() {
+        return vms;
+    }
+
+    public long nowNanos() {
+        return nowNanos;
+    }
+
+    private long nowEpochMs() {
+        return nowNanos / 1_000_000;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/placement/PlacementPlannerTest.java
@@ -0,0 +1,234 @@
+package org.wigeongrade.decisions.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.wigeongrade.decisions.Sets.GUIDE_1;
+import static org.wigeongrade.decisions.Sets.GUIDE_2;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wigeongrade.bench.VirtualFleet;
+import org.wigeongrade.bench.VirtualVm;
+import org.wigeongrade.decisions.Sets;
+import org.wigeongrade.decisions.config.PlacementWeight;
+import org.wigeongrade.decisions.config.PoolDeclaration;
+import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.control.ZoneState;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.VmName;
+
+final class PlacementPlannerTest {
+    @Test
+    void formsDeclaredGroupsInOneDomainEachAndBalancesZones() {
+        final VirtualFleet fleet = Fleets.of(1, 4);
+        fleet.declare(Sets.with(Sets.pool(3, 2)));
+
+        Fleets.run(fleet, 30);
+
+        assertThat(fleet.servingGroups()).hasSize(3);
+        assertThat(zonesOf(fleet)).hasSize(3);
+        for (final FormedGroup group : fleet.state().groups()) {
+            assertThat(domainsOf(fleet, group))
+                    .containsExactly(group.fabricDomain().value());
+        }
+    }
+
+    @Test
+    void lostMemberIsReplacedBySpareOfTheSameDomain() {
+        final VirtualFleet fleet = Fleets.of(1, 3);
+        fleet.declare(Sets.with(Sets.pool(3, 2)));
+        Fleets.run(fleet, 30);
+        final FormedGroup before = fleet.servingGroups().get(0);
+        final VirtualVm lost = Fleets.vm(fleet, before.first().vm().value());
+
+        lost.stop();
+        Fleets.run(fleet, 40);
+
+        final FormedGroup after = group(fleet, before.group());
+        assertThat(fleet.serves(after)).isTrue();
+        assertThat(after.fabricDomain()).isEqualTo(before.fabricDomain());
+        assertThat(after.hasVm(lost.name())).isFalse();
+        assertThat(after.hasVm(before.members().get(1).vm())).isTrue();
+    }
+
+    @Test
+    void withoutSpareTheGroupIsFormedElsewhereAndItsOtherVmsAreFreed() {
+        final VirtualFleet fleet = Fleets.of(2, 2);
+        fleet.declare(Sets.with(Sets.pool(3, 2)));
+        Fleets.run(fleet, 30);
+        final FormedGroup before = fleet.servingGroups().get(0);
+
+        Fleets.vm(fleet, before.first().vm().value()).stop();
+        Fleets.run(fleet, 40);
+
+        final FormedGroup after = group(fleet, before.group());
+        assertThat(fleet.serves(after)).isTrue();
+        assertThat(after.fabricDomain()).isNotEqualTo(before.fabricDomain());
+        assertThat(announcedGroup(fleet, before.members().get(1).vm())).isFalse();
+    }
+
+    @Test
+    void memberThatRestartedIsNotCountedAsTheOneThatLoaded() {
+        final VirtualFleet fleet = Fleets.of(1, 2);
+        fleet.declare(Sets.with(Sets.pool(1, 2)));
+        Fleets.run(fleet, 30);
+
+        Fleets.vm(fleet, "zone-a-d1-v1").restart();
+        fleet.step(Fleets.SECOND_NANOS);
+
+        assertThat(fleet.servingGroups()).isEmpty();
+        assertThat(reasons(fleet)).contains(PlacementReason.MEMBER_RESTARTED);
+        Fleets.run(fleet, 30);
+        assertThat(fleet.servingGroups()).hasSize(1);
+    }
+
+    @Test
+    void zoneThatIsOutGetsNoNewGroup() {
+        final VirtualFleet fleet = Fleets.of(1, 4);
+        fleet.declare(Sets.with(Sets.pool(0, 2)));
+        fleet.setZone(Sets.ZONE_A, ZoneState.OUT);
+        fleet.declare(Sets.with(Sets.pool(4, 2)));
+
+        Fleets.run(fleet, 30);
+
+        assertThat(fleet.servingGroups()).hasSize(4);
+        assertThat(zonesOf(fleet)).containsExactly(Sets.ZONE_B, Sets.ZONE_C);
+    }
+
+    @Test
+    void withEveryZoneOutGroupsAreHeld() {
+        final VirtualFleet fleet = Fleets.of(1, 4);
+        fleet.declare(Sets.with(Sets.pool(1, 2)));
+        List.of(Sets.ZONE_A, Sets.ZONE_B, Sets.ZONE_C).forEach(zone -> fleet.setZone(zone, ZoneState.OUT));
+
+        Fleets.run(fleet, 1);
+
+        assertThat(reasons(fleet)).containsExactly(PlacementReason.ZONES_OUT);
+    }
+
+    @Test
+    void fewerReplicasDissolveTheHighestNumbersAndFreeTheirVms() {
+        final VirtualFleet fleet = Fleets.of(1, 4);
+        fleet.declare(Sets.with(Sets.pool(4, 2)));
+        Fleets.run(fleet, 30);
+
+        fleet.declare(Sets.with(Sets.pool(2, 2)));
+        Fleets.run(fleet, 5);
+
+        assertThat(fleet.state().groups().stream().map(FormedGroup::group))
+                .containsExactly(GroupName.of("guide/1"), GroupName.of("guide/2"));
+        assertThat(fleet.vms().stream().filter(vm -> announcedGroup(fleet, vm.name())))
+                .hasSize(4);
+    }
+
+    @Test
+    void newModelVersionReplacesOneGroupAtATime() {
+        final VirtualFleet fleet = Fleets.of(1, 4);
+        fleet.declare(Sets.with(Sets.pool(4, 2)));
+        Fleets.run(fleet, 30);
+
+        fleet.declare(Sets.with(pool(4, PlacementWeight.GROUP_DOWNTIME, 0, true, 100, true)));
+        for (int second = 0; second < 200; second++) {
+            fleet.step(Fleets.SECOND_NANOS);
+            assertWithMessage("second %s", second)
+                    .that(fleet.servingGroups().size())
+                    .isAtLeast(3);
+        }
+
+        assertThat(fleet.servingGroups().stream().map(FormedGroup::modelVersion).distinct())
+                .containsExactly(GUIDE_2);
+    }
+
+    @Test
+    void loadsAtOnceAreBounded() {
+        final VirtualFleet fleet = Fleets.of(1, 4);
+        fleet.declare(Sets.with(pool(4, PlacementWeight.GROUP_DOWNTIME, 0, true, 1, false)));
+
+        Fleets.run(fleet, 10);
+
+        assertThat(fleet.state().groups()).hasSize(1);
+        assertThat(reasons(fleet)).contains(PlacementReason.LOADS_BOUND);
+        Fleets.run(fleet, 100);
+        assertThat(fleet.servingGroups()).hasSize(4);
+    }
+
+    @Test
+    void sparesAreKeptOnlyWhereThePoolWeighsDowntime() {
+        final VirtualFleet keeping = Fleets.of(1, 2);
+        keeping.declare(Sets.with(pool(3, PlacementWeight.GROUP_DOWNTIME, 1, true, 100, false)));
+        final VirtualFleet packing = Fleets.of(1, 2);
+        packing.declare(Sets.with(pool(3, PlacementWeight.STRANDED_ACCELERATORS, 1, true, 100, false)));
+
+        Fleets.run(keeping, 30);
+        Fleets.run(packing, 30);
+
+        assertThat(keeping.state().groups()).isEmpty();
+        assertThat(reasons(keeping)).containsExactly(PlacementReason.SPARES_KEPT);
+        assertThat(packing.servingGroups()).hasSize(3);
+    }
+
+    @Test
+    void newLeaderKeepsGroupsOfMembersItHasNotHeardOfYet() {
+        final VirtualFleet fleet = Fleets.of(1, 2);
+        fleet.declare(Sets.with(Sets.pool(3, 2)));
+        Fleets.run(fleet, 30);
+        final VirtualVm paused = Fleets.vm(fleet, "zone-a-d1-v1");
+
+        fleet.changeLeader();
+        paused.stop();
+        Fleets.run(fleet, 2);
+        paused.resume();
+        Fleets.run(fleet, 5);
+
+        assertThat(fleet.servingGroups()).hasSize(3);
+    }
+
+    @Test
+    void newLeaderGivesNoOrderToUncheckedEndpointsWhileOldOnesMayArrive() {
+        final VirtualFleet fleet = Fleets.of(1, 2);
+        fleet.declare(Sets.with(pool(1, PlacementWeight.GROUP_DOWNTIME, 0, false, 100, false)));
+        fleet.changeLeader();
+
+        Fleets.run(fleet, 2);
+
+        assertThat(reasons(fleet)).containsExactly(PlacementReason.OLD_LEADER_ORDERS);
+        Fleets.run(fleet, 30);
+        assertThat(fleet.servingGroups()).hasSize(1);
+    }
+
+    private static PoolDeclaration pool(
+            int replicas, PlacementWeight weighs, int spares, boolean fencing, int maxLoads, boolean newVersion) {
+        return Sets.pool(replicas, 2, newVersion ? GUIDE_2 : GUIDE_1, weighs, spares, fencing, maxLoads);
+    }
+
+    private static FormedGroup group(VirtualFleet fleet, GroupName name) {
+        return fleet.state().groups().stream()
+                .filter(group -> group.group().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static ImmutableSet<AvailabilityZone> zonesOf(VirtualFleet fleet) {
+        return fleet.state().groups().stream().map(FormedGroup::zone).collect(ImmutableSet.toImmutableSet());
+    }
+
+    private static ImmutableSet<String> domainsOf(VirtualFleet fleet, FormedGroup group) {
+        return fleet.vms().stream()
+                .filter(vm -> group.hasVm(vm.name()))
+                .map(vm -> vm.domain().value())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    private static boolean announcedGroup(VirtualFleet fleet, VmName vm) {
+        return fleet.announcements()
+                .live(vm, fleet.nowNanos())
+                .filter(said -> said.group().isPresent())
+                .isPresent();
+    }
+
+    private static ImmutableSet<PlacementReason> reasons(VirtualFleet fleet) {
+        return fleet.lastPlan().stream().map(PlacementAction::reason).collect(ImmutableSet.toImmutableSet());
+    }
+}
