--- a/src/main/java/org/wigeongrade/bench/package-info.java
+++ b/src/main/java/org/wigeongrade/bench/package-info.java
@@ -1,2 +1,2 @@
-/** The load tool: open-loop load over entry VMs, checked answers and latency reports. */
+/** The load tool, and experiments that measure decisions in virtual time and the replicated log on real files. */
 package org.wigeongrade.bench;
