Add the replicated log: elections, replication, files and Thrift transport

Cause: control state must survive lost VMs, and nothing outside the project may keep it. Ruled out: replacing a lost voter's incarnation in one membership change, since an old and a new quorum could then lack a common voter; it is removed and added in two changes. Voting by node name alone, since an empty disk would vote twice in a term. Repairing a torn tail in place: the file is rewritten and renamed at each open, so pages that a failed sync left unwritten are written again.

--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/log/MemoryLog.java
@@ -0,0 +1,141 @@
+package org.wigeongrade.decisions.log;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The entries in memory after a base position, with the latest snapshot and the memberships they carry.
+ *
+ * <p>Invariant: entries follow the base without a gap; the base is not past the snapshot. Not thread safe.
+ */
+final class MemoryLog {
+    private record MembershipAt(long index, Membership membership) {}
+
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final List<MembershipAt> memberships = new ArrayList<>();
+    private Position base;
+    private Optional<Snapshot> snapshot;
+
+    MemoryLog(RecoveredState recovered) {
+        this.base = recovered.base();
+        this.snapshot = recovered.snapshot();
+        snapshot.ifPresent(
+                found -> memberships.add(new MembershipAt(found.position().index(), found.membership())));
+        recovered.entries().forEach(this::append);
+    }
+
+    Position base() {
+        return base;
+    }
+
+    Optional<Snapshot> snapshot() {
+        return snapshot;
+    }
+
+    Position last() {
+        return entries.isEmpty() ? base : entries.get(entries.size() - 1).position();
+    }
+
+    long lastIndex() {
+        return base.index() + entries.size();
+    }
+
+    /** Returns the position at an index, unless it is before the base or past the end. */
+    Optional<Position> at(long index) {
+        if (index == base.index()) {
+            return Optional.of(base);
+        }
+        return entry(index).map(LogEntry::position);
+    }
+
+    Optional<LogEntry> entry(long index) {
+        if (index <= base.index() || index > lastIndex()) {
+            return Optional.empty();
+        }
+        return Optional.of(entries.get(offset(index)));
+    }
+
+    boolean hasTermAt(long index, long term) {
+        return at(index).filter(position -> position.term() == term).isPresent();
+    }
+
+    /** Returns entries from an index, up to a count and a size; always at least one if there is one. */
+    ImmutableList<LogEntry> from(long index, int maxEntries, int maxBytes) {
+        ImmutableList.Builder<LogEntry> found = ImmutableList.builder();
+        long end = Math.min(lastIndex(), index + maxEntries - 1);
+        int sizeBytes = 0;
+        for (long i = index; i <= end && sizeBytes < maxBytes; i++) {
+            LogEntry next = entries.get(offset(i));
+            sizeBytes += next.payload().sizeBytes();
+            found.add(next);
+        }
+        return found.build();
+    }
+
+    void append(LogEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException("entry " + entry.index() + " does not follow " + lastIndex());
+        }
+        entries.add(entry);
+        boolean newer =
+                memberships.isEmpty() || memberships.get(memberships.size() - 1).index() < entry.index();
+        if (entry.kind() == EntryKind.MEMBERSHIP && newer) {
+            memberships.add(new MembershipAt(entry.index(), Membership.decode(entry.payload())));
+        }
+    }
+
+    /** Drops the entries at an index and after. */
+    void truncateFrom(long index) {
+        entries.subList(offset(index), entries.size()).clear();
+        memberships.removeIf(at -> at.index() >= index);
+    }
+
+    /** Returns the latest membership in the log, committed or not. */
+    Membership membership() {
+        return memberships.isEmpty()
+                ? Membership.NONE
+                : memberships.get(memberships.size() - 1).membership();
+    }
+
+    long membershipIndex() {
+        return memberships.isEmpty()
+                ? 0
+                : memberships.get(memberships.size() - 1).index();
+    }
+
+    /** Returns the membership in force at an index that is not before the snapshot. */
+    Membership membershipAt(long index) {
+        return memberships.stream()
+                .filter(at -> at.index() <= index)
+                .reduce((first, second) -> second)
+                .map(MembershipAt::membership)
+                .orElse(Membership.NONE);
+    }
+
+    /** Takes a snapshot of its own state and drops entries up to a position not past it. */
+    void compact(Snapshot taken, Position newBase) {
+        snapshot = Optional.of(taken);
+        if (newBase.index() > base.index()) {
+            entries.subList(0, offset(newBase.index() + 1)).clear();
+            base = newBase;
+        }
+        long keptFrom = taken.position().index();
+        memberships.removeIf(at -> at.index() <= keptFrom);
+        memberships.add(0, new MembershipAt(keptFrom, taken.membership()));
+    }
+
+    /** Replaces everything by a snapshot. */
+    void reset(Snapshot installed) {
+        entries.clear();
+        memberships.clear();
+        base = installed.position();
+        snapshot = Optional.of(installed);
+        memberships.add(new MembershipAt(base.index(), installed.membership()));
+    }
+
+    private int offset(long index) {
+        return Math.toIntExact(index - base.index() - 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/log/RecoveredState.java
@@ -0,0 +1,26 @@
+package org.wigeongrade.decisions.log;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+
+/**
+ * What a data folder held at the start.
+ *
+ * <p>Invariant: the entries follow the base without a gap, and the base is not past the snapshot. Immutable.
+ *
+ * @param incarnation identifies the data folder
+ * @param mayBootstrap false if an earlier folder of this node was lost, so that it never counts as brand-new
+ */
+public record RecoveredState(
+        long incarnation,
+        boolean mayBootstrap,
+        HardState hardState,
+        Optional<Snapshot> snapshot,
+        Position base,
+        ImmutableList<LogEntry> entries) {
+    /** Returns the state of a new folder. */
+    public static RecoveredState fresh(long incarnation, boolean mayBootstrap) {
+        return new RecoveredState(
+                incarnation, mayBootstrap, HardState.INITIAL, Optional.empty(), Position.START, ImmutableList.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -0,0 +1,334 @@
+package org.wigeongrade.nodes.log;
+
+import java.lang.System.Logger.Level;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.decisions.log.CoreSettings;
+import org.wigeongrade.decisions.log.LogMessage;
+import org.wigeongrade.decisions.log.Membership;
+import org.wigeongrade.decisions.log.RaftCore;
+import org.wigeongrade.disk.DiskLostException;
+import org.wigeongrade.disk.FileOperations;
+import org.wigeongrade.disk.LogStore;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.NodeName;
+
+/**
+ * Runs one replica: one writer thread owns the core, the files and the state machine, and takes its inputs from a bounded
+ * queue.
+ *
+ * <p>Invariants: inputs that wait together share one sync; after a failure of the disk or of the digest chain nothing
+ * more is sent, stored or applied. Thread safe; no lock is held while the queue or a peer is waited for, so there is no
+ * lock order to keep.
+ */
+public final class RaftReplicatedLog implements ReplicatedLog {
+    private static final System.Logger LOGGER = System.getLogger(RaftReplicatedLog.class.getName());
+    private static final int QUEUE_CAPACITY = 16_384;
+    private static final int MAX_INPUTS_PER_SYNC = 1_024;
+    private static final int MAX_COMMAND_BYTES = 1024 * 1024;
+    private static final long STOP_TIMEOUT_MS = 5_000;
+    private static final int TICKS_PER_HEARTBEAT = 10;
+
+    /** What other threads see; replaced as a whole after each round of the writer thread. */
+    private record Status(
+            long term,
+            Optional<NodeName> leader,
+            long leaderSinceNanos,
+            OptionalLong leaseDeadlineNanos,
+            long appliedIndex,
+            Membership membership,
+            boolean voter) {}
+
+    private sealed interface Input {}
+
+    private record Received(NodeName from, LogMessage message) implements Input {}
+
+    private record Submitted(Bytes command, CompletableFuture<byte[]> future) implements Input {}
+
+    private final CoreSettings settings;
+    private final LogStore store;
+    private final LogTransport transport;
+    private final LongSupplier clock;
+    private final RaftCore core;
+    private final ReplicaWork work;
+    private final PendingCommands pending;
+    private final Consumer<RuntimeException> onFailure;
+    private final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>(QUEUE_CAPACITY);
+    private final ExecutorService callbacks;
+    private final Thread writer;
+    private final long tickNanos;
+    private long nextTickNanos;
+    private long leadTerm;
+    private volatile Status status;
+    private volatile boolean stopping;
+
+    /** Makes a replica that is not started yet; {@code transport} must hand incoming messages to {@link #receive}. */
+    public RaftReplicatedLog(
+            CoreSettings settings,
+            LogStore store,
+            LogTransport transport,
+            ReplicatedStateMachine machine,
+            LongSupplier clock,
+            RandomGenerator random,
+            long compactAfterEntries,
+            Consumer<RuntimeException> onFailure) {
+        this.settings = settings;
+        this.store = store;
+        this.transport = transport;
+        this.clock = clock;
+        this.onFailure = onFailure;
+        this.tickNanos = settings.timings().heartbeatNanos() / TICKS_PER_HEARTBEAT;
+        this.nextTickNanos = clock.getAsLong();
+        this.core = new RaftCore(settings, store.recovered(), random, nextTickNanos);
+        this.callbacks = Executors.newSingleThreadExecutor(task -> daemon(task, "log-callbacks"));
+        this.pending = new PendingCommands(callbacks);
+        this.work = new ReplicaWork(core, store, transport, machine, pending, compactAfterEntries);
+        store.recovered().snapshot().ifPresent(work::restore);
+        this.status = new Status(
+                core.term(),
+                Optional.empty(),
+                nextTickNanos,
+                OptionalLong.empty(),
+                core.appliedIndex(),
+                core.membership(),
+                core.isVoter());
+        this.writer = daemon(this::run, "log-writer");
+    }
+
+    /**
+     * Opens the data folder, listens and starts the replica. A folder that lost something is set aside and a new
+     * incarnation starts as a learner.
+     */
+    public static RaftReplicatedLog open(
+            LogSettings settings, ReplicatedStateMachine machine, Consumer<RuntimeException> onFailure) {
+        SecureRandom random = new SecureRandom();
+        LogStore store = openStore(settings, random);
+        LateReceiver receiver = new LateReceiver();
+        LogTransport transport;
+        try {
+            transport = ThriftLogTransport.start(settings.self(), settings.listenAddress(), settings.peers(), receiver);
+        } catch (RuntimeException e) {
+            store.close();
+            throw e;
+        }
+        RaftReplicatedLog log = new RaftReplicatedLog(
+                settings.coreSettings(),
+                store,
+                transport,
+                machine,
+                System::nanoTime,
+                random,
+                settings.compactAfterEntries(),
+                onFailure);
+        receiver.connect(log);
+        log.start();
+        return log;
+    }
+
+    private static LogStore openStore(LogSettings settings, SecureRandom random) {
+        try {
+            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong);
+        } catch (DiskLostException e) {
+            LOGGER.log(
+                    Level.ERROR,
+                    "data folder counts as lost, a new incarnation starts as a learner: " + e.getMessage());
+            LogStore.setAside(settings.folder(), FileOperations.SYSTEM);
+            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong);
+        }
+    }
+
+    /** Starts the writer thread. */
+    public void start() {
+        writer.start();
+    }
+
+    /** Takes a message from a peer; drops it if too many wait. Never blocks. */
+    public void receive(NodeName from, LogMessage message) {
+        boolean taken = !stopping && inputs.offer(new Received(from, message));
+        if (!taken && !stopping) {
+            LOGGER.log(Level.WARNING, "log message from {0} dropped: {1} inputs wait", from, QUEUE_CAPACITY);
+        }
+    }
+
+    @Override
+    public CompletableFuture<byte[]> submit(byte[] command) {
+        if (command.length > MAX_COMMAND_BYTES) {
+            return CompletableFuture.failedFuture(new WigeongradeException(
+                    ErrorKind.BODY_TOO_LARGE,
+                    "command has " + command.length + " bytes; at most " + MAX_COMMAND_BYTES + " fit an entry"));
+        }
+        CompletableFuture<byte[]> future = new CompletableFuture<>();
+        boolean taken = !stopping && inputs.offer(new Submitted(Bytes.wrap(command.clone()), future));
+        if (!taken) {
+            future.completeExceptionally(unavailable());
+        }
+        return future;
+    }
+
+    @Override
+    public boolean leadsWithLease() {
+        OptionalLong deadlineNanos = status.leaseDeadlineNanos();
+        return !stopping && deadlineNanos.isPresent() && clock.getAsLong() - deadlineNanos.getAsLong() < 0;
+    }
+
+    @Override
+    public Optional<NodeName> leader() {
+        return status.leader();
+    }
+
+    @Override
+    public long term() {
+        return status.term();
+    }
+
+    @Override
+    public long leaderSinceNanos() {
+        return status.leaderSinceNanos();
+    }
+
+    @Override
+    public long appliedIndex() {
+        return status.appliedIndex();
+    }
+
+    /** Returns the latest voters known here, each with the incarnation of its data folder. */
+    public Membership membership() {
+        return status.membership();
+    }
+
+    /** Returns whether this replica votes; if not, it is a learner that catches up. */
+    public boolean isVoter() {
+        return status.voter();
+    }
+
+    private void run() {
+        try {
+            while (!stopping) {
+                round();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            LOGGER.log(Level.ERROR, "the replicated log stops on this VM: " + e.getMessage(), e);
+            stopping = true;
+            onFailure.accept(e);
+        } finally {
+            end();
+        }
+    }
+
+    private void round() throws InterruptedException {
+        long waitNanos = Math.max(0, nextTickNanos - clock.getAsLong());
+        Input first = inputs.poll(waitNanos, TimeUnit.NANOSECONDS);
+        List<Input> batch = new ArrayList<>();
+        if (first != null) {
+            batch.add(first);
+            inputs.drainTo(batch, MAX_INPUTS_PER_SYNC);
+        }
+        for (Input input : batch) {
+            take(input);
+        }
+        long nowNanos = clock.getAsLong();
+        if (nowNanos - nextTickNanos >= 0) {
+            core.tick(nowNanos);
+            nextTickNanos = nowNanos + tickNanos;
+        }
+        work.run(clock);
+        publish();
+    }
+
+    private void take(Input input) {
+        if (input instanceof Received received) {
+            core.receive(received.from(), received.message(), clock.getAsLong());
+        } else if (input instanceof Submitted submitted) {
+            propose(submitted);
+        }
+    }
+
+    private void propose(Submitted submitted) {
+        OptionalLong index = core.propose(submitted.command());
+        if (index.isEmpty()) {
+            pending.fail(submitted.future(), unavailable());
+            return;
+        }
+        leadTerm = core.term();
+        pending.add(index.getAsLong(), leadTerm, submitted.future());
+    }
+
+    private void publish() {
+        boolean lostLead = core.leaderSinceNanos().isEmpty() || core.term() != leadTerm;
+        if (lostLead) {
+            pending.failAll();
+        }
+        OptionalLong sinceNanos = core.leaderSinceNanos();
+        status = new Status(
+                core.term(),
+                core.leader(),
+                sinceNanos.orElse(status.leaderSinceNanos()),
+                core.leaseDeadlineNanos(clock.getAsLong()),
+                core.appliedIndex(),
+                core.membership(),
+                core.isVoter());
+    }
+
+    private void end() {
+        status = new Status(
+                status.term(),
+                Optional.empty(),
+                status.leaderSinceNanos(),
+                OptionalLong.empty(),
+                status.appliedIndex(),
+                status.membership(),
+                status.voter());
+        pending.failAll();
+        List<Input> rest = new ArrayList<>();
+        inputs.drainTo(rest);
+        for (Input input : rest) {
+            if (input instanceof Submitted submitted) {
+                pending.fail(submitted.future(), unavailable());
+            }
+        }
+        transport.close();
+        store.close();
+    }
+
+    private WigeongradeException unavailable() {
+        String leader = status.leader()
+                .filter(name -> !name.equals(settings.self()))
+                .map(name -> "the leader is " + name)
+                .orElse("no leader is known");
+        return new WigeongradeException(
+                ErrorKind.CONTROL_UNAVAILABLE, "node " + settings.self() + " does not lead; " + leader);
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    @Override
+    public void close() {
+        stopping = true;
+        try {
+            writer.join(STOP_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        callbacks.shutdown();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/log/ReplicaWork.java
@@ -0,0 +1,100 @@
+package org.wigeongrade.nodes.log;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.decisions.log.EntryKind;
+import org.wigeongrade.decisions.log.LogEntry;
+import org.wigeongrade.decisions.log.Outputs;
+import org.wigeongrade.decisions.log.RaftCore;
+import org.wigeongrade.decisions.log.Snapshot;
+import org.wigeongrade.disk.LogStore;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+
+/**
+ * Carries out what the core asks for, in the order that {@link Outputs} states.
+ *
+ * <p>Invariant: a message that promises something leaves only after the promise is synced. Used by the writer thread
+ * only.
+ */
+final class ReplicaWork {
+    private final RaftCore core;
+    private final LogStore store;
+    private final LogTransport transport;
+    private final ReplicatedStateMachine machine;
+    private final PendingCommands pending;
+    private final long compactAfterEntries;
+
+    ReplicaWork(
+            RaftCore core,
+            LogStore store,
+            LogTransport transport,
+            ReplicatedStateMachine machine,
+            PendingCommands pending,
+            long compactAfterEntries) {
+        this.core = core;
+        this.store = store;
+        this.transport = transport;
+        this.machine = machine;
+        this.pending = pending;
+        this.compactAfterEntries = compactAfterEntries;
+    }
+
+    void restore(Snapshot snapshot) {
+        machine.restore(snapshot.state().array());
+    }
+
+    /** Does everything the core asks for now, then takes a snapshot if one is due. */
+    void run(LongSupplier clock) {
+        Outputs outputs = core.drain(clock.getAsLong());
+        while (!outputs.isEmpty()) {
+            execute(outputs);
+            outputs = core.drain(clock.getAsLong());
+        }
+        if (core.appliedIndex() - core.snapshotIndex() >= compactAfterEntries) {
+            compact();
+        }
+    }
+
+    private void execute(Outputs outputs) {
+        outputs.halt().ifPresent(reason -> {
+            throw new WigeongradeException(
+                    ErrorKind.INTERNAL,
+                    "log of this VM differs from the leader's (" + reason + "); set its folder aside");
+        });
+        outputs.hardState().ifPresent(store::saveHardState);
+        outputs.immediate().forEach(outgoing -> transport.send(outgoing.to(), outgoing.message()));
+        outputs.installed().ifPresent(this::install);
+        persist(outputs.entries());
+        outputs.afterPersist().forEach(outgoing -> transport.send(outgoing.to(), outgoing.message()));
+        outputs.committed().forEach(this::apply);
+    }
+
+    private void install(Snapshot snapshot) {
+        store.saveSnapshot(snapshot, snapshot.position(), ImmutableList.of());
+        machine.restore(snapshot.state().array());
+    }
+
+    private void persist(List<LogEntry> entries) {
+        if (entries.isEmpty()) {
+            return;
+        }
+        store.append(entries);
+        LogEntry last = entries.get(entries.size() - 1);
+        core.persisted(last.index(), last.term());
+    }
+
+    private void apply(LogEntry entry) {
+        if (entry.kind() == EntryKind.COMMAND) {
+            pending.applied(entry, machine.apply(entry.index(), entry.payload().array()));
+        }
+    }
+
+    private void compact() {
+        Bytes state = Bytes.wrap(machine.snapshot());
+        Snapshot taken = core.compact(state, compactAfterEntries / 2);
+        store.saveSnapshot(taken, core.base(), core.entriesFromBase());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/log/ThriftLogTransport.java
@@ -0,0 +1,106 @@
+package org.wigeongrade.nodes.log;
+
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.apache.thrift.protocol.TBinaryProtocol;
+import org.apache.thrift.server.TThreadPoolServer;
+import org.apache.thrift.transport.TServerSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.wigeongrade.decisions.log.LogMessage;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.nodes.log.thrift.LogEnvelope;
+import org.wigeongrade.nodes.log.thrift.LogService;
+import org.wigeongrade.nodes.log.thrift.WireMessage;
+
+/**
+ * Carries log messages between control VMs over framed Thrift, with a port of its own.
+ *
+ * <p>Invariants: messages from unknown senders are dropped; an incoming connection that stays silent past its read
+ * deadline is closed. Thread safe.
+ */
+public final class ThriftLogTransport implements LogTransport {
+    private static final System.Logger LOGGER = System.getLogger(ThriftLogTransport.class.getName());
+    private static final int SILENT_CLOSE_MS = 5_000;
+    private static final int MAX_CONNECTIONS = 32;
+    private static final int STOP_TIMEOUT_S = 1;
+
+    private final Map<NodeName, PeerSender> senders = new TreeMap<>();
+    private final BiConsumer<NodeName, LogMessage> receiver;
+    private final TThreadPoolServer server;
+
+    private ThriftLogTransport(
+            NodeName self,
+            TServerSocket listening,
+            Map<NodeName, InetSocketAddress> peers,
+            BiConsumer<NodeName, LogMessage> receiver) {
+        this.receiver = receiver;
+        peers.forEach((peer, address) -> senders.put(peer, new PeerSender(self, peer, address)));
+        TThreadPoolServer.Args args = new TThreadPoolServer.Args(listening)
+                .processor(new LogService.Processor<LogService.Iface>(this::deliver))
+                .transportFactory(new TFramedTransport.Factory())
+                .protocolFactory(new TBinaryProtocol.Factory())
+                .minWorkerThreads(1)
+                .maxWorkerThreads(MAX_CONNECTIONS);
+        args.stopTimeoutVal = STOP_TIMEOUT_S;
+        this.server = new TThreadPoolServer(args);
+    }
+
+    /** Listens and starts the workers; fails with CONTROL_UNAVAILABLE if the address cannot be listened on. */
+    public static ThriftLogTransport start(
+            NodeName self,
+            InetSocketAddress listenAddress,
+            Map<NodeName, InetSocketAddress> peers,
+            BiConsumer<NodeName, LogMessage> receiver) {
+        ThriftLogTransport transport = new ThriftLogTransport(self, listen(listenAddress), peers, receiver);
+        Thread acceptor = new Thread(transport.server::serve, "log-accept");
+        acceptor.setDaemon(true);
+        acceptor.start();
+        return transport;
+    }
+
+    @Override
+    public void send(NodeName peer, LogMessage message) {
+        PeerSender sender = senders.get(peer);
+        if (sender != null) {
+            sender.send(message);
+        }
+    }
+
+    private void deliver(LogEnvelope envelope) {
+        try {
+            NodeName sender = NodeName.of(envelope.getSender());
+            if (!senders.containsKey(sender)) {
+                LOGGER.log(Level.WARNING, "log message from {0} dropped: not a configured control VM", sender);
+                return;
+            }
+            for (WireMessage message : envelope.getMessages()) {
+                receiver.accept(sender, WireCodec.decode(message));
+            }
+        } catch (IllegalArgumentException e) {
+            LOGGER.log(Level.WARNING, "log message dropped: " + e.getMessage());
+        }
+    }
+
+    private static TServerSocket listen(InetSocketAddress address) {
+        try {
+            return new TServerSocket(new TServerSocket.ServerSocketTransportArgs()
+                    .bindAddr(address)
+                    .clientTimeout(SILENT_CLOSE_MS));
+        } catch (TTransportException e) {
+            throw new WigeongradeException(
+                    ErrorKind.CONTROL_UNAVAILABLE, "cannot listen on " + address + " for the replicated log", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        senders.values().forEach(PeerSender::close);
+        server.stop();
+    }
+}
