--- a/src/main/java/org/wigeongrade/callers/CallerServices.java
+++ b/src/main/java/org/wigeongrade/callers/CallerServices.java
@@ -1,7 +1,6 @@
 package org.wigeongrade.callers;
 
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongSupplier;
 import org.wigeongrade.endpoints.EndpointClient;
 import org.wigeongrade.logging.EventLog;
@@ -18,7 +17,7 @@
         EndpointClient client,
         ColdSigns coldSigns,
         Runnable pullSoon,
-        ScheduledExecutorService timers,
+        Delay delay,
         ExecutorService workers,
         LongSupplier epochMsClock,
         Metrics metrics,
--- a/src/main/java/org/wigeongrade/callers/GenerationApi.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationApi.java
@@ -37,15 +37,25 @@
         };
     }
 
-    /** Returns the text that an event of a streamed answer adds; empty if it adds none. */
-    public String addedText(JsonNode event) {
-        final JsonNode choice = event.path("choices").path(0);
+    /** Returns the prompt as one text, as engines see it. */
+    String promptText(JsonNode prompt) {
         return switch (this) {
-            case CHAT -> choice.path("delta").path("content").asText("");
-            case TEXT -> choice.path("text").asText("");
+            case CHAT -> joinMessages(prompt);
+            case TEXT -> prompt.textValue();
         };
     }
 
+    private static String joinMessages(JsonNode messages) {
+        final StringBuilder text = new StringBuilder();
+        for (final JsonNode message : messages) {
+            final JsonNode content = message.path("content");
+            text.append(message.path("role").asText()).append(": ");
+            text.append(content.isTextual() ? content.asText() : content.toString())
+                    .append('\n');
+        }
+        return text.toString();
+    }
+
     private static boolean isMessageList(JsonNode messages) {
         if (!messages.isArray() || messages.isEmpty()) {
             return false;
--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -163,7 +163,7 @@
             return;
         }
         tried.clear();
-        services.timers().schedule(this::attempt, WAIT_FOR_SLOT_MS, TimeUnit.MILLISECONDS);
+        services.delay().run(this::attempt, WAIT_FOR_SLOT_MS);
     }
 
     /** Returns the endpoints that this request must not go to: those it was tried on, and other model versions. */
--- a/src/main/java/org/wigeongrade/callers/GenerationRequest.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationRequest.java
@@ -5,8 +5,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.wigeongrade.errors.ErrorKind;
@@ -25,9 +23,7 @@
         int priority,
         ImmutableList<String> prefixes) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final int PREFIX_CHARACTERS = 256;
-    private static final int MAX_PREFIXES = 32;
-    private static final int PREFIX_DIGEST_CHARACTERS = 16;
+    private static final long DEFAULT_MAX_TOKENS = 256;
     private static final int MAX_PRIORITY = 100;
 
     /** Reads a body; throws with kind MALFORMED_REQUEST and the fault's place if it cannot be served. */
@@ -39,7 +35,12 @@
             throw malformed("'" + api.promptField() + "' must be " + api.promptShape());
         }
         return new GenerationRequest(
-                api, body, model, readStream(body), readPriority(body), prefixesOf(model, prompt.toString()));
+                api, body, model, readStream(body), readPriority(body), PromptBlocks.digests(api, prompt));
+    }
+
+    /** Returns the most tokens that the answer may have. */
+    long maxTokens() {
+        return Math.max(1, body.path("max_tokens").asLong(DEFAULT_MAX_TOKENS));
     }
 
     /** Returns the body that asks an engine to go on after {@code text}; the caller's own body if the text is empty. */
@@ -98,22 +99,6 @@
         return value.intValue();
     }
 
-    /** Returns digests of ever longer beginnings of the prompt, the shortest first. */
-    private static ImmutableList<String> prefixesOf(String model, String prompt) {
-        final ImmutableList.Builder<String> digests = ImmutableList.builder();
-        final Hasher start = Hashing.sha256().newHasher().putString(model, StandardCharsets.UTF_8);
-        String previous = start.hash().toString();
-        final int blocks = Math.min(MAX_PREFIXES, prompt.length() / PREFIX_CHARACTERS);
-        for (int block = 0; block < blocks; block++) {
-            final String text = prompt.substring(block * PREFIX_CHARACTERS, (block + 1) * PREFIX_CHARACTERS);
-            previous = Hashing.sha256()
-                    .hashString(previous + text, StandardCharsets.UTF_8)
-                    .toString();
-            digests.add(previous.substring(0, PREFIX_DIGEST_CHARACTERS));
-        }
-        return digests.build();
-    }
-
     private static WigeongradeException malformed(String message) {
         return new WigeongradeException(ErrorKind.MALFORMED_REQUEST, message);
     }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/callers/InFlight.java
@@ -0,0 +1,46 @@
+package org.wigeongrade.callers;
+
+import java.util.concurrent.Phaser;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.wigeongrade.metrics.Metrics;
+
+/**
+ * Counts the requests in flight, so that a graceful stop waits for each.
+ *
+ * <p>Thread safe.
+ */
+public final class InFlight {
+    private final Phaser phaser = new Phaser(1);
+    private final Metrics metrics;
+
+    public InFlight(Metrics metrics) {
+        this.metrics = metrics;
+    }
+
+    void arrived() {
+        phaser.register();
+        metrics.requestArrived();
+    }
+
+    void left() {
+        phaser.arriveAndDeregister();
+        metrics.requestLeft();
+    }
+
+    /** Returns the number of requests in flight. */
+    public int count() {
+        return phaser.getRegisteredParties() - 1;
+    }
+
+    /** Waits until no request is in flight; returns false if some are after {@code timeoutMs}. */
+    public boolean awaitNone(long timeoutMs) throws InterruptedException {
+        final int phase = phaser.arrive();
+        try {
+            phaser.awaitAdvanceInterruptibly(phase, timeoutMs, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (TimeoutException expired) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/callers/ModelList.java
@@ -0,0 +1,41 @@
+package org.wigeongrade.callers;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.Comparator;
+import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.decisions.config.ModelVersionDeclaration;
+import org.wigeongrade.nodes.entry.EntryRole;
+
+/** The models that callers may name: those that some pool serves. Thread safe: reads the view in force. */
+final class ModelList {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final EntryRole entry;
+
+    ModelList(EntryRole entry) {
+        this.entry = entry;
+    }
+
+    ImmutableSortedSet<String> names() {
+        final DeclaredSet set = entry.view().configuration().declaredSet();
+        return set.modelVersions().stream()
+                .filter(version -> set.pools().stream()
+                        .anyMatch(pool -> pool.modelVersion().equals(version.name())))
+                .map(ModelVersionDeclaration::model)
+                .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
+    }
+
+    /** Returns the list in the form that the ecosystem's clients read. */
+    String json() {
+        final ObjectNode answer = MAPPER.createObjectNode();
+        answer.put("object", "list");
+        final ArrayNode data = answer.putArray("data");
+        for (final String name : names()) {
+            data.addObject().put("id", name).put("object", "model").put("owned_by", "wigeongrade");
+        }
+        return answer.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -0,0 +1,275 @@
+package org.wigeongrade.command;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.wigeongrade.callers.CallerApi;
+import org.wigeongrade.callers.CallerServices;
+import org.wigeongrade.callers.Delay;
+import org.wigeongrade.callers.InFlight;
+import org.wigeongrade.endpoints.EndpointApi;
+import org.wigeongrade.endpoints.EndpointClient;
+import org.wigeongrade.endpoints.OrderSender;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.nodes.ColdSigns;
+import org.wigeongrade.nodes.ControlLink;
+import org.wigeongrade.nodes.Explanations;
+import org.wigeongrade.nodes.NodeServer;
+import org.wigeongrade.nodes.NodeServiceHandler;
+import org.wigeongrade.nodes.NodeTimings;
+import org.wigeongrade.nodes.PeerClient;
+import org.wigeongrade.nodes.control.ControlRole;
+import org.wigeongrade.nodes.control.FleetMeasures;
+import org.wigeongrade.nodes.control.PlacementLoop;
+import org.wigeongrade.nodes.entry.EntryRole;
+import org.wigeongrade.nodes.entry.ViewPuller;
+import org.wigeongrade.nodes.log.LogSettings;
+import org.wigeongrade.nodes.log.RaftReplicatedLog;
+import org.wigeongrade.nodes.thrift.NodeService;
+import org.wigeongrade.operators.OperatorApi;
+import org.wigeongrade.platform.PlatformApi;
+import org.wigeongrade.settings.NodeAddress;
+import org.wigeongrade.settings.NodeSettings;
+import org.wigeongrade.settings.PeerSettings;
+import ratpack.exec.ExecController;
+import ratpack.handling.Chain;
+import ratpack.server.RatpackServer;
+import ratpack.server.ServerConfig;
+
+/**
+ * One process of this system: the entry role, and the control role on a VM with a data folder.
+ *
+ * <p>Invariant: a stop fails the health check first, then refuses new requests, then waits for those in flight, then ends
+ * the roles. Thread safe.
+ */
+public final class Node implements NodeProcess {
+    private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+    private static final int PEER_WORKER_THREADS = 8;
+    private static final int CLAIM_WORKER_THREADS = 16;
+    private static final long BALANCER_LEAD_MS = 1_000;
+    private static final int HALT_STATUS = 70;
+
+    private final NodeSettings settings;
+    private final EventLog events;
+    private final Metrics metrics;
+    private final NodeTimings timings;
+    private final LongSupplier nanoClock = System::nanoTime;
+    private final LongSupplier epochMsClock = System::currentTimeMillis;
+    private final EntryRole entry;
+    private final InFlight inFlight;
+    private final ImmutableMap<NodeName, PeerClient> peers;
+    private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, daemon("timer"));
+    private final ExecutorService workers = Executors.newFixedThreadPool(CLAIM_WORKER_THREADS, daemon("worker-%d"));
+    private final AtomicBoolean stopRequested = new AtomicBoolean();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    private Optional<ControlRole> control = Optional.empty();
+    private Optional<PlacementLoop> placement = Optional.empty();
+    private NodeServer nodeServer;
+    private ViewPuller puller;
+    private RatpackServer httpServer;
+
+    public Node(NodeSettings settings, EventLog events, Metrics metrics) {
+        this.settings = settings;
+        this.events = events;
+        this.metrics = metrics;
+        this.timings = NodeTimings.of(settings.limits());
+        this.entry = new EntryRole(
+                settings.name(), settings.availabilityZone(), settings.limits().pullIntervalMs(), nanoClock);
+        this.inFlight = new InFlight(metrics);
+        this.peers = settings.otherPeers().stream()
+                .collect(ImmutableMap.toImmutableMap(
+                        PeerSettings::name,
+                        peer -> new PeerClient(peer.peerAddress().toSocketAddress(), (int)
+                                settings.limits().connectTimeoutMs())));
+    }
+
+    @Override
+    public void start() {
+        try {
+            startRoles();
+        } catch (WigeongradeException known) {
+            throw known;
+        } catch (Exception failure) {
+            throw new WigeongradeException(
+                    ErrorKind.INTERNAL, "node " + settings.name() + " did not start: " + failure, failure);
+        }
+        events.write(LogEvent.NODE_STARTED, settings.name(), settings.availabilityZone(), settings.listen());
+    }
+
+    @Override
+    public void stop() {
+        if (stopRequested.compareAndSet(false, true)) {
+            new Thread(this::stopGracefully, "stop").start();
+        }
+    }
+
+    @Override
+    public void awaitStopped() throws InterruptedException {
+        stopped.await();
+    }
+
+    private void startRoles() throws Exception {
+        control = settings.logListen().map(this::openControl);
+        final ControlLink link = new ControlLink(settings.name(), control, controlPeers(), nanoClock);
+        puller = new ViewPuller(
+                entry,
+                link,
+                events,
+                metrics,
+                epochMsClock.getAsLong(),
+                settings.limits().pullIntervalMs());
+        nodeServer = new NodeServer(
+                settings.peerListen().toSocketAddress(),
+                new NodeService.Processor<>(new NodeServiceHandler(entry, control)),
+                PEER_WORKER_THREADS);
+        nodeServer.start();
+        httpServer = RatpackServer.of(
+                server -> server.serverConfig(serverConfig()).handlers(chain -> addHandlers(chain, link)));
+        httpServer.start();
+        puller.start();
+        placement.ifPresent(PlacementLoop::start);
+    }
+
+    private ServerConfig serverConfig() {
+        final InetSocketAddress address = settings.listen().toSocketAddress();
+        return ServerConfig.builder()
+                .address(address.getAddress())
+                .port(address.getPort())
+                .threads(settings.limits().workerThreads())
+                .registerShutdownHook(false)
+                .development(false)
+                .build();
+    }
+
+    private ControlRole openControl(NodeAddress logListen) {
+        final Map<NodeName, InetSocketAddress> logPeers = settings.controlPeers().stream()
+                .filter(peer -> !peer.name().equals(settings.name()))
+                .collect(Collectors.toMap(
+                        PeerSettings::name,
+                        peer -> peer.logAddress().orElseThrow().toSocketAddress()));
+        final LogSettings logSettings = LogSettings.of(
+                settings.name(), settings.dataFolder().orElseThrow(), logListen.toSocketAddress(), logPeers);
+        return new ControlRole(
+                settings.name(),
+                timings,
+                machine -> RaftReplicatedLog.open(logSettings, machine, this::logFailed),
+                nanoClock,
+                epochMsClock,
+                events);
+    }
+
+    /** Ends the process at once: a replica whose disk or digest chain failed must not serve on. */
+    private void logFailed(RuntimeException failure) {
+        events.writeFault(LogEvent.DISK_FAILED, failure, settings.dataFolder().orElseThrow(), failure.getMessage());
+        Runtime.getRuntime().halt(HALT_STATUS);
+    }
+
+    private ImmutableMap<NodeName, PeerClient> controlPeers() {
+        return settings.controlPeers().stream()
+                .map(PeerSettings::name)
+                .filter(name -> !name.equals(settings.name()))
+                .collect(ImmutableMap.toImmutableMap(name -> name, peers::get));
+    }
+
+    private void addHandlers(Chain chain, ControlLink link) throws Exception {
+        final ExecController execController = chain.getRegistry().get(ExecController.class);
+        final EndpointClient client = new EndpointClient(execController, MAX_ANSWER_BYTES, nanoClock);
+        final Delay delay = (task, delayMs) -> {
+            final var unused = timers.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+        };
+        final CallerServices services = new CallerServices(
+                entry,
+                link,
+                client,
+                new ColdSigns(entry, peers, workers, puller::pullSoon, events),
+                puller::pullSoon,
+                delay,
+                workers,
+                epochMsClock,
+                metrics,
+                events,
+                settings.limits());
+        placement = control.map(role -> placementLoop(role, client));
+        chain.insert(new PlatformApi(entry, metrics));
+        chain.insert(new EndpointApi(entry));
+        chain.insert(new OperatorApi(
+                entry, link, new Explanations(entry, control, link, peers), events, epochMsClock, this::stop));
+        chain.insert(new CallerApi(services, inFlight));
+    }
+
+    private PlacementLoop placementLoop(ControlRole role, EndpointClient client) {
+        final OrderSender orders =
+                new OrderSender(client, events, nanoClock, Duration.ofNanos(timings.orderTimeoutNanos()));
+        return new PlacementLoop(role, orders, new FleetMeasures(metrics, events), events);
+    }
+
+    private void stopGracefully() {
+        final long startNanos = nanoClock.getAsLong();
+        events.write(LogEvent.NODE_STOPPING, settings.name(), "an operator's request or a signal", inFlight.count());
+        entry.leave();
+        Uninterruptibles.sleepUninterruptibly(BALANCER_LEAD_MS, TimeUnit.MILLISECONDS);
+        entry.stop();
+        awaitRequests();
+        puller.pullSoon();
+        Uninterruptibles.sleepUninterruptibly(settings.limits().pullIntervalMs(), TimeUnit.MILLISECONDS);
+        endRoles();
+        final long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong() - startNanos);
+        events.write(LogEvent.NODE_STOPPED, settings.name(), elapsedMs);
+        stopped.countDown();
+    }
+
+    private void awaitRequests() {
+        try {
+            if (!inFlight.awaitNone(settings.limits().stopDeadlineMs())) {
+                events.write(LogEvent.NODE_STOP_CUT_SHORT, settings.name(), inFlight.count(), "the stop deadline");
+            }
+        } catch (InterruptedException interrupted) {
+            events.write(LogEvent.NODE_STOP_CUT_SHORT, settings.name(), inFlight.count(), "an interrupt");
+        }
+    }
+
+    private void endRoles() {
+        placement.ifPresent(PlacementLoop::close);
+        puller.close();
+        stopHttp();
+        nodeServer.close();
+        control.ifPresent(ControlRole::close);
+        workers.shutdown();
+        timers.shutdownNow();
+        peers.values().forEach(PeerClient::close);
+    }
+
+    private void stopHttp() {
+        try {
+            httpServer.stop();
+        } catch (Exception failure) {
+            events.writeFault(LogEvent.NODE_STOP_CUT_SHORT, failure, settings.name(), inFlight.count(), failure);
+        }
+    }
+
+    private static ThreadFactory daemon(String nameFormat) {
+        return new ThreadFactoryBuilder()
+                .setNameFormat(nameFormat)
+                .setDaemon(true)
+                .build();
+    }
+}
--- a/src/main/java/org/wigeongrade/command/NodeCommand.java
+++ b/src/main/java/org/wigeongrade/command/NodeCommand.java
@@ -17,7 +17,7 @@
 
 /** Runs one node until it is stopped. Not safe for use from several threads. */
 final class NodeCommand extends Subcommand {
-    private static final NodeFactory NODES = NodeFactory.ABSENT;
+    private static final NodeFactory NODES = Node::new;
     private static final int SECOND_SIGNAL_EXIT = 143;
 
     @Option(name = "--settings", required = true, metaVar = "FILE", usage = "TOML file with the node's settings")
--- a/src/main/java/org/wigeongrade/command/NodeFactory.java
+++ b/src/main/java/org/wigeongrade/command/NodeFactory.java
@@ -8,13 +8,4 @@
 @FunctionalInterface
 interface NodeFactory {
     NodeProcess create(NodeSettings settings, EventLog events, Metrics metrics);
-
-    /** Refuses, since this build holds no node. */
-    NodeFactory ABSENT = (settings, events, metrics) -> {
-        throw new CommandException(
-                ExitCode.INTERNAL,
-                "no_node",
-                "this build cannot run node " + settings.name(),
-                "use a build that holds the node");
-    };
 }
--- a/src/main/java/org/wigeongrade/errors/Answers.java
+++ b/src/main/java/org/wigeongrade/errors/Answers.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.errors;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /** Renders an error as the JSON body that callers and operators get. Stateless; safe for use from any thread. */
@@ -22,6 +23,15 @@
         error.put("run", failure.kind().runClaim().headerValue());
         error.put("retry_after_ms", failure.retryAfterMs());
         error.put("request_id", requestId);
+        if (!failure.details().isEmpty()) {
+            final ArrayNode faults = error.putArray("faults");
+            failure.details()
+                    .forEach(detail -> faults.addObject()
+                            .put("file", detail.file())
+                            .put("line", detail.line())
+                            .put("object", detail.object())
+                            .put("message", detail.message()));
+        }
         final ObjectNode answer = MAPPER.createObjectNode();
         answer.set("error", error);
         return answer.toString();
--- a/src/main/java/org/wigeongrade/errors/WigeongradeException.java
+++ b/src/main/java/org/wigeongrade/errors/WigeongradeException.java
@@ -1,11 +1,15 @@
 package org.wigeongrade.errors;
 
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+
 /** Unchecked exception with a code from the closed list of error kinds. Immutable; safe for use from any thread. */
 public final class WigeongradeException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     private final ErrorKind kind;
     private final long retryAfterMs;
+    private final transient ImmutableList<ErrorDetail> details;
 
     public WigeongradeException(ErrorKind kind, String message) {
         this(kind, message, kind.retryAfterMs(), null);
@@ -19,6 +23,20 @@
         super(message, cause);
         this.kind = kind;
         this.retryAfterMs = retryAfterMs;
+        this.details = ImmutableList.of();
+    }
+
+    /** Creates an exception that lists several faults at once. */
+    public WigeongradeException(ErrorKind kind, String message, List<ErrorDetail> details) {
+        super(message);
+        this.kind = kind;
+        this.retryAfterMs = kind.retryAfterMs();
+        this.details = ImmutableList.copyOf(details);
+    }
+
+    /** Returns the single faults, if there are several. */
+    public ImmutableList<ErrorDetail> details() {
+        return details;
     }
 
     public ErrorKind kind() {
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/Explanations.java
@@ -0,0 +1,94 @@
+package org.wigeongrade.nodes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.nodes.control.ControlRole;
+import org.wigeongrade.nodes.control.StatusReport;
+import org.wigeongrade.nodes.entry.EntryRole;
+
+/**
+ * Answers operators who ask for the fleet's status or why something was decided, by asking every process.
+ *
+ * <p>Thread safe: holds no state of its own. Calls wait for other processes.
+ */
+public final class Explanations {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int TIMEOUT_MS = 1_500;
+
+    private final EntryRole entry;
+    private final Optional<ControlRole> control;
+    private final ControlLink link;
+    private final ImmutableMap<NodeName, PeerClient> peers;
+    private final LocalExplanations local;
+
+    /** {@code peers} are all other processes. */
+    public Explanations(
+            EntryRole entry, Optional<ControlRole> control, ControlLink link, Map<NodeName, PeerClient> peers) {
+        this.entry = entry;
+        this.control = control;
+        this.link = link;
+        this.peers = ImmutableMap.copyOf(peers);
+        this.local = new LocalExplanations(entry, control);
+    }
+
+    /** Returns the leader's status as JSON; throws with kind CONTROL_UNAVAILABLE if no leader answers. */
+    public String status() {
+        final NodeName leader = link.leader()
+                .orElseThrow(() -> new WigeongradeException(
+                        ErrorKind.CONTROL_UNAVAILABLE, "this entry VM knows no leader of the control VMs"));
+        if (leader.equals(entry.self()) && control.isPresent()) {
+            return new String(StatusReport.json(control.get()), StandardCharsets.UTF_8);
+        }
+        return text(peers.get(leader).call(TIMEOUT_MS, client -> client.status()));
+    }
+
+    /** Returns {@code {"kind","id","decisions":[...],"unreachable":[...]}}, decisions in the order of time. */
+    public String why(String kind, String id) {
+        final List<JsonNode> decisions = new ArrayList<>();
+        final ObjectNode answer = MAPPER.createObjectNode();
+        answer.put("kind", kind);
+        answer.put("id", id);
+        parse(new String(local.json(kind, id), StandardCharsets.UTF_8)).forEach(decisions::add);
+        final ArrayNode unreachable = MAPPER.createArrayNode();
+        for (final Map.Entry<NodeName, PeerClient> peer : peers.entrySet()) {
+            try {
+                final ByteBuffer json = peer.getValue().call(TIMEOUT_MS, client -> client.explain(kind, id));
+                parse(text(json)).forEach(decisions::add);
+            } catch (WigeongradeException failure) {
+                unreachable.add(peer.getKey().value());
+            }
+        }
+        decisions.sort(Comparator.comparing(decision -> decision.path("at").asText()));
+        final ArrayNode ordered = answer.putArray("decisions");
+        decisions.stream().distinct().forEach(ordered::add);
+        answer.set("unreachable", unreachable);
+        return answer.toString();
+    }
+
+    private static JsonNode parse(String json) {
+        try {
+            return MAPPER.readTree(json);
+        } catch (IOException failure) {
+            throw new UncheckedIOException("a process answered with malformed JSON", failure);
+        }
+    }
+
+    private static String text(ByteBuffer bytes) {
+        return StandardCharsets.UTF_8.decode(bytes).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/LocalExplanations.java
@@ -0,0 +1,69 @@
+package org.wigeongrade.nodes;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.google.common.base.Ascii;
+import com.google.common.base.Enums;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.Optional;
+import org.wigeongrade.decisions.config.ObjectId;
+import org.wigeongrade.decisions.config.ObjectKind;
+import org.wigeongrade.decisions.control.Decision;
+import org.wigeongrade.nodes.control.ControlRole;
+import org.wigeongrade.nodes.entry.DecisionRecord;
+import org.wigeongrade.nodes.entry.EntryRole;
+
+/** Collects what this process decided about an object. Thread safe: holds no state of its own. */
+public final class LocalExplanations {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_RECORDS = 50;
+
+    private final EntryRole entry;
+    private final Optional<ControlRole> control;
+
+    public LocalExplanations(EntryRole entry, Optional<ControlRole> control) {
+        this.entry = entry;
+        this.control = control;
+    }
+
+    /** Returns a JSON array of decisions, each with {@code at}, {@code node}, {@code what} and {@code why}. */
+    public byte[] json(String kind, String id) {
+        final ArrayNode records = MAPPER.createArrayNode();
+        entry.decisions().about(kind, id, MAX_RECORDS).forEach(record -> add(records, record));
+        control.ifPresent(role -> objectKind(kind)
+                .ifPresent(objectKind -> role.state()
+                        .decisions(new ObjectId(objectKind, id))
+                        .forEach(decision -> add(records, decision))));
+        return records.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Optional<ObjectKind> objectKind(String kind) {
+        return switch (kind) {
+            case "zone" -> Optional.of(ObjectKind.AVAILABILITY_ZONE);
+            case "endpoint" -> Optional.of(ObjectKind.GROUP);
+            default ->
+                Enums.getIfPresent(ObjectKind.class, Ascii.toUpperCase(kind)).toJavaUtil();
+        };
+    }
+
+    private static void add(ArrayNode records, DecisionRecord record) {
+        records.addObject()
+                .put("at", Instant.ofEpochMilli(record.atEpochMs()).toString())
+                .put("node", record.node().value())
+                .put("request", record.request().value())
+                .put("endpoint", record.endpoint())
+                .put("what", record.what())
+                .put("why", record.why());
+    }
+
+    private static void add(ArrayNode records, Decision decision) {
+        records.addObject()
+                .put("at", Instant.ofEpochMilli(decision.atEpochMs()).toString())
+                .put("node", "log:" + decision.index())
+                .put("revision", decision.revision().value())
+                .put("what", decision.what())
+                .put("why", decision.why())
+                .put("by", decision.by());
+    }
+}
--- a/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
@@ -90,7 +90,8 @@
      */
     public byte[] submit(byte[] command) {
         try {
-            final CompletableFuture<byte[]> result = log.submit(command);
+            final Command stamped = CommandClock.stamp(ControlCodec.decodeCommand(command), epochMsClock.getAsLong());
+            final CompletableFuture<byte[]> result = log.submit(ControlCodec.encode(stamped));
             return Uninterruptibles.getUninterruptibly(result, COMMIT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException failure) {
             if (failure.getCause() instanceof WigeongradeException known) {
--- a/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
@@ -1,10 +1,11 @@
 package org.wigeongrade.nodes.control;
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.control.CommandResult;
@@ -31,11 +32,10 @@
     private final FleetMeasures measures;
     private final EventLog events;
     private final OrderPacing pacing = new OrderPacing();
-    private final ScheduledExecutorService thread =
-            Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
-                    .setNameFormat("placement")
-                    .setDaemon(true)
-                    .build());
+    private final ExecutorService thread = Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
+            .setNameFormat("placement")
+            .setDaemon(true)
+            .build());
 
     public PlacementLoop(ControlRole control, OrderSender orders, FleetMeasures measures, EventLog events) {
         this.control = control;
@@ -47,12 +47,19 @@
 
     /** Begins to plan. */
     public void start() {
-        thread.scheduleWithFixedDelay(this::runOnce, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+        thread.execute(this::runUntilClosed);
     }
 
     @Override
     public void close() {
-        thread.shutdownNow();
+        thread.shutdown();
+    }
+
+    private void runUntilClosed() {
+        while (!thread.isShutdown()) {
+            runOnce();
+            Uninterruptibles.sleepUninterruptibly(INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void runOnce() {
--- a/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
@@ -27,6 +27,7 @@
     private final NodeName self;
     private final AvailabilityZone zone;
     private final AtomicReference<FleetView> view;
+    private final AtomicBoolean leaving = new AtomicBoolean();
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final ShareHolder shares = new ShareHolder();
     private final OrganisationAdmission admission = new OrganisationAdmission(shares);
@@ -95,8 +96,14 @@
         return nanoClock.getAsLong();
     }
 
+    /** Fails the health check from now on, while requests that still arrive are served. */
+    public void leave() {
+        leaving.set(true);
+    }
+
     /** Takes no new requests from now on. */
     public void stop() {
+        leaving.set(true);
         stopping.set(true);
     }
 
@@ -106,7 +113,7 @@
 
     /** Returns whether the balancer may send callers here. */
     public boolean isHealthy() {
-        return !isStopping() && view().hasLease(nowNanos());
+        return !leaving.get() && view().hasLease(nowNanos());
     }
 
     /** Drops the slots of an endpoint that showed a sign of being cold; a peer saw it. */
--- /dev/null
+++ b/src/main/java/org/wigeongrade/operators/OperatorApi.java
@@ -0,0 +1,255 @@
+package org.wigeongrade.operators;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.wigeongrade.decisions.config.ConfigurationChecker;
+import org.wigeongrade.decisions.config.ConfigurationFault;
+import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.decisions.control.Command;
+import org.wigeongrade.decisions.control.CommandResult;
+import org.wigeongrade.decisions.control.ZoneState;
+import org.wigeongrade.errors.Answers;
+import org.wigeongrade.errors.ErrorDetail;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.ChangeId;
+import org.wigeongrade.ids.Revision;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.nodes.ControlLink;
+import org.wigeongrade.nodes.Explanations;
+import org.wigeongrade.nodes.entry.EntryRole;
+import ratpack.exec.Blocking;
+import ratpack.func.Action;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+
+/**
+ * The HTTP API for operators; any entry VM serves it.
+ *
+ * <p>Invariant: a change is answered as accepted only after the log committed it. Thread safe: holds no state of its own;
+ * calls that wait for other VMs run on blocking workers.
+ */
+public final class OperatorApi implements Action<Chain> {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_SET_BYTES = 4 * 1024 * 1024;
+    private static final long SUBMIT_TIMEOUT_MS = 8_000;
+    private static final String FILE_NAME = "body";
+
+    private final EntryRole entry;
+    private final ControlLink control;
+    private final Explanations explanations;
+    private final EventLog events;
+    private final LongSupplier epochMsClock;
+    private final Runnable stop;
+
+    public OperatorApi(
+            EntryRole entry,
+            ControlLink control,
+            Explanations explanations,
+            EventLog events,
+            LongSupplier epochMsClock,
+            Runnable stop) {
+        this.entry = entry;
+        this.control = control;
+        this.explanations = explanations;
+        this.events = events;
+        this.epochMsClock = epochMsClock;
+        this.stop = stop;
+    }
+
+    @Override
+    public void execute(Chain chain) throws Exception {
+        chain.prefix(
+                "v1/operator",
+                operator -> operator.post("check", context -> withBody(context, this::check))
+                        .post("apply", context -> withBody(context, body -> apply(context, body)))
+                        .post("zones/:zone/:state", context -> answer(context, () -> setZone(context)))
+                        .get("status", context -> answer(context, explanations::status))
+                        .get("configuration", context -> answer(context, this::configuration))
+                        .get(
+                                "why/:kind/:id",
+                                context -> answer(
+                                        context,
+                                        () -> why(
+                                                context, context.getPathTokens().get("id"))))
+                        .get(
+                                "why/:kind/:first/:rest",
+                                context -> answer(
+                                        context,
+                                        () -> why(
+                                                context,
+                                                context.getPathTokens().get("first") + "/"
+                                                        + context.getPathTokens()
+                                                                .get("rest"))))
+                        .post("stop", this::stop));
+    }
+
+    /** Makes the JSON answer to one call; may wait. */
+    @FunctionalInterface
+    private interface Answerer {
+        String get();
+    }
+
+    private void withBody(Context context, Function<String, String> handler) {
+        context.getRequest()
+                .getBody(
+                        MAX_SET_BYTES,
+                        () -> refuse(
+                                context,
+                                new WigeongradeException(
+                                        ErrorKind.BODY_TOO_LARGE,
+                                        "the declared set exceeds " + MAX_SET_BYTES + " bytes")))
+                .then(body -> answer(context, () -> handler.apply(body.getText(StandardCharsets.UTF_8))));
+    }
+
+    private static void answer(Context context, Answerer answerer) {
+        Blocking.get(answerer::get)
+                .onError(failure -> refuse(context, asKnown(failure)))
+                .then(json -> context.getResponse().send("application/json", json));
+    }
+
+    private static WigeongradeException asKnown(Throwable failure) {
+        if (failure instanceof WigeongradeException known) {
+            return known;
+        }
+        if (failure instanceof IllegalArgumentException malformed) {
+            return new WigeongradeException(ErrorKind.MALFORMED_REQUEST, malformed.getMessage(), malformed);
+        }
+        return new WigeongradeException(ErrorKind.INTERNAL, failure.toString(), failure);
+    }
+
+    private static void refuse(Context context, WigeongradeException failure) {
+        context.getResponse().status(failure.kind().httpStatus());
+        context.getResponse().send("application/json", Answers.json(failure, ""));
+    }
+
+    private String check(String toml) {
+        final DeclaredSet set = readChecked(toml);
+        final ObjectNode answer = MAPPER.createObjectNode();
+        answer.put("valid", true);
+        answer.put("revision", entry.view().revision().value());
+        addWarnings(
+                answer,
+                ConfigurationChecker.check(set, entry.view().configuration().declaredSet()));
+        return answer.toString();
+    }
+
+    private String apply(Context context, String toml) {
+        final DeclaredSet set = readChecked(toml);
+        final Command command = new Command.ApplyConfiguration(
+                changeId(context),
+                operator(context),
+                new Revision(baseRevision(context)),
+                set,
+                epochMsClock.getAsLong());
+        final String answer = submit(command);
+        events.write(LogEvent.CONFIGURATION_APPLIED, answer, operator(context), changeId(context));
+        return answer;
+    }
+
+    private String setZone(Context context) {
+        final AvailabilityZone zone =
+                new AvailabilityZone(context.getPathTokens().get("zone"));
+        final ZoneState state = zoneState(context.getPathTokens().get("state"));
+        final Command command =
+                new Command.SetZoneState(changeId(context), operator(context), zone, state, epochMsClock.getAsLong());
+        final String answer = submit(command);
+        events.write(state.takesNewWork() ? LogEvent.ZONE_IN : LogEvent.ZONE_OUT, zone, answer, operator(context));
+        return answer;
+    }
+
+    private String configuration() {
+        return new String(entry.view().configuration().encode(), StandardCharsets.UTF_8);
+    }
+
+    private String why(Context context, String id) {
+        return explanations.why(context.getPathTokens().get("kind"), id);
+    }
+
+    private void stop(Context context) {
+        context.getResponse().send("application/json", "{\"stopping\":true}");
+        stop.run();
+    }
+
+    private DeclaredSet readChecked(String toml) {
+        final ReadResult read = DeclaredSetReader.read(List.of(new DeclaredFile(FILE_NAME, toml)));
+        if (!read.isWhole()) {
+            throw invalid(read.faults());
+        }
+        final List<ConfigurationFault> faults = ConfigurationChecker.check(
+                read.set(), entry.view().configuration().declaredSet());
+        if (ConfigurationChecker.refusesSet(faults)) {
+            throw invalid(faults.stream().map(read::locate).toList());
+        }
+        return read.set();
+    }
+
+    private static WigeongradeException invalid(List<FileFault> faults) {
+        return new WigeongradeException(
+                ErrorKind.INVALID_CONFIGURATION,
+                faults.size() + " fault(s) in the declared set; nothing was published",
+                faults.stream()
+                        .map(fault -> new ErrorDetail(fault.file(), fault.line(), fault.code(), fault.message()))
+                        .toList());
+    }
+
+    private static void addWarnings(ObjectNode answer, List<ConfigurationFault> warnings) {
+        final ArrayNode array = answer.putArray("warnings");
+        warnings.forEach(warning -> array.add(warning.toString()));
+    }
+
+    private String submit(Command command) {
+        final long deadlineNanos = entry.nowNanos() + TimeUnit.MILLISECONDS.toNanos(SUBMIT_TIMEOUT_MS);
+        final CommandResult result = control.submit(command, deadlineNanos);
+        if (result instanceof CommandResult.Refused refused) {
+            throw new WigeongradeException(refused.kind(), refused.message());
+        }
+        return MAPPER.createObjectNode()
+                .put("revision", ((CommandResult.Accepted) result).revision().value())
+                .toString();
+    }
+
+    private static ZoneState zoneState(String text) {
+        return switch (text) {
+            case "in" -> ZoneState.IN;
+            case "out" -> ZoneState.OUT;
+            default ->
+                throw new WigeongradeException(
+                        ErrorKind.MALFORMED_REQUEST, "'" + text + "' is no state; write 'in' or 'out'");
+        };
+    }
+
+    private static ChangeId changeId(Context context) {
+        return new ChangeId(required(context, "change_id"));
+    }
+
+    private static String operator(Context context) {
+        return Optional.ofNullable(context.getRequest().getQueryParams().get("operator"))
+                .orElse("unnamed");
+    }
+
+    private static long baseRevision(Context context) {
+        final String text = required(context, "base_revision");
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException failure) {
+            throw new WigeongradeException(
+                    ErrorKind.MALFORMED_REQUEST, "base_revision '" + text + "' is no whole number", failure);
+        }
+    }
+
+    private static String required(Context context, String parameter) {
+        return Optional.ofNullable(context.getRequest().getQueryParams().get(parameter))
+                .orElseThrow(() -> new WigeongradeException(
+                        ErrorKind.MALFORMED_REQUEST, "the query parameter '" + parameter + "' is missing"));
+    }
+}
