--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -67,8 +67,6 @@
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
     PEER_CALL_FAILED(1703, Level.WARNING, "call {call} to node {peer} failed: {cause}");
 
-    private static final Pattern FIELD = Pattern.compile("\\{([a-z_]+)}");
-
     private final int number;
     private final Level level;
     private final String template;
@@ -82,7 +80,11 @@
     }
 
     private static ImmutableList<String> fieldsOf(String template) {
-        return FIELD.matcher(template).results().map(match -> match.group(1)).collect(ImmutableList.toImmutableList());
+        return Pattern.compile("\\{([a-z_]+)}")
+                .matcher(template)
+                .results()
+                .map(match -> match.group(1))
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Returns the number that docs and alerts refer to. */
