--- /dev/null
+++ b/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
@@ -0,0 +1,108 @@
+package org.wigeongrade.metrics;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.PoolName;
+
+/** Holds the error kinds, the counters and the pages about them together. */
+final class ErrorTableTest {
+    private static final Path ERRORS_PAGE = Path.of("docs/ERRORS.md");
+    private static final Path METRICS_PAGE = Path.of("docs/operators/metrics.md");
+
+    @Test
+    void pageListsTheSameKinds() throws IOException {
+        assertThat(rowsOf(ERRORS_PAGE, "\\| `[a-z_]+` \\| \\d{3} \\|.*"))
+                .containsExactlyElementsIn(Arrays.stream(ErrorKind.values())
+                        .map(ErrorTableTest::row)
+                        .toList())
+                .inOrder();
+    }
+
+    @Test
+    void pageListsTheSameRetryReasons() throws IOException {
+        assertThat(rowsOf(ERRORS_PAGE, "\\| `[a-z_]+` \\| [a-z].*"))
+                .containsExactlyElementsIn(Arrays.stream(RetryReason.values())
+                        .map(reason -> "| `%s` | %s |".formatted(reason.code(), reason.meaning()))
+                        .toList())
+                .inOrder();
+    }
+
+    @Test
+    void metricsPageListsTheSameSeries() throws IOException {
+        assertThat(rowsOf(METRICS_PAGE, "\\| `wigeongrade_[a-z_]+` \\|.*"))
+                .containsExactlyElementsIn(Arrays.stream(MetricName.values())
+                        .map(name -> "| `%s` | %s |".formatted(name.seriesName(), name.help()))
+                        .toList())
+                .inOrder();
+    }
+
+    @ParameterizedTest
+    @EnumSource(ErrorKind.class)
+    void refusalCounterStartsAtZeroAndCounts(ErrorKind kind) {
+        final Metrics metrics = new Metrics();
+        final String series = "wigeongrade_refusals_total{reason=\"" + kind.code() + "\"} ";
+
+        assertThat(metrics.render()).contains(series + "0.0\n");
+        metrics.refused(kind);
+
+        assertThat(metrics.render()).contains(series + "1.0\n");
+    }
+
+    @ParameterizedTest
+    @EnumSource(RetryReason.class)
+    void retryCounterStartsAtZeroAndCounts(RetryReason reason) {
+        final Metrics metrics = new Metrics();
+        final String series = "wigeongrade_retries_total{reason=\"" + reason.code() + "\"} ";
+
+        assertThat(metrics.render()).contains(series + "0.0\n");
+        metrics.retried(reason);
+
+        assertThat(metrics.render()).contains(series + "1.0\n");
+    }
+
+    @ParameterizedTest
+    @EnumSource(MetricName.class)
+    void everySeriesIsExposed(MetricName name) {
+        final Metrics metrics = new Metrics();
+        metrics.requestEnded(AvailabilityZone.of("zone-a"), RequestOutcome.COMPLETED, 5);
+        metrics.addGroupDowntimeMs(PoolName.of("chat"), 1_500);
+        metrics.addStrandedAcceleratorMs(PoolName.of("chat"), 1_500);
+
+        assertWithMessage(name.name())
+                .that(metrics.render())
+                .contains("# HELP " + name.seriesName() + " " + name.help());
+    }
+
+    @Test
+    void timesAreExposedInSeconds() {
+        final Metrics metrics = new Metrics();
+        metrics.addGroupDowntimeMs(PoolName.of("chat"), 1_500);
+        metrics.firstByteSent(50_000_000);
+
+        assertThat(metrics.render()).contains("wigeongrade_group_downtime_seconds_total{pool=\"chat\"} 1.5\n");
+        assertThat(metrics.render()).contains("wigeongrade_time_to_first_byte_seconds_sum 0.05\n");
+    }
+
+    private static String row(ErrorKind kind) {
+        return "| `%s` | %d | %s | %d | %s |"
+                .formatted(
+                        kind.code(), kind.httpStatus(), kind.runClaim().headerValue(), kind.retryAfterMs(), kind.fix());
+    }
+
+    private static List<String> rowsOf(Path page, String pattern) throws IOException {
+        return Files.readAllLines(page).stream()
+                .filter(line -> line.matches(pattern))
+                .toList();
+    }
+}
