--- a/src/main/java/org/wigeongrade/decisions/outcomes/package-info.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/package-info.java
@@ -1,2 +1,5 @@
-/** Outcomes of attempts, at-most-once claims and quarantined requests. */
+/**
+ * Outcome of each attempt, resumable streams, claims on single sends, requests that crash endpoints, and the last check
+ * before a send.
+ */
 package org.wigeongrade.decisions.outcomes;
