--- a/src/main/java/org/wigeongrade/command/CommandLine.java
+++ b/src/main/java/org/wigeongrade/command/CommandLine.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.kohsuke.args4j.ClassParser;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.OptionHandlerFilter;
@@ -36,7 +37,8 @@
 
     private static ExitCode run(SubcommandEntry entry, List<String> arguments, CommandIo io) {
         final Subcommand subcommand = entry.factory().get();
-        final CmdLineParser parser = new CmdLineParser(subcommand, PARSER_PROPERTIES);
+        final CmdLineParser parser = new CmdLineParser(null, PARSER_PROPERTIES);
+        subcommand.optionBeans().forEach(bean -> new ClassParser().parse(bean, parser));
         try {
             parser.parseArgument(arguments);
             if (subcommand.helpAsked()) {
--- a/src/main/java/org/wigeongrade/command/Subcommand.java
+++ b/src/main/java/org/wigeongrade/command/Subcommand.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.command;
 
+import java.util.List;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -16,6 +17,11 @@
         return help;
     }
 
+    /** Returns the objects whose args4j options this subcommand takes: itself and any that it runs. */
+    protected List<Object> optionBeans() {
+        return List.of(this);
+    }
+
     /** Returns further lines for the help, such as examples. */
     protected String helpText() {
         return "";
--- a/src/test/java/org/wigeongrade/command/CommandLineTest.java
+++ b/src/test/java/org/wigeongrade/command/CommandLineTest.java
@@ -60,6 +60,14 @@
         assertThat(run(name + " --help")).isEqualTo(ExitCode.OK);
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("exit codes:");
         assertThat(Files.readString(PAGE)).contains("\n## `" + name);
+        assertThat(Files.readString(Path.of("README.md"))).contains("`" + name);
+    }
+
+    @Test
+    void readmeNamesTheCommandsOfTheBuild() throws IOException {
+        assertThat(Files.readString(Path.of("README.md"))).contains("\n    ./demo\n");
+        assertThat(Files.readString(Path.of("README.md"))).contains("\n    mvn verify\n");
+        assertThat(Files.readString(Path.of(".ci/run"))).contains("\nmvn -B verify ");
     }
 
     @Test
--- a/src/test/java/org/wigeongrade/command/EntryClientTest.java
+++ b/src/test/java/org/wigeongrade/command/EntryClientTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -102,7 +103,7 @@
     }
 
     private static OperatorCall change() {
-        final Map<String, String> query = new java.util.LinkedHashMap<>();
+        final Map<String, String> query = new LinkedHashMap<>();
         query.put("change_id", "c-1");
         query.put("base_revision", "4");
         return OperatorCall.post("set", query, "apply");
--- a/src/test/java/org/wigeongrade/settings/SettingsReaderTest.java
+++ b/src/test/java/org/wigeongrade/settings/SettingsReaderTest.java
@@ -9,10 +9,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
@@ -80,8 +83,7 @@
                 "view_lease_ms = 3000 | view_lease_ms = | 7 | TOML syntax"
             })
     void faultIsListedWithItsLine(String good, String bad, int line, String expected) {
-        final String text = GOOD.replaceFirst(
-                java.util.regex.Pattern.quote(good), java.util.regex.Matcher.quoteReplacement(bad == null ? "" : bad));
+        final String text = GOOD.replaceFirst(Pattern.quote(good), Matcher.quoteReplacement(bad == null ? "" : bad));
 
         final List<Fault> faults = faultsOf(text);
 
@@ -143,6 +145,14 @@
                 .inOrder();
     }
 
+    @ParameterizedTest
+    @EnumSource(LimitKey.class)
+    void pageListsEachLimit(LimitKey key) throws IOException {
+        assertThat(Files.readString(Path.of("docs/operators/settings.md")))
+                .contains("\n| `%s` | %d | %d to %d | %s |\n"
+                        .formatted(key.key(), key.defaultValue(), key.min(), key.max(), key.meaning()));
+    }
+
     private static Stream<Path> exampleFiles() {
         try (Stream<Path> files = Files.walk(Path.of("examples"))) {
             return files
