Pass requests on to the cold holder

Ruled out: giving each entry VM a part of the cold slots (a cold capacity of 2 cannot be cut into 7), and letting callers retry until they meet the right VM. A request is passed on once at most; the holder admits and claims it.

--- a/src/main/java/org/wigeongrade/callers/AnswerHeaders.java
+++ b/src/main/java/org/wigeongrade/callers/AnswerHeaders.java
@@ -47,6 +47,29 @@
         return kept.build();
     }
 
+    /** Returns the headers of another entry VM's answer that the caller gets. */
+    static ImmutableListMultimap<String, String> fromEntryVm(ImmutableListMultimap<String, String> headers) {
+        final ImmutableListMultimap.Builder<String, String> kept = ImmutableListMultimap.builder();
+        headers.forEach((name, value) -> {
+            if (!OF_ONE_CONNECTION.contains(name)) {
+                kept.put(name, value);
+            }
+        });
+        return kept.build();
+    }
+
+    /** Returns the headers of a caller's request that another entry VM gets. */
+    static ImmutableMap<String, String> toEntryVm(Headers headers) {
+        final ImmutableMap.Builder<String, String> kept = ImmutableMap.builder();
+        for (final Map.Entry<String, String> header : headers.getNettyHeaders()) {
+            final String name = Ascii.toLowerCase(header.getKey());
+            if (!OF_ONE_CONNECTION.contains(name)) {
+                kept.put(name, header.getValue());
+            }
+        }
+        return kept.buildKeepingLast();
+    }
+
     /** Returns the headers of a caller's request that the endpoint gets. */
     static ImmutableMap<String, String> forEndpoint(Headers headers) {
         final ImmutableMap.Builder<String, String> kept = ImmutableMap.builder();
--- a/src/main/java/org/wigeongrade/callers/CallerApi.java
+++ b/src/main/java/org/wigeongrade/callers/CallerApi.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.callers;
 
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.hash.Hashing;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -12,6 +13,8 @@
 import org.wigeongrade.decisions.config.ServiceDeclaration;
 import org.wigeongrade.decisions.limits.AdmissionDecision;
 import org.wigeongrade.decisions.limits.AdmissionRequest;
+import org.wigeongrade.decisions.routing.EndpointKind;
+import org.wigeongrade.decisions.routing.RouteTarget;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
 import org.wigeongrade.ids.RequestId;
@@ -134,6 +137,9 @@
                     ErrorKind.NOT_FOUND,
                     "model '" + wanted.model() + "' is not declared; the declared ones are " + modelList.names());
         }
+        if (passedOn(request, new RouteTarget(EndpointKind.ENGINE, wanted.model()))) {
+            return;
+        }
         final AdmissionDecision.Admitted admitted = admit(request, wanted.maxTokens());
         final String digest = Hashing.sha256()
                 .newHasher()
@@ -156,6 +162,9 @@
 
     private void callService(Arrived request, Context context) {
         final ServiceCall call = serviceCall(request, context);
+        if (passedOn(request, RouteTarget.of(call.service().name()))) {
+            return;
+        }
         final AdmissionDecision.Admitted admitted = admit(request, 0);
         inFlight.arrived();
         final long startNanos = services.entry().nowNanos();
@@ -170,6 +179,22 @@
         });
     }
 
+    /** Passes a request on to the one entry VM that may send to the target's cold endpoints; at most once. */
+    private boolean passedOn(Arrived request, RouteTarget target) {
+        final boolean passedBefore = request.context().getRequest().getHeaders().contains(PassedOn.HEADER);
+        final Optional<String> address = passedBefore ? Optional.empty() : dispatcher.coldHolderAddress(target);
+        if (address.isEmpty()) {
+            return false;
+        }
+        inFlight.arrived();
+        answer(request, result -> {
+            final PassedOn passedOn = new PassedOn(services, request.id(), request.notes(), result, inFlight::left);
+            onCallerGone(request.context(), passedOn::callerGone);
+            passedOn.start(address.get(), request.context().getRequest(), request.body());
+        });
+        return true;
+    }
+
     private ServiceCall serviceCall(Arrived request, Context context) {
         final ServiceName name = serviceName(context.getPathTokens().get("service"));
         final ServiceDeclaration service = services.entry().view().configuration().declaredSet().services().stream()
@@ -245,15 +270,20 @@
         response.getHeaders().set("X-Request-Id", request.id().value());
         response.getHeaders().set("X-Wigeongrade-Run", "completed");
         if (result instanceof CallerResult.Whole whole) {
-            whole.headers().forEach(response.getHeaders()::add);
+            putHeaders(response, whole.headers());
             response.status(whole.status()).send(whole.body());
             return;
         }
         final CallerResult.Streamed streamed = (CallerResult.Streamed) result;
-        streamed.headers().forEach(response.getHeaders()::add);
+        putHeaders(response, streamed.headers());
         response.status(streamed.status()).sendStream(streamed.body());
     }
 
+    private static void putHeaders(Response response, ImmutableListMultimap<String, String> headers) {
+        headers.keySet().forEach(response.getHeaders()::remove);
+        headers.forEach(response.getHeaders()::add);
+    }
+
     /** Calls back if the caller's connection closes before the answer is sent; holds nothing on it afterwards. */
     private static void onCallerGone(Context context, Runnable callerGone) {
         final ChannelFuture closed =
--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -1,7 +1,10 @@
 package org.wigeongrade.callers;
 
+import com.google.common.collect.ImmutableList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.wigeongrade.decisions.limits.ShareKey;
@@ -13,7 +16,9 @@
 import org.wigeongrade.decisions.routing.EndpointView;
 import org.wigeongrade.decisions.routing.RouteContext;
 import org.wigeongrade.decisions.routing.RouteDecision;
+import org.wigeongrade.decisions.routing.RouteReason;
 import org.wigeongrade.decisions.routing.RouteRequest;
+import org.wigeongrade.decisions.routing.RouteTarget;
 import org.wigeongrade.decisions.routing.Router;
 import org.wigeongrade.decisions.routing.RoutingPolicy;
 import org.wigeongrade.decisions.routing.SlotTable;
@@ -76,6 +81,32 @@
         }
     }
 
+    /**
+     * Returns the entry VM to pass a request on to: the target's endpoints are cold and other entry VMs alone may send
+     * to them. Empty if this VM can serve the request, or no VM can.
+     */
+    Optional<String> coldHolderAddress(RouteTarget target) {
+        final long nowNanos = entry.nowNanos();
+        final FleetView view = entry.view();
+        final RouteRequest request =
+                new RouteRequest(target, List.of(), 0, Set.of(), entry.zone(), entry.self(), false);
+        final RouteContext context = new RouteContext(request, slots, entry.prefixes(), nowNanos);
+        final ImmutableList.Builder<String> addresses = ImmutableList.builder();
+        for (final EndpointView endpoint : view.all()) {
+            final Optional<RouteReason> rejection = router.rejection(endpoint, context);
+            if (rejection.isEmpty()) {
+                return Optional.empty();
+            }
+            if (rejection.get() == RouteReason.COLD_NOT_HOLDER) {
+                view.coldHolderAddress(endpoint.id()).ifPresent(addresses::add);
+            }
+        }
+        final ImmutableList<String> found = addresses.build();
+        return found.isEmpty()
+                ? Optional.empty()
+                : Optional.of(found.get(RandomGenerator.getDefault().nextInt(found.size())));
+    }
+
     /** Counts an attempt that is sent now. */
     void begun(String requestDigest, Dispatch.Ready ready) {
         entry.suspects().begin(requestDigest, ready.life());
--- a/src/main/java/org/wigeongrade/command/Node.java
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -93,7 +93,11 @@
         this.metrics = metrics;
         this.timings = NodeTimings.of(settings.limits());
         this.entry = new EntryRole(
-                settings.name(), settings.availabilityZone(), settings.limits().pullIntervalMs(), nanoClock);
+                settings.name(),
+                settings.availabilityZone(),
+                callerAddress(settings),
+                settings.limits().pullIntervalMs(),
+                nanoClock);
         this.inFlight = new InFlight(metrics);
         this.peers = settings.otherPeers().stream()
                 .collect(ImmutableMap.toImmutableMap(
@@ -149,6 +153,16 @@
         placement.ifPresent(PlacementLoop::start);
     }
 
+    private static String callerAddress(NodeSettings settings) {
+        if (!settings.listen().isWildcard()) {
+            return settings.listen().toString();
+        }
+        final String ip = settings.peer(settings.name())
+                .map(peer -> peer.peerAddress().ip())
+                .orElse(settings.listen().ip());
+        return new NodeAddress(ip, settings.listen().port()).toString();
+    }
+
     private ServerConfig serverConfig() {
         final InetSocketAddress address = settings.listen().toSocketAddress();
         return ServerConfig.builder()
--- a/src/main/java/org/wigeongrade/nodes/control/EntrySeen.java
+++ b/src/main/java/org/wigeongrade/nodes/control/EntrySeen.java
@@ -14,5 +14,6 @@
         long incarnation,
         Revision revisionInForce,
         boolean stopping,
+        String callerAddress,
         long seenAtNanos,
         long leaseEndsNanos) {}
--- a/src/main/java/org/wigeongrade/nodes/control/FleetSnapshots.java
+++ b/src/main/java/org/wigeongrade/nodes/control/FleetSnapshots.java
@@ -41,6 +41,7 @@
     private final long appliedIndex;
     private final AnnouncementTable announcements;
     private final ShareLedger shares;
+    private final Map<NodeName, String> callerAddresses;
     private final long announcementLeaseNanos;
     private final long nowNanos;
 
@@ -53,6 +54,7 @@
             ControlState state,
             AnnouncementTable announcements,
             ShareLedger shares,
+            Map<NodeName, String> callerAddresses,
             long announcementLeaseNanos,
             long nowNanos) {
         this.appliedIndex = state.appliedIndex();
@@ -60,6 +62,7 @@
         this.groups = state.groups();
         this.announcements = announcements;
         this.shares = shares;
+        this.callerAddresses = callerAddresses;
         this.announcementLeaseNanos = announcementLeaseNanos;
         this.nowNanos = nowNanos;
     }
@@ -69,9 +72,11 @@
             ControlState state,
             AnnouncementTable announcements,
             ShareLedger shares,
+            Map<NodeName, String> callerAddresses,
             long announcementLeaseNanos,
             long nowNanos) {
-        return new FleetSnapshots(state, announcements, shares, announcementLeaseNanos, nowNanos).take();
+        return new FleetSnapshots(state, announcements, shares, callerAddresses, announcementLeaseNanos, nowNanos)
+                .take();
     }
 
     private FleetSnapshot take() {
@@ -148,9 +153,9 @@
         record.setAddress(first.address());
         record.setCold(lease instanceof ServingLease.Serving serving && serving.cold());
         record.setIncarnation(first.vm().incarnation());
-        record.setColdHolder(shares.coldHolder(ShareKey.endpointSlots(new EndpointId(id)))
-                .map(NodeName::value)
-                .orElse(""));
+        final Optional<NodeName> coldHolder = shares.coldHolder(ShareKey.endpointSlots(new EndpointId(id)));
+        record.setColdHolder(coldHolder.map(NodeName::value).orElse(""));
+        record.setColdHolderAddress(coldHolder.map(callerAddresses::get).orElse(""));
         return record;
     }
 
--- a/src/main/java/org/wigeongrade/nodes/control/Leadership.java
+++ b/src/main/java/org/wigeongrade/nodes/control/Leadership.java
@@ -79,14 +79,20 @@
         return ImmutableList.copyOf(entries.values());
     }
 
+    private Map<NodeName, String> callerAddresses() {
+        final Map<NodeName, String> addresses = new TreeMap<>();
+        entries.values().forEach(seen -> addresses.put(seen.node(), seen.callerAddress()));
+        return addresses;
+    }
+
     /** Returns the fleet as of now, or as of a moment ago if no command was applied since. */
     synchronized FleetSnapshot snapshot(ControlState state, long nowNanos) {
         final boolean fresh = snapshot.filter(taken -> nowNanos - taken.takenAtNanos() < SNAPSHOT_LIFE_NANOS)
                 .filter(taken -> taken.appliedIndex() == state.appliedIndex())
                 .isPresent();
         if (!fresh) {
-            snapshot = Optional.of(
-                    FleetSnapshots.take(state, announcements, shares, timings.announcementLeaseNanos(), nowNanos));
+            snapshot = Optional.of(FleetSnapshots.take(
+                    state, announcements, shares, callerAddresses(), timings.announcementLeaseNanos(), nowNanos));
         }
         return snapshot.orElseThrow();
     }
--- a/src/main/java/org/wigeongrade/nodes/control/PullAnswerer.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullAnswerer.java
@@ -62,6 +62,7 @@
                 request.getIncarnation(),
                 new Revision(request.getRevision()),
                 request.isStopping(),
+                request.getCallerAddress(),
                 nowNanos,
                 nowNanos + timings.viewLeaseNanos()));
         return leadership.suspects().report(node, CrashRecords.read(request.getCrashReport()), nowNanos);
--- a/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
@@ -26,6 +26,7 @@
 
     private final NodeName self;
     private final AvailabilityZone zone;
+    private final String callerAddress;
     private final AtomicReference<FleetView> view;
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -38,9 +39,12 @@
     private final DecisionRecords decisions = new DecisionRecords();
     private final LongSupplier nanoClock;
 
-    public EntryRole(NodeName self, AvailabilityZone zone, long pullIntervalMs, LongSupplier nanoClock) {
+    /** {@code callerAddress} is where other entry VMs reach this one's API for callers, as {@code ip:port}. */
+    public EntryRole(
+            NodeName self, AvailabilityZone zone, String callerAddress, long pullIntervalMs, LongSupplier nanoClock) {
         this.self = self;
         this.zone = zone;
+        this.callerAddress = callerAddress;
         this.nanoClock = nanoClock;
         this.view = new AtomicReference<>(FleetView.none(nanoClock.getAsLong()));
         this.suspects = new SuspectTable(self, pullIntervalMs);
@@ -54,6 +58,11 @@
         return zone;
     }
 
+    /** Returns where other entry VMs may pass callers' requests on to this one, as {@code ip:port}. */
+    public String callerAddress() {
+        return callerAddress;
+    }
+
     public FleetView view() {
         return view.get();
     }
--- a/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
@@ -48,6 +48,15 @@
         return endpoints.values();
     }
 
+    /** Returns where the entry VM takes requests that alone may send to a cold endpoint, as {@code ip:port}. */
+    public Optional<String> coldHolderAddress(EndpointId id) {
+        return records.stream()
+                .filter(record -> record.getId().equals(id.value()))
+                .map(EndpointRecord::getColdHolderAddress)
+                .filter(address -> address != null && !address.isEmpty())
+                .findFirst();
+    }
+
     /** Returns the endpoint, if it may serve. */
     public Optional<EndpointView> endpoint(EndpointId id) {
         return Optional.ofNullable(endpoints.get(id));
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -112,6 +112,7 @@
         request.setNode(entry.self().value());
         request.setAvailabilityZone(entry.zone().value());
         request.setIncarnation(incarnation);
+        request.setCallerAddress(entry.callerAddress());
         request.setRevision(view.revision().value());
         request.setEndpointsDigest(view.endpointsDigest());
         request.setQuarantineDigest(view.quarantineDigest());
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -89,6 +89,8 @@
   14: i64 cacheCursorTerm
   15: i64 cacheCursor
   16: CrashReportRecord crashReport
+  // Where other entry VMs may pass callers' requests on to this one.
+  17: string callerAddress
 }
 
 struct EndpointRecord {
@@ -107,6 +109,8 @@
   13: i64 fencingTerm
   14: i64 fencingSequence
   15: string coldHolder
+  // Where the cold holder takes callers' requests; empty if there is none.
+  16: string coldHolderAddress
 }
 
 struct LoadRecord {
