--- a/src/main/java/org/wigeongrade/command/CommandException.java
+++ b/src/main/java/org/wigeongrade/command/CommandException.java
@@ -17,10 +17,12 @@
     private final ImmutableList<String> details;
     private final String fix;
 
+    /** Creates an error without details. */
     public CommandException(ExitCode exitCode, String code, String message, String fix) {
         this(exitCode, code, message, List.of(), fix);
     }
 
+    /** Creates an error with further lines. */
     public CommandException(ExitCode exitCode, String code, String message, List<String> details, String fix) {
         super(message);
         this.exitCode = exitCode;
@@ -34,18 +36,22 @@
         return new CommandException(ExitCode.USAGE, "usage", message, fix);
     }
 
+    /** Returns the code that the process exits with. */
     public ExitCode exitCode() {
         return exitCode;
     }
 
+    /** Returns the snake_case code of the error. */
     public String code() {
         return code;
     }
 
+    /** Returns further lines, such as the faults of a file. */
     public ImmutableList<String> details() {
         return details;
     }
 
+    /** Returns how to put things right. */
     public String fix() {
         return fix;
     }
--- a/src/main/java/org/wigeongrade/command/CommandLine.java
+++ b/src/main/java/org/wigeongrade/command/CommandLine.java
@@ -53,6 +53,8 @@
             return ErrorReport.print(e, io.err());
         } catch (WigeongradeException e) {
             return ErrorReport.print(e, io.err());
+        } catch (RuntimeException e) {
+            return ErrorReport.printFault(e, io.err());
         }
     }
 
--- a/src/main/java/org/wigeongrade/command/ErrorReport.java
+++ b/src/main/java/org/wigeongrade/command/ErrorReport.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.command;
 
 import com.google.common.base.Splitter;
+import com.google.common.base.Throwables;
 import java.io.PrintStream;
 import java.util.List;
 import org.wigeongrade.errors.ErrorKind;
@@ -29,6 +30,18 @@
                 err);
     }
 
+    /** Reports an exception that no command expects, with its stack trace. */
+    static ExitCode printFault(RuntimeException fault, PrintStream err) {
+        err.print(Throwables.getStackTraceAsString(fault));
+        return print(
+                new CommandException(
+                        ExitCode.INTERNAL,
+                        ErrorKind.INTERNAL.code(),
+                        "the program met a fault of its own: " + fault,
+                        "report it with the lines above"),
+                err);
+    }
+
     private static ExitCode exitCodeOf(ErrorKind kind) {
         return switch (kind) {
             case INVALID_CONFIGURATION -> ExitCode.BAD_FILE;
--- a/src/main/java/org/wigeongrade/errors/ErrorKind.java
+++ b/src/main/java/org/wigeongrade/errors/ErrorKind.java
@@ -54,10 +54,12 @@
         return name().toLowerCase(Locale.ROOT);
     }
 
+    /** Returns the HTTP status of the answer. */
     public int httpStatus() {
         return httpStatus;
     }
 
+    /** Returns what the answer tells about whether the request was run. */
     public RunClaim runClaim() {
         return runClaim;
     }
--- a/src/main/java/org/wigeongrade/errors/WigeongradeException.java
+++ b/src/main/java/org/wigeongrade/errors/WigeongradeException.java
@@ -7,20 +7,24 @@
     private final ErrorKind kind;
     private final long retryAfterMs;
 
+    /** Creates an error with the kind's own time to come back. */
     public WigeongradeException(ErrorKind kind, String message) {
         this(kind, message, kind.retryAfterMs(), null);
     }
 
+    /** Creates an error with a cause and the kind's own time to come back. */
     public WigeongradeException(ErrorKind kind, String message, Throwable cause) {
         this(kind, message, kind.retryAfterMs(), cause);
     }
 
+    /** Creates an error with a time to come back, in milliseconds. */
     public WigeongradeException(ErrorKind kind, String message, long retryAfterMs, Throwable cause) {
         super(message, cause);
         this.kind = kind;
         this.retryAfterMs = retryAfterMs;
     }
 
+    /** Returns the kind, which decides the answer. */
     public ErrorKind kind() {
         return kind;
     }
--- a/src/main/java/org/wigeongrade/logging/EventLog.java
+++ b/src/main/java/org/wigeongrade/logging/EventLog.java
@@ -1,33 +1,60 @@
 package org.wigeongrade.logging;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import java.lang.System.Logger;
+import java.util.Arrays;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 
-/** Writes numbered events through {@link System.Logger}. Immutable; safe for use from any thread. */
+/**
+ * Writes numbered events through {@link System.Logger}.
+ *
+ * <p>Invariant: each event passes its {@link EventBudget}; suppressed records are counted and the count is written. Safe
+ * for use from any thread.
+ */
 public final class EventLog {
     /** Name of the logger that all events are written to. */
     public static final String LOGGER_NAME = "org.wigeongrade";
 
     private final Logger logger;
+    private final LongSupplier clockNanos;
+    private final ImmutableMap<LogEvent, EventBudget> budgets =
+            Maps.toMap(Arrays.asList(LogEvent.values()), event -> new EventBudget());
 
+    /** Creates a log on the system's logger and monotonic clock. */
     public EventLog() {
-        this(System.getLogger(LOGGER_NAME));
+        this(System.getLogger(LOGGER_NAME), System::nanoTime);
     }
 
-    EventLog(Logger logger) {
+    EventLog(Logger logger, LongSupplier clockNanos) {
         this.logger = logger;
+        this.clockNanos = clockNanos;
     }
 
     /** Writes one event; {@code values} are given in the order of {@link LogEvent#fields}. */
     public void write(LogEvent event, Object... values) {
-        if (logger.isLoggable(event.level())) {
+        if (passes(event)) {
             logger.log(event.level(), "{0}", EventRecord.of(event, values));
         }
     }
 
     /** Writes one event followed by the stack trace of its cause. */
     public void writeFault(LogEvent event, Throwable fault, Object... values) {
-        if (logger.isLoggable(event.level())) {
+        if (passes(event)) {
             logger.log(event.level(), EventRecord.of(event, values).toString(), fault);
         }
     }
+
+    private boolean passes(LogEvent event) {
+        if (!logger.isLoggable(event.level())) {
+            return false;
+        }
+        final OptionalLong suppressed = budgets.get(event).tryPass(clockNanos.getAsLong());
+        if (suppressed.orElse(0) > 0) {
+            final EventRecord count = EventRecord.of(LogEvent.RECORDS_SUPPRESSED, suppressed.getAsLong(), event.code());
+            logger.log(LogEvent.RECORDS_SUPPRESSED.level(), "{0}", count);
+        }
+        return suppressed.isPresent();
+    }
 }
--- a/src/main/java/org/wigeongrade/logging/LineFormatter.java
+++ b/src/main/java/org/wigeongrade/logging/LineFormatter.java
@@ -7,17 +7,24 @@
 import java.util.logging.LogRecord;
 
 /**
- * Writes each record as {@code time=... level=... event=...} on one line, with a stack trace below it if it has one.
+ * Writes each record as {@code time=... level=... event=...} on one line, with an indented stack trace
+ * below it if it has one.
  * Records of libraries get event 0. Stateless; safe for use from any thread.
  */
 public final class LineFormatter extends Formatter {
     private static final String EVENT_PREFIX = "event=";
+    private static final int TRACE_INDENT = 4;
 
     @Override
     public String format(LogRecord logRecord) {
         final String line = "time=" + logRecord.getInstant().truncatedTo(ChronoUnit.MILLIS) + " level="
                 + logRecord.getLevel().getName().toLowerCase(Locale.ROOT) + " " + body(logRecord) + "\n";
-        return logRecord.getThrown() == null ? line : line + Throwables.getStackTraceAsString(logRecord.getThrown());
+        return logRecord.getThrown() == null ? line : line + indentedTrace(logRecord.getThrown());
+    }
+
+    /** Returns the stack trace with each line indented, so that no line of it reads as a record. */
+    private static String indentedTrace(Throwable thrown) {
+        return Throwables.getStackTraceAsString(thrown).indent(TRACE_INDENT);
     }
 
     private String body(LogRecord logRecord) {
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -66,7 +66,9 @@
 
     PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
-    PEER_CALL_FAILED(1703, Level.WARNING, "call {call} to node {peer} failed: {cause}");
+    PEER_CALL_FAILED(1703, Level.WARNING, "call {call} to node {peer} failed: {cause}"),
+
+    RECORDS_SUPPRESSED(1801, Level.WARNING, "{count} records of event {suppressed_event} were suppressed");
 
     private final int number;
     private final Level level;
@@ -98,6 +100,7 @@
         return name().toLowerCase(Locale.ROOT);
     }
 
+    /** Returns the level that the event is written at. */
     public Level level() {
         return level;
     }
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -50,6 +50,7 @@
     private final Gauge inFlight = gauge(MetricName.IN_FLIGHT);
     private final Gauge leader = gauge(MetricName.LEADER);
 
+    /** Creates every series, with each refusal and retry reason at zero. */
     public Metrics() {
         for (final ErrorKind kind : ErrorKind.values()) {
             refusals.labelValues(kind.code());
--- a/src/main/java/org/wigeongrade/settings/LimitKey.java
+++ b/src/main/java/org/wigeongrade/settings/LimitKey.java
@@ -32,14 +32,17 @@
         return name().toLowerCase(Locale.ROOT);
     }
 
+    /** Returns the value if the key is absent, in the unit that its name ends with. */
     public long defaultValue() {
         return defaultValue;
     }
 
+    /** Returns the smallest value. */
     public long min() {
         return min;
     }
 
+    /** Returns the largest value. */
     public long max() {
         return max;
     }
--- a/src/main/java/org/wigeongrade/settings/NodeLimits.java
+++ b/src/main/java/org/wigeongrade/settings/NodeLimits.java
@@ -38,42 +38,52 @@
         return stated.getOrDefault(key, key.defaultValue());
     }
 
+    /** Returns the largest request body taken from a caller, in bytes. */
     public int maxBodyBytes() {
         return Ints.checkedCast(value(LimitKey.MAX_BODY_BYTES));
     }
 
+    /** Returns the longest time that an entry VM sends work on one view. */
     public long viewLeaseMs() {
         return value(LimitKey.VIEW_LEASE_MS);
     }
 
+    /** Returns the time between two pulls of the view. */
     public long pullIntervalMs() {
         return value(LimitKey.PULL_INTERVAL_MS);
     }
 
+    /** Returns the time after which an endpoint that stopped announcing is absent. */
     public long announcementLeaseMs() {
         return value(LimitKey.ANNOUNCEMENT_LEASE_MS);
     }
 
+    /** Returns the longest time that a graceful stop waits for requests in flight. */
     public long stopDeadlineMs() {
         return value(LimitKey.STOP_DEADLINE_MS);
     }
 
+    /** Returns the longest time from a request's arrival to the end of its answer. */
     public long requestTimeoutMs() {
         return value(LimitKey.REQUEST_TIMEOUT_MS);
     }
 
+    /** Returns the longest silence of an endpoint in an answer. */
     public long stallTimeoutMs() {
         return value(LimitKey.STALL_TIMEOUT_MS);
     }
 
+    /** Returns the longest time for opening a connection. */
     public long connectTimeoutMs() {
         return value(LimitKey.CONNECT_TIMEOUT_MS);
     }
 
+    /** Returns the longest time that a caller may take to send a request. */
     public long bodyReadTimeoutMs() {
         return value(LimitKey.BODY_READ_TIMEOUT_MS);
     }
 
+    /** Returns the number of threads that serve requests. */
     public int workerThreads() {
         return Ints.checkedCast(value(LimitKey.WORKER_THREADS));
     }
--- a/src/test/java/org/wigeongrade/logging/LogEventTest.java
+++ b/src/test/java/org/wigeongrade/logging/LogEventTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -74,6 +75,28 @@
                         + " node\"");
     }
 
+    @Test
+    void floodOfOneEventIsCutAndCounted() {
+        final EventBudget budget = new EventBudget();
+        final long written = IntStream.range(0, 120)
+                .filter(i -> budget.tryPass(i).isPresent())
+                .count();
+
+        assertThat(written).isEqualTo(EventBudget.RECORDS_PER_WINDOW);
+        assertThat(budget.tryPass(EventBudget.WINDOW_NANOS - 1)).isEmpty();
+        assertThat(budget.tryPass(EventBudget.WINDOW_NANOS)).hasValue(71);
+        assertThat(budget.tryPass(EventBudget.WINDOW_NANOS + 1)).hasValue(0);
+    }
+
+    @Test
+    void lineOfStackTraceReadsAsNoRecord() {
+        final LogRecord logRecord = new LogRecord(Level.SEVERE, "event=1608 name=request_fault");
+        logRecord.setLoggerName(EventLog.LOGGER_NAME);
+        logRecord.setThrown(new IllegalStateException("a\ntime=2026 event=1003 name=node_stopped"));
+
+        assertThat(new LineFormatter().format(logRecord)).contains("\n    time=2026 event=1003");
+    }
+
     @Test
     void formatterMarksRecordsOfLibraries() {
         final LogRecord logRecord = new LogRecord(Level.WARNING, "bind failed\nagain");
