Bound the claims, accept a claim sent again, and add nine configuration rules

The claim's id is now made by the entry VM, unique to the claim, and the same id may claim again while the send may still start. A caller's own request id was ruled out as that id: two copies of a request with one id would both be accepted.

Kept answers are bounded at 16 MiB (the oldest bodies go first, their claims stay), claims at 30,000 for each organisation. Commands refuse missing fields when made, so that applying one never fails.

--- a/src/main/java/org/wigeongrade/callers/ClaimKeeper.java
+++ b/src/main/java/org/wigeongrade/callers/ClaimKeeper.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.callers;
 
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.control.CommandResult;
@@ -20,9 +21,11 @@
 final class ClaimKeeper {
     private static final long SEND_WINDOW_MS = 5_000;
     private static final long FINISH_TIMEOUT_MS = 5_000;
+    private static final int MAX_ID_PREFIX = 80;
     private static final int MAX_STORED_BYTES = 256 * 1024;
 
     private final CallerServices services;
+    private final String nonce = UUID.randomUUID().toString();
 
     ClaimKeeper(CallerServices services) {
         this.services = services;
@@ -48,7 +51,7 @@
                 call.organisation(),
                 call.idempotencyKey().orElseThrow(),
                 call.digest(),
-                requestId,
+                claimId(requestId),
                 services.entry().self(),
                 nowEpochMs + SEND_WINDOW_MS,
                 nowEpochMs);
@@ -68,7 +71,7 @@
         final Command command = new Command.FinishClaim(
                 call.organisation(),
                 call.idempotencyKey().orElseThrow(),
-                requestId,
+                claimId(requestId),
                 recorded,
                 storable ? answer.get() : null,
                 services.epochMsClock().getAsLong());
@@ -86,6 +89,12 @@
         }
     }
 
+    /** Returns an id of this claim alone; callers may send two copies of a request with one request id. */
+    private RequestId claimId(RequestId requestId) {
+        final String value = requestId.value();
+        return new RequestId(value.substring(0, Math.min(value.length(), MAX_ID_PREFIX)) + "." + nonce);
+    }
+
     private Outcome read(CommandResult result, ServiceCall call, long deadlineNanos) {
         if (result instanceof CommandResult.AlreadyAnswered answered) {
             return new Outcome.Answered(answered.answer());
--- a/src/main/java/org/wigeongrade/decisions/config/ConfigurationChecker.java
+++ b/src/main/java/org/wigeongrade/decisions/config/ConfigurationChecker.java
@@ -2,20 +2,33 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * Checks a whole declared set by every rule and lists all faults at once. Stateless; safe for use from any thread.
  */
 public final class ConfigurationChecker {
+    /** Faults that {@link #describe} lists. */
+    public static final int MAX_DESCRIBED = 500;
+
     private static final ConfigurationRule REQUIRED_FIELDS = new MissingValue();
 
     private static final ImmutableList<ConfigurationRule> RULES = ImmutableList.of(
             new DuplicateName(),
             new UnknownReference(),
             new NonPositiveNumber(),
+            new NumberTooLarge(),
             new ColdCapacityOverCapacity(),
             new KeyDigestMalformed(),
-            new KeySharedByOrganisations());
+            new KeySharedByOrganisations(),
+            new OrganisationWithoutKey(),
+            new GroupNameTaken(),
+            new GroupZoneNotInPool(),
+            new PoolWithoutZone(),
+            new WarmSparesWithoutEffect(),
+            new ModelVersionRedefined(),
+            new ModelWithTwoVersions(),
+            new MethodMalformed());
 
     private ConfigurationChecker() {}
 
@@ -41,6 +54,16 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns the faults one to a line; past {@link #MAX_DESCRIBED} of them only their number. */
+    public static String describe(List<ConfigurationFault> faults) {
+        final String lines = faults.stream()
+                .limit(MAX_DESCRIBED)
+                .map(ConfigurationFault::toString)
+                .collect(Collectors.joining("\n"));
+        final int hidden = faults.size() - MAX_DESCRIBED;
+        return hidden > 0 ? lines + "\nand " + hidden + " more; run 'wigeongrade check' to list all" : lines;
+    }
+
     /** Returns whether any of the faults refuses the set. */
     public static boolean refusesSet(List<ConfigurationFault> faults) {
         return faults.stream().anyMatch(fault -> fault.severity().refusesSet());
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/config/WarmSparesWithoutEffect.java
@@ -0,0 +1,34 @@
+package org.wigeongrade.decisions.config;
+
+import java.util.List;
+
+/** Finds warm spares of a pool that weighs stranded accelerators, since none are kept for it. Stateless. */
+final class WarmSparesWithoutEffect implements ConfigurationRule {
+    @Override
+    public String code() {
+        return "warm_spares_without_effect";
+    }
+
+    @Override
+    public String summary() {
+        return "A pool that weighs stranded accelerators declares warm spares, which are not kept for it.";
+    }
+
+    @Override
+    public List<ConfigurationFault> check(DeclaredSet set, DeclaredSet current) {
+        return set.pools().stream()
+                .filter(pool -> pool.warmSpares() > pool.weighs().sparesToKeep(pool.warmSpares()))
+                .map(pool -> fault(ObjectId.of(ObjectKind.POOL, pool.name()), pool.weighs()))
+                .toList();
+    }
+
+    private ConfigurationFault fault(ObjectId id, PlacementWeight weighs) {
+        return ConfigurationFault.warning(
+                code(),
+                id,
+                "warm_spares",
+                id + " weighs " + weighs.label()
+                        + ", so its warm_spares are not kept; set warm_spares = 0 or weighs = \""
+                        + PlacementWeight.GROUP_DOWNTIME.label() + "\"");
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/control/Command.java
+++ b/src/main/java/org/wigeongrade/decisions/control/Command.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Objects;
 import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.errors.RunClaim;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.ChangeId;
 import org.wigeongrade.ids.FabricDomain;
@@ -21,7 +23,8 @@
  * A decision of the leader, written to the replicated log and applied by {@link ControlState} on every control VM.
  *
  * <p>Every time in a command is the wall clock of the leader that proposed it, in milliseconds since the epoch; the
- * state machine reads no clock. Immutable; safe for use from any thread.
+ * state machine reads no clock. A command with a required field missing cannot be made, so that applying one never fails.
+ * Immutable; safe for use from any thread.
  */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
 @JsonSubTypes({
@@ -38,12 +41,20 @@
     /** Replaces the declared set if {@code baseRevision} is the current revision. */
     record ApplyConfiguration(
             ChangeId changeId, String operator, Revision baseRevision, DeclaredSet declaredSet, long proposedAtEpochMs)
-            implements Command {}
+            implements Command {
+        public ApplyConfiguration {
+            requireAll(changeId, operator, baseRevision, declaredSet);
+        }
+    }
 
     /** Takes an availability zone out of service or back in; stays in force across later declared sets. */
     record SetZoneState(
             ChangeId changeId, String operator, AvailabilityZone zone, ZoneState zoneState, long proposedAtEpochMs)
-            implements Command {}
+            implements Command {
+        public SetZoneState {
+            requireAll(changeId, operator, zone, zoneState);
+        }
+    }
 
     /** Binds VMs to a group; refused if any VM belongs to another group. The first member takes the requests. */
     record FormGroup(
@@ -58,17 +69,23 @@
             long proposedAtEpochMs)
             implements Command {
         public FormGroup {
+            requireAll(group, pool, modelVersion, zone, fabricDomain, members, fencingToken, reason);
             members = List.copyOf(members);
         }
     }
 
     /** Frees the VMs of a group; refused if the group was formed again with a larger token. */
     record DissolveGroup(GroupName group, FencingToken fencingToken, String reason, long proposedAtEpochMs)
-            implements Command {}
+            implements Command {
+        public DissolveGroup {
+            requireAll(group, fencingToken, reason);
+        }
+    }
 
     /**
      * Claims the single send of a non-idempotent request. {@code requestDigest} is the SHA-256 of target and body in
-     * hexadecimal.
+     * hexadecimal. {@code requestId} must be unique to the claim and made by the entry VM: the same one claims again
+     * after a lost answer, so an id that a caller chose would let two copies of a request run.
      */
     record ClaimRequest(
             OrganisationName organisation,
@@ -78,7 +95,11 @@
             NodeName entryVm,
             long sendDeadlineEpochMs,
             long proposedAtEpochMs)
-            implements Command {}
+            implements Command {
+        public ClaimRequest {
+            requireAll(organisation, idempotencyKey, requestDigest, requestId, entryVm);
+        }
+    }
 
     /**
      * Records how the claimed send ended. {@code outcome} NOT_RUN frees the key; {@code answer} is set for COMPLETED.
@@ -87,15 +108,29 @@
             OrganisationName organisation,
             String idempotencyKey,
             RequestId requestId,
-            org.wigeongrade.errors.RunClaim outcome,
+            RunClaim outcome,
             StoredAnswer answer,
             long proposedAtEpochMs)
-            implements Command {}
+            implements Command {
+        public FinishClaim {
+            requireAll(organisation, idempotencyKey, requestId, outcome);
+        }
+    }
 
     /** Refuses a request digest fleet-wide until the deadline. */
     record QuarantineRequest(String requestDigest, String reason, long untilEpochMs, long proposedAtEpochMs)
-            implements Command {}
+            implements Command {
+        public QuarantineRequest {
+            requireAll(requestDigest, reason);
+        }
+    }
 
     /** Removes claims and quarantined digests whose retention has passed. */
     record ExpireRecords(long proposedAtEpochMs) implements Command {}
+
+    private static void requireAll(Object... fields) {
+        for (final Object field : fields) {
+            Objects.requireNonNull(field, "a required field of the command has no value");
+        }
+    }
 }
--- a/src/main/java/org/wigeongrade/decisions/control/ConfigurationChanges.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ConfigurationChanges.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.wigeongrade.decisions.config.ObjectId;
@@ -17,6 +18,7 @@
  */
 final class ConfigurationChanges {
     static final int MAX_CHANGES = 256;
+    private static final int MAX_LISTED = 50;
 
     private final Deque<ConfigurationChange> changes = new ArrayDeque<>();
 
@@ -51,12 +53,12 @@
     }
 
     private static String objects(List<ConfigurationChange> since) {
-        return since.stream()
+        final Set<ObjectId> changed = since.stream()
                 .flatMap(change -> change.changed().stream())
-                .collect(Collectors.toCollection(TreeSet::new))
-                .stream()
-                .map(ObjectId::toString)
-                .collect(Collectors.joining(", "));
+                .collect(Collectors.toCollection(TreeSet::new));
+        final int hidden = changed.size() - MAX_LISTED;
+        return changed.stream().limit(MAX_LISTED).map(ObjectId::toString).collect(Collectors.joining(", "))
+                + (hidden > 0 ? " and " + hidden + " more" : "");
     }
 
     /** Returns the kept changes, oldest first. */
--- a/src/main/java/org/wigeongrade/decisions/control/ControlState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.wigeongrade.decisions.config.ConfigurationChecker;
 import org.wigeongrade.decisions.config.ConfigurationFault;
 import org.wigeongrade.decisions.config.DeclaredObjects;
@@ -142,7 +141,7 @@
                     ObjectId.DECLARED_SET,
                     command.operator(),
                     ErrorKind.INVALID_CONFIGURATION,
-                    faults.stream().map(ConfigurationFault::toString).collect(Collectors.joining("\n")));
+                    ConfigurationChecker.describe(faults));
         }
         final List<ObjectId> changed = DeclaredObjects.changed(declaredSet, command.declaredSet());
         declaredSet = command.declaredSet();
--- a/src/main/java/org/wigeongrade/decisions/control/Decision.java
+++ b/src/main/java/org/wigeongrade/decisions/control/Decision.java
@@ -8,4 +8,9 @@
  * position of the command. Immutable; safe for use from any thread.
  */
 public record Decision(
-        ObjectId object, String what, String why, String by, long atEpochMs, Revision revision, long index) {}
+        ObjectId object, String what, String why, String by, long atEpochMs, Revision revision, long index) {
+    /** Returns whether the other decision said the same, at another time. */
+    boolean repeats(Decision other) {
+        return what.equals(other.what) && why.equals(other.why) && by.equals(other.by);
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/control/DecisionHistory.java
+++ b/src/main/java/org/wigeongrade/decisions/control/DecisionHistory.java
@@ -12,18 +12,20 @@
  * The last decisions about each object.
  *
  * <p>Invariant: keeps {@link #MAX_PER_OBJECT} decisions for each of the {@link #MAX_OBJECTS} objects decided about
- * last. Not thread safe; {@link ControlState} guards it.
+ * last; a decision that repeats the one before it is not added. Not thread safe; {@link ControlState} guards it.
  */
 final class DecisionHistory {
-    static final int MAX_PER_OBJECT = 16;
-    static final int MAX_OBJECTS = 4_096;
+    static final int MAX_PER_OBJECT = 8;
+    static final int MAX_OBJECTS = 2_048;
 
     private final LinkedHashMap<ObjectId, Deque<Decision>> byObject = new LinkedHashMap<>();
 
     void add(Decision decision) {
         final Deque<Decision> earlier = byObject.remove(decision.object());
         final Deque<Decision> decisions = earlier == null ? new ArrayDeque<>() : earlier;
-        decisions.addLast(decision);
+        if (decisions.isEmpty() || !decision.repeats(decisions.getLast())) {
+            decisions.addLast(decision);
+        }
         if (decisions.size() > MAX_PER_OBJECT) {
             decisions.removeFirst();
         }
--- a/src/main/java/org/wigeongrade/decisions/outcomes/Claim.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/Claim.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.decisions.outcomes;
 
+import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.control.StoredAnswer;
 import org.wigeongrade.errors.RunClaim;
 import org.wigeongrade.ids.NodeName;
@@ -10,7 +11,7 @@
  * The claim of one idempotency key: who may send the request, once, and how that send ended.
  *
  * <p>Invariant: {@code outcome} is null while the send is open, then UNKNOWN or COMPLETED; {@code answer} is set for
- * COMPLETED alone. The send may start until {@code sendDeadlineEpochMs} and has ended by {@code
+ * COMPLETED alone, until its body has to make room for newer ones. The send may start until {@code sendDeadlineEpochMs} and has ended by {@code
  * outcomeDeadlineEpochMs}. Immutable; safe for use from any thread.
  */
 public record Claim(
@@ -39,6 +40,11 @@
                 answer);
     }
 
+    /** Returns whether the command is the proposal that made this claim, sent again. */
+    boolean isOf(Command.ClaimRequest command) {
+        return requestId.equals(command.requestId()) && entryVm.equals(command.entryVm());
+    }
+
     /** Returns whether the send may still be running at {@code nowEpochMs}. */
     boolean isInProgress(long nowEpochMs) {
         return outcome == null && nowEpochMs <= outcomeDeadlineEpochMs;
--- a/src/main/java/org/wigeongrade/decisions/outcomes/ClaimTable.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/ClaimTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.control.CommandResult;
 import org.wigeongrade.errors.ErrorKind;
@@ -15,48 +16,84 @@
 /**
  * The at-most-once claims of the fleet, one for each organisation and idempotency key.
  *
- * <p>Invariant: {@link #claim} answers Accepted at most once for a key until its send is known not to have run or the
- * retention has passed. Results depend on the commands alone. Not thread safe; {@code ControlState} guards it.
+ * <p>Invariants: {@link #claim} accepts one request id at most for a key until its send is known not to have run or the
+ * retention has passed; the bodies of the kept answers stay within {@link #MAX_ANSWER_BYTES}, the oldest are dropped
+ * first and their claims stay. Results depend on the commands alone. Not thread safe; {@code ControlState} guards it.
  */
 public final class ClaimTable {
     /** How long a claim is kept after its last change, in milliseconds. */
     public static final long RETENTION_MS = 24L * 60 * 60 * 1_000;
 
-    private final TreeMap<Key, Claim> claims = new TreeMap<>();
+    /** Claims that one organisation may hold at once. */
+    public static final int MAX_CLAIMS_PER_ORGANISATION = 30_000;
+
+    /** Bodies of all kept answers together, in bytes. */
+    public static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
+
+    private static final Comparator<Claim> OLDEST_FIRST =
+            Comparator.comparingLong(Claim::retainUntilEpochMs).thenComparing(ClaimKey::of);
+
+    private final TreeMap<ClaimKey, Claim> claims = new TreeMap<>();
+    private final TreeMap<OrganisationName, Integer> countOf = new TreeMap<>();
+    private final TreeSet<Claim> withAnswer = new TreeSet<>(OLDEST_FIRST);
+    private long answerBytes;
 
     /**
-     * Claims the single send of a request.
+     * Claims the single send of a request. The same request id may claim again while its claim is open, since its first
+     * answer may be lost.
      *
      * @param nowEpochMs time of the state machine
      * @param longestRunMs longest time that the request may run after it was sent
      * @param revision current revision, for the result
      */
     public CommandResult claim(Command.ClaimRequest command, long nowEpochMs, long longestRunMs, Revision revision) {
-        final Key key = new Key(command.organisation(), command.idempotencyKey());
+        final ClaimKey key = new ClaimKey(command.organisation(), command.idempotencyKey());
         final Claim earlier = claims.get(key);
-        if (earlier == null) {
-            claims.put(key, open(command, nowEpochMs, longestRunMs));
-            return new CommandResult.Accepted(revision);
+        if (earlier != null) {
+            return claimAgain(key, earlier, command, nowEpochMs, revision);
         }
+        if (countOf.getOrDefault(command.organisation(), 0) >= MAX_CLAIMS_PER_ORGANISATION) {
+            return refused(
+                    ErrorKind.ORGANISATION_LIMIT,
+                    key,
+                    "cannot be claimed: its organisation holds " + MAX_CLAIMS_PER_ORGANISATION + " claims",
+                    revision);
+        }
+        put(key, open(command, nowEpochMs, longestRunMs));
+        return new CommandResult.Accepted(revision);
+    }
+
+    private static CommandResult claimAgain(
+            ClaimKey key, Claim earlier, Command.ClaimRequest command, long nowEpochMs, Revision revision) {
         if (!earlier.requestDigest().equals(command.requestDigest())) {
             return refused(ErrorKind.IDEMPOTENCY_KEY_REUSED, key, "was used for a different request", revision);
         }
-        if (earlier.outcome() == RunClaim.COMPLETED) {
+        if (earlier.outcome() == RunClaim.COMPLETED && earlier.answer() != null) {
             return new CommandResult.AlreadyAnswered(earlier.answer());
         }
-        if (earlier.isInProgress(nowEpochMs)) {
-            return refused(ErrorKind.REQUEST_IN_PROGRESS, key, "is in use by request " + earlier.requestId(), revision);
+        if (earlier.outcome() == RunClaim.COMPLETED) {
+            return refused(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    key,
+                    "ran once by request " + earlier.requestId() + " and its answer is no longer kept",
+                    revision);
+        }
+        if (!earlier.isInProgress(nowEpochMs)) {
+            return refused(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    key,
+                    "was sent once by request " + earlier.requestId() + " and its outcome is not known",
+                    revision);
+        }
+        if (earlier.isOf(command) && nowEpochMs <= earlier.sendDeadlineEpochMs()) {
+            return new CommandResult.Accepted(revision);
         }
-        return refused(
-                ErrorKind.OUTCOME_UNKNOWN,
-                key,
-                "was sent once by request " + earlier.requestId() + " and its outcome is not known",
-                revision);
+        return refused(ErrorKind.REQUEST_IN_PROGRESS, key, "is in use by request " + earlier.requestId(), revision);
     }
 
     /** Records how a claimed send ended. Only the request that holds the claim may do so; repeats change nothing. */
     public CommandResult finish(Command.FinishClaim command, long nowEpochMs, Revision revision) {
-        final Key key = new Key(command.organisation(), command.idempotencyKey());
+        final ClaimKey key = new ClaimKey(command.organisation(), command.idempotencyKey());
         final Claim claim = claims.get(key);
         if (claim == null) {
             return refused(ErrorKind.NOT_FOUND, key, "has no claim", revision);
@@ -68,13 +105,8 @@
                     "is claimed by request " + claim.requestId() + ", not by " + command.requestId(),
                     revision);
         }
-        return record(key, claim, command, nowEpochMs, revision);
-    }
-
-    private CommandResult record(
-            Key key, Claim claim, Command.FinishClaim command, long nowEpochMs, Revision revision) {
         if (claim.outcome() == RunClaim.COMPLETED) {
-            return new CommandResult.AlreadyAnswered(claim.answer());
+            return new CommandResult.Accepted(revision);
         }
         return switch (command.outcome()) {
             case NOT_RUN -> free(key, claim, revision);
@@ -84,27 +116,63 @@
         };
     }
 
-    private CommandResult free(Key key, Claim claim, Revision revision) {
+    private CommandResult free(ClaimKey key, Claim claim, Revision revision) {
         if (claim.outcome() == RunClaim.UNKNOWN) {
             return refused(ErrorKind.OUTCOME_UNKNOWN, key, "may have run and cannot be freed", revision);
         }
-        claims.remove(key);
+        remove(claim);
         return new CommandResult.Accepted(revision);
     }
 
-    private CommandResult keep(Key key, Claim claim, Revision revision) {
-        claims.put(key, claim);
+    private CommandResult keep(ClaimKey key, Claim claim, Revision revision) {
+        remove(claims.get(key));
+        put(key, claim);
+        dropOldestAnswers();
         return new CommandResult.Accepted(revision);
     }
 
+    private void dropOldestAnswers() {
+        while (answerBytes > MAX_ANSWER_BYTES) {
+            final Claim oldest = withAnswer.first();
+            remove(oldest);
+            put(ClaimKey.of(oldest), oldest.finished(RunClaim.COMPLETED, null, oldest.retainUntilEpochMs()));
+        }
+    }
+
+    private void put(ClaimKey key, Claim claim) {
+        claims.put(key, claim);
+        countOf.merge(claim.organisation(), 1, Integer::sum);
+        if (claim.answer() != null) {
+            withAnswer.add(claim);
+            answerBytes += claim.answer().body().length;
+        }
+    }
+
+    private void remove(Claim claim) {
+        claims.remove(ClaimKey.of(claim));
+        countOf.merge(claim.organisation(), -1, Integer::sum);
+        if (claim.answer() != null) {
+            withAnswer.remove(claim);
+            answerBytes -= claim.answer().body().length;
+        }
+    }
+
     /** Removes the claims whose retention has passed. */
     public void expire(long nowEpochMs) {
-        claims.values().removeIf(claim -> claim.retainUntilEpochMs() <= nowEpochMs);
+        final List<Claim> expired = claims.values().stream()
+                .filter(claim -> claim.retainUntilEpochMs() <= nowEpochMs)
+                .toList();
+        expired.forEach(this::remove);
     }
 
     /** Returns the claim of a key, if there is one. */
     public Optional<Claim> find(OrganisationName organisation, String idempotencyKey) {
-        return Optional.ofNullable(claims.get(new Key(organisation, idempotencyKey)));
+        return Optional.ofNullable(claims.get(new ClaimKey(organisation, idempotencyKey)));
+    }
+
+    /** Returns the bytes of all kept answers' bodies. */
+    public long answerBytes() {
+        return answerBytes;
     }
 
     /** Returns all claims in the order of their keys. */
@@ -115,10 +183,14 @@
     /** Replaces all claims. */
     public void restore(List<Claim> restored) {
         claims.clear();
-        restored.forEach(claim -> claims.put(new Key(claim.organisation(), claim.idempotencyKey()), claim));
+        countOf.clear();
+        withAnswer.clear();
+        answerBytes = 0;
+        restored.forEach(claim -> put(ClaimKey.of(claim), claim));
     }
 
     private static Claim open(Command.ClaimRequest command, long nowEpochMs, long longestRunMs) {
+        final long outcomeDeadlineEpochMs = command.sendDeadlineEpochMs() + longestRunMs;
         return new Claim(
                 command.organisation(),
                 command.idempotencyKey(),
@@ -126,8 +198,8 @@
                 command.requestId(),
                 command.entryVm(),
                 command.sendDeadlineEpochMs(),
-                command.sendDeadlineEpochMs() + longestRunMs,
-                retainUntil(Math.max(nowEpochMs, command.sendDeadlineEpochMs() + longestRunMs)),
+                outcomeDeadlineEpochMs,
+                retainUntil(Math.max(nowEpochMs, outcomeDeadlineEpochMs)),
                 null,
                 null);
     }
@@ -136,18 +208,8 @@
         return fromEpochMs + RETENTION_MS;
     }
 
-    private static CommandResult refused(ErrorKind kind, Key key, String what, Revision revision) {
+    private static CommandResult refused(ErrorKind kind, ClaimKey key, String what, Revision revision) {
         return new CommandResult.Refused(
                 kind, "idempotency key '" + key.idempotencyKey() + "' " + what + ". " + kind.fix(), revision);
     }
-
-    private record Key(OrganisationName organisation, String idempotencyKey) implements Comparable<Key> {
-        private static final Comparator<Key> ORDER =
-                Comparator.comparing(Key::organisation).thenComparing(Key::idempotencyKey);
-
-        @Override
-        public int compareTo(Key other) {
-            return ORDER.compare(this, other);
-        }
-    }
 }
