Refuse a send whose slot expired between taking it and sending

A process frozen after it took a slot may wake when the leader has given the slot to another entry VM; the view lease alone does not show that, as it may end later than the share. The slot now carries its share's deadline and the last check reads it.

--- a/src/main/java/org/wigeongrade/decisions/limits/HeldShare.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/HeldShare.java
@@ -46,7 +46,7 @@
     private TakeResult takeRate(RateUse use, long amount, long nowNanos) {
         use.setRate(usable(nowNanos), nowNanos);
         if (use.tryTake(amount, nowNanos)) {
-            return new TakeResult.Taken(new Slot(key, nextSlotNumber++, amount));
+            return new TakeResult.Taken(new Slot(key, nextSlotNumber++, amount, deadlineNanos));
         }
         return new TakeResult.ComeBack(use.comeBackMs(nowNanos));
     }
@@ -72,7 +72,7 @@
         long number = nextSlotNumber++;
         inUse.add(number);
         peakInUseSinceReport = Math.max(peakInUseSinceReport, inUse.size());
-        return new Slot(key, number, 1);
+        return new Slot(key, number, 1, deadlineNanos);
     }
 
     void refused() {
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SendFacts.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendFacts.java
@@ -5,10 +5,11 @@
 /**
  * The deadlines that must not have passed when a request is sent, on this VM's monotonic clock in nanoseconds.
  *
- * <p>{@code claimDeadlineNanos} is set for a call that may run once at most. Immutable; safe for use from any thread.
+ * <p>{@code slotDeadlineNanos} is that of the {@link org.wigeongrade.decisions.limits.Slot} taken at the endpoint. {@code claimDeadlineNanos} is set for a call that may run once at most. Immutable; safe for use from any thread.
  */
 public record SendFacts(
         long viewLeaseDeadlineNanos,
         long servingDeadlineNanos,
+        long slotDeadlineNanos,
         OptionalLong claimDeadlineNanos,
         long attemptDeadlineNanos) {}
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SendRefusal.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendRefusal.java
@@ -7,6 +7,7 @@
 public enum SendRefusal {
     VIEW_LEASE_ENDED(ErrorKind.NO_VIEW_LEASE),
     SEND_SERVING_LEASE_ENDED(ErrorKind.NO_WHOLE_GROUP),
+    SLOT_DEADLINE_PASSED(ErrorKind.NO_FREE_SLOT),
     CLAIM_DEADLINE_PASSED(ErrorKind.CONTROL_UNAVAILABLE),
     ATTEMPT_DEADLINE_PASSED(ErrorKind.NO_FREE_SLOT);
 
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SendRule.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendRule.java
@@ -6,7 +6,11 @@
 interface SendRule {
     /** All rules, in the order in which they are asked. */
     ImmutableList<SendRule> ALL = ImmutableList.of(
-            new ViewLeaseEnded(), new SendServingLeaseEnded(), new ClaimDeadlinePassed(), new AttemptDeadlinePassed());
+            new ViewLeaseEnded(),
+            new SendServingLeaseEnded(),
+            new SlotDeadlinePassed(),
+            new ClaimDeadlinePassed(),
+            new AttemptDeadlinePassed());
 
     SendRefusal refusal();
 
