Hold shares against random faults: work in flight never exceeds the bound

The property first failed where the only entry VM was dead while an endpoint turned cold: the simulation let it send without a serving lease. It now has serving leases, and the leader hears of cold announcements, as it does in the real exchange.

--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/SimulatedEndpoint.java
@@ -0,0 +1,82 @@
+package org.wigeongrade.bench;
+
+import java.util.concurrent.TimeUnit;
+import org.wigeongrade.decisions.limits.ShareKey;
+import org.wigeongrade.ids.EndpointId;
+
+/** An endpoint of {@link ShareSimulation}: counts what it runs and when it turned cold. Not thread-safe. */
+final class SimulatedEndpoint {
+    /** Life of the serving lease after an announcement, in nanoseconds. */
+    static final long SERVING_LEASE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final int ANSWERS_TO_WARM_UP = 6;
+
+    final EndpointId id;
+    final ShareKey key;
+    private final int capacity;
+    private final int coldCapacity;
+    private int inFlight;
+    private int highestInFlight;
+    private boolean cold;
+    private long coldSinceNanos;
+    private long servingDeadlineNanos;
+    private int answersUntilWarm;
+
+    SimulatedEndpoint(int number, int capacity, int coldCapacity) {
+        this.id = EndpointId.of("endpoint-" + number);
+        this.key = ShareKey.endpointSlots(id);
+        this.capacity = capacity;
+        this.coldCapacity = coldCapacity;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    int highestInFlight() {
+        return highestInFlight;
+    }
+
+    boolean isCold() {
+        return cold;
+    }
+
+    boolean isColdLongerThan(long spanNanos, long nowNanos) {
+        return cold && nowNanos - coldSinceNanos > spanNanos;
+    }
+
+    boolean isOverCapacity() {
+        return inFlight > capacity;
+    }
+
+    boolean isOverColdCapacity() {
+        return inFlight > coldCapacity;
+    }
+
+    /** Extends the serving lease, as an announcement does when the leader hears it. */
+    void announced(long nowNanos) {
+        servingDeadlineNanos = nowNanos + SERVING_LEASE_NANOS;
+    }
+
+    boolean isServing(long nowNanos) {
+        return nowNanos < servingDeadlineNanos;
+    }
+
+    void turnCold(long nowNanos) {
+        cold = true;
+        coldSinceNanos = nowNanos;
+        answersUntilWarm = ANSWERS_TO_WARM_UP;
+    }
+
+    void begin() {
+        inFlight++;
+        highestInFlight = Math.max(highestInFlight, inFlight);
+    }
+
+    void end() {
+        inFlight--;
+        if (cold && --answersUntilWarm <= 0) {
+            cold = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/SimulatedEntryVm.java
@@ -0,0 +1,63 @@
+package org.wigeongrade.bench;
+
+import org.wigeongrade.decisions.limits.ShareHolder;
+import org.wigeongrade.ids.NodeName;
+
+/**
+ * An entry VM of {@link ShareSimulation}: its shares, its clock that runs at its own speed, and whether it runs. Not
+ * thread-safe.
+ */
+final class SimulatedEntryVm {
+    final NodeName name;
+    private final long clockOffsetNanos;
+    private final double clockSpeed;
+    private ShareHolder shares = new ShareHolder();
+    private long incarnation = 1;
+    private boolean dead;
+    private long frozenUntilNanos;
+
+    SimulatedEntryVm(int number, long clockOffsetNanos, double clockSpeed) {
+        this.name = NodeName.of("entry-" + number);
+        this.clockOffsetNanos = clockOffsetNanos;
+        this.clockSpeed = clockSpeed;
+    }
+
+    ShareHolder shares() {
+        return shares;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    long clockNanos(long nowNanos) {
+        return clockOffsetNanos + (long) (nowNanos * clockSpeed);
+    }
+
+    boolean isDead() {
+        return dead;
+    }
+
+    boolean isFrozen(long nowNanos) {
+        return nowNanos < frozenUntilNanos;
+    }
+
+    long frozenUntilNanos() {
+        return frozenUntilNanos;
+    }
+
+    void die() {
+        dead = true;
+    }
+
+    void restart() {
+        dead = false;
+        frozenUntilNanos = 0;
+        incarnation++;
+        shares = new ShareHolder();
+    }
+
+    void freezeUntil(long untilNanos) {
+        frozenUntilNanos = untilNanos;
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/limits/HeldShare.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/HeldShare.java
@@ -24,7 +24,9 @@
     private int refusedSinceReport;
     private int peakInUseSinceReport;
     private long warmCompletions;
-    private long coldSigns;
+    private long coldSignEpoch = ShareReport.NO_COLD_SIGN;
+    private long epoch;
+    private long firstSlotOfEpoch;
     private final Optional<RateUse> rate;
 
     HeldShare(ShareKey key) {
@@ -83,13 +85,23 @@
         return inUse.remove(slot.number());
     }
 
-    void completedWarm() {
-        warmCompletions++;
+    /** Counts an answer at warm speed, unless its work began before the last cold sign was known. */
+    void completedWarm(Slot slot) {
+        if (slot.number() >= firstSlotOfEpoch) {
+            warmCompletions++;
+        }
+    }
+
+    /** Takes a cold answer as a sign, unless its work began before the last cold sign was known. */
+    void completedCold(Slot slot) {
+        if (slot.number() >= firstSlotOfEpoch) {
+            coldSign();
+        }
     }
 
     /** Drops to what may be used in a cold start and ignores grants that were given before the leader knew of it. */
     void coldSign() {
-        coldSigns++;
+        coldSignEpoch = epoch;
         granted = Math.min(granted, coldSlots);
         oldestAnswerableSequence = sequence + 1;
     }
@@ -109,7 +121,16 @@
         peakInUseSinceReport = inUse.size();
         refusedSinceReport = 0;
         int usableCold = usable == 0 ? 0 : coldSlots;
-        return new ShareReport(key, sequence, usable, usableCold, inUse.size(), wanted, warmCompletions, coldSigns);
+        return new ShareReport(
+                key, sequence, usable, usableCold, inUse.size(), wanted, epoch, warmCompletions, coldSignEpoch);
+    }
+
+    private void beginEpoch(long newEpoch) {
+        if (newEpoch != epoch) {
+            epoch = newEpoch;
+            firstSlotOfEpoch = nextSlotNumber;
+            warmCompletions = 0;
+        }
     }
 
     private int wantedSlots() {
@@ -120,6 +141,7 @@
         if (grant.reportSequence() < oldestAnswerableSequence) {
             return false;
         }
+        beginEpoch(grant.epoch());
         granted = grant.slots();
         coldSlots = grant.coldSlots();
         deadlineNanos = newDeadlineNanos;
--- a/src/main/java/org/wigeongrade/decisions/limits/HolderShare.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/HolderShare.java
@@ -17,14 +17,14 @@
     private int coldSlots;
     private long deadlineNanos;
     private long warmCompletions;
-    private long coldSigns;
+    private long epoch;
 
     /** Begins with the counters of the first report, so that only what comes after them is evidence. */
     HolderShare(NodeName holder, long incarnation, ShareReport first, long nowNanos) {
         this.holder = holder;
         this.incarnation = incarnation;
         this.warmCompletions = first.warmCompletions();
-        this.coldSigns = first.coldSigns();
+        this.epoch = first.epoch();
         this.deadlineNanos = nowNanos;
     }
 
@@ -56,24 +56,23 @@
         return new FairDivision.Want(holder, wanted);
     }
 
-    /** Returns the cold signs that this report adds. */
-    long newColdSigns(ShareReport report) {
-        return Math.max(0, report.coldSigns() - coldSigns);
-    }
-
-    /** Returns the answers completed at warm speed that this report adds. */
+    /** Returns the answers completed at warm speed that this report adds in its epoch. */
     long newWarmCompletions(ShareReport report) {
-        return Math.max(0, report.warmCompletions() - warmCompletions);
+        long known = report.epoch() == epoch ? warmCompletions : 0;
+        return Math.max(0, report.warmCompletions() - known);
     }
 
-    /** Takes over a report; {@code held} are the slots that the holder may use until it applies the next grant. */
+    /**
+     * Takes over a report; {@code held} are the slots that the holder may use until it applies the next grant. A holder
+     * that reports more counts work whose end it has not heard of yet, or slots that expired before it sent.
+     */
     void reported(ShareReport report, int held) {
         sequence = report.sequence();
         charged = held;
         wanted = Math.max(report.wanted(), report.inUse());
         coldSlots = report.coldSlots();
-        warmCompletions = Math.max(warmCompletions, report.warmCompletions());
-        coldSigns = Math.max(coldSigns, report.coldSigns());
+        epoch = report.epoch();
+        warmCompletions = report.warmCompletions();
     }
 
     /** Records the grant that answers the last report. */
--- a/src/main/java/org/wigeongrade/decisions/limits/KeyLedger.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/KeyLedger.java
@@ -77,9 +77,10 @@
             return Optional.empty();
         }
         Optional<HolderShare> known = Optional.ofNullable(live.get(holder));
-        int held = known.isPresent() ? report.held() : honoured(holder, incarnation, report, nowNanos);
+        int held = known.map(share -> Math.min(report.held(), share.charged()))
+                .orElseGet(() -> honoured(holder, incarnation, report, nowNanos));
         HolderShare share = known.orElseGet(() -> new HolderShare(holder, incarnation, report, nowNanos));
-        applyEvidence(share, report);
+        ramp.report(report, share.newWarmCompletions(report));
         share.reported(report, held);
         live.put(holder, share);
         nameColdHolder(share, nowNanos);
@@ -101,7 +102,7 @@
         int slots = Math.min(free, target(share.holder, nowNanos / leaseNanos));
         int coldSlots = mayKeepColdSlots(share) ? ramp.bound().coldSlots() : 0;
         share.granted(slots, coldSlots, nowNanos + leaseNanos + marginNanos);
-        return new ShareGrant(key, report.sequence(), slots, coldSlots, leaseNanos);
+        return new ShareGrant(key, report.sequence(), slots, coldSlots, ramp.epoch(), leaseNanos);
     }
 
     private int target(NodeName holder, long rotation) {
@@ -113,24 +114,22 @@
         return FairDivision.divide(ramp.slots(), wants, rotation).getOrDefault(holder, 0);
     }
 
-    private void applyEvidence(HolderShare share, ShareReport report) {
-        if (share.newColdSigns(report) > 0) {
-            ramp.coldSign();
-            return;
-        }
-        ramp.completedWarm(share.newWarmCompletions(report));
-    }
-
     /**
-     * Returns the slots that a holder without a live share keeps: they stay within what was counted for it as possibly in
-     * use, as everything else may have been given to others.
+     * Returns the slots that a holder without a live share keeps.
+     *
+     * <p>A life that this leader knew keeps what it says within what is counted for it. Another life keeps what an older
+     * leader granted it, while those leases run. Work in flight beyond that stays counted as inherited: it may have ended
+     * already and its slots may have gone to others, so it must not lower what is counted for them.
      */
     private int honoured(NodeName holder, long incarnation, ShareReport report, long nowNanos) {
         Reclaim own = reclaims.remove(new HolderLife(holder, incarnation));
         if (own != null) {
             return Math.min(report.held(), own.slots(nowNanos));
         }
-        int kept = Math.min(report.held(), inherited.slots(nowNanos));
+        if (nowNanos - olderLeasesEndNanos > 0) {
+            return 0;
+        }
+        int kept = Math.min(report.granted(), inherited.slots(nowNanos));
         inherited.lower(kept);
         return kept;
     }
@@ -144,7 +143,7 @@
     }
 
     private void expire(long nowNanos) {
-        reclaims.values().removeIf(reclaim -> reclaim.slots(nowNanos) == 0);
+        reclaims.entrySet().removeIf(entry -> entry.getValue().slots(nowNanos) == 0 && hasNewerLife(entry.getKey()));
         Iterator<HolderShare> shares = live.values().iterator();
         while (shares.hasNext()) {
             HolderShare share = shares.next();
@@ -155,6 +154,11 @@
         }
     }
 
+    private boolean hasNewerLife(HolderLife life) {
+        HolderShare share = live.get(life.holder());
+        return share != null && share.incarnation > life.incarnation();
+    }
+
     private void reclaimLater(HolderShare share) {
         long workNanos = key.kind().outlivesDeadline() ? ramp.bound().longestRunNanos() : 0;
         Reclaim reclaim = new Reclaim(
--- a/src/main/java/org/wigeongrade/decisions/limits/Reclaim.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/Reclaim.java
@@ -3,6 +3,8 @@
 /**
  * Slots that a holder which is gone may still have in use.
  *
+ * <p>Kept even at 0 slots, so that what its holder still reports as in use is known to have ended.
+ *
  * <p>Invariant: the slots never rise, and none comes back before {@code leaseEndNanos}; after it they come back as the
  * endpoint's own reports show, and all of them once the longest run has passed. Not thread-safe; {@link ShareLedger}
  * guards it.
--- a/src/main/java/org/wigeongrade/decisions/limits/ShareHolder.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/ShareHolder.java
@@ -68,10 +68,18 @@
     }
 
     /** Counts an answer that completed at warm speed: evidence that a cold endpoint can bear more. */
-    public void completedWarm(ShareKey key) {
-        HeldShare share = share(key);
+    public void completedWarm(Slot slot) {
+        HeldShare share = share(slot.key());
+        synchronized (share) {
+            share.completedWarm(slot);
+        }
+    }
+
+    /** Takes an answer that says that the endpoint was cold as a cold sign, unless it is older than the last one. */
+    public void completedCold(Slot slot) {
+        HeldShare share = share(slot.key());
         synchronized (share) {
-            share.completedWarm();
+            share.completedCold(slot);
         }
     }
 
--- a/src/main/java/org/wigeongrade/decisions/limits/ShareLedger.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/ShareLedger.java
@@ -68,7 +68,9 @@
     /**
      * Takes in an endpoint's own report of the requests that it runs or holds waiting.
      *
-     * @param notBeforeNanos time before which the endpoint cannot have made the report
+     * @param running requests running or waiting there
+     * @param notBeforeNanos time before which the endpoint cannot have made the report, less the longest time that a
+     *     request may be under way to it: a request that it has not received yet is not in its count
      */
     public synchronized void endpointReport(ShareKey key, int running, long notBeforeNanos, long nowNanos) {
         KeyLedger known = keys.get(key);
--- a/src/test/java/org/wigeongrade/decisions/limits/ShareLedgerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/limits/ShareLedgerTest.java
@@ -28,7 +28,7 @@
     }
 
     private ShareReport report(int granted, int inUse, int wanted) {
-        return new ShareReport(KEY, ++sequence, granted, 0, inUse, wanted, 0, 0);
+        return new ShareReport(KEY, ++sequence, granted, 0, inUse, wanted, 0, 0, ShareReport.NO_COLD_SIGN);
     }
 
     private int grant(ShareLedger from, NodeName holder, ShareReport report, long now) {
@@ -106,7 +106,7 @@
         assertThat(grant(cold, A, report(0, 0, 9), 0)).isEqualTo(2);
         assertThat(grant(cold, B, report(0, 0, 9), 1)).isEqualTo(0);
         assertThat(grant(cold, A, report(2, 2, 9), 900)).isEqualTo(2);
-        ShareReport evidence = new ShareReport(KEY, ++sequence, 2, 2, 0, 9, 2, 0);
+        ShareReport evidence = new ShareReport(KEY, ++sequence, 2, 2, 0, 9, 0, 2, ShareReport.NO_COLD_SIGN);
         cold.report(A, 1, evidence, 901);
         assertThat(cold.boundSlots(KEY)).isEqualTo(4);
     }
@@ -117,7 +117,7 @@
         grant(ledger, B, report(0, 0, 5), 1);
         grant(ledger, A, report(10, 0, 5), 2);
         NodeName named = ledger.coldHolder(KEY).orElseThrow();
-        ledger.report(A, 1, new ShareReport(KEY, ++sequence, 0, 0, 0, 5, 0, 1), 3);
+        ledger.report(A, 1, new ShareReport(KEY, ++sequence, 0, 0, 0, 5, 0, 0, 0), 3);
         assertThat(ledger.boundSlots(KEY)).isEqualTo(2);
         assertThat(grant(ledger, A, report(0, 0, 5), 4)).isEqualTo(named.equals(A) ? 2 : 0);
         assertThat(grant(ledger, B, report(0, 0, 5), 5)).isEqualTo(named.equals(B) ? 2 : 0);
