--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/log/RaftCoreProperties.java
@@ -0,0 +1,97 @@
+package org.wigeongrade.decisions.log;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.stream.LongStream;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** The log's promises under seeded random schedules; the checker is proved by taking mechanisms out. */
+final class RaftCoreProperties {
+    private static final long FAULTY_MS = 20_000;
+    private static final long CALM_MS = 6_000;
+    private static final int COMPARED_SEEDS = 60;
+
+    @Property(
+            tries = 120,
+            seed = "71",
+            edgeCases = EdgeCasesMode.NONE,
+            generation = GenerationMode.RANDOMIZED,
+            shrinking = ShrinkingMode.OFF)
+    void threeReplicasKeepEveryPromise(@ForAll long seed) {
+        requireSafeAndLive(3, seed);
+    }
+
+    @Property(
+            tries = 50,
+            seed = "72",
+            edgeCases = EdgeCasesMode.NONE,
+            generation = GenerationMode.RANDOMIZED,
+            shrinking = ShrinkingMode.OFF)
+    void fiveReplicasKeepEveryPromise(@ForAll long seed) {
+        requireSafeAndLive(5, seed);
+    }
+
+    @Example
+    void schedulesWithEveryMechanismReachTheRarePaths() {
+        int installs = 0;
+        int membershipChanges = 0;
+        for (long seed = 1; seed <= COMPARED_SEEDS; seed++) {
+            SimulatedCluster cluster = new SimulatedCluster(3, seed, Faults.ALL);
+            cluster.run(FAULTY_MS, 0);
+            assertWithMessage("violations with seed %s", seed)
+                    .that(cluster.checker.violations())
+                    .isEmpty();
+            installs += cluster.checker.installs();
+            membershipChanges += cluster.checker.membershipChanges();
+        }
+        assertThat(installs).isGreaterThan(COMPARED_SEEDS);
+        assertThat(membershipChanges).isGreaterThan(2 * COMPARED_SEEDS);
+    }
+
+    @Example
+    void unsyncedDataCountedAsSyncedShows() {
+        assertThat(violatingSeeds(Faults.ALL.withUnsyncedCountedAsSynced())).isGreaterThan(0);
+    }
+
+    @Example
+    void votesOfEmptyDisksShow() {
+        assertThat(violatingSeeds(Faults.ALL.withVotesOfEmptyDisks())).isGreaterThan(0);
+    }
+
+    @Example
+    void clockJumpsBeyondTheLeaseMarginShow() {
+        assertThat(violatingSeeds(Faults.ALL.withClockJumps())).isGreaterThan(0);
+    }
+
+    private static void requireSafeAndLive(int size, long seed) {
+        SimulatedCluster cluster = new SimulatedCluster(size, seed, Faults.ALL);
+        cluster.run(FAULTY_MS, CALM_MS);
+        assertWithMessage("violations with seed %s", seed)
+                .that(cluster.checker.violations())
+                .isEmpty();
+        assertWithMessage("convergence with seed %s", seed)
+                .that(cluster.hasConverged())
+                .isTrue();
+        assertThat(cluster.committedIndex()).isGreaterThan(1);
+    }
+
+    private static long violatingSeeds(Faults faults) {
+        long violating = LongStream.rangeClosed(1, COMPARED_SEEDS)
+                .filter(seed -> isViolated(faults, seed))
+                .count();
+        System.out.println(faults + ": " + violating + " of " + COMPARED_SEEDS + " seeds violate a promise");
+        return violating;
+    }
+
+    private static boolean isViolated(Faults faults, long seed) {
+        SimulatedCluster cluster = new SimulatedCluster(3, seed, faults);
+        cluster.run(FAULTY_MS, 0);
+        return !cluster.checker.violations().isEmpty();
+    }
+}
