--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -112,6 +112,15 @@
         entry.suspects().begin(requestDigest, ready.life());
     }
 
+    /** Counts a whole answer as evidence of how much the endpoint can bear. */
+    void answered(Dispatch.Ready ready, boolean statesCold) {
+        if (statesCold) {
+            entry.shares().completedCold(ready.slot());
+            return;
+        }
+        entry.shares().completedWarm(ready.slot());
+    }
+
     /** Gives the slot back. */
     void ended(Dispatch.Ready ready) {
         entry.shares().release(ready.slot());
@@ -122,6 +131,7 @@
         final SendFacts facts = new SendFacts(
                 view.leaseDeadlineNanos(),
                 ready.endpoint().servingDeadlineNanos(),
+                ready.slot().deadlineNanos(),
                 claimDeadlineNanos,
                 attemptDeadlineNanos);
         final Optional<SendRefusal> refusal = SendGate.check(facts, entry.nowNanos());
--- a/src/main/java/org/wigeongrade/nodes/ShareRecords.java
+++ b/src/main/java/org/wigeongrade/nodes/ShareRecords.java
@@ -20,8 +20,9 @@
                 report.coldSlots(),
                 report.inUse(),
                 report.wanted(),
+                report.epoch(),
                 report.warmCompletions(),
-                report.coldSigns());
+                report.coldSignEpoch());
     }
 
     public static ShareReport read(ShareReportRecord record) {
@@ -32,8 +33,9 @@
                 record.getColdSlots(),
                 record.getInUse(),
                 record.getWanted(),
+                record.getEpoch(),
                 record.getWarmCompletions(),
-                record.getColdSigns());
+                record.getColdSignEpoch());
     }
 
     public static ShareGrantRecord write(ShareGrant grant) {
@@ -43,6 +45,7 @@
                 grant.reportSequence(),
                 grant.slots(),
                 grant.coldSlots(),
+                grant.epoch(),
                 grant.leaseNanos());
     }
 
@@ -52,6 +55,7 @@
                 record.getReportSequence(),
                 record.getSlots(),
                 record.getColdSlots(),
+                record.getEpoch(),
                 record.getLeaseNanos());
     }
 }
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -38,8 +38,9 @@
   5: i32 coldSlots
   6: i32 inUse
   7: i32 wanted
-  8: i64 warmCompletions
-  9: i64 coldSigns
+  8: i64 epoch
+  9: i64 warmCompletions
+  10: i64 coldSignEpoch
 }
 
 struct ShareGrantRecord {
@@ -48,7 +49,8 @@
   3: i64 reportSequence
   4: i32 slots
   5: i32 coldSlots
-  6: i64 leaseNanos
+  6: i64 epoch
+  7: i64 leaseNanos
 }
 
 // One request digest and the life of the endpoint that it was in flight at.
