--- a/src/main/java/org/wigeongrade/standin/EngineVm.java
+++ b/src/main/java/org/wigeongrade/standin/EngineVm.java
@@ -42,6 +42,7 @@
     private FencingToken token = FencingToken.NONE;
     private int coldAnswers;
     private long coldSinceNanos;
+    private long loadNumber;
     private long sequence;
     private long cacheSequence;
 
@@ -98,14 +99,13 @@
         modelVersion = order.modelVersion();
         setState(EngineState.LOADING);
         cache.clear();
-        long loading = incarnation;
-        FencingToken followed = token;
-        ScheduledFuture<?> unused =
-                timer.schedule(() -> loaded(loading, followed), settings.loadMs(), TimeUnit.MILLISECONDS);
+        loadNumber++;
+        long number = loadNumber;
+        ScheduledFuture<?> unused = timer.schedule(() -> loaded(number), settings.loadMs(), TimeUnit.MILLISECONDS);
     }
 
-    private synchronized void loaded(long loadedIncarnation, FencingToken followed) {
-        if (state == EngineState.LOADING && incarnation == loadedIncarnation && followed.compareTo(token) <= 0) {
+    private synchronized void loaded(long number) {
+        if (state == EngineState.LOADING && number == loadNumber) {
             turnCold();
         }
     }
@@ -196,7 +196,7 @@
         while (running.size() < settings.capacity() && !waiting.isEmpty()) {
             Generation next = waiting.remove();
             running.add(next);
-            int missing = cache.use(next.prompt().text());
+            int missing = cache.use(next.prompt());
             next.run(settings.prefillMs() * (missing + 1) + faults.current().delayMs());
         }
         load.record(System.nanoTime(), running.size(), waiting.size());
@@ -307,8 +307,8 @@
     }
 
     private void note(JournalEvent event, EngineOrder order) {
-        String detail = order.order() + " " + order.group() + " " + order.members();
-        journal.add(entry(event, null, null, order.token(), detail));
+        String detail = order.order() + " " + order.group();
+        journal.add(entry(event, null, null, order.token(), detail, order.members()));
     }
 
     private void note(JournalEvent event, String attempt, Prompt prompt, String detail) {
@@ -316,6 +316,16 @@
     }
 
     private JournalEntry entry(JournalEvent event, String attempt, Prompt prompt, FencingToken order, String detail) {
+        return entry(event, attempt, prompt, order, detail, members);
+    }
+
+    private JournalEntry entry(
+            JournalEvent event,
+            String attempt,
+            Prompt prompt,
+            FencingToken order,
+            String detail,
+            List<String> shownMembers) {
         FencingToken shown = order == null ? token : order;
         return new JournalEntry(
                 System.nanoTime(),
@@ -327,6 +337,7 @@
                 prompt == null ? null : prompt.user(),
                 null,
                 group,
+                shownMembers,
                 modelVersion,
                 state.code(),
                 shown.term(),
--- a/src/main/java/org/wigeongrade/standin/PrefixCache.java
+++ b/src/main/java/org/wigeongrade/standin/PrefixCache.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.standin;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -8,13 +10,16 @@
 
 /**
  * The stand-in engine's prompt prefix cache: digests of prefixes whose length is a multiple of {@value #BLOCK_CHARS}
- * characters, least recently used out first.
+ * characters of the prompt's JSON text, least recently used out first.
  *
  * <p>Invariant: holds at most {@code maxBlocks} digests. Not safe for concurrent use; the engine's lock guards it.
  */
 public final class PrefixCache {
     /** Length of a cached block in characters of the prompt. */
-    public static final int BLOCK_CHARS = 128;
+    public static final int BLOCK_CHARS = 256;
+
+    private static final int MAX_BLOCKS = 32;
+    private static final int DIGEST_CHARS = 16;
 
     /** One change of the cache. */
     record Event(boolean added, String digest) {}
@@ -27,17 +32,28 @@
         this.maxBlocks = maxBlocks;
     }
 
-    /** Returns the digests of the prompt's prefixes of 1, 2, ... whole blocks. */
-    public static List<String> blockDigests(String prompt) {
+    /**
+     * Returns the digests of the prompt's prefixes of 1, 2, ... whole blocks, {@value #MAX_BLOCKS} at most. Each is the
+     * hash of the digest before it and the block's text; the model's hash comes first.
+     */
+    public static List<String> blockDigests(Prompt prompt) {
+        String json = prompt.promptJson();
+        int blocks = Math.min(MAX_BLOCKS, json.length() / BLOCK_CHARS);
         List<String> digests = new ArrayList<>();
-        for (int end = BLOCK_CHARS; end <= prompt.length(); end += BLOCK_CHARS) {
-            digests.add(AnswerText.digest(prompt.substring(0, end)));
+        String previous = sha256(prompt.model());
+        for (int i = 0; i < blocks; i++) {
+            previous = sha256(previous + json.substring(i * BLOCK_CHARS, (i + 1) * BLOCK_CHARS));
+            digests.add(previous.substring(0, DIGEST_CHARS));
         }
         return digests;
     }
 
+    private static String sha256(String text) {
+        return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+    }
+
     /** Takes a prompt into the cache and returns the number of its blocks that were not cached. */
-    int use(String prompt) {
+    int use(Prompt prompt) {
         int missing = 0;
         for (String digest : blockDigests(prompt)) {
             boolean known = blocks.remove(digest);
@@ -59,10 +75,18 @@
         }
     }
 
-    /** Takes up to {@code max} events that were not yet published. */
+    /**
+     * Takes up to {@code max} events that were not yet published: additions first, then removals, as an announcement
+     * lists them.
+     */
     List<Event> takeEvents(int max) {
         List<Event> taken = new ArrayList<>();
+        boolean removing = false;
         while (taken.size() < max && !events.isEmpty()) {
+            if (removing && events.getFirst().added()) {
+                return taken;
+            }
+            removing = !events.getFirst().added();
             taken.add(events.removeFirst());
         }
         return taken;
--- a/src/main/java/org/wigeongrade/standin/Prompt.java
+++ b/src/main/java/org/wigeongrade/standin/Prompt.java
@@ -6,10 +6,18 @@
 /**
  * What the stand-in engine reads from a request body: who asks for what, and how many tokens.
  *
- * <p>Invariant: {@code digest} is {@link AnswerText#digest} of {@code text}. Immutable; safe for use from any thread.
+ * <p>Invariant: {@code digest} is {@link AnswerText#digest} of {@code text}; {@code promptJson} is the prompt as it
+ * stands in the body. Immutable; safe for use from any thread.
  */
 public record Prompt(
-        String model, String text, String digest, int maxTokens, boolean stream, String continueFrom, String user) {
+        String model,
+        String text,
+        String digest,
+        String promptJson,
+        int maxTokens,
+        boolean stream,
+        String continueFrom,
+        String user) {
     /** Tokens generated if the body does not say {@code max_tokens}. */
     public static final int DEFAULT_TOKENS = 16;
 
@@ -23,6 +31,7 @@
                 body.path("model").asText(""),
                 text,
                 AnswerText.digest(text),
+                body.path(body.has("prompt") ? "prompt" : "messages").toString(),
                 body.path("max_tokens").asInt(DEFAULT_TOKENS),
                 body.path("stream").asBoolean(false),
                 body.path("continue_from").asText(""),
--- a/src/main/java/org/wigeongrade/standin/ServiceVm.java
+++ b/src/main/java/org/wigeongrade/standin/ServiceVm.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.standin;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -148,6 +149,7 @@
                 operation(call.body()),
                 call.key(),
                 null,
+                List.of(),
                 null,
                 cold ? "cold" : "warm",
                 null,
--- /dev/null
+++ b/src/test/java/org/wigeongrade/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the load tool. */
+package org.wigeongrade.bench;
--- /dev/null
+++ b/src/test/java/org/wigeongrade/proof/package-info.java
@@ -0,0 +1,2 @@
+/** Proofs by history: recorder, checkers, and failure tests over separate processes. */
+package org.wigeongrade.proof;
--- /dev/null
+++ b/src/test/java/org/wigeongrade/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-ins. */
+package org.wigeongrade.standin;
