--- /dev/null
+++ b/src/test/java/org/wigeongrade/proof/WrongAnswer.java
@@ -0,0 +1,20 @@
+package org.wigeongrade.proof;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Finds answers with success status that were not the whole answer to the caller's own request. Stateless.
+ */
+final class WrongAnswer {
+    private static final Set<String> CODES = Set.of("wrong_answer", "cut_short");
+
+    private WrongAnswer() {}
+
+    static List<Violation> check(List<HistoryEvent> history) {
+        return history.stream()
+                .filter(event -> event.phase() == Phase.UNKNOWN && CODES.contains(event.value()))
+                .map(event -> new Violation("wrong_answer", event.subject(), event.value() + " from " + event.target()))
+                .toList();
+    }
+}
