--- a/src/main/java/org/wigeongrade/standin/Announcer.java
+++ b/src/main/java/org/wigeongrade/standin/Announcer.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -23,23 +22,18 @@
     private final EntryBalancer balancer;
     private final HttpClient client;
     private final Supplier<Optional<Announcement>> announcement;
-    private final ScheduledExecutorService timer;
+    private final ScheduledFuture<?> periodic;
 
-    /** {@code announcement} gives the next one to send; empty while the VM is silent. */
-    Announcer(EntryBalancer balancer, HttpClient client, Supplier<Optional<Announcement>> announcement) {
+    /** Starts to announce; {@code announcement} gives the next one to send and is empty while the VM is silent. */
+    Announcer(
+            EntryBalancer balancer,
+            HttpClient client,
+            ScheduledExecutorService timer,
+            Supplier<Optional<Announcement>> announcement) {
         this.balancer = balancer;
         this.client = client;
         this.announcement = announcement;
-        this.timer = Executors.newScheduledThreadPool(1, Threads.daemon("announcer"));
-    }
-
-    void start() {
-        ScheduledFuture<?> unused = timer.scheduleAtFixedRate(this::announce, 0, PERIOD_MS, TimeUnit.MILLISECONDS);
-    }
-
-    /** Sends an announcement now, beside the periodic ones. */
-    void announceNow() {
-        timer.execute(this::announce);
+        this.periodic = timer.scheduleAtFixedRate(this::announce, 0, PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
     private void announce() {
@@ -67,6 +61,6 @@
 
     @Override
     public void close() {
-        timer.shutdownNow();
+        periodic.cancel(false);
     }
 }
--- a/src/main/java/org/wigeongrade/standin/EngineStandin.java
+++ b/src/main/java/org/wigeongrade/standin/EngineStandin.java
@@ -40,9 +40,7 @@
         EngineVm engine = new EngineVm(settings, timer, journal);
         parts.add(StandinServer.start(
                 settings.address(), options.threads, chain -> new EngineHandlers(engine).addTo(chain)));
-        Announcer announcer = new Announcer(balancer, options.httpClient(), engine::announcement);
-        parts.add(announcer);
-        announcer.start();
+        parts.add(new Announcer(balancer, options.httpClient(), timer, engine::announcement));
     }
 
     @Override
--- a/src/main/java/org/wigeongrade/standin/ServiceStandin.java
+++ b/src/main/java/org/wigeongrade/standin/ServiceStandin.java
@@ -6,6 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import org.kohsuke.args4j.Option;
 import ratpack.exec.Execution;
 import ratpack.handling.Chain;
@@ -20,6 +22,7 @@
     private final Journal journal;
     private final EntryBalancer balancer;
     private final HttpClient client = StandinCommand.newHttpClient();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1, Threads.daemon("service"));
     private final List<AutoCloseable> parts = new ArrayList<>();
 
     private ServiceStandin(Options options) {
@@ -41,9 +44,7 @@
         ServiceVm vm = new ServiceVm(settings, journal);
         vm.apply(options.faults());
         parts.add(StandinServer.start(settings.address(), options.threads, chain -> addTo(chain, vm)));
-        Announcer announcer = new Announcer(balancer, client, vm::announcement);
-        parts.add(announcer);
-        announcer.start();
+        parts.add(new Announcer(balancer, client, timer, vm::announcement));
     }
 
     private static void addTo(Chain chain, ServiceVm vm) throws Exception {
@@ -115,6 +116,7 @@
             part.close();
         }
         balancer.close();
+        timer.shutdownNow();
         journal.close();
     }
 
