--- /dev/null
+++ b/src/test/java/org/wigeongrade/proof/Histories.java
@@ -0,0 +1,41 @@
+package org.wigeongrade.proof;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.wigeongrade.standin.JournalEntry;
+import org.wigeongrade.standin.JournalEvent;
+
+/** Counts over histories. Stateless. */
+final class Histories {
+    private Histories() {}
+
+    /** Returns the number of outcomes of {@code function} in {@code phase}. */
+    static long count(List<HistoryEvent> history, String function, Phase phase) {
+        return history.stream()
+                .filter(event -> event.function().equals(function) && event.phase() == phase)
+                .count();
+    }
+
+    /** Returns the operations that endpoints started. */
+    static Set<String> startedOperations(List<JournalEntry> journal) {
+        return journal.stream()
+                .filter(entry -> entry.event() == JournalEvent.STARTED && entry.operation() != null)
+                .map(JournalEntry::operation)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the number of outcomes by phase and value. */
+    static Map<String, Long> outcomes(List<HistoryEvent> history, String function) {
+        return history.stream()
+                .filter(event -> event.function().equals(function) && event.phase() != Phase.INVOKE)
+                .collect(Collectors.groupingBy(
+                        event -> event.phase() + " "
+                                + event.value()
+                                        .substring(0, Math.min(60, event.value().length())),
+                        TreeMap::new,
+                        Collectors.counting()));
+    }
+}
--- a/src/test/java/org/wigeongrade/proof/ProcessFleet.java
+++ b/src/test/java/org/wigeongrade/proof/ProcessFleet.java
@@ -34,6 +34,7 @@
     private final Map<String, NodePorts> nodes = new LinkedHashMap<>();
     private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
     private final Map<String, CuttingProxy> proxies = new HashMap<>();
+    private final Map<String, String> standinAddresses = new HashMap<>();
     private final Map<String, Path> journals = new LinkedHashMap<>();
 
     private record NodePorts(boolean control, int listen, int peer, int log) {}
@@ -145,13 +146,14 @@
 
     private ManagedProcess standin(String kind, String vms, String... arguments) {
         int count = vms.split(",").length;
+        int port = LoopbackPorts.freeRow(count);
         Path journal = folder.resolve(vms.replace(',', '_') + ".journal");
         List<String> all = new ArrayList<>(List.of(
                 kind,
                 "--vms",
                 vms,
                 "--listen",
-                "127.0.0.1:" + LoopbackPorts.freeRow(count),
+                "127.0.0.1:" + port,
                 "--entries",
                 String.join(",", entries()),
                 "--journal",
@@ -160,6 +162,7 @@
         ManagedProcess process = ManagedProcess.java(vms, folder, STANDIN_MAIN, all);
         processes.put(vms, process);
         journals.put(vms, journal);
+        standinAddresses.put(vms, "127.0.0.1:" + port);
         return process;
     }
 
@@ -180,6 +183,11 @@
         return processes.get(name);
     }
 
+    /** Returns the HTTP address of the first VM of the stand-in process that was started for {@code vms}. */
+    String standinAddress(String vms) {
+        return standinAddresses.get(vms);
+    }
+
     /** Returns the folder with a node's durable state. */
     Path dataFolder(String name) {
         return folder.resolve(name + "-data");
--- /dev/null
+++ b/src/test/java/org/wigeongrade/proof/StreamResumeProcessTest.java
@@ -0,0 +1,67 @@
+package org.wigeongrade.proof;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.wigeongrade.bench.Workload;
+import org.wigeongrade.standin.JournalEntry;
+import org.wigeongrade.standin.JournalEvent;
+
+/** Engines die, cut answers short and answer under wrong ids while streams run. */
+@Tag("process")
+final class StreamResumeProcessTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    void resumesElsewhereWithoutLostOrDoubledTokens() throws Exception {
+        try (ProcessFleet fleet = ProcessFleet.start(folder, 3, 0);
+                HistoryRecorder recorder = new HistoryRecorder(folder.resolve("history.jsonl"))) {
+            for (String vm : List.of("vm-1", "vm-2")) {
+                fleet.engines(vm, "--cold-requests", "2", "--token-ms", "20");
+            }
+            long unused = fleet.apply(Operators.basics() + Operators.pool(2, 1, 8, 2, "zone-a"), 0, "change-1");
+            try (Callers callers = new Callers(fleet.entries(), recorder)) {
+                callers.startGenerating(6, Workload.CHAT_STREAM, 60);
+                Await.until(
+                        "streams on both engines",
+                        20_000,
+                        () -> !startsAt(fleet, "vm-1").isEmpty()
+                                && !startsAt(fleet, "vm-2").isEmpty());
+                Await.sleepMs(4_000);
+                fleet.process("vm-1").kill();
+                recorder.note("kill", "vm-1");
+                Await.sleepMs(5_000);
+            }
+
+            List<HistoryEvent> history = recorder.history();
+            assertThat(WrongAnswer.check(history)).isEmpty();
+            assertThat(FalseNotRun.check(Callers.GENERATE, history, fleet.journal()))
+                    .isEmpty();
+            assertThat(resumed(fleet, history)).isNotEmpty();
+        }
+    }
+
+    /** Returns the operations that ran on both engines and whose caller got the whole answer. */
+    private static Set<String> resumed(ProcessFleet fleet, List<HistoryEvent> history) {
+        Set<String> onBoth = startsAt(fleet, "vm-1");
+        onBoth.retainAll(startsAt(fleet, "vm-2"));
+        return history.stream()
+                .filter(event -> event.phase() == Phase.OK && onBoth.contains(event.subject()))
+                .map(HistoryEvent::subject)
+                .collect(Collectors.toSet());
+    }
+
+    private static Set<String> startsAt(ProcessFleet fleet, String vm) {
+        return fleet.journal(vm).stream()
+                .filter(entry -> entry.event() == JournalEvent.STARTED)
+                .map(JournalEntry::operation)
+                .collect(Collectors.toSet());
+    }
+}
