--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/config/ObjectKind.java
@@ -0,0 +1,27 @@
+package org.wigeongrade.decisions.config;
+
+import java.util.List;
+import java.util.Locale;
+
+/** Kinds of object that operators can ask about. Immutable; safe for use from any thread. */
+public enum ObjectKind {
+    CONFIGURATION,
+    AVAILABILITY_ZONE,
+    MODEL_VERSION,
+    POOL,
+    GROUP,
+    SERVICE,
+    ORGANISATION,
+    VM,
+    REQUEST;
+
+    /** Returns the kind as it stands in declared files and messages, for example {@code model_version}. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the kinds that operators declare, in the order in which they are listed. */
+    public static List<ObjectKind> declared() {
+        return List.of(AVAILABILITY_ZONE, MODEL_VERSION, POOL, GROUP, SERVICE, ORGANISATION);
+    }
+}
