--- a/src/main/java/org/wigeongrade/command/ApplyCommand.java
+++ b/src/main/java/org/wigeongrade/command/ApplyCommand.java
@@ -36,7 +36,7 @@
         final Map<String, String> query = changeQuery(io);
         query.put("base_revision", Long.toString(baseRevision));
         final OperatorCall call = OperatorCall.post(declared.joinedText(), query, "apply");
-        print(io, client(io).send(call, declared::placed));
-        return ExitCode.OK;
+        final EntryClient client = client(io);
+        return finish(io, client, client.send(call, declared::placed));
     }
 }
--- a/src/main/java/org/wigeongrade/command/CallOutcome.java
+++ b/src/main/java/org/wigeongrade/command/CallOutcome.java
@@ -10,6 +10,9 @@
     /** The entry VM refused the call, and another one would refuse it too. */
     record Refused(OperatorError error) implements CallOutcome {}
 
+    /** No connection to the entry VM could be opened. */
+    record Unreachable(String cause) implements CallOutcome {}
+
     /** The call was not run; another entry VM, or the same one later, may run it. */
     record NotRun(String cause, long retryAfterMs) implements CallOutcome {}
 
--- a/src/main/java/org/wigeongrade/command/ChangeSubcommand.java
+++ b/src/main/java/org/wigeongrade/command/ChangeSubcommand.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.command;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.UUID;
@@ -18,6 +19,19 @@
     @Option(name = "--operator", metaVar = "NAME", usage = "who makes the change (default: the user name)")
     private String operator;
 
+    @Option(name = "--wait", usage = "wait until the change is in force on every node, --timeout-ms at most")
+    private boolean wait;
+
+    /** Prints the answer to a change and, if asked to, waits until its revision is in force everywhere. */
+    final ExitCode finish(CommandIo io, EntryClient client, JsonNode answer) {
+        print(io, answer);
+        if (wait) {
+            new InForceWait(client, timeoutMs(), io.err())
+                    .await(answer.path("revision").asLong());
+        }
+        return ExitCode.OK;
+    }
+
     /** Returns the query of a change, and names the change id on stderr so that it can be sent again. */
     final Map<String, String> changeQuery(CommandIo io) {
         io.err().println("wigeongrade: change id " + changeId);
--- a/src/main/java/org/wigeongrade/command/EntryClient.java
+++ b/src/main/java/org/wigeongrade/command/EntryClient.java
@@ -4,6 +4,7 @@
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.PrintStream;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.UnaryOperator;
 import org.wigeongrade.settings.Fault;
@@ -18,13 +19,15 @@
 final class EntryClient {
     private static final long MIN_PAUSE_MS = 100;
 
+    /** Entry VMs in the order to try; the one that answered last goes first. */
     private final List<NodeAddress> entries;
+
     private final long timeoutMs;
     private final PrintStream progress;
     private final EntryTransport transport = new EntryTransport();
 
     EntryClient(List<NodeAddress> entries, long timeoutMs, PrintStream progress) {
-        this.entries = List.copyOf(entries);
+        this.entries = new ArrayList<>(entries);
         this.timeoutMs = timeoutMs;
         this.progress = progress;
     }
@@ -46,14 +49,18 @@
         String lastCause = "";
         do {
             long pauseMs = MIN_PAUSE_MS;
-            for (final NodeAddress entry : entries) {
+            for (final NodeAddress entry : List.copyOf(entries)) {
                 final CallOutcome outcome = transport.send(entry, call, remaining(deadlineNanos));
                 if (outcome instanceof CallOutcome.Answered answered) {
+                    prefer(entry);
                     return answered.result();
                 }
                 if (outcome instanceof CallOutcome.Refused refused) {
                     throw refused.error().withPlaces(place).toException();
                 }
+                if (outcome instanceof CallOutcome.Unreachable unreachable) {
+                    lastCause = unreachable.cause();
+                }
                 if (outcome instanceof CallOutcome.Unknown unknown) {
                     answerLost = true;
                     lastCause = unknown.cause();
@@ -69,6 +76,11 @@
         throw answerLost ? unknown(lastCause) : unreachable(lastCause);
     }
 
+    private void prefer(NodeAddress entry) {
+        entries.remove(entry);
+        entries.add(0, entry);
+    }
+
     private static Duration remaining(long deadlineNanos) {
         return Duration.ofNanos(Math.max(Duration.ofMillis(MIN_PAUSE_MS).toNanos(), deadlineNanos - System.nanoTime()));
     }
--- a/src/main/java/org/wigeongrade/command/EntryTransport.java
+++ b/src/main/java/org/wigeongrade/command/EntryTransport.java
@@ -35,7 +35,7 @@
         try {
             return classify(client.send(request, HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8)));
         } catch (ConnectException | HttpConnectTimeoutException e) {
-            return new CallOutcome.NotRun("no connection to " + entry, 0);
+            return new CallOutcome.Unreachable("no connection to " + entry);
         } catch (IOException e) {
             return new CallOutcome.Unknown("the answer of " + entry + " was lost: " + e.getMessage());
         } catch (InterruptedException e) {
--- a/src/main/java/org/wigeongrade/command/ExitCode.java
+++ b/src/main/java/org/wigeongrade/command/ExitCode.java
@@ -8,6 +8,7 @@
     BAD_FILE(3, "a settings or input file cannot be read or has faults; nothing was started or sent"),
     UNREACHABLE(4, "no entry VM could be reached or serve; nothing was changed"),
     OUTCOME_UNKNOWN(5, "the answer was lost; the change may be in force, send it again with the same change id"),
+    PENDING(6, "accepted, but not complete everywhere within the time given"),
     INTERNAL(70, "a fault of the program");
 
     private final int value;
--- a/src/main/java/org/wigeongrade/command/OperatorCall.java
+++ b/src/main/java/org/wigeongrade/command/OperatorCall.java
@@ -11,6 +11,11 @@
  * Immutable; safe for use from any thread.
  */
 record OperatorCall(String method, String pathAndQuery, String body) {
+    /** Returns the call that the platform's balancer uses to check a node. */
+    static OperatorCall health() {
+        return new OperatorCall("GET", "/health", "");
+    }
+
     static OperatorCall get(String... pathSegments) {
         return new OperatorCall("GET", path(List.of(pathSegments)), "");
     }
--- a/src/main/java/org/wigeongrade/command/StandinSubcommand.java
+++ b/src/main/java/org/wigeongrade/command/StandinSubcommand.java
@@ -2,6 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import java.util.Optional;
+import org.wigeongrade.logging.LogLevel;
+import org.wigeongrade.logging.LogSetup;
 import org.wigeongrade.standin.StandinCommand;
 
 /** Runs a stand-in until the process is ended. Not safe for use from several threads. */
@@ -19,6 +22,7 @@
 
     @Override
     protected ExitCode run(CommandIo io) {
+        LogSetup.install(LogLevel.WARNING, Optional.empty());
         try {
             standin.run();
             return ExitCode.OK;
--- a/src/main/java/org/wigeongrade/command/ZoneCommand.java
+++ b/src/main/java/org/wigeongrade/command/ZoneCommand.java
@@ -33,7 +33,7 @@
     @Override
     protected ExitCode run(CommandIo io) {
         final OperatorCall call = OperatorCall.post("", changeQuery(io), "zones", zone, action.pathSegment());
-        print(io, send(io, call));
-        return ExitCode.OK;
+        final EntryClient client = client(io);
+        return finish(io, client, client.send(call));
     }
 }
--- /dev/null
+++ b/src/test/java/org/wigeongrade/command/ChangeCommandsTest.java
@@ -0,0 +1,144 @@
+package org.wigeongrade.command;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Whole commands against a fake entry VM. */
+final class ChangeCommandsTest {
+    private static final String ACCEPTED = "200 {\"revision\":5}";
+    private static final String FAULTS = "422 {\"error\":{\"code\":\"invalid_configuration\",\"message\":\"2 faults\","
+            + "\"faults\":[{\"file\":\"body\",\"line\":3,\"object\":\"pool chat\",\"message\":\"no such model version\"},"
+            + "{\"file\":\"body\",\"line\":1,\"object\":\"zone a\",\"message\":\"declared twice\"}]}}";
+
+    @TempDir
+    private Path folder;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    @Test
+    void faultsAreListedWithTheFileOfTheOperator() throws IOException {
+        final Path zones = Files.writeString(folder.resolve("zones.toml"), "one\ntwo\n");
+        final Path pools = Files.writeString(folder.resolve("pools.toml"), "three\n");
+
+        final ExitCode exitCode = run(FAULTS, "apply", "--base-revision", "4", zones.toString(), pools.toString());
+
+        assertThat(exitCode).isEqualTo(ExitCode.REFUSED);
+        assertThat(errors()).contains("  " + pools + ":1: pool chat: no such model version\n");
+        assertThat(errors()).contains("  " + zones + ":1: zone a: declared twice\n");
+        assertThat(errors()).contains("fix: Mend every listed fault and apply the whole set again.");
+    }
+
+    @Test
+    void entriesComeFromTheEnvironment() throws IOException {
+        try (FakeEntry entry = new FakeEntry(ACCEPTED)) {
+            final Map<String, String> environment =
+                    Map.of("WIGEONGRADE_ENTRIES", FakeEntry.unreachable() + ", " + entry.address(), "USER", "ann b");
+
+            assertThat(run(environment, List.of("zone", "out", "zone-a", "--change-id", "c-7")))
+                    .isEqualTo(ExitCode.OK);
+            assertThat(entry.received())
+                    .containsExactly("POST /v1/operator/zones/zone-a/out?change_id=c-7&operator=ann+b ");
+        }
+        assertThat(out.toString(StandardCharsets.UTF_8)).isEqualTo("revision  5\n");
+        assertThat(errors()).contains("change id c-7");
+    }
+
+    @Test
+    void idWithSlashIsOnePathSegment() throws IOException {
+        try (FakeEntry entry = new FakeEntry("200 {\"decisions\":[]}")) {
+            run(
+                    Map.of(),
+                    List.of("why", "group", "chat/1", "--entry", entry.address().toString()));
+
+            assertThat(entry.received()).containsExactly("GET /v1/operator/why/group/chat%2F1 ");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "5 | 100 | 5 | 100 | OK | is in force on every node",
+                "5 | 100 | 4 | 0 | OK | is in force on every node",
+                "5 | 100 | 4 | 100 | PENDING | not in force on [entry-2]",
+                "4 | 100 | 4 | 100 | PENDING | not in force on [entry-1, entry-2]"
+            })
+    void waitEndsOnceNoNodeMayWorkOnAnOlderRevision(
+            int firstRevision, int firstLeaseMs, int secondRevision, int secondLeaseMs, ExitCode expected, String text)
+            throws IOException {
+        final String status = "200 {\"nodes\":[" + node(1, firstRevision, firstLeaseMs) + ","
+                + node(2, secondRevision, secondLeaseMs) + "]}";
+        try (FakeEntry entry = new FakeEntry(ACCEPTED, status)) {
+            final List<String> words = ImmutableList.of(
+                    "zone",
+                    "in",
+                    "zone-a",
+                    "--wait",
+                    "--timeout-ms",
+                    "100",
+                    "--entry",
+                    entry.address().toString());
+
+            assertThat(run(Map.of(), words)).isEqualTo(expected);
+        }
+        assertThat(errors()).contains(text);
+    }
+
+    @Test
+    void stopWaitsUntilTheNodeIsGone() throws IOException {
+        try (FakeEntry entry = new FakeEntry("200 {\"stopping\":true}", "503 stopping")) {
+            final List<String> words = List.of(
+                    "stop",
+                    "--wait",
+                    "--timeout-ms",
+                    "50",
+                    "--entry",
+                    entry.address().toString());
+
+            assertThat(run(Map.of(), words)).isEqualTo(ExitCode.PENDING);
+        }
+        assertThat(errors()).contains("is still ending requests");
+    }
+
+    private static String node(int number, int revision, int leaseLeftMs) {
+        return "{\"name\":\"entry-%d\",\"revision_in_force\":%d,\"lease_left_ms\":%d}"
+                .formatted(number, revision, leaseLeftMs);
+    }
+
+    private ExitCode run(String answer, String... words) throws IOException {
+        try (FakeEntry entry = new FakeEntry(answer)) {
+            final List<String> all = ImmutableList.<String>builder()
+                    .add(words)
+                    .add("--entry", entry.address().toString())
+                    .build();
+            return run(Map.of(), all);
+        }
+    }
+
+    private ExitCode run(Map<String, String> environment, List<String> words) {
+        return CommandLine.run(
+                words,
+                CommandIo.of(
+                        new PrintStream(out, true, StandardCharsets.UTF_8),
+                        new PrintStream(err, true, StandardCharsets.UTF_8),
+                        environment));
+    }
+
+    private String errors() {
+        return err.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/src/test/java/org/wigeongrade/command/EntryClientTest.java
+++ b/src/test/java/org/wigeongrade/command/EntryClientTest.java
@@ -3,19 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +21,7 @@
 final class EntryClientTest {
     private static final long TIMEOUT_MS = 2_000;
     private static final long SHORT_TIMEOUT_MS = 150;
-    private static final String LOST = "lost";
+    private static final String LOST = FakeEntry.LOST;
     private static final String OK = "200 {\"revision\":5}";
     private static final String CUT_OFF =
             "503 {\"error\":{\"code\":\"no_view_lease\",\"message\":\"cut off\",\"retry_after_ms\":1}}";
@@ -38,18 +30,17 @@
     private static final String CONFLICT =
             "409 {\"error\":{\"code\":\"revision_conflict\",\"message\":\"revision is 6, by ann\"}}";
 
-    private final List<HttpServer> servers = new ArrayList<>();
-    private final List<String> received = Collections.synchronizedList(new ArrayList<>());
+    private final List<FakeEntry> started = new ArrayList<>();
     private final PrintStream progress = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
 
     @AfterEach
-    void stopServers() {
-        servers.forEach(server -> server.stop(0));
+    void stopEntries() {
+        started.forEach(FakeEntry::close);
     }
 
     @Test
     void nextEntryIsTriedIfOneCannotBeReached() throws IOException {
-        final EntryClient client = client(TIMEOUT_MS, unreachable(), entry(OK));
+        final EntryClient client = client(TIMEOUT_MS, FakeEntry.unreachable(), entry(OK));
 
         assertThat(client.send(change()).get("revision").asInt()).isEqualTo(5);
     }
@@ -62,10 +53,9 @@
         final EntryClient client = client(TIMEOUT_MS, entry(firstAnswer), entry(OK));
 
         assertThat(client.send(change()).get("revision").asInt()).isEqualTo(5);
-        assertThat(received)
-                .containsExactly(
-                        "POST /v1/operator/apply?change_id=c-1&base_revision=4 set",
-                        "POST /v1/operator/apply?change_id=c-1&base_revision=4 set");
+        final String sent = "POST /v1/operator/apply?change_id=c-1&base_revision=4 set";
+        assertThat(started.get(0).received()).containsExactly(sent);
+        assertThat(started.get(1).received()).containsExactly(sent);
     }
 
     @Test
@@ -77,7 +67,7 @@
         assertThat(error.exitCode()).isEqualTo(ExitCode.REFUSED);
         assertThat(error.code()).isEqualTo("revision_conflict");
         assertThat(error).hasMessageThat().contains("by ann");
-        assertThat(received).hasSize(1);
+        assertThat(started.get(1).received()).isEmpty();
     }
 
     @ParameterizedTest
@@ -85,7 +75,7 @@
             delimiter = '|',
             value = {CUT_OFF + "|UNREACHABLE", LOST + "|OUTCOME_UNKNOWN", UNSURE + "|OUTCOME_UNKNOWN"})
     void deadlineEndsTheCall(String answer, ExitCode expected) throws IOException {
-        final EntryClient client = client(SHORT_TIMEOUT_MS, entry(answer), unreachable());
+        final EntryClient client = client(SHORT_TIMEOUT_MS, entry(answer), FakeEntry.unreachable());
 
         final CommandException error = assertThrows(CommandException.class, () -> client.send(change()));
 
@@ -113,32 +103,9 @@
         return new EntryClient(List.of(entries), timeoutMs, progress);
     }
 
-    /** Starts an entry VM that gives the answers in turn and the last one for good. */
     private NodeAddress entry(String... answers) throws IOException {
-        final Deque<String> left = new ArrayDeque<>(List.of(answers));
-        final HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-        server.createContext("/", exchange -> answer(exchange, left.size() > 1 ? left.remove() : left.peek()));
-        server.start();
-        servers.add(server);
-        return new NodeAddress("127.0.0.1", server.getAddress().getPort());
-    }
-
-    private void answer(HttpExchange exchange, String answer) throws IOException {
-        final String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
-        received.add(exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + body);
-        if (answer.equals(LOST)) {
-            exchange.close();
-            return;
-        }
-        final byte[] bytes = answer.substring(4).getBytes(StandardCharsets.UTF_8);
-        exchange.sendResponseHeaders(Integer.parseInt(answer.substring(0, 3)), bytes.length);
-        exchange.getResponseBody().write(bytes);
-        exchange.close();
-    }
-
-    private static NodeAddress unreachable() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new NodeAddress("127.0.0.1", socket.getLocalPort());
-        }
+        final FakeEntry entry = new FakeEntry(answers);
+        started.add(entry);
+        return entry.address();
     }
 }
