--- a/src/main/java/org/wigeongrade/command/NodeCommand.java
+++ b/src/main/java/org/wigeongrade/command/NodeCommand.java
@@ -1,12 +1,15 @@
 package org.wigeongrade.command;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Optional;
 import org.kohsuke.args4j.Option;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.logging.LogLevel;
 import org.wigeongrade.logging.LogSetup;
 import org.wigeongrade.metrics.Metrics;
@@ -19,6 +22,7 @@
 final class NodeCommand extends Subcommand {
     private static final NodeFactory NODES = Node::new;
     private static final int SECOND_SIGNAL_EXIT = 143;
+    private static final Duration HALT_LOG_TIMEOUT = Duration.ofMillis(200);
 
     @Option(name = "--settings", required = true, metaVar = "FILE", usage = "TOML file with the node's settings")
     private Path settingsFile;
@@ -48,8 +52,9 @@
             return ExitCode.OK;
         }
         installLog();
-        final NodeProcess node = NODES.create(settings, new EventLog(), new Metrics().withJvm());
-        StopSignals.install(node::stop, () -> Runtime.getRuntime().halt(SECOND_SIGNAL_EXIT));
+        final EventLog events = new EventLog();
+        final NodeProcess node = NODES.create(settings, events, new Metrics().withJvm());
+        StopSignals.install(node::stop, () -> haltNow(settings, events));
         node.start();
         awaitStopped(node);
         return ExitCode.OK;
@@ -83,6 +88,15 @@
         }
     }
 
+    /** Ends the process, also if the log cannot be written. */
+    private static void haltNow(NodeSettings settings, EventLog events) {
+        final Thread record = new Thread(
+                () -> events.write(LogEvent.NODE_STOP_CUT_SHORT, settings.name(), null, "a second signal"), "halt-log");
+        record.start();
+        Uninterruptibles.joinUninterruptibly(record, HALT_LOG_TIMEOUT);
+        Runtime.getRuntime().halt(SECOND_SIGNAL_EXIT);
+    }
+
     private static void awaitStopped(NodeProcess node) {
         try {
             node.awaitStopped();
