--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/PlacementBench.java
@@ -0,0 +1,63 @@
+package org.wigeongrade.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.wigeongrade.decisions.config.PlacementWeight;
+import org.wigeongrade.decisions.placement.PlacementPlanner;
+
+/**
+ * Measures group downtime and stranded accelerators over VM failures in virtual time, for both placement weights and a
+ * baseline, and prints one JSON line for each run. Equal seeds give equal lines. Not thread safe.
+ */
+public final class PlacementBench {
+    @Option(name = "--failures", usage = "number of VM failures in each run")
+    private int failures = 200;
+
+    @Option(name = "--seed", usage = "seed of the failure schedule")
+    private long seed = 1;
+
+    @Option(name = "--replicas", usage = "declared replicas in each run")
+    private int replicas = 50;
+
+    @Option(name = "--spares", usage = "warm spares for each availability zone in the run that keeps them")
+    private int spares = 4;
+
+    private PlacementBench() {}
+
+    /** Runs the experiment and prints its figures. */
+    public static void main(String[] args) throws CmdLineException, JsonProcessingException {
+        final PlacementBench bench = new PlacementBench();
+        new CmdLineParser(bench).parseArgument(args);
+        final ObjectMapper mapper = new ObjectMapper();
+        for (final PlacementFigures figures : bench.run()) {
+            System.out.println(mapper.writeValueAsString(figures));
+        }
+    }
+
+    private List<PlacementFigures> run() {
+        final FailureSchedule schedule = FailureSchedule.random(seed, failures, PlacementRun.VMS);
+        final List<PlacementFigures> figures = new ArrayList<>();
+        figures.add(PlacementRun.of(
+                "group_downtime", replicas, PlacementWeight.GROUP_DOWNTIME, spares, schedule, PlacementPlanner::plan));
+        figures.add(PlacementRun.of(
+                "stranded_accelerators",
+                replicas,
+                PlacementWeight.STRANDED_ACCELERATORS,
+                0,
+                schedule,
+                PlacementPlanner::plan));
+        figures.add(PlacementRun.of(
+                "first_fit_in_zone",
+                replicas,
+                PlacementWeight.STRANDED_ACCELERATORS,
+                0,
+                schedule,
+                FirstFitPlanner::plan));
+        return figures;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/PlacementRun.java
@@ -0,0 +1,187 @@
+package org.wigeongrade.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.decisions.config.ModelVersionDeclaration;
+import org.wigeongrade.decisions.config.PlacementWeight;
+import org.wigeongrade.decisions.config.PoolDeclaration;
+import org.wigeongrade.decisions.config.ZoneDeclaration;
+import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.placement.PlacementAction;
+import org.wigeongrade.decisions.placement.PlacementInput;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.FabricDomain;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.PoolName;
+import org.wigeongrade.ids.VmName;
+
+/** One run of a planner over a failure schedule in steps of one second of virtual time. Not thread safe. */
+final class PlacementRun {
+    static final int WARM_UP_SECONDS = 1_200;
+    static final int ZONES = 3;
+    static final int DOMAINS_PER_ZONE = 5;
+    static final int VMS_PER_DOMAIN = 16;
+    static final int VMS = ZONES * DOMAINS_PER_ZONE * VMS_PER_DOMAIN;
+    private static final int VMS_PER_REPLICA = 4;
+    private static final int ACCELERATORS_PER_VM = 8;
+    private static final int MAX_LOADS = 8;
+    private static final long SECOND_NANOS = 1_000_000_000L;
+    private static final long LOAD_NANOS = 60 * SECOND_NANOS;
+
+    private final VirtualFleet fleet;
+    private final FailureSchedule schedule;
+    private final List<FailureSchedule.Failure> open = new ArrayList<>();
+    private final Set<GroupName> serving = new HashSet<>();
+    private final Map<GroupName, Long> downSinceSeconds = new HashMap<>();
+    private int nextFailure;
+    private long outages;
+    private long downtimeSeconds;
+    private long strandedSeconds;
+    private long servingSeconds;
+    private int fewestServing = Integer.MAX_VALUE;
+
+    private PlacementRun(VirtualFleet fleet, FailureSchedule schedule) {
+        this.fleet = fleet;
+        this.schedule = schedule;
+    }
+
+    static PlacementFigures of(
+            String name,
+            int replicas,
+            PlacementWeight weighs,
+            int spares,
+            FailureSchedule schedule,
+            Function<PlacementInput, List<PlacementAction>> planner) {
+        final VirtualFleet fleet = new VirtualFleet(vms(), planner);
+        fleet.declare(declared(replicas, weighs, spares));
+        final PlacementRun run = new PlacementRun(fleet, schedule);
+        final long endSeconds = schedule.endSeconds() + WARM_UP_SECONDS;
+        for (long second = 1; second <= endSeconds; second++) {
+            run.step(second);
+        }
+        return run.figures(name, replicas, endSeconds - WARM_UP_SECONDS);
+    }
+
+    private void step(long second) {
+        fail(second);
+        fleet.step(SECOND_NANOS);
+        if (second > WARM_UP_SECONDS) {
+            measure(second);
+        }
+    }
+
+    private void fail(long second) {
+        while (nextFailure < schedule.failures().size()
+                && schedule.failures().get(nextFailure).atSeconds() <= second) {
+            final FailureSchedule.Failure failure = schedule.failures().get(nextFailure);
+            hit(failure).forEach(VirtualVm::stop);
+            open.add(failure);
+            nextFailure++;
+        }
+        final List<FailureSchedule.Failure> ended =
+                open.stream().filter(failure -> failure.endSeconds() <= second).toList();
+        ended.forEach(failure ->
+                hit(failure).stream().filter(vm -> !vm.isRunning()).forEach(failure.kind()::end));
+        open.removeAll(ended);
+    }
+
+    private List<VirtualVm> hit(FailureSchedule.Failure failure) {
+        final VirtualVm one = fleet.vms().get(failure.vm());
+        if (!failure.kind().hitsDomain()) {
+            return List.of(one);
+        }
+        return fleet.vms().stream()
+                .filter(vm -> vm.domain().equals(one.domain()))
+                .toList();
+    }
+
+    private void measure(long second) {
+        final List<FormedGroup> groups = fleet.servingGroups();
+        final Set<GroupName> now = new HashSet<>();
+        groups.forEach(group -> now.add(group.group()));
+        for (final GroupName group : now) {
+            final Long since = downSinceSeconds.remove(group);
+            downtimeSeconds += since == null ? 0 : second - since;
+        }
+        for (final GroupName group : serving) {
+            if (!now.contains(group)) {
+                downSinceSeconds.put(group, second);
+                outages++;
+            }
+        }
+        serving.clear();
+        serving.addAll(now);
+        servingSeconds += groups.size();
+        fewestServing = Math.min(fewestServing, groups.size());
+        final long running =
+                fleet.vms().stream().filter(VirtualVm::isRunning).count();
+        strandedSeconds += ACCELERATORS_PER_VM * Math.max(0, running - (long) groups.size() * VMS_PER_REPLICA);
+    }
+
+    private PlacementFigures figures(String name, int replicas, long seconds) {
+        final long endSecond = seconds + WARM_UP_SECONDS;
+        downSinceSeconds.values().forEach(since -> downtimeSeconds += endSecond - since);
+        return new PlacementFigures(
+                name,
+                replicas,
+                schedule.failures().size(),
+                seconds,
+                outages,
+                downtimeSeconds,
+                outages == 0 ? 0 : (double) downtimeSeconds / outages,
+                strandedSeconds,
+                (double) strandedSeconds / seconds,
+                (double) servingSeconds / seconds,
+                fewestServing);
+    }
+
+    private static List<VirtualVm> vms() {
+        final List<VirtualVm> vms = new ArrayList<>();
+        for (int number = 0; number < VMS; number++) {
+            final int domain = number / VMS_PER_DOMAIN;
+            vms.add(new VirtualVm(
+                    VmName.of("vm-" + number),
+                    zone(domain / DOMAINS_PER_ZONE),
+                    FabricDomain.of("domain-" + domain),
+                    ACCELERATORS_PER_VM,
+                    LOAD_NANOS));
+        }
+        return vms;
+    }
+
+    private static AvailabilityZone zone(int number) {
+        return AvailabilityZone.of("zone-" + number);
+    }
+
+    private static DeclaredSet declared(int replicas, PlacementWeight weighs, int spares) {
+        final List<AvailabilityZone> zones = List.of(zone(0), zone(1), zone(2));
+        final ModelVersionName version = ModelVersionName.of("guide-1");
+        final PoolDeclaration pool = new PoolDeclaration(
+                PoolName.of("guide"),
+                version,
+                replicas,
+                VMS_PER_REPLICA,
+                8,
+                2,
+                weighs,
+                spares,
+                true,
+                60_000,
+                MAX_LOADS,
+                zones);
+        return new DeclaredSet(
+                zones.stream().map(zone -> new ZoneDeclaration(zone, "region")).toList(),
+                List.of(new ModelVersionDeclaration(version, "guide", "guide-1")),
+                List.of(pool),
+                List.of(),
+                List.of(),
+                List.of());
+    }
+}
--- a/src/main/java/org/wigeongrade/bench/VirtualFleet.java
+++ b/src/main/java/org/wigeongrade/bench/VirtualFleet.java
@@ -58,6 +58,19 @@
         return ChangeId.of("change-" + changes);
     }
 
+    /** Commits a command, as a sender does that may have committed it before. */
+    public CommandResult propose(Command command) {
+        return apply(command);
+    }
+
+    /** Commits the commands of a plan that was made from another state, as a leader that lags would. */
+    public void proposePlanOf(ControlState other) {
+        term++;
+        final PlacementInput input = PlacementInput.of(
+                other, announcements, term, nowNanos, nowEpochMs(), membersKnownAtNanos, membersKnownAtNanos);
+        planner.apply(input).forEach(this::commit);
+    }
+
     /** Replaces the leader: a new term, a state restored from a snapshot and no announcements. */
     public void changeLeader() {
         term++;
@@ -76,13 +89,17 @@
         lastPlan.forEach(this::carryOut);
     }
 
-    private void carryOut(PlacementAction action) {
+    private void commit(PlacementAction action) {
         if (action instanceof PlacementAction.FormGroup form) {
             apply(form.command());
         }
         if (action instanceof PlacementAction.DissolveGroup dissolve) {
             apply(dissolve.command());
         }
+    }
+
+    private void carryOut(PlacementAction action) {
+        commit(action);
         if (action instanceof PlacementAction.SendOrder send) {
             vms.stream()
                     .filter(vm -> vm.name().equals(send.order().vm().vm()))
--- a/src/main/java/org/wigeongrade/bench/VirtualVm.java
+++ b/src/main/java/org/wigeongrade/bench/VirtualVm.java
@@ -32,6 +32,7 @@
     private Optional<GroupName> group = Optional.empty();
     private Optional<ModelVersionName> loaded = Optional.empty();
     private long loadedAtNanos;
+    private long announcedAtNanos = Long.MIN_VALUE;
 
     public VirtualVm(VmName name, AvailabilityZone zone, FabricDomain domain, int accelerators, long loadNanos) {
         this.name = name;
@@ -45,6 +46,16 @@
         return name;
     }
 
+    /** Returns the VM with the incarnation of its process. */
+    public VmIncarnation identity() {
+        return new VmIncarnation(name, incarnation);
+    }
+
+    /** Returns when the VM announced itself last, in nanoseconds of virtual time. */
+    public long announcedAtNanos() {
+        return announcedAtNanos;
+    }
+
     public FabricDomain domain() {
         return domain;
     }
@@ -99,8 +110,9 @@
         if (!running) {
             return Optional.empty();
         }
+        announcedAtNanos = nowNanos;
         return Optional.of(new Announcement(
-                new VmIncarnation(name, incarnation),
+                identity(),
                 "127.0.0.1:1",
                 zone,
                 domain,
--- a/src/main/java/org/wigeongrade/decisions/placement/DomainChooser.java
+++ b/src/main/java/org/wigeongrade/decisions/placement/DomainChooser.java
@@ -10,8 +10,8 @@
 import org.wigeongrade.ids.AvailabilityZone;
 
 /**
- * Chooses the fabric domain for each new group of one pool: first the domain with most VMs that still hold the group,
- * then the availability zone with the fewest groups of the pool, then the domain that suits the pool's weight.
+ * Chooses the fabric domain for each new group of one pool: first a domain in which no VM has to load, then the domain
+ * with most VMs that still announce the group, then the availability zone with the fewest groups of the pool, then the domain that suits the pool's weight.
  *
  * <p>Not thread safe; made for one pool in one plan.
  */
@@ -76,8 +76,13 @@
                 .sum();
     }
 
+    private boolean needsLoad(DomainKey domain) {
+        return free.holding(domain, pool.modelVersion()) < pool.vmsPerReplica();
+    }
+
     private Comparator<DomainKey> preference(DeclaredGroup group) {
-        return Comparator.comparing((DomainKey domain) -> -free.survivors(domain, group.name()))
+        return Comparator.comparing((DomainKey domain) -> needsLoad(domain))
+                .thenComparing(domain -> -free.survivors(domain, group.name()))
                 .thenComparing(domain -> groupsInZone.count(domain.zone()))
                 .thenComparing(free::in, pool.weighs().leftOverOrder())
                 .thenComparing(Comparator.naturalOrder());
--- a/src/main/java/org/wigeongrade/decisions/placement/FreeVms.java
+++ b/src/main/java/org/wigeongrade/decisions/placement/FreeVms.java
@@ -46,6 +46,13 @@
                 .count();
     }
 
+    /** Returns how many free VMs of the domain hold the model version. */
+    int holding(DomainKey domain, ModelVersionName version) {
+        return (int) byDomain.getOrDefault(domain, List.of()).stream()
+                .filter(said -> holds(said, version))
+                .count();
+    }
+
     /** Takes VMs of a domain: those that still announce the group first, then those that hold the model version. */
     List<Announcement> take(DomainKey domain, int count, GroupName group, ModelVersionName version) {
         final List<Announcement> free = byDomain.get(domain);
@@ -60,6 +67,10 @@
         return taken;
     }
 
+    private static boolean holds(Announcement said, ModelVersionName version) {
+        return said.modelVersion().filter(version::equals).isPresent();
+    }
+
     private static boolean announces(Announcement said, GroupName group) {
         return said.group().filter(group::equals).isPresent();
     }
--- a/src/main/java/org/wigeongrade/decisions/placement/PlacementInput.java
+++ b/src/main/java/org/wigeongrade/decisions/placement/PlacementInput.java
@@ -34,6 +34,9 @@
         long nowEpochMs,
         long membersKnownAtNanos,
         long oldLeaderOrdersEndNanos) {
+    /** Largest sequence of an announced token that is taken into account. */
+    static final long MAX_ANNOUNCED_SEQUENCE = 1L << 48;
+
     public PlacementInput {
         zones = ImmutableMap.copyOf(zones);
         groups = List.copyOf(groups);
@@ -65,6 +68,17 @@
                 oldLeaderOrdersEndNanos);
     }
 
+    /**
+     * Returns the largest token in the log or followed by any VM, so that VMs which followed orders of a control state
+     * that was lost follow the new ones. Announced sequences past {@link #MAX_ANNOUNCED_SEQUENCE} are not believed.
+     */
+    FencingToken largestToken() {
+        return announcements.stream()
+                .map(Announcement::orderToken)
+                .filter(token -> token.sequence() <= MAX_ANNOUNCED_SEQUENCE)
+                .reduce(lastToken, (one, other) -> one.compareTo(other) >= 0 ? one : other);
+    }
+
     /** Returns whether the members that are missing now count as lost. */
     boolean knowsMembers() {
         return nowNanos - membersKnownAtNanos >= 0;
--- a/src/main/java/org/wigeongrade/decisions/placement/PlacementPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/placement/PlacementPlanner.java
@@ -19,7 +19,7 @@
     /** Returns the plan: forms and holds, then dissolves, then orders. */
     public static List<PlacementAction> plan(PlacementInput input) {
         final PlacementView view = new PlacementView(input);
-        final TokenSource tokens = new TokenSource(input.term(), input.lastToken());
+        final TokenSource tokens = new TokenSource(input.term(), input.largestToken());
         final List<PlacementAction> formed = FormationPlanner.plan(view, tokens);
         final List<PlacementAction> dissolved = DissolvePlanner.plan(view, formingPools(formed), tokens);
         return ImmutableList.<PlacementAction>builder()
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/membership/ServingLeasesTest.java
@@ -0,0 +1,172 @@
+package org.wigeongrade.decisions.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.wigeongrade.decisions.Sets.GUIDE;
+import static org.wigeongrade.decisions.Sets.GUIDE_1;
+import static org.wigeongrade.decisions.Sets.GUIDE_2;
+import static org.wigeongrade.decisions.Sets.ZONE_A;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.control.ZoneState;
+import org.wigeongrade.ids.FabricDomain;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+final class ServingLeasesTest {
+    private static final FencingToken TOKEN = new FencingToken(2, 5);
+    private static final FormedGroup GROUP = new FormedGroup(
+            GroupName.of("guide/1"),
+            GUIDE,
+            GUIDE_1,
+            ZONE_A,
+            FabricDomain.of("d1"),
+            List.of(vm("v1", 1), vm("v2", 1)),
+            TOKEN,
+            "group_wanted",
+            0);
+
+    private final AnnouncementTable table = new AnnouncementTable();
+
+    /** What the second member announces, and why the group may not serve. */
+    static Stream<Arguments> secondMembers() {
+        return Stream.of(
+                Arguments.of("member_restarted", said(2, 1, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, 200)),
+                Arguments.of("member_missing", said(1, 1, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, 100)),
+                Arguments.of(
+                        "order_not_followed",
+                        said(1, 1, new FencingToken(2, 4), "guide/1", GUIDE_1, EndpointState.WARM, 200)),
+                Arguments.of("order_not_followed", said(1, 1, TOKEN, "guide/2", GUIDE_1, EndpointState.WARM, 200)),
+                Arguments.of("order_not_followed", said(1, 1, TOKEN, null, GUIDE_1, EndpointState.IDLE, 200)),
+                Arguments.of("member_loading", said(1, 1, TOKEN, "guide/1", GUIDE_1, EndpointState.LOADING, 200)),
+                Arguments.of("member_leaving", said(1, 1, TOKEN, "guide/1", GUIDE_1, EndpointState.LEAVING, 200)),
+                Arguments.of("member_not_serving", said(1, 1, TOKEN, "guide/1", GUIDE_1, EndpointState.IDLE, 200)),
+                Arguments.of("wrong_model_version", said(1, 1, TOKEN, "guide/1", GUIDE_2, EndpointState.WARM, 200)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("secondMembers")
+    void groupWithSuchAMemberMayNotServe(String reason, Announcement second) {
+        table.record(first(500));
+        table.record(second);
+
+        final ServingLease lease = ServingLeases.of(GROUP, Map.of(), table, 100);
+
+        assertThat(((ServingLease.Refused) lease).reason().code()).isEqualTo(reason);
+        assertThat(((ServingLease.Refused) lease).member()).hasValue(VmName.of("v2"));
+    }
+
+    @Test
+    void leaseEndsWithTheEarliestOfTheMembers() {
+        table.record(first(500));
+        table.record(said(1, 1, new FencingToken(3, 1), "guide/1", GUIDE_1, EndpointState.COLD, 200));
+
+        assertThat(ServingLeases.of(GROUP, Map.of(), table, 100)).isEqualTo(new ServingLease.Serving(200, true));
+        assertThat(ServingLeases.servingDeadlineNanos(GROUP, Map.of(), table, 200))
+                .isEmpty();
+    }
+
+    @Test
+    void groupInAZoneThatIsOutMayNotServe() {
+        table.record(first(500));
+        table.record(said(1, 1, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, 200));
+
+        final ServingLease lease = ServingLeases.of(GROUP, Map.of(ZONE_A, ZoneState.OUT), table, 100);
+
+        assertThat(((ServingLease.Refused) lease).reason()).isEqualTo(NotServing.ZONE_OUT);
+    }
+
+    /** Announcements that must not replace one of incarnation 2 with sequence 5. */
+    static Stream<Arguments> late() {
+        return Stream.of(Arguments.of(1, 9), Arguments.of(2, 4), Arguments.of(2, 5));
+    }
+
+    @ParameterizedTest
+    @MethodSource("late")
+    void lateAnnouncementIsIgnored(long incarnation, long sequence) {
+        table.record(said(2, 5, TOKEN, "guide/1", GUIDE_1, EndpointState.LEAVING, 200));
+
+        assertThat(table.record(said(incarnation, sequence, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, 900)))
+                .isFalse();
+        assertThat(table.live(VmName.of("v2"), 100).orElseThrow().state()).isEqualTo(EndpointState.LEAVING);
+        assertThat(table.live(VmName.of("v2"), 200)).isEmpty();
+    }
+
+    @Test
+    void expiredAnnouncementStillHidesOlderOnesUntilItIsRemoved() {
+        table.record(said(2, 5, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, 200));
+
+        table.expire(200 + AnnouncementTable.KEEP_EXPIRED_NANOS);
+        assertThat(table.record(said(1, 9, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, 900)))
+                .isFalse();
+        table.expire(201 + AnnouncementTable.KEEP_EXPIRED_NANOS);
+        assertThat(table.record(said(1, 9, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, 900)))
+                .isTrue();
+    }
+
+    @Test
+    void plainServiceServesAloneUnlessItLeaves() {
+        final Announcement warm = said(1, 1, TOKEN, null, null, EndpointState.WARM, 200);
+        final Announcement leaving = said(1, 2, TOKEN, null, null, EndpointState.LEAVING, 200);
+
+        assertThat(ServingLeases.ofService(warm, Map.of()).deadlineNanos()).hasValue(200);
+        assertThat(ServingLeases.ofService(leaving, Map.of()).deadlineNanos()).isEmpty();
+        assertThat(ServingLeases.ofService(warm, Map.of(ZONE_A, ZoneState.OUT)).deadlineNanos())
+                .isEmpty();
+    }
+
+    private static VmIncarnation vm(String name, long incarnation) {
+        return new VmIncarnation(VmName.of(name), incarnation);
+    }
+
+    private static Announcement first(long leaseDeadlineNanos) {
+        return announcement(vm("v1", 1), 1, TOKEN, "guide/1", GUIDE_1, EndpointState.WARM, leaseDeadlineNanos);
+    }
+
+    private static Announcement said(
+            long incarnation,
+            long sequence,
+            FencingToken token,
+            String group,
+            ModelVersionName version,
+            EndpointState state,
+            long leaseDeadlineNanos) {
+        return announcement(vm("v2", incarnation), sequence, token, group, version, state, leaseDeadlineNanos);
+    }
+
+    private static Announcement announcement(
+            VmIncarnation vm,
+            long sequence,
+            FencingToken token,
+            String group,
+            ModelVersionName version,
+            EndpointState state,
+            long leaseDeadlineNanos) {
+        return new Announcement(
+                vm,
+                "127.0.0.1:1",
+                ZONE_A,
+                FabricDomain.of("d1"),
+                8,
+                EndpointKind.ENGINE,
+                Optional.empty(),
+                Optional.ofNullable(group).map(GroupName::of),
+                token,
+                Optional.ofNullable(version),
+                state,
+                0,
+                0,
+                sequence,
+                leaseDeadlineNanos);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/ClaimTableTest.java
@@ -0,0 +1,170 @@
+package org.wigeongrade.decisions.outcomes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wigeongrade.decisions.control.Command;
+import org.wigeongrade.decisions.control.CommandResult;
+import org.wigeongrade.decisions.control.StoredAnswer;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.RunClaim;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.ids.OrganisationName;
+import org.wigeongrade.ids.RequestId;
+import org.wigeongrade.ids.Revision;
+
+final class ClaimTableTest {
+    private static final long SEND_DEADLINE_MS = 5_000;
+    private static final long LONGEST_RUN_MS = 10_000;
+    private static final long OUTCOME_DEADLINE_MS = SEND_DEADLINE_MS + LONGEST_RUN_MS;
+
+    private final ClaimTable table = new ClaimTable();
+
+    /** What a second claim of the key gets: its request, digest and time, the first one's outcome, the answer. */
+    static Stream<Arguments> secondClaims() {
+        return Stream.of(
+                Arguments.of("r1", "d1", SEND_DEADLINE_MS, null, "accepted"),
+                Arguments.of("r1", "d1", SEND_DEADLINE_MS + 1, null, "request_in_progress"),
+                Arguments.of("r2", "d1", 1, null, "request_in_progress"),
+                Arguments.of("r2", "d1", OUTCOME_DEADLINE_MS, null, "request_in_progress"),
+                Arguments.of("r2", "d1", OUTCOME_DEADLINE_MS + 1, null, "outcome_unknown"),
+                Arguments.of("r1", "d1", OUTCOME_DEADLINE_MS + 1, null, "outcome_unknown"),
+                Arguments.of("r2", "d2", 1, null, "idempotency_key_reused"),
+                Arguments.of("r2", "d1", 1, RunClaim.UNKNOWN, "outcome_unknown"),
+                Arguments.of("r1", "d1", 1, RunClaim.UNKNOWN, "outcome_unknown"),
+                Arguments.of("r2", "d1", 1, RunClaim.COMPLETED, "answered"),
+                Arguments.of("r2", "d2", 1, RunClaim.COMPLETED, "idempotency_key_reused"),
+                Arguments.of("r2", "d1", 1, RunClaim.NOT_RUN, "accepted"),
+                Arguments.of("r2", "d2", 1, RunClaim.NOT_RUN, "accepted"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("secondClaims")
+    void secondClaimOfAKey(String request, String digest, long atMs, RunClaim outcome, String expected) {
+        claim("carrick", "key", "r1", "d1", 0);
+        if (outcome != null) {
+            finish("key", "r1", outcome, 0);
+        }
+
+        assertThat(text(claim("carrick", "key", request, digest, atMs))).isEqualTo(expected);
+    }
+
+    @Test
+    void keysOfTwoOrganisationsAreApart() {
+        claim("carrick", "key", "r1", "d1", 0);
+
+        assertThat(text(claim("lyle", "key", "r2", "d2", 0))).isEqualTo("accepted");
+    }
+
+    /** What finishing a claim gets: by whom, how, after which earlier outcome, the answer, the outcome that stays. */
+    static Stream<Arguments> finishes() {
+        return Stream.of(
+                Arguments.of("r2", RunClaim.NOT_RUN, null, "idempotency_key_reused", "request_in_progress"),
+                Arguments.of("r1", RunClaim.NOT_RUN, RunClaim.UNKNOWN, "outcome_unknown", "outcome_unknown"),
+                Arguments.of("r1", RunClaim.COMPLETED, RunClaim.UNKNOWN, "accepted", "answered"),
+                Arguments.of("r1", RunClaim.NOT_RUN, RunClaim.COMPLETED, "accepted", "answered"),
+                Arguments.of("r1", RunClaim.UNKNOWN, RunClaim.COMPLETED, "accepted", "answered"),
+                Arguments.of("r1", RunClaim.COMPLETED, RunClaim.NOT_RUN, "not_found", "accepted"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("finishes")
+    void finish(String request, RunClaim outcome, RunClaim earlier, String expected, String nextClaim) {
+        claim("carrick", "key", "r1", "d1", 0);
+        if (earlier != null) {
+            finish("key", "r1", earlier, 0);
+        }
+
+        assertThat(text(finish("key", request, outcome, 1))).isEqualTo(expected);
+        assertThat(text(claim("carrick", "key", "r3", "d1", 2))).isEqualTo(nextClaim);
+    }
+
+    @Test
+    void claimIsKeptForItsRetentionAfterTheOutcomeDeadline() {
+        claim("carrick", "key", "r1", "d1", 0);
+
+        table.expire(OUTCOME_DEADLINE_MS + ClaimTable.RETENTION_MS - 1);
+        assertThat(table.claims()).hasSize(1);
+        table.expire(OUTCOME_DEADLINE_MS + ClaimTable.RETENTION_MS);
+        assertThat(table.claims()).isEmpty();
+    }
+
+    @Test
+    void oldestAnswersMakeRoomAndTheirRequestsStillRunOnce() {
+        final int answers = 20;
+        for (int i = 0; i < answers; i++) {
+            claim("carrick", "key" + i, "r" + i, "d1", i);
+            finish("key" + i, "r" + i, RunClaim.COMPLETED, i, new byte[1024 * 1024]);
+        }
+
+        assertThat(table.answerBytes()).isAtMost(ClaimTable.MAX_ANSWER_BYTES);
+        assertThat(text(claim("carrick", "key0", "r99", "d1", 50))).isEqualTo("outcome_unknown");
+        assertThat(text(claim("carrick", "key19", "r99", "d1", 50))).isEqualTo("answered");
+    }
+
+    @Test
+    void claimsOfOneOrganisationAreBounded() {
+        for (int i = 0; i < ClaimTable.MAX_CLAIMS_PER_ORGANISATION; i++) {
+            claim("carrick", "key" + i, "r1", "d1", 0);
+        }
+
+        assertThat(text(claim("carrick", "more", "r2", "d1", 0))).isEqualTo("organisation_limit");
+        assertThat(text(claim("lyle", "more", "r2", "d1", 0))).isEqualTo("accepted");
+    }
+
+    @Test
+    void quarantineEndsAtTheLaterDeadline() {
+        final QuarantineTable quarantines = new QuarantineTable();
+        quarantines.add("d1", "crashed 2 endpoints", 0, 100);
+        quarantines.add("d1", "crashed 2 endpoints", 1, 50);
+
+        assertThat(quarantines.find("d1", 99)).isPresent();
+        assertThat(quarantines.find("d1", 100)).isEmpty();
+        quarantines.expire(100);
+        assertThat(quarantines.entries()).isEmpty();
+    }
+
+    private CommandResult claim(String organisation, String key, String request, String digest, long atMs) {
+        final Command.ClaimRequest command = new Command.ClaimRequest(
+                OrganisationName.of(organisation),
+                key,
+                digest,
+                RequestId.of(request),
+                NodeName.of("entry-1"),
+                SEND_DEADLINE_MS,
+                atMs);
+        return table.claim(command, atMs, LONGEST_RUN_MS, Revision.NONE);
+    }
+
+    private CommandResult finish(String key, String request, RunClaim outcome, long atMs) {
+        return finish(key, request, outcome, atMs, new byte[1]);
+    }
+
+    private CommandResult finish(String key, String request, RunClaim outcome, long atMs, byte[] body) {
+        final StoredAnswer answer = outcome == RunClaim.COMPLETED ? new StoredAnswer(200, "text/plain", body) : null;
+        final Command.FinishClaim command = new Command.FinishClaim(
+                OrganisationName.of("carrick"), key, RequestId.of(request), outcome, answer, atMs);
+        return table.finish(command, atMs, Revision.NONE);
+    }
+
+    private static String text(CommandResult result) {
+        if (result instanceof CommandResult.Refused refused) {
+            return refused.kind().code();
+        }
+        return result instanceof CommandResult.AlreadyAnswered ? "answered" : "accepted";
+    }
+
+    @Test
+    void refusalsTellWhatToDo() {
+        claim("carrick", "key", "r1", "d1", 0);
+
+        final CommandResult.Refused refused = (CommandResult.Refused) claim("carrick", "key", "r2", "d2", 0);
+
+        assertThat(refused.message()).contains("Use a new idempotency key");
+        assertThat(refused.kind()).isEqualTo(ErrorKind.IDEMPOTENCY_KEY_REUSED);
+    }
+}
--- a/src/test/java/org/wigeongrade/decisions/placement/PlacementPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/placement/PlacementPlannerTest.java
@@ -198,6 +198,20 @@
         assertThat(fleet.servingGroups()).hasSize(1);
     }
 
+    @Test
+    void vmsThatFollowedALostControlStateFollowTheNewOne() {
+        final VirtualFleet before = Fleets.of(1, 2);
+        before.declare(Sets.with(Sets.pool(3, 2)));
+        before.changeLeader();
+        Fleets.run(before, 30);
+
+        final VirtualFleet after = new VirtualFleet(before.vms(), PlacementPlanner::plan);
+        after.declare(Sets.with(Sets.pool(3, 2)));
+        Fleets.run(after, 60);
+
+        assertThat(after.servingGroups()).hasSize(3);
+    }
+
     private static PoolDeclaration pool(
             int replicas, PlacementWeight weighs, int spares, boolean fencing, int maxLoads, boolean newVersion) {
         return Sets.pool(replicas, 2, newVersion ? GUIDE_2 : GUIDE_1, weighs, spares, fencing, maxLoads);
