Carry the epoch of cold signs in share reports and grants between processes

The dispatcher hands the slot's deadline to the last check before a send. A bound of 0 slots is allowed again, as an organisation may declare no limit.

--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -91,6 +91,7 @@
         final SendFacts facts = new SendFacts(
                 view.leaseDeadlineNanos(),
                 ready.endpoint().servingDeadlineNanos(),
+                ready.slot().deadlineNanos(),
                 claimDeadlineNanos,
                 attemptDeadlineNanos);
         final Optional<SendRefusal> refusal = SendGate.check(facts, entry.nowNanos());
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wigeongrade.decisions.control.StoredAnswer;
-import org.wigeongrade.decisions.limits.ShareKey;
 import org.wigeongrade.decisions.outcomes.AttemptEvent;
 import org.wigeongrade.decisions.outcomes.AttemptOutcome;
 import org.wigeongrade.decisions.routing.Retries;
@@ -242,7 +241,7 @@
         endAttempt(running, new AttemptOutcome(AttemptEvent.ANSWERED));
         final EndpointId endpoint = running.ready().endpoint().id();
         if (!running.head().statesCold()) {
-            services.entry().shares().completedWarm(ShareKey.endpointSlots(endpoint));
+            services.entry().shares().completedWarm(running.ready().slot());
         }
         notes.add(endpoint.value(), "answered", "status " + running.head().status() + ", attempt " + attempts);
     }
--- a/src/main/java/org/wigeongrade/decisions/limits/ShareBound.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/ShareBound.java
@@ -7,7 +7,7 @@
  */
 public record ShareBound(int slots, int coldSlots, long longestRunNanos) {
     public ShareBound {
-        if (coldSlots < 1 || coldSlots > slots) {
+        if (coldSlots < Math.min(1, slots) || coldSlots > slots) {
             throw new IllegalArgumentException("share bound has " + coldSlots + " cold slots of " + slots
                     + " slots: declare 1 <= cold capacity <= capacity");
         }
--- a/src/main/java/org/wigeongrade/nodes/ShareRecords.java
+++ b/src/main/java/org/wigeongrade/nodes/ShareRecords.java
@@ -21,7 +21,8 @@
                 report.inUse(),
                 report.wanted(),
                 report.warmCompletions(),
-                report.coldSigns());
+                report.coldSignEpoch(),
+                report.epoch());
     }
 
     public static ShareReport read(ShareReportRecord record) {
@@ -32,8 +33,9 @@
                 record.getColdSlots(),
                 record.getInUse(),
                 record.getWanted(),
+                record.getEpoch(),
                 record.getWarmCompletions(),
-                record.getColdSigns());
+                record.getColdSignEpoch());
     }
 
     public static ShareGrantRecord write(ShareGrant grant) {
@@ -43,7 +45,8 @@
                 grant.reportSequence(),
                 grant.slots(),
                 grant.coldSlots(),
-                grant.leaseNanos());
+                grant.leaseNanos(),
+                grant.epoch());
     }
 
     public static ShareGrant read(ShareGrantRecord record) {
@@ -52,6 +55,7 @@
                 record.getReportSequence(),
                 record.getSlots(),
                 record.getColdSlots(),
+                record.getEpoch(),
                 record.getLeaseNanos());
     }
 }
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -39,7 +39,8 @@
   6: i32 inUse
   7: i32 wanted
   8: i64 warmCompletions
-  9: i64 coldSigns
+  9: i64 coldSignEpoch
+  10: i64 epoch
 }
 
 struct ShareGrantRecord {
@@ -49,6 +50,7 @@
   4: i32 slots
   5: i32 coldSlots
   6: i64 leaseNanos
+  7: i64 epoch
 }
 
 // One request digest and the life of the endpoint that it was in flight at.
