--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashSuspects.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashSuspects.java
@@ -48,7 +48,7 @@
 
     /**
      * Returns the list for one entry VM and gives it the trial of each suspect that it wants to run and nobody else may
-     * run now. {@code quarantined} are the digests that the replicated log holds.
+     * run now; a trial that it no longer wants is free. {@code quarantined} are the digests that the replicated log holds.
      */
     public synchronized SuspectList list(
             NodeName entryVm, Set<String> wantedTrials, Set<String> quarantined, long nowNanos) {
@@ -57,6 +57,8 @@
         suspects.forEach((digest, suspect) -> {
             if (wantedTrials.contains(digest)) {
                 suspect.giveTrial(entryVm, nowNanos + trialNanos, nowNanos);
+            } else {
+                suspect.endTrial(entryVm);
             }
             listed.add(new SuspectList.Suspect(digest, suspect.lost.size(), suspect.trialHolder(nowNanos), trialNanos));
         });
@@ -83,6 +85,12 @@
             return nowNanos - trialDeadlineNanos < 0 ? trialHolder : Optional.empty();
         }
 
+        void endTrial(NodeName entryVm) {
+            if (trialHolder.equals(Optional.of(entryVm))) {
+                trialHolder = Optional.empty();
+            }
+        }
+
         void giveTrial(NodeName entryVm, long deadlineNanos, long nowNanos) {
             Optional<NodeName> current = trialHolder(nowNanos);
             if (current.isEmpty() || current.get().equals(entryVm)) {
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/AttemptOutcomeTest.java
@@ -0,0 +1,63 @@
+package org.wigeongrade.decisions.outcomes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wigeongrade.errors.RunClaim;
+
+/** Each way an attempt can end, and what may be said of it. */
+final class AttemptOutcomeTest {
+    static Stream<Arguments> noAnswer() {
+        return Stream.of(
+                Arguments.of(AttemptFacts.connectFailed(), AttemptEvent.CONNECT_FAILED),
+                Arguments.of(
+                        noAnswer(false, AttemptFacts.End.CONNECTION_FAILED), AttemptEvent.FAILED_BEFORE_FIRST_BYTE),
+                Arguments.of(noAnswer(false, AttemptFacts.End.DEADLINE_PASSED), AttemptEvent.FAILED_BEFORE_FIRST_BYTE),
+                Arguments.of(noAnswer(true, AttemptFacts.End.CONNECTION_FAILED), AttemptEvent.FAILED_AFTER_FIRST_BYTE),
+                Arguments.of(noAnswer(true, AttemptFacts.End.DEADLINE_PASSED), AttemptEvent.TIMED_OUT),
+                Arguments.of(noAnswer(true, AttemptFacts.End.CALLER_GONE), AttemptEvent.CANCELLED));
+    }
+
+    private static AttemptFacts noAnswer(boolean bytesGiven, AttemptFacts.End end) {
+        return AttemptFacts.noAnswer(bytesGiven, end);
+    }
+
+    @ParameterizedTest
+    @MethodSource("noAnswer")
+    void withoutAnswer(AttemptFacts facts, AttemptEvent expected) {
+        assertThat(AttemptOutcome.of(facts).event()).isEqualTo(expected);
+    }
+
+    @ParameterizedTest(name = "status {0}, not run stated {1}, id matches {2}, {3}: {4}")
+    @CsvSource({
+        "200, false, true, WHOLE_ANSWER, ANSWERED",
+        "500, false, true, WHOLE_ANSWER, ANSWERED",
+        "503, false, true, WHOLE_ANSWER, ANSWERED",
+        "503, true, true, WHOLE_ANSWER, REFUSED_NOT_RUN",
+        "429, true, true, WHOLE_ANSWER, REFUSED_NOT_RUN",
+        "200, true, true, WHOLE_ANSWER, ANSWERED",
+        "503, true, false, WHOLE_ANSWER, ANSWER_MISMATCHED",
+        "200, false, false, CONNECTION_FAILED, ANSWER_MISMATCHED",
+        "503, true, true, CONNECTION_FAILED, CUT_SHORT",
+        "200, false, true, CONNECTION_FAILED, CUT_SHORT",
+        "200, false, true, STALL_DEADLINE_PASSED, STALLED",
+        "200, false, true, CALLER_GONE, CANCELLED",
+    })
+    void withAnswer(int status, boolean notRun, boolean idMatches, AttemptFacts.End end, AttemptEvent expected) {
+        AttemptFacts facts = AttemptFacts.answer(status, notRun, idMatches, end);
+        assertThat(AttemptOutcome.of(facts).event()).isEqualTo(expected);
+    }
+
+    /** What a caller is told agrees with what is known of the attempt. */
+    @ParameterizedTest
+    @EnumSource(AttemptEvent.class)
+    void errorKindClaimsNoMoreThanTheEvent(AttemptEvent event) {
+        event.errorKind().ifPresent(kind -> assertThat(kind.runClaim()).isEqualTo(event.claim()));
+        assertThat(event.errorKind().isEmpty()).isEqualTo(event.claim() == RunClaim.COMPLETED);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/SendGateTest.java
@@ -0,0 +1,36 @@
+package org.wigeongrade.decisions.outcomes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.wigeongrade.errors.RunClaim;
+
+/** The last check before a send at time 100, by deadlines of view, serving lease, slot, claim and attempt. */
+final class SendGateTest {
+    @ParameterizedTest
+    @CsvSource({
+        "101, 101, 101, 101, 101, ",
+        "101, 101, 101, , 101, ",
+        "100, 101, 101, 101, 101, VIEW_LEASE_ENDED",
+        "101, 100, 101, 101, 101, SEND_SERVING_LEASE_ENDED",
+        "101, 101, 100, 101, 101, SLOT_DEADLINE_PASSED",
+        "101, 101, 101, 100, 101, CLAIM_DEADLINE_PASSED",
+        "101, 101, 101, 101, 100, ATTEMPT_DEADLINE_PASSED",
+        "9, 9, 9, 9, 9, VIEW_LEASE_ENDED",
+    })
+    void check(long view, long serving, long slot, Long claim, long attempt, SendRefusal expected) {
+        OptionalLong claimDeadline = claim == null ? OptionalLong.empty() : OptionalLong.of(claim);
+        SendFacts facts = new SendFacts(view, serving, slot, claimDeadline, attempt);
+        assertThat(SendGate.check(facts, 100)).isEqualTo(Optional.ofNullable(expected));
+    }
+
+    @ParameterizedTest
+    @EnumSource(SendRefusal.class)
+    void refusalSaysNotRun(SendRefusal refusal) {
+        assertThat(refusal.errorKind().runClaim()).isEqualTo(RunClaim.NOT_RUN);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/SuspectsTest.java
@@ -0,0 +1,118 @@
+package org.wigeongrade.decisions.outcomes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.NodeName;
+
+/** Requests that crash endpoints, seen from two entry VMs and the leader. */
+final class SuspectsTest {
+    private static final NodeName A = NodeName.of("a");
+    private static final NodeName B = NodeName.of("b");
+    private static final long MINUTE = TimeUnit.MINUTES.toNanos(1);
+    private static final EndpointLife E1 = new EndpointLife(EndpointId.of("e1"), 1);
+    private static final EndpointLife E2 = new EndpointLife(EndpointId.of("e2"), 1);
+    private static final String BAD = "digest-bad";
+    private static final String INNOCENT = "digest-innocent";
+
+    private final SuspectTable a = new SuspectTable(A, 500);
+    private final SuspectTable b = new SuspectTable(B, 500);
+    private final CrashSuspects leader = new CrashSuspects(10 * MINUTE, MINUTE);
+    private ImmutableSet<String> quarantined = ImmutableSet.of();
+
+    private ImmutableList<QuarantineProposal> exchange(NodeName name, SuspectTable table, long now) {
+        ImmutableList<QuarantineProposal> proposals = leader.report(name, table.report(), now);
+        proposals.forEach(proposal -> quarantined = ImmutableSet.<String>builder()
+                .addAll(quarantined)
+                .add(proposal.requestDigest())
+                .build());
+        table.apply(leader.list(name, table.wantedTrials(now), quarantined, now), now);
+        return proposals;
+    }
+
+    @Test
+    void twoLostEndpointsQuarantineTheDigestFleetWide() {
+        a.begin(BAD, E1);
+        a.begin(INNOCENT, E1);
+        a.endpointLost(E1);
+        assertThat(exchange(A, a, 1)).isEmpty();
+        exchange(B, b, 2);
+        assertThat(b.check(BAD, 3)).isInstanceOf(SuspectVerdict.ComeBack.class);
+        exchange(B, b, 4);
+        assertThat(b.check(BAD, 5)).isInstanceOf(SuspectVerdict.RunAlone.class);
+        b.begin(BAD, E2);
+        assertThat(b.isReservedForSuspect(E2.endpoint())).isTrue();
+        assertThat(b.check(BAD, 6)).isInstanceOf(SuspectVerdict.ComeBack.class);
+        b.endpointLost(E2);
+        assertThat(exchange(B, b, 7)).hasSize(1);
+        exchange(A, a, 8);
+        assertThat(a.check(BAD, 9)).isInstanceOf(SuspectVerdict.Quarantined.class);
+        assertThat(a.check(INNOCENT, 9)).isNotInstanceOf(SuspectVerdict.Quarantined.class);
+    }
+
+    @Test
+    void suspectThatCompletesIsCleared() {
+        a.begin(INNOCENT, E1);
+        a.endpointLost(E1);
+        exchange(A, a, 1);
+        a.check(INNOCENT, 2);
+        exchange(A, a, 3);
+        assertThat(a.check(INNOCENT, 4)).isInstanceOf(SuspectVerdict.RunAlone.class);
+        a.begin(INNOCENT, E2);
+        a.end(INNOCENT, E2, AttemptEvent.ANSWERED);
+        exchange(A, a, 5);
+        exchange(B, b, 6);
+        assertThat(a.check(INNOCENT, 7)).isInstanceOf(SuspectVerdict.Clear.class);
+        assertThat(b.check(INNOCENT, 7)).isInstanceOf(SuspectVerdict.Clear.class);
+    }
+
+    @Test
+    void onlyOneEntryVmHoldsTheTrialUntilItsDeadline() {
+        a.begin(BAD, E1);
+        a.endpointLost(E1);
+        exchange(A, a, 1);
+        a.check(BAD, 2);
+        exchange(A, a, 3);
+        exchange(B, b, 3);
+        b.check(BAD, 4);
+        exchange(B, b, 5);
+        assertThat(a.check(BAD, 6)).isInstanceOf(SuspectVerdict.RunAlone.class);
+        assertThat(b.check(BAD, 6)).isInstanceOf(SuspectVerdict.ComeBack.class);
+        long later = 2 * MINUTE;
+        assertThat(a.check(BAD, later)).isInstanceOf(SuspectVerdict.ComeBack.class);
+        b.check(BAD, later);
+        exchange(B, b, later + 1);
+        assertThat(b.check(BAD, later + 2)).isInstanceOf(SuspectVerdict.RunAlone.class);
+    }
+
+    @Test
+    void trialThatItsHolderNoLongerWantsIsFree() {
+        a.begin(BAD, E1);
+        a.endpointLost(E1);
+        assertThat(a.check(BAD, 0)).isInstanceOf(SuspectVerdict.ComeBack.class);
+        exchange(A, a, 1);
+        long later = TimeUnit.SECONDS.toNanos(5);
+        exchange(A, a, later);
+        exchange(B, b, later);
+        b.check(BAD, later);
+        exchange(B, b, later);
+        assertThat(b.check(BAD, later + 1)).isInstanceOf(SuspectVerdict.RunAlone.class);
+        assertThat(a.check(BAD, later + 1)).isInstanceOf(SuspectVerdict.ComeBack.class);
+    }
+
+    @Test
+    void repeatedReportCountsAnEndpointOnce() {
+        a.begin(BAD, E1);
+        b.begin(BAD, E1);
+        a.endpointLost(E1);
+        b.endpointLost(E1);
+        CrashReport report = a.report();
+        assertThat(leader.report(A, report, 1)).isEmpty();
+        assertThat(leader.report(A, report, 2)).isEmpty();
+        assertThat(leader.report(B, b.report(), 3)).isEmpty();
+    }
+}
