--- a/src/test/java/org/wigeongrade/proof/Histories.java
+++ b/src/test/java/org/wigeongrade/proof/Histories.java
@@ -19,6 +19,14 @@
                 .count();
     }
 
+    /** Returns the targets of the outcomes of {@code function} in {@code phase}. */
+    static Set<String> targets(List<HistoryEvent> history, String function, Phase phase) {
+        return history.stream()
+                .filter(event -> event.function().equals(function) && event.phase() == phase)
+                .map(HistoryEvent::target)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the operations that endpoints started. */
     static Set<String> startedOperations(List<JournalEntry> journal) {
         return journal.stream()
--- a/src/test/java/org/wigeongrade/proof/RacingOperators.java
+++ b/src/test/java/org/wigeongrade/proof/RacingOperators.java
@@ -100,11 +100,15 @@
         }
     }
 
-    /** Reads the configuration at {@code entry}; the read counts only if the entry VM then passes its health check. */
+    /**
+     * Reads the configuration at {@code entry}. The read counts only if the entry VM passes its health check before and
+     * after it: without a valid view lease it serves nobody and its view is in force for nobody.
+     */
     void readOnce(String entry) {
         HistoryRecorder.Call call = recorder.invoke(99, ConfigurationRegister.READ, entry, entry);
+        boolean healthy = Http.isHealthy(entry);
         Optional<JsonNode> read = configuration(entry);
-        if (read.isPresent() && Http.isHealthy(entry)) {
+        if (healthy && read.isPresent() && Http.isHealthy(entry)) {
             long revision = read.get().path("revision").asLong();
             call.ok(revision + ":" + AnswerText.digest(read.get().toString()));
         } else {
--- a/src/test/java/org/wigeongrade/proof/StreamResumeProcessTest.java
+++ b/src/test/java/org/wigeongrade/proof/StreamResumeProcessTest.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.proof;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.file.Path;
 import java.util.List;
@@ -16,6 +17,8 @@
 /** Engines die, cut answers short and answer under wrong ids while streams run. */
 @Tag("process")
 final class StreamResumeProcessTest {
+    private static final int MIN_RUNNING = 2;
+
     @TempDir
     Path folder;
 
@@ -29,12 +32,12 @@
             long unused = fleet.apply(Operators.basics() + Operators.pool(2, 1, 8, 2, "zone-a"), 0, "change-1");
             try (Callers callers = new Callers(fleet.entries(), recorder)) {
                 callers.startGenerating(6, Workload.CHAT_STREAM, 60);
+                Await.until("both engines are warm", 20_000, () -> isWarm(fleet, "vm-1") && isWarm(fleet, "vm-2"));
+                Await.sleepMs(1_500);
                 Await.until(
-                        "streams on both engines",
-                        20_000,
-                        () -> !startsAt(fleet, "vm-1").isEmpty()
-                                && !startsAt(fleet, "vm-2").isEmpty());
-                Await.sleepMs(4_000);
+                        "streams run at vm-1",
+                        10_000,
+                        () -> running(fleet, "vm-1").size() >= MIN_RUNNING);
                 fleet.process("vm-1").kill();
                 recorder.note("kill", "vm-1");
                 Await.sleepMs(5_000);
@@ -44,10 +47,25 @@
             assertThat(WrongAnswer.check(history)).isEmpty();
             assertThat(FalseNotRun.check(Callers.GENERATE, history, fleet.journal()))
                     .isEmpty();
-            assertThat(resumed(fleet, history)).isNotEmpty();
+            assertWithMessage("%s", Histories.outcomes(history, Callers.GENERATE))
+                    .that(resumed(fleet, history))
+                    .isNotEmpty();
         }
     }
 
+    private static boolean isWarm(ProcessFleet fleet, String vm) {
+        return fleet.journal(vm).stream()
+                .anyMatch(entry -> entry.event() == JournalEvent.STATE && "warm".equals(entry.state()));
+    }
+
+    private static Set<String> running(ProcessFleet fleet, String vm) {
+        Set<String> running = startsAt(fleet, vm);
+        fleet.journal(vm).stream()
+                .filter(entry -> entry.event() != JournalEvent.STARTED && entry.operation() != null)
+                .forEach(entry -> running.remove(entry.operation()));
+        return running;
+    }
+
     /** Returns the operations that ran on both engines and whose caller got the whole answer. */
     private static Set<String> resumed(ProcessFleet fleet, List<HistoryEvent> history) {
         Set<String> onBoth = startsAt(fleet, "vm-1");
