--- a/src/main/java/org/wigeongrade/errors/WigeongradeException.java
+++ b/src/main/java/org/wigeongrade/errors/WigeongradeException.java
@@ -11,14 +11,17 @@
     private final long retryAfterMs;
     private final transient ImmutableList<ErrorDetail> details;
 
+    /** Creates an error with the kind's own time to come back. */
     public WigeongradeException(ErrorKind kind, String message) {
         this(kind, message, kind.retryAfterMs(), null);
     }
 
+    /** Creates an error with a cause and the kind's own time to come back. */
     public WigeongradeException(ErrorKind kind, String message, Throwable cause) {
         this(kind, message, kind.retryAfterMs(), cause);
     }
 
+    /** Creates an error with a time to come back, in milliseconds. */
     public WigeongradeException(ErrorKind kind, String message, long retryAfterMs, Throwable cause) {
         super(message, cause);
         this.kind = kind;
@@ -39,6 +42,7 @@
         return details;
     }
 
+    /** Returns the kind, which decides the answer. */
     public ErrorKind kind() {
         return kind;
     }
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -38,8 +38,9 @@
   5: i32 coldSlots
   6: i32 inUse
   7: i32 wanted
-  8: i64 warmCompletions
-  9: i64 coldSigns
+  8: i64 epoch
+  9: i64 warmCompletions
+  10: i64 coldSignEpoch
 }
 
 struct ShareGrantRecord {
@@ -48,7 +49,8 @@
   3: i64 reportSequence
   4: i32 slots
   5: i32 coldSlots
-  6: i64 leaseNanos
+  6: i64 epoch
+  7: i64 leaseNanos
 }
 
 // One request digest and the life of the endpoint that it was in flight at.
@@ -89,6 +91,8 @@
   14: i64 cacheCursorTerm
   15: i64 cacheCursor
   16: CrashReportRecord crashReport
+  // Where other entry VMs may pass callers' requests on to this one.
+  17: string callerAddress
 }
 
 struct EndpointRecord {
@@ -107,6 +111,8 @@
   13: i64 fencingTerm
   14: i64 fencingSequence
   15: string coldHolder
+  // Where the cold holder takes callers' requests; empty if there is none.
+  16: string coldHolderAddress
 }
 
 struct LoadRecord {
