--- a/src/main/java/org/wigeongrade/bench/FailureSchedule.java
+++ b/src/main/java/org/wigeongrade/bench/FailureSchedule.java
@@ -68,7 +68,7 @@
     }
 
     private static Failure failure(Kind kind, Random random, long atSeconds, int vm) {
-        final long pauseSeconds = SHORTEST_PAUSE_SECONDS + random.nextInt(PAUSE_RANGE_SECONDS);
+        final long pauseSeconds = (long) SHORTEST_PAUSE_SECONDS + random.nextInt(PAUSE_RANGE_SECONDS);
         final long restartSeconds = 1 + (long) exponential(random, MEAN_RESTART_SECONDS);
         final long lengthSeconds = kind == Kind.PAUSE ? pauseSeconds : restartSeconds;
         return new Failure(kind, vm, atSeconds, atSeconds + lengthSeconds);
--- a/src/main/java/org/wigeongrade/bench/PlacementRun.java
+++ b/src/main/java/org/wigeongrade/bench/PlacementRun.java
@@ -15,6 +15,7 @@
 import org.wigeongrade.decisions.control.FormedGroup;
 import org.wigeongrade.decisions.placement.PlacementAction;
 import org.wigeongrade.decisions.placement.PlacementInput;
+import org.wigeongrade.decisions.placement.PlacementPlanner;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.FabricDomain;
 import org.wigeongrade.ids.GroupName;
@@ -59,7 +60,7 @@
             int spares,
             FailureSchedule schedule,
             Function<PlacementInput, List<PlacementAction>> planner) {
-        final VirtualFleet fleet = new VirtualFleet(vms(), planner);
+        final VirtualFleet fleet = new VirtualFleet(vms(ZONES * DOMAINS_PER_ZONE), planner);
         fleet.declare(declared(replicas, weighs, spares));
         final PlacementRun run = new PlacementRun(fleet, schedule);
         final long endSeconds = schedule.endSeconds() + WARM_UP_SECONDS;
@@ -87,8 +88,8 @@
         }
         final List<FailureSchedule.Failure> ended =
                 open.stream().filter(failure -> failure.endSeconds() <= second).toList();
-        ended.forEach(failure ->
-                hit(failure).stream().filter(vm -> !vm.isRunning()).forEach(failure.kind()::end));
+        ended.forEach(
+                failure -> hit(failure).stream().filter(vm -> !vm.isRunning()).forEach(failure.kind()::end));
         open.removeAll(ended);
     }
 
@@ -120,8 +121,7 @@
         serving.addAll(now);
         servingSeconds += groups.size();
         fewestServing = Math.min(fewestServing, groups.size());
-        final long running =
-                fleet.vms().stream().filter(VirtualVm::isRunning).count();
+        final long running = fleet.vms().stream().filter(VirtualVm::isRunning).count();
         strandedSeconds += ACCELERATORS_PER_VM * Math.max(0, running - (long) groups.size() * VMS_PER_REPLICA);
     }
 
@@ -142,13 +142,25 @@
                 fewestServing);
     }
 
-    private static List<VirtualVm> vms() {
+    /** Returns a fleet in which that many groups were formed and serve, with as many domains as they need. */
+    static VirtualFleet formed(int groups) {
+        final int groupsPerDomain = VMS_PER_DOMAIN / VMS_PER_REPLICA;
+        final int domains = (groups + groupsPerDomain - 1) / groupsPerDomain;
+        final VirtualFleet fleet = new VirtualFleet(vms(domains), PlacementPlanner::plan);
+        fleet.declare(declared(groups, PlacementWeight.STRANDED_ACCELERATORS, 0));
+        while (fleet.servingGroups().size() < groups) {
+            fleet.step(10 * SECOND_NANOS);
+        }
+        return fleet;
+    }
+
+    private static List<VirtualVm> vms(int domains) {
         final List<VirtualVm> vms = new ArrayList<>();
-        for (int number = 0; number < VMS; number++) {
+        for (int number = 0; number < domains * VMS_PER_DOMAIN; number++) {
             final int domain = number / VMS_PER_DOMAIN;
             vms.add(new VirtualVm(
                     VmName.of("vm-" + number),
-                    zone(domain / DOMAINS_PER_ZONE),
+                    zone(domain * ZONES / domains),
                     FabricDomain.of("domain-" + domain),
                     ACCELERATORS_PER_VM,
                     LOAD_NANOS));
--- a/src/main/java/org/wigeongrade/decisions/outcomes/ClaimTable.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/ClaimTable.java
@@ -21,14 +21,19 @@
  * first and their claims stay. Results depend on the commands alone. Not thread safe; {@code ControlState} guards it.
  */
 public final class ClaimTable {
+    private static final long MS_PER_HOUR = 60L * 60 * 1_000;
+
     /** How long a claim is kept after its last change, in milliseconds. */
-    public static final long RETENTION_MS = 24L * 60 * 60 * 1_000;
+    public static final long RETENTION_MS = 24 * MS_PER_HOUR;
 
     /** Claims that one organisation may hold at once. */
-    public static final int MAX_CLAIMS_PER_ORGANISATION = 30_000;
+    public static final int MAX_CLAIMS_PER_ORGANISATION = 4_000;
+
+    /** Claims that all organisations may hold at once. */
+    public static final int MAX_CLAIMS = 8_000;
 
     /** Bodies of all kept answers together, in bytes. */
-    public static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
+    public static final long MAX_ANSWER_BYTES = 4L * 1024 * 1024;
 
     private static final Comparator<Claim> OLDEST_FIRST =
             Comparator.comparingLong(Claim::retainUntilEpochMs).thenComparing(ClaimKey::of);
@@ -52,17 +57,21 @@
         if (earlier != null) {
             return claimAgain(key, earlier, command, nowEpochMs, revision);
         }
-        if (countOf.getOrDefault(command.organisation(), 0) >= MAX_CLAIMS_PER_ORGANISATION) {
+        if (isFull(command.organisation())) {
             return refused(
                     ErrorKind.ORGANISATION_LIMIT,
                     key,
-                    "cannot be claimed: its organisation holds " + MAX_CLAIMS_PER_ORGANISATION + " claims",
+                    "cannot be claimed: too many claims of the last " + RETENTION_MS / MS_PER_HOUR + " hours are kept",
                     revision);
         }
         put(key, open(command, nowEpochMs, longestRunMs));
         return new CommandResult.Accepted(revision);
     }
 
+    private boolean isFull(OrganisationName organisation) {
+        return claims.size() >= MAX_CLAIMS || countOf.getOrDefault(organisation, 0) >= MAX_CLAIMS_PER_ORGANISATION;
+    }
+
     private static CommandResult claimAgain(
             ClaimKey key, Claim earlier, Command.ClaimRequest command, long nowEpochMs, Revision revision) {
         if (!earlier.requestDigest().equals(command.requestDigest())) {
--- a/src/main/java/org/wigeongrade/decisions/placement/FormationPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/placement/FormationPlanner.java
@@ -5,7 +5,6 @@
 import java.util.Comparator;
 import java.util.List;
 import org.wigeongrade.decisions.config.DeclaredGroup;
-import org.wigeongrade.decisions.config.DeclaredGroups;
 import org.wigeongrade.decisions.config.PoolDeclaration;
 import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.membership.Announcement;
@@ -54,7 +53,7 @@
 
     /** Returns the groups to form; those that were dissolved come first, since their members may still hold them. */
     private static List<DeclaredGroup> wanted(PlacementView view, PoolDeclaration pool) {
-        return DeclaredGroups.of(view.input().declaredSet(), pool).stream()
+        return view.declaredOf(pool.name()).stream()
                 .filter(group -> !view.isFormed(group.name()))
                 .sorted(Comparator.comparing((DeclaredGroup group) -> !view.wasDissolved(group.name()))
                         .thenComparing(DeclaredGroup::order))
--- a/src/main/java/org/wigeongrade/decisions/placement/PlacementView.java
+++ b/src/main/java/org/wigeongrade/decisions/placement/PlacementView.java
@@ -1,11 +1,11 @@
 package org.wigeongrade.decisions.placement;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.wigeongrade.decisions.config.DeclaredGroup;
 import org.wigeongrade.decisions.config.DeclaredGroups;
@@ -25,14 +25,21 @@
     private final ImmutableMap<VmName, Announcement> live;
     private final ImmutableMap<VmName, FormedGroup> groupOfVm;
     private final ImmutableMap<GroupName, FormedGroup> formed;
+    private final ImmutableListMultimap<PoolName, DeclaredGroup> declaredOfPool;
     private final ImmutableMap<GroupName, DeclaredGroup> declared;
+    private final ImmutableSet<GroupName> loaded;
 
     PlacementView(PlacementInput input) {
         this.input = input;
         this.live = Maps.uniqueIndex(input.announcements(), said -> said.vm().vm());
         this.formed = Maps.uniqueIndex(input.groups(), FormedGroup::group);
         this.groupOfVm = groupsOfVms(input.groups());
-        this.declared = declaredGroups(input);
+        this.declaredOfPool = declaredGroups(input);
+        this.declared = Maps.uniqueIndex(declaredOfPool.values(), DeclaredGroup::name);
+        this.loaded = input.groups().stream()
+                .filter(this::hasLoaded)
+                .map(FormedGroup::group)
+                .collect(ImmutableSet.toImmutableSet());
     }
 
     private static ImmutableMap<VmName, FormedGroup> groupsOfVms(List<FormedGroup> groups) {
@@ -41,12 +48,20 @@
         return byVm.buildOrThrow();
     }
 
-    private static ImmutableMap<GroupName, DeclaredGroup> declaredGroups(PlacementInput input) {
-        final Map<GroupName, DeclaredGroup> byName = new HashMap<>();
-        input.declaredSet().pools().stream()
-                .flatMap(pool -> DeclaredGroups.of(input.declaredSet(), pool).stream())
-                .forEach(group -> byName.put(group.name(), group));
-        return ImmutableMap.copyOf(byName);
+    private static ImmutableListMultimap<PoolName, DeclaredGroup> declaredGroups(PlacementInput input) {
+        final ImmutableListMultimap.Builder<PoolName, DeclaredGroup> groups = ImmutableListMultimap.builder();
+        input.declaredSet()
+                .pools()
+                .forEach(pool -> groups.putAll(pool.name(), DeclaredGroups.of(input.declaredSet(), pool)));
+        return groups.build();
+    }
+
+    private boolean hasLoaded(FormedGroup group) {
+        return group.members().stream()
+                .allMatch(member -> live(member)
+                        .filter(said -> said.follows(group.group(), group.fencingToken()))
+                        .filter(said -> said.state().serves())
+                        .isPresent());
     }
 
     PlacementInput input() {
@@ -70,6 +85,11 @@
         return Optional.ofNullable(declared.get(group));
     }
 
+    /** Returns the groups that the pool declares, in the order in which they are formed. */
+    List<DeclaredGroup> declaredOf(PoolName pool) {
+        return declaredOfPool.get(pool);
+    }
+
     boolean isFormed(GroupName group) {
         return formed.containsKey(group);
     }
@@ -90,11 +110,7 @@
 
     /** Returns whether every member follows its order and serves. */
     boolean isLoaded(FormedGroup group) {
-        return group.members().stream()
-                .allMatch(member -> live(member)
-                        .filter(said -> said.follows(group.group(), group.fencingToken()))
-                        .filter(said -> said.state().serves())
-                        .isPresent());
+        return loaded.contains(group.group());
     }
 
     /** Returns the engine VMs that belong to no group and may join one, in the order of names. */
--- a/src/test/java/org/wigeongrade/decisions/outcomes/ClaimTableTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/ClaimTableTest.java
@@ -114,6 +114,8 @@
 
         assertThat(text(claim("carrick", "more", "r2", "d1", 0))).isEqualTo("organisation_limit");
         assertThat(text(claim("lyle", "more", "r2", "d1", 0))).isEqualTo("accepted");
+        table.expire(OUTCOME_DEADLINE_MS + ClaimTable.RETENTION_MS);
+        assertThat(text(claim("carrick", "more", "r2", "d1", 0))).isEqualTo("accepted");
     }
 
     @Test
--- a/src/test/java/org/wigeongrade/decisions/placement/PlacementPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/placement/PlacementPlannerTest.java
@@ -206,7 +206,7 @@
         Fleets.run(before, 30);
 
         final VirtualFleet after = new VirtualFleet(before.vms(), PlacementPlanner::plan);
-        after.declare(Sets.with(Sets.pool(3, 2)));
+        after.declare(Sets.with(pool(3, PlacementWeight.GROUP_DOWNTIME, 0, true, 100, true)));
         Fleets.run(after, 60);
 
         assertThat(after.servingGroups()).hasSize(3);
