Answer slow bodies, unknown paths and refused methods; state which node leads

A request that is half-closed by its caller still gets no answer: the server takes the half-close as a caller that is gone and cancels its work. Ratpack's idle timeout alone was ruled out for bodies: it bounds silence, not a slow trickle, and closes without an answer.

--- a/src/main/java/org/wigeongrade/bench/PlacementRun.java
+++ b/src/main/java/org/wigeongrade/bench/PlacementRun.java
@@ -87,8 +87,8 @@
         }
         final List<FailureSchedule.Failure> ended =
                 open.stream().filter(failure -> failure.endSeconds() <= second).toList();
-        ended.forEach(failure ->
-                hit(failure).stream().filter(vm -> !vm.isRunning()).forEach(failure.kind()::end));
+        ended.forEach(
+                failure -> hit(failure).stream().filter(vm -> !vm.isRunning()).forEach(failure.kind()::end));
         open.removeAll(ended);
     }
 
@@ -120,8 +120,7 @@
         serving.addAll(now);
         servingSeconds += groups.size();
         fewestServing = Math.min(fewestServing, groups.size());
-        final long running =
-                fleet.vms().stream().filter(VirtualVm::isRunning).count();
+        final long running = fleet.vms().stream().filter(VirtualVm::isRunning).count();
         strandedSeconds += ACCELERATORS_PER_VM * Math.max(0, running - (long) groups.size() * VMS_PER_REPLICA);
     }
 
--- a/src/main/java/org/wigeongrade/callers/CallerApi.java
+++ b/src/main/java/org/wigeongrade/callers/CallerApi.java
@@ -116,6 +116,7 @@
 
     private Promise<TypedData> readBody(Context context, RequestId id) {
         final int maxBytes = services.limits().maxBodyBytes();
+        final BodyDeadline deadline = bodyDeadline(context, id);
         return context.getRequest()
                 .getBody(
                         maxBytes,
@@ -123,7 +124,18 @@
                                 context,
                                 id,
                                 new WigeongradeException(
-                                        ErrorKind.BODY_TOO_LARGE, "the body exceeds " + maxBytes + " bytes")));
+                                        ErrorKind.BODY_TOO_LARGE, "the body exceeds " + maxBytes + " bytes")))
+                .next(body -> deadline.end());
+    }
+
+    private BodyDeadline bodyDeadline(Context context, RequestId id) {
+        final long timeoutMs = services.limits().bodyReadTimeoutMs();
+        final WigeongradeException failure = new WigeongradeException(
+                ErrorKind.REQUEST_TOO_SLOW, "the body did not arrive within " + timeoutMs + " ms");
+        final BodyDeadline deadline = BodyDeadline.start(
+                context.getDirectChannelAccess().getChannel(), timeoutMs, id, failure, () -> count(id, failure));
+        context.onClose(outcome -> deadline.end());
+        return deadline;
     }
 
     private void listModels(Arrived request) {
@@ -300,9 +312,13 @@
     }
 
     private void refuse(Context context, RequestId id, WigeongradeException failure) {
+        count(id, failure);
+        ErrorAnswers.send(context.getResponse(), id, failure);
+    }
+
+    private void count(RequestId id, WigeongradeException failure) {
         services.metrics().refused(failure.kind());
         services.events()
                 .write(LogEvent.REQUEST_REFUSED, id, "-", failure.kind().code(), failure.getMessage());
-        ErrorAnswers.send(context.getResponse(), id, failure);
     }
 }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/callers/HttpFailures.java
@@ -0,0 +1,81 @@
+package org.wigeongrade.callers;
+
+import java.util.UUID;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.RequestId;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.Metrics;
+import ratpack.error.ClientErrorHandler;
+import ratpack.error.ServerErrorHandler;
+import ratpack.handling.Context;
+import ratpack.http.ConnectionClosedException;
+
+/**
+ * Answers what no handler answered: unknown paths, methods that a path does not serve, and unexpected failures.
+ *
+ * <p>Invariant: each answer is one of the closed list of error kinds. A closed connection gets none. Thread safe: holds
+ * no state of its own.
+ */
+public final class HttpFailures implements ClientErrorHandler, ServerErrorHandler {
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+
+    private final Metrics metrics;
+    private final EventLog events;
+
+    public HttpFailures(Metrics metrics, EventLog events) {
+        this.metrics = metrics;
+        this.events = events;
+    }
+
+    @Override
+    public void error(Context context, int status) {
+        final String method = context.getRequest().getMethod().getName();
+        final String path = "/" + context.getRequest().getPath();
+        switch (status) {
+            case NOT_FOUND ->
+                refuse(context, new WigeongradeException(ErrorKind.NOT_FOUND, "nothing is served at " + path));
+            case METHOD_NOT_ALLOWED ->
+                refuse(
+                        context,
+                        new WigeongradeException(
+                                ErrorKind.METHOD_NOT_ALLOWED, "method " + method + " is not served at " + path));
+            default ->
+                refuse(
+                        context,
+                        new WigeongradeException(
+                                ErrorKind.MALFORMED_REQUEST, "the request was refused with HTTP status " + status));
+        }
+    }
+
+    @Override
+    public void error(Context context, Throwable failure) {
+        if (failure instanceof ConnectionClosedException) {
+            return;
+        }
+        if (failure instanceof WigeongradeException known) {
+            refuse(context, known);
+            return;
+        }
+        final RequestId id = newId();
+        events.writeFault(LogEvent.REQUEST_FAULT, failure, id, failure);
+        metrics.refused(ErrorKind.INTERNAL);
+        ErrorAnswers.send(
+                context.getResponse(),
+                id,
+                new WigeongradeException(ErrorKind.INTERNAL, "the request met a fault; see event 1608 in the log"));
+    }
+
+    private void refuse(Context context, WigeongradeException failure) {
+        final RequestId id = newId();
+        metrics.refused(failure.kind());
+        events.write(LogEvent.REQUEST_REFUSED, id, null, failure.kind().code(), failure.getMessage());
+        ErrorAnswers.send(context.getResponse(), id, failure);
+    }
+
+    private static RequestId newId() {
+        return new RequestId("req-" + UUID.randomUUID());
+    }
+}
--- a/src/main/java/org/wigeongrade/command/Node.java
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -19,6 +19,7 @@
 import org.wigeongrade.callers.CallerApi;
 import org.wigeongrade.callers.CallerServices;
 import org.wigeongrade.callers.Delay;
+import org.wigeongrade.callers.HttpFailures;
 import org.wigeongrade.callers.InFlight;
 import org.wigeongrade.endpoints.EndpointApi;
 import org.wigeongrade.endpoints.EndpointClient;
@@ -49,8 +50,11 @@
 import org.wigeongrade.settings.NodeAddress;
 import org.wigeongrade.settings.NodeSettings;
 import org.wigeongrade.settings.PeerSettings;
+import ratpack.error.ClientErrorHandler;
+import ratpack.error.ServerErrorHandler;
 import ratpack.exec.ExecController;
 import ratpack.handling.Chain;
+import ratpack.registry.RegistrySpec;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
 
@@ -146,8 +150,9 @@
                 new NodeService.Processor<>(new NodeServiceHandler(entry, control)),
                 PEER_WORKER_THREADS);
         nodeServer.start();
-        httpServer = RatpackServer.of(
-                server -> server.serverConfig(serverConfig()).handlers(chain -> addHandlers(chain, link)));
+        httpServer = RatpackServer.of(server -> server.serverConfig(serverConfig())
+                .registryOf(this::addFailureHandlers)
+                .handlers(chain -> addHandlers(chain, link)));
         httpServer.start();
         puller.start();
         placement.ifPresent(PlacementLoop::start);
@@ -163,12 +168,20 @@
         return new NodeAddress(ip, settings.listen().port()).toString();
     }
 
+    private void addFailureHandlers(RegistrySpec registry) {
+        final HttpFailures failures = new HttpFailures(metrics, events);
+        registry.add(ClientErrorHandler.class, failures);
+        registry.add(ServerErrorHandler.class, failures);
+    }
+
     private ServerConfig serverConfig() {
         final InetSocketAddress address = settings.listen().toSocketAddress();
         return ServerConfig.builder()
                 .address(address.getAddress())
                 .port(address.getPort())
                 .threads(settings.limits().workerThreads())
+                .idleTimeout(Duration.ofMillis(
+                        settings.limits().requestTimeoutMs() + settings.limits().stallTimeoutMs()))
                 .registerShutdownHook(false)
                 .development(false)
                 .build();
--- a/src/main/java/org/wigeongrade/errors/ErrorKind.java
+++ b/src/main/java/org/wigeongrade/errors/ErrorKind.java
@@ -11,6 +11,7 @@
     MALFORMED_REQUEST(400, RunClaim.NOT_RUN, 0, "The request cannot be read; mend it as the message says."),
     UNAUTHENTICATED(401, RunClaim.NOT_RUN, 0, "Send the bearer key of a declared organisation."),
     NOT_FOUND(404, RunClaim.NOT_RUN, 0, "Name a declared model, service or object."),
+    METHOD_NOT_ALLOWED(405, RunClaim.NOT_RUN, 0, "Use a method that this path serves."),
     REQUEST_TOO_SLOW(408, RunClaim.NOT_RUN, 0, "Send the whole request body before the read deadline."),
     REVISION_CONFLICT(409, RunClaim.NOT_RUN, 0, "Read the current revision and apply the change to it."),
     REQUEST_IN_PROGRESS(409, RunClaim.UNKNOWN, 1_000, "The first send of this idempotency key is still running."),
--- a/src/main/java/org/wigeongrade/logging/LogSetup.java
+++ b/src/main/java/org/wigeongrade/logging/LogSetup.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
@@ -18,6 +19,8 @@
     /** Held here, since java.util.logging drops the level of a logger that nothing refers to. */
     private static final Logger EVENTS = Logger.getLogger(EventLog.LOGGER_NAME);
 
+    private static final String LIBRARY = "library";
+
     private LogSetup() {}
 
     /**
@@ -44,8 +47,10 @@
         }
     }
 
-    /** Writes each record at once. Safe for use from any thread. */
+    /** Writes each record at once; records of libraries pass one common budget. Safe for use from any thread. */
     private static final class FlushingHandler extends StreamHandler {
+        private final EventBudget libraryBudget = new EventBudget();
+
         FlushingHandler(OutputStream stream) {
             super(stream, new LineFormatter());
             setLevel(Level.ALL);
@@ -53,8 +58,26 @@
 
         @Override
         public synchronized void publish(LogRecord logRecord) {
+            if (!EventLog.LOGGER_NAME.equals(logRecord.getLoggerName()) && !libraryRecordPasses()) {
+                return;
+            }
             super.publish(logRecord);
             flush();
         }
+
+        private boolean libraryRecordPasses() {
+            final OptionalLong suppressed = libraryBudget.tryPass(System.nanoTime());
+            if (suppressed.orElse(0) > 0) {
+                super.publish(suppressedRecord(suppressed.getAsLong()));
+            }
+            return suppressed.isPresent();
+        }
+
+        private static LogRecord suppressedRecord(long count) {
+            final EventRecord event = EventRecord.of(LogEvent.RECORDS_SUPPRESSED, count, LIBRARY);
+            final LogRecord logRecord = new LogRecord(Level.WARNING, event.toString());
+            logRecord.setLoggerName(EventLog.LOGGER_NAME);
+            return logRecord;
+        }
     }
 }
--- a/src/main/java/org/wigeongrade/nodes/control/FleetMeasures.java
+++ b/src/main/java/org/wigeongrade/nodes/control/FleetMeasures.java
@@ -37,6 +37,11 @@
         this.events = events;
     }
 
+    /** States whether this VM leads. */
+    void leads(boolean isLeader) {
+        metrics.setLeader(isLeader);
+    }
+
     void update(ControlState state, Leadership leadership, long nowNanos) {
         final FleetSnapshot fleet = leadership.snapshot(state, nowNanos);
         logChanges(state, fleet);
--- a/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
@@ -64,7 +64,9 @@
 
     private void runOnce() {
         try {
-            control.leadership().ifPresent(this::plan);
+            final Optional<Leadership> leadership = control.leadership();
+            measures.leads(leadership.isPresent());
+            leadership.ifPresent(this::plan);
         } catch (WigeongradeException failure) {
             events.write(LogEvent.PLACEMENT_FAILED, failure.getMessage());
         } catch (RuntimeException failure) {
--- a/src/test/java/org/wigeongrade/decisions/config/ConfigurationRulesTest.java
+++ b/src/test/java/org/wigeongrade/decisions/config/ConfigurationRulesTest.java
@@ -191,8 +191,8 @@
 
     private static DeclaredSet twoPools(ModelVersionName second) {
         final DeclaredSet set = Sets.valid();
-        final PoolDeclaration other = pool(
-                PoolName.of("other"), second, 1, 2, 8, 2, PlacementWeight.GROUP_DOWNTIME, 0, ZONE_A);
+        final PoolDeclaration other =
+                pool(PoolName.of("other"), second, 1, 2, 8, 2, PlacementWeight.GROUP_DOWNTIME, 0, ZONE_A);
         return new DeclaredSet(
                 set.zones(),
                 set.modelVersions(),
--- a/src/test/java/org/wigeongrade/decisions/placement/PlacementProperties.java
+++ b/src/test/java/org/wigeongrade/decisions/placement/PlacementProperties.java
@@ -143,7 +143,9 @@
         final Set<VmName> seen = new HashSet<>();
         for (final FormedGroup group : fleet.state().groups()) {
             for (final VmIncarnation member : group.members()) {
-                assertWithMessage("%s in two groups", member).that(seen.add(member.vm())).isTrue();
+                assertWithMessage("%s in two groups", member)
+                        .that(seen.add(member.vm()))
+                        .isTrue();
                 assertThat(vm(fleet, member.vm()).domain()).isEqualTo(group.fabricDomain());
             }
         }
@@ -153,8 +155,8 @@
         assertThat(fleet.state().zoneStates().get(group.zone())).isEqualTo(ZoneState.IN);
         for (final VmIncarnation member : group.members()) {
             final VirtualVm vm = vm(fleet, member.vm());
-            final boolean present = vm.identity().equals(member)
-                    && fleet.nowNanos() - vm.announcedAtNanos() < VirtualFleet.LEASE_NANOS;
+            final boolean present =
+                    vm.identity().equals(member) && fleet.nowNanos() - vm.announcedAtNanos() < VirtualFleet.LEASE_NANOS;
             assertWithMessage("%s of %s", member, group.group()).that(present).isTrue();
         }
     }
