Hand the lead over on a planned stop, bound memory, and measure the log

Cause: a planned restart of the leader cost a whole election timeout; a leader without a quorum kept every command; an entry's future could end before its index showed in appliedIndex(). Change: a stopping leader ends its lease, then tells the voter that holds most to stand; its vote requests say so, and voters need not wait out a lease that was given up. A batch that fails on a reused connection is sent once more on a new one, and a transport that is closed acknowledges nothing.

--- a/src/main/java/org/wigeongrade/decisions/log/Election.java
+++ b/src/main/java/org/wigeongrade/decisions/log/Election.java
@@ -25,7 +25,18 @@
             return false;
         }
         state.leader = Optional.empty();
-        return stand(Role.PRE_CANDIDATE, nowNanos);
+        return stand(Role.PRE_CANDIDATE, false, nowNanos);
+    }
+
+    /** Stands at once because the leader of this term gave up; returns whether the election is won at once. */
+    boolean onHandOver(LogMessage.HandOver handOver, long nowNanos) {
+        boolean meant = handOver.term() == state.term && handOver.incarnation() == state.self.incarnation();
+        if (!meant || state.role == Role.LEADER || !state.isVoter()) {
+            return false;
+        }
+        state.leader = Optional.empty();
+        state.adoptTerm(state.term + 1, Optional.of(state.self.name()));
+        return stand(Role.CANDIDATE, true, nowNanos);
     }
 
     void onRequest(NodeName from, LogMessage.VoteRequest request, long nowNanos) {
@@ -77,10 +88,10 @@
             return true;
         }
         state.adoptTerm(state.term + 1, Optional.of(state.self.name()));
-        return stand(Role.CANDIDATE, nowNanos);
+        return stand(Role.CANDIDATE, false, nowNanos);
     }
 
-    private boolean stand(Role role, long nowNanos) {
+    private boolean stand(Role role, boolean handedOver, long nowNanos) {
         state.role = role;
         state.resetElectionDeadline(nowNanos);
         granted.clear();
@@ -92,7 +103,8 @@
             if (!name.equals(state.self.name())) {
                 state.send(
                         name,
-                        new LogMessage.VoteRequest(electionTerm, preVote, incarnation, last.index(), last.term()));
+                        new LogMessage.VoteRequest(
+                                electionTerm, preVote, handedOver, incarnation, last.index(), last.term()));
             }
         });
         return advance(nowNanos);
@@ -102,7 +114,13 @@
         return request.voterIncarnation() != state.self.incarnation()
                 || request.term() < state.term
                 || state.role == Role.LEADER
-                || nowNanos - state.refuseVotesUntilNanos < 0;
+                || leaseMayLast(request, nowNanos);
+    }
+
+    /** A hand-over tells that the lease of the term before ended; older ones ended before that term began. */
+    private boolean leaseMayLast(LogMessage.VoteRequest request, long nowNanos) {
+        boolean ended = request.handedOver() && !request.preVote() && request.term() > state.term;
+        return !ended && nowNanos - state.refuseVotesUntilNanos < 0;
     }
 
     private boolean isUpToDate(LogMessage.VoteRequest request) {
--- a/src/main/java/org/wigeongrade/decisions/log/Leading.java
+++ b/src/main/java/org/wigeongrade/decisions/log/Leading.java
@@ -142,6 +142,17 @@
         });
     }
 
+    /** Returns the voter that holds most of the log and answered within the lease. */
+    Optional<Member> successor(long nowNanos) {
+        long oldestContactNanos = nowNanos - state.settings.timings().leaseNanos();
+        return state.log.membership().incarnations().entrySet().stream()
+                .map(voter -> new Member(voter.getKey(), voter.getValue()))
+                .filter(voter -> progressOf(voter)
+                        .filter(progress -> progress.confirmedSince(oldestContactNanos))
+                        .isPresent())
+                .max(Comparator.comparingLong(this::matchOf));
+    }
+
     private void heartbeat(NodeName name, PeerProgress progress, long nowNanos) {
         if (progress.snapshot.isPresent()) {
             sendChunk(name, progress, nowNanos);
--- a/src/main/java/org/wigeongrade/decisions/log/LogMessage.java
+++ b/src/main/java/org/wigeongrade/decisions/log/LogMessage.java
@@ -10,11 +10,16 @@
      * Asks for a vote, or with {@code preVote} whether a vote would be given.
      *
      * @param term the term that the candidate stands for
+     * @param handedOver the leader of the term before gave up its lead and lease to this candidate
      * @param voterIncarnation the incarnation whose vote counts; any other must refuse
      */
-    record VoteRequest(long term, boolean preVote, long voterIncarnation, long lastIndex, long lastTerm)
+    record VoteRequest(
+            long term, boolean preVote, boolean handedOver, long voterIncarnation, long lastIndex, long lastTerm)
             implements LogMessage {}
 
+    /** Tells a voter that the leader of this term gave up its lead and lease, and that it may stand at once. */
+    record HandOver(long term, long incarnation) implements LogMessage {}
+
     /**
      * Answers a vote request.
      *
--- a/src/main/java/org/wigeongrade/decisions/log/MemoryLog.java
+++ b/src/main/java/org/wigeongrade/decisions/log/MemoryLog.java
@@ -13,8 +13,11 @@
 final class MemoryLog {
     private record MembershipAt(long index, Membership membership) {}
 
+    private static final long ENTRY_OVERHEAD_BYTES = 128;
+
     private final List<LogEntry> entries = new ArrayList<>();
     private final List<MembershipAt> memberships = new ArrayList<>();
+    private long retainedBytes;
     private Position base;
     private Optional<Snapshot> snapshot;
 
@@ -34,6 +37,11 @@
         return snapshot;
     }
 
+    /** Returns about how much memory the entries take. */
+    long retainedBytes() {
+        return retainedBytes;
+    }
+
     Position last() {
         return entries.isEmpty() ? base : entries.get(entries.size() - 1).position();
     }
@@ -79,6 +87,7 @@
             throw new IllegalStateException("entry " + entry.index() + " does not follow " + lastIndex());
         }
         entries.add(entry);
+        retainedBytes += sizeBytes(entry);
         boolean newer =
                 memberships.isEmpty() || memberships.get(memberships.size() - 1).index() < entry.index();
         if (entry.kind() == EntryKind.MEMBERSHIP && newer) {
@@ -88,7 +97,7 @@
 
     /** Drops the entries at an index and after. */
     void truncateFrom(long index) {
-        entries.subList(offset(index), entries.size()).clear();
+        drop(entries.subList(offset(index), entries.size()));
         memberships.removeIf(at -> at.index() >= index);
     }
 
@@ -118,7 +127,7 @@
     void compact(Snapshot taken, Position newBase) {
         snapshot = Optional.of(taken);
         if (newBase.index() > base.index()) {
-            entries.subList(0, offset(newBase.index() + 1)).clear();
+            drop(entries.subList(0, offset(newBase.index() + 1)));
             base = newBase;
         }
         long keptFrom = taken.position().index();
@@ -128,13 +137,22 @@
 
     /** Replaces everything by a snapshot. */
     void reset(Snapshot installed) {
-        entries.clear();
+        drop(entries);
         memberships.clear();
         base = installed.position();
         snapshot = Optional.of(installed);
         memberships.add(new MembershipAt(base.index(), installed.membership()));
     }
 
+    private void drop(List<LogEntry> range) {
+        retainedBytes -= range.stream().mapToLong(MemoryLog::sizeBytes).sum();
+        range.clear();
+    }
+
+    private static long sizeBytes(LogEntry entry) {
+        return ENTRY_OVERHEAD_BYTES + entry.payload().sizeBytes();
+    }
+
     private int offset(long index) {
         return Math.toIntExact(index - base.index() - 1);
     }
--- a/src/main/java/org/wigeongrade/decisions/log/RaftCore.java
+++ b/src/main/java/org/wigeongrade/decisions/log/RaftCore.java
@@ -59,6 +59,8 @@
             onChunk(from, chunk, nowNanos);
         } else if (message instanceof LogMessage.SnapshotReply reply) {
             onSnapshotReply(from, reply, nowNanos);
+        } else if (message instanceof LogMessage.HandOver handOver) {
+            onHandOver(handOver, nowNanos);
         } else if (message instanceof LogMessage.EmptyProbe probe) {
             bootstrap.onProbe(from, probe);
         } else if (message instanceof LogMessage.EmptyProbeReply reply) {
@@ -79,6 +81,17 @@
         return leading.isEmpty() ? OptionalLong.empty() : leading.get().proposeMembership(next);
     }
 
+    /** Gives up the lead, and tells the voter that holds most of the log to stand; does nothing if not leading. */
+    public void handOver(long nowNanos) {
+        if (state.halted.isPresent() || leading.isEmpty()) {
+            return;
+        }
+        Optional<Member> successor = leading.get().successor(nowNanos);
+        leading.get().flush(nowNanos);
+        stepDown(Optional.empty(), nowNanos);
+        successor.ifPresent(next -> state.send(next.name(), new LogMessage.HandOver(state.term, next.incarnation())));
+    }
+
     /** Takes the news that the entries up to the one with this index and term are synced. */
     public void persisted(long index, long term) {
         if (state.log.hasTermAt(index, term)) {
@@ -147,6 +160,11 @@
         return state.log.snapshot().map(taken -> taken.position().index()).orElse(0L);
     }
 
+    /** Returns about how much memory the entries after the base take. */
+    public long retainedBytes() {
+        return state.log.retainedBytes();
+    }
+
     public Membership membership() {
         return state.log.membership();
     }
@@ -167,6 +185,12 @@
                 : OptionalLong.of(leading.get().sinceNanos());
     }
 
+    private void onHandOver(LogMessage.HandOver handOver, long nowNanos) {
+        if (election.onHandOver(handOver, nowNanos)) {
+            lead(nowNanos);
+        }
+    }
+
     private void onVoteReply(NodeName from, LogMessage.VoteReply reply, long nowNanos) {
         if (sawNewerTerm(reply.term(), nowNanos)) {
             return;
--- a/src/main/java/org/wigeongrade/nodes/log/PeerSender.java
+++ b/src/main/java/org/wigeongrade/nodes/log/PeerSender.java
@@ -16,14 +16,15 @@
 /**
  * Sends one peer's messages on a worker of its own.
  *
- * <p>Invariants: a connection on which an answer is late is closed and never used again; messages that waited while the
- * peer could not be reached are dropped. {@link #send} is thread safe and never blocks.
+ * <p>Invariants: a connection on which an answer is late is closed and never used again; a batch that failed on a reused
+ * connection is sent once more on a new one; messages that waited while the peer could not be reached are dropped. {@link #send} is thread safe and never blocks.
  */
 final class PeerSender implements AutoCloseable {
     private static final System.Logger LOGGER = System.getLogger(PeerSender.class.getName());
     private static final int CONNECT_TIMEOUT_MS = 300;
     private static final int ANSWER_TIMEOUT_MS = 1_000;
     private static final long IDLE_CLOSE_MS = 2_000;
+    private static final long CLOSE_WAIT_MS = 300;
     private static final long RETRY_PAUSE_MS = 50;
 
     private final NodeName self;
@@ -50,8 +51,10 @@
 
     private void run() {
         try {
-            while (!queue.isClosed()) {
-                deliver(queue.take(IDLE_CLOSE_MS));
+            List<LogMessage> batch = queue.take(IDLE_CLOSE_MS);
+            while (!batch.isEmpty() || !queue.isClosed()) {
+                deliver(batch);
+                batch = queue.take(IDLE_CLOSE_MS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -65,16 +68,26 @@
             disconnect();
             return;
         }
+        boolean reused = client.isPresent();
+        boolean delivered = attempt(batch) || (reused && attempt(batch));
+        if (!delivered) {
+            queue.clear();
+            Thread.sleep(RETRY_PAUSE_MS);
+        }
+    }
+
+    /** Sends on the open connection or on a new one; closes it if that fails. */
+    private boolean attempt(List<LogMessage> batch) {
         try {
             connected()
                     .deliver(new LogEnvelope(
                             self.value(), batch.stream().map(WireCodec::encode).toList()));
             noteReachable(true, "answers");
+            return true;
         } catch (TException e) {
             noteReachable(false, String.valueOf(e.getMessage()));
             disconnect();
-            queue.clear();
-            Thread.sleep(RETRY_PAUSE_MS);
+            return false;
         }
     }
 
@@ -108,9 +121,15 @@
         }
     }
 
+    /** Sends what waits, for a bounded time, then ends the worker. */
     @Override
     public void close() {
         queue.close();
+        try {
+            worker.join(CLOSE_WAIT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         worker.interrupt();
     }
 }
--- a/src/main/java/org/wigeongrade/nodes/log/PendingCommands.java
+++ b/src/main/java/org/wigeongrade/nodes/log/PendingCommands.java
@@ -18,6 +18,7 @@
     private record Pending(long term, CompletableFuture<byte[]> future) {}
 
     private final TreeMap<Long, Pending> byIndex = new TreeMap<>();
+    private final List<Runnable> decided = new ArrayList<>();
     private final Executor callbacks;
 
     PendingCommands(Executor callbacks) {
@@ -34,7 +35,7 @@
             return;
         }
         if (pending.term() == entry.term()) {
-            callbacks.execute(() -> pending.future().complete(result));
+            decided.add(() -> pending.future().complete(result));
         } else {
             fail(pending.future(), unknown());
         }
@@ -47,7 +48,17 @@
     }
 
     void fail(CompletableFuture<byte[]> future, WigeongradeException failure) {
-        callbacks.execute(() -> future.completeExceptionally(failure));
+        decided.add(() -> future.completeExceptionally(failure));
+    }
+
+    /** Ends the futures decided since the last call; call it once what they tell can be seen from other threads. */
+    void release() {
+        if (decided.isEmpty()) {
+            return;
+        }
+        List<Runnable> ready = new ArrayList<>(decided);
+        decided.clear();
+        callbacks.execute(() -> ready.forEach(Runnable::run));
     }
 
     private static WigeongradeException unknown() {
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -1,7 +1,6 @@
 package org.wigeongrade.nodes.log;
 
 import java.lang.System.Logger.Level;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,8 +19,6 @@
 import org.wigeongrade.decisions.log.LogMessage;
 import org.wigeongrade.decisions.log.Membership;
 import org.wigeongrade.decisions.log.RaftCore;
-import org.wigeongrade.disk.DiskLostException;
-import org.wigeongrade.disk.FileOperations;
 import org.wigeongrade.disk.LogStore;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
@@ -39,6 +36,7 @@
     private static final System.Logger LOGGER = System.getLogger(RaftReplicatedLog.class.getName());
     private static final int QUEUE_CAPACITY = 16_384;
     private static final int MAX_INPUTS_PER_SYNC = 1_024;
+    private static final int MAX_UNCOMMITTED_ENTRIES = 4_096;
     private static final int MAX_COMMAND_BYTES = 1024 * 1024;
     private static final long STOP_TIMEOUT_MS = 5_000;
     private static final int TICKS_PER_HEARTBEAT = 10;
@@ -55,6 +53,8 @@
 
     private sealed interface Input {}
 
+    private record HandOver() implements Input {}
+
     private record Received(NodeName from, LogMessage message) implements Input {}
 
     private record Submitted(Bytes command, CompletableFuture<byte[]> future) implements Input {}
@@ -75,6 +75,8 @@
     private long leadTerm;
     private volatile Status status;
     private volatile boolean stopping;
+    /** Set before the last inputs are taken out, so that an input offered later takes itself out. */
+    private volatile boolean ended;
 
     /** Makes a replica that is not started yet; {@code transport} must hand incoming messages to {@link #receive}. */
     public RaftReplicatedLog(
@@ -115,40 +117,7 @@
      */
     public static RaftReplicatedLog open(
             LogSettings settings, ReplicatedStateMachine machine, Consumer<RuntimeException> onFailure) {
-        SecureRandom random = new SecureRandom();
-        LogStore store = openStore(settings, random);
-        LateReceiver receiver = new LateReceiver();
-        LogTransport transport;
-        try {
-            transport = ThriftLogTransport.start(settings.self(), settings.listenAddress(), settings.peers(), receiver);
-        } catch (RuntimeException e) {
-            store.close();
-            throw e;
-        }
-        RaftReplicatedLog log = new RaftReplicatedLog(
-                settings.coreSettings(),
-                store,
-                transport,
-                machine,
-                System::nanoTime,
-                random,
-                settings.compactAfterEntries(),
-                onFailure);
-        receiver.connect(log);
-        log.start();
-        return log;
-    }
-
-    private static LogStore openStore(LogSettings settings, SecureRandom random) {
-        try {
-            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong);
-        } catch (DiskLostException e) {
-            LOGGER.log(
-                    Level.ERROR,
-                    "data folder counts as lost, a new incarnation starts as a learner: " + e.getMessage());
-            LogStore.setAside(settings.folder(), FileOperations.SYSTEM);
-            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong);
-        }
+        return LogOpening.open(settings, machine, onFailure);
     }
 
     /** Starts the writer thread. */
@@ -167,13 +136,13 @@
     @Override
     public CompletableFuture<byte[]> submit(byte[] command) {
         if (command.length > MAX_COMMAND_BYTES) {
-            return CompletableFuture.failedFuture(new WigeongradeException(
-                    ErrorKind.BODY_TOO_LARGE,
-                    "command has " + command.length + " bytes; at most " + MAX_COMMAND_BYTES + " fit an entry"));
+            return CompletableFuture.failedFuture(LogRefusals.tooLarge(command.length, MAX_COMMAND_BYTES));
         }
         CompletableFuture<byte[]> future = new CompletableFuture<>();
-        boolean taken = !stopping && inputs.offer(new Submitted(Bytes.wrap(command.clone()), future));
-        if (!taken) {
+        Submitted submitted = new Submitted(Bytes.wrap(command.clone()), future);
+        boolean taken = !stopping && inputs.offer(submitted);
+        boolean leftBehind = taken && ended && inputs.remove(submitted);
+        if (!taken || leftBehind) {
             future.completeExceptionally(unavailable());
         }
         return future;
@@ -220,12 +189,18 @@
             while (!stopping) {
                 round();
             }
+            giveUpLead();
+            work.run(clock);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (RuntimeException e) {
             LOGGER.log(Level.ERROR, "the replicated log stops on this VM: " + e.getMessage(), e);
             stopping = true;
             onFailure.accept(e);
+        } catch (Error e) {
+            stopping = true;
+            onFailure.accept(new WigeongradeException(ErrorKind.INTERNAL, "the log's writer thread ended: " + e, e));
+            throw e;
         } finally {
             end();
         }
@@ -256,13 +231,22 @@
             core.receive(received.from(), received.message(), clock.getAsLong());
         } else if (input instanceof Submitted submitted) {
             propose(submitted);
+        } else if (input instanceof HandOver) {
+            giveUpLead();
         }
     }
 
+    /** Gives up the lead; the lease is seen to have ended before the successor is told to stand. */
+    private void giveUpLead() {
+        core.handOver(clock.getAsLong());
+        publish();
+    }
+
     private void propose(Submitted submitted) {
-        OptionalLong index = core.propose(submitted.command());
+        boolean backedUp = core.last().index() - core.commitIndex() >= MAX_UNCOMMITTED_ENTRIES;
+        OptionalLong index = backedUp ? OptionalLong.empty() : core.propose(submitted.command());
         if (index.isEmpty()) {
-            pending.fail(submitted.future(), unavailable());
+            pending.fail(submitted.future(), backedUp ? LogRefusals.backedUp(MAX_UNCOMMITTED_ENTRIES) : unavailable());
             return;
         }
         leadTerm = core.term();
@@ -283,6 +267,7 @@
                 core.appliedIndex(),
                 core.membership(),
                 core.isVoter());
+        pending.release();
     }
 
     private void end() {
@@ -295,6 +280,7 @@
                 status.membership(),
                 status.voter());
         pending.failAll();
+        ended = true;
         List<Input> rest = new ArrayList<>();
         inputs.drainTo(rest);
         for (Input input : rest) {
@@ -302,17 +288,13 @@
                 pending.fail(submitted.future(), unavailable());
             }
         }
+        pending.release();
         transport.close();
         store.close();
     }
 
     private WigeongradeException unavailable() {
-        String leader = status.leader()
-                .filter(name -> !name.equals(settings.self()))
-                .map(name -> "the leader is " + name)
-                .orElse("no leader is known");
-        return new WigeongradeException(
-                ErrorKind.CONTROL_UNAVAILABLE, "node " + settings.self() + " does not lead; " + leader);
+        return LogRefusals.notLeading(settings.self(), status.leader());
     }
 
     private static Thread daemon(Runnable task, String name) {
@@ -321,6 +303,14 @@
         return thread;
     }
 
+    /** Gives the lead to the voter that holds most, if this replica leads; returns without waiting for it. */
+    public void handOver() {
+        boolean taken = inputs.offer(new HandOver());
+        if (!taken) {
+            LOGGER.log(Level.WARNING, "lead not handed over: {0} inputs wait", QUEUE_CAPACITY);
+        }
+    }
+
     @Override
     public void close() {
         stopping = true;
--- a/src/main/java/org/wigeongrade/nodes/log/ReplicaWork.java
+++ b/src/main/java/org/wigeongrade/nodes/log/ReplicaWork.java
@@ -20,6 +20,8 @@
  * only.
  */
 final class ReplicaWork {
+    private static final long MAX_RETAINED_BYTES = 4L * 1024 * 1024;
+
     private final RaftCore core;
     private final LogStore store;
     private final LogTransport transport;
@@ -53,8 +55,14 @@
             execute(outputs);
             outputs = core.drain(clock.getAsLong());
         }
-        if (core.appliedIndex() - core.snapshotIndex() >= compactAfterEntries) {
-            compact();
+        compactIfDue();
+    }
+
+    private void compactIfDue() {
+        long sinceSnapshot = core.appliedIndex() - core.snapshotIndex();
+        boolean large = core.retainedBytes() >= MAX_RETAINED_BYTES;
+        if (sinceSnapshot >= compactAfterEntries || (large && sinceSnapshot > 0)) {
+            compact(large ? 0 : compactAfterEntries / 2);
         }
     }
 
@@ -92,9 +100,9 @@
         }
     }
 
-    private void compact() {
+    private void compact(long entriesToKeep) {
         Bytes state = Bytes.wrap(machine.snapshot());
-        Snapshot taken = core.compact(state, compactAfterEntries / 2);
+        Snapshot taken = core.compact(state, entriesToKeep);
         store.saveSnapshot(taken, core.base(), core.entriesFromBase());
     }
 }
--- a/src/main/java/org/wigeongrade/nodes/log/ThriftLogTransport.java
+++ b/src/main/java/org/wigeongrade/nodes/log/ThriftLogTransport.java
@@ -22,7 +22,7 @@
  * Carries log messages between control VMs over framed Thrift, with a port of its own.
  *
  * <p>Invariants: messages from unknown senders are dropped; an incoming connection that stays silent past its read
- * deadline is closed. Thread safe.
+ * deadline is closed; after {@link #close} no message counts as received. Thread safe.
  */
 public final class ThriftLogTransport implements LogTransport {
     private static final System.Logger LOGGER = System.getLogger(ThriftLogTransport.class.getName());
@@ -33,6 +33,7 @@
     private final Map<NodeName, PeerSender> senders = new TreeMap<>();
     private final BiConsumer<NodeName, LogMessage> receiver;
     private final TThreadPoolServer server;
+    private volatile boolean closed;
 
     private ThriftLogTransport(
             NodeName self,
@@ -72,7 +73,10 @@
         }
     }
 
-    private void deliver(LogEnvelope envelope) {
+    private void deliver(LogEnvelope envelope) throws TTransportException {
+        if (closed) {
+            throw new TTransportException(TTransportException.END_OF_FILE, "this control VM is stopping");
+        }
         try {
             NodeName sender = NodeName.of(envelope.getSender());
             if (!senders.containsKey(sender)) {
@@ -100,6 +104,7 @@
 
     @Override
     public void close() {
+        closed = true;
         senders.values().forEach(PeerSender::close);
         server.stop();
     }
--- a/src/main/java/org/wigeongrade/nodes/log/WireCodec.java
+++ b/src/main/java/org/wigeongrade/nodes/log/WireCodec.java
@@ -17,6 +17,7 @@
 import org.wigeongrade.nodes.log.thrift.WireEmptyProbe;
 import org.wigeongrade.nodes.log.thrift.WireEmptyProbeReply;
 import org.wigeongrade.nodes.log.thrift.WireEntry;
+import org.wigeongrade.nodes.log.thrift.WireHandOver;
 import org.wigeongrade.nodes.log.thrift.WireMessage;
 import org.wigeongrade.nodes.log.thrift.WirePosition;
 import org.wigeongrade.nodes.log.thrift.WireSnapshotChunk;
@@ -30,8 +31,8 @@
 
     static WireMessage encode(LogMessage message) {
         if (message instanceof LogMessage.VoteRequest m) {
-            return WireMessage.vote_request(
-                    new WireVoteRequest(m.term(), m.preVote(), m.voterIncarnation(), m.lastIndex(), m.lastTerm()));
+            return WireMessage.vote_request(new WireVoteRequest(
+                    m.term(), m.preVote(), m.handedOver(), m.voterIncarnation(), m.lastIndex(), m.lastTerm()));
         }
         if (message instanceof LogMessage.VoteReply m) {
             return WireMessage.vote_reply(
@@ -52,6 +53,9 @@
             return WireMessage.snapshot_reply(new WireSnapshotReply(
                     m.term(), m.incarnation(), m.snapshotIndex(), m.nextOffset(), m.installed(), m.sentNanos()));
         }
+        if (message instanceof LogMessage.HandOver m) {
+            return WireMessage.hand_over(new WireHandOver(m.term(), m.incarnation()));
+        }
         if (message instanceof LogMessage.EmptyProbe m) {
             List<String> voters =
                     m.configuredVoters().stream().map(NodeName::value).toList();
@@ -72,6 +76,9 @@
             case APPEND_REPLY -> decode(wire.getAppend_reply());
             case SNAPSHOT_CHUNK -> decode(wire.getSnapshot_chunk());
             case SNAPSHOT_REPLY -> decode(wire.getSnapshot_reply());
+            case HAND_OVER ->
+                new LogMessage.HandOver(
+                        wire.getHand_over().getTerm(), wire.getHand_over().getIncarnation());
             case EMPTY_PROBE -> decode(wire.getEmpty_probe());
             case EMPTY_PROBE_REPLY -> decode(wire.getEmpty_probe_reply());
         };
@@ -90,7 +97,12 @@
 
     private static LogMessage decode(WireVoteRequest m) {
         return new LogMessage.VoteRequest(
-                m.getTerm(), m.isPre_vote(), m.getVoter_incarnation(), m.getLast_index(), m.getLast_term());
+                m.getTerm(),
+                m.isPre_vote(),
+                m.isHanded_over(),
+                m.getVoter_incarnation(),
+                m.getLast_index(),
+                m.getLast_term());
     }
 
     private static LogMessage decode(WireVoteReply m) {
--- a/src/main/thrift/log.thrift
+++ b/src/main/thrift/log.thrift
@@ -17,9 +17,10 @@
 struct WireVoteRequest {
   1: required i64 term
   2: required bool pre_vote
-  3: required i64 voter_incarnation
-  4: required i64 last_index
-  5: required i64 last_term
+  3: required bool handed_over
+  4: required i64 voter_incarnation
+  5: required i64 last_index
+  6: required i64 last_term
 }
 
 struct WireVoteReply {
@@ -66,6 +67,11 @@
   6: required i64 sent_nanos
 }
 
+struct WireHandOver {
+  1: required i64 term
+  2: required i64 incarnation
+}
+
 struct WireEmptyProbe {
   1: required i64 round
   2: required list<string> configured_voters
@@ -86,6 +92,7 @@
   6: WireSnapshotReply snapshot_reply
   7: WireEmptyProbe empty_probe
   8: WireEmptyProbeReply empty_probe_reply
+  9: WireHandOver hand_over
 }
 
 struct LogEnvelope {
--- a/src/test/java/org/wigeongrade/decisions/log/RaftCoreTest.java
+++ b/src/test/java/org/wigeongrade/decisions/log/RaftCoreTest.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.decisions.log;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
@@ -25,17 +26,19 @@
     private static final long INCARNATION = 11;
     private static final long AFTER_ELECTION_TIMEOUT_NANOS = 2_000_000_000L;
 
-    @ParameterizedTest(name = "{0} {1}: granted {4}")
+    @ParameterizedTest
     @CsvSource({
-        "the incarnation asked for, silent leader,      11, 2000, true",
-        "another incarnation,       silent leader,      12, 2000, false",
-        "the incarnation asked for, leader heard lately, 11, 300, false",
+        "incarnation asked for and silent leader,             11, 2000, false, true",
+        "another incarnation and silent leader,               12, 2000, false, false",
+        "incarnation asked for and leader heard lately,       11, 300,  false, false",
+        "incarnation asked for and leader that handed over,   11, 300,  true,  true",
+        "another incarnation and leader that handed over,     12, 300,  true,  false",
     })
-    void votes(String incarnationCase, String leaderCase, long incarnation, long afterMs, boolean granted) {
+    void votes(String voter, long incarnation, long afterMs, boolean handedOver, boolean granted) {
         RaftCore core = core(TWO, RecoveredState.fresh(INCARNATION, true));
-        core.receive(ONE, new LogMessage.VoteRequest(4, false, incarnation, 5, 3), afterMs * 1_000_000);
+        core.receive(ONE, new LogMessage.VoteRequest(4, false, handedOver, incarnation, 5, 3), afterMs * 1_000_000);
         LogMessage.VoteReply reply = (LogMessage.VoteReply) onlyMessage(core);
-        assertThat(reply.granted()).isEqualTo(granted);
+        assertWithMessage(voter).that(reply.granted()).isEqualTo(granted);
         assertThat(core.term()).isEqualTo(granted ? 4 : 0);
     }
 
--- a/src/test/java/org/wigeongrade/decisions/log/SimulatedCluster.java
+++ b/src/test/java/org/wigeongrade/decisions/log/SimulatedCluster.java
@@ -250,13 +250,14 @@
             return;
         }
         SimulatedNode node = anyNode();
-        switch (random.nextInt(7)) {
+        switch (random.nextInt(8)) {
             case 0 -> crash(node);
             case 1 -> loseDisk(node);
             case 2 -> freeze(node);
             case 3 -> cutLinks.clear();
             case 4 -> cutLinks.add(new Link(node.name, anyNode().name));
             case 5 -> nodes.forEach(this::crash);
+            case 6 -> handOver();
             default -> isolate(node);
         }
         at(random.nextLong(2 * FAULT_EVERY_NANOS), this::fault);
@@ -271,6 +272,15 @@
         });
     }
 
+    private void handOver() {
+        for (SimulatedNode node : nodes) {
+            whenAwake(node, node.start, () -> {
+                node.core.orElseThrow().handOver(node.clockNanos(trueNanos));
+                work(node);
+            });
+        }
+    }
+
     private void freeze(SimulatedNode node) {
         long untilNanos = trueNanos + random.nextLong(MAX_FREEZE_NANOS);
         node.frozenUntilNanos = Math.max(node.frozenUntilNanos, untilNanos);
--- /dev/null
+++ b/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogFailureTest.java
@@ -0,0 +1,156 @@
+package org.wigeongrade.nodes.log;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableSortedSet;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.log.CoreSettings;
+import org.wigeongrade.decisions.log.LogTimings;
+import org.wigeongrade.disk.FaultyFiles;
+import org.wigeongrade.disk.LogStore;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.NodeName;
+
+/** Replicas whose leader's disk fails, who is cut off, or who hands over; real files, messages in memory. */
+final class RaftReplicatedLogFailureTest {
+    private static final LogTimings FAST = LogTimings.ofMs(20, 150, 300, 120);
+    private static final ImmutableSortedSet<NodeName> VOTERS =
+            ImmutableSortedSet.of(NodeName.of("control-1"), NodeName.of("control-2"), NodeName.of("control-3"));
+
+    @TempDir
+    Path folder;
+
+    private final InMemoryNetwork network = new InMemoryNetwork();
+    private final Map<NodeName, RaftReplicatedLog> logs = new TreeMap<>();
+    private final Map<NodeName, CountingMachine> machines = new TreeMap<>();
+    private final Map<NodeName, FaultyFiles> files = new TreeMap<>();
+    private final Map<NodeName, RuntimeException> failures = new ConcurrentHashMap<>();
+
+    @BeforeEach
+    void startAll() {
+        VOTERS.forEach(this::start);
+    }
+
+    @AfterEach
+    void stopAll() {
+        logs.values().forEach(RaftReplicatedLog::close);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"WRITE, No space left on device", "SYNC, Input/output error"})
+    void aLeaderWhoseDiskFailsStopsAndAnotherLeads(FaultyFiles.Call call, String cause) throws Exception {
+        NodeName leader = awaitLeaderOtherThan(Optional.empty());
+        submit(leader, "before").get(5, TimeUnit.SECONDS);
+        files.get(leader).fail(call, cause);
+        CompletableFuture<byte[]> open = submit(leader, "open");
+        assertThat(kindOf(open)).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+        await("the failure is told", () -> failures.containsKey(leader));
+        assertThat(failures.get(leader)).hasMessageThat().contains(cause);
+        assertThat(kindOf(submit(leader, "late"))).isEqualTo(ErrorKind.CONTROL_UNAVAILABLE);
+        NodeName next = awaitLeaderOtherThan(Optional.of(leader));
+        submit(next, "after").get(5, TimeUnit.SECONDS);
+        List<String> commands = machines.get(next).commands();
+        assertThat(commands).containsAtLeast("before", "after").inOrder();
+    }
+
+    @Test
+    void aLeaderCutOffLosesItsLeaseBeforeAnotherLeadsAndCatchesUpAfterwards() throws Exception {
+        NodeName leader = awaitLeaderOtherThan(Optional.empty());
+        network.cutOff(leader);
+        CompletableFuture<byte[]> open = submit(leader, "open");
+        NodeName next = awaitLeaderOtherThan(Optional.of(leader));
+        assertThat(logs.get(leader).leadsWithLease()).isFalse();
+        submit(next, "after").get(5, TimeUnit.SECONDS);
+        assertThat(kindOf(open)).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+        network.heal();
+        await("the old leader catches up", () -> machines.get(leader).commands().equals(List.of("after")));
+        assertThat(logs.get(leader).term()).isEqualTo(logs.get(next).term());
+    }
+
+    @Test
+    void aHandOverNeedsNoElectionTimeout() {
+        NodeName leader = awaitLeaderOtherThan(Optional.empty());
+        long termBefore = logs.get(leader).term();
+        logs.get(leader).handOver();
+        awaitLeaderOtherThan(Optional.of(leader));
+        assertThat(logs.get(leader).leadsWithLease()).isFalse();
+        assertThat(logs.values().stream()
+                        .mapToLong(RaftReplicatedLog::term)
+                        .max()
+                        .orElseThrow())
+                .isEqualTo(termBefore + 1);
+    }
+
+    private void start(NodeName name) {
+        FaultyFiles faulty = new FaultyFiles();
+        LogStore store = LogStore.open(folder.resolve(name.value()), faulty, name::hashCode);
+        CountingMachine machine = new CountingMachine();
+        RaftReplicatedLog log = new RaftReplicatedLog(
+                new CoreSettings(name, VOTERS, FAST),
+                store,
+                network.transportOf(name),
+                machine,
+                System::nanoTime,
+                new Random(name.hashCode()),
+                100,
+                failure -> failures.put(name, failure));
+        files.put(name, faulty);
+        machines.put(name, machine);
+        logs.put(name, log);
+        network.join(name, log);
+        log.start();
+    }
+
+    private NodeName awaitLeaderOtherThan(Optional<NodeName> old) {
+        await("a leader other than " + old, () -> leaderOtherThan(old).isPresent());
+        return leaderOtherThan(old).orElseThrow();
+    }
+
+    private Optional<NodeName> leaderOtherThan(Optional<NodeName> old) {
+        return logs.entrySet().stream()
+                .filter(entry -> !Optional.of(entry.getKey()).equals(old))
+                .filter(entry -> entry.getValue().leadsWithLease())
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    private CompletableFuture<byte[]> submit(NodeName name, String command) {
+        return logs.get(name).submit(command.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static ErrorKind kindOf(CompletableFuture<byte[]> future) {
+        ExecutionException failure = assertThrows(ExecutionException.class, () -> future.get(5, TimeUnit.SECONDS));
+        return ((WigeongradeException) failure.getCause()).kind();
+    }
+
+    private static void await(String what, BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!condition.getAsBoolean()) {
+            assertWithMessage("in time: " + what)
+                    .that(System.nanoTime() - deadlineNanos < 0)
+                    .isTrue();
+            LockSupport.parkNanos(1_000_000);
+        }
+    }
+}
