--- a/src/main/java/org/wigeongrade/disk/LogFile.java
+++ b/src/main/java/org/wigeongrade/disk/LogFile.java
@@ -113,6 +113,11 @@
         nextSequence++;
     }
 
+    /** Appends an empty frame, after which damage to the entries before it cannot pass as a torn tail. */
+    void mark() throws IOException {
+        append(ImmutableList.of());
+    }
+
     long sizeBytes() throws IOException {
         return Files.size(path);
     }
--- a/src/main/java/org/wigeongrade/disk/LogStore.java
+++ b/src/main/java/org/wigeongrade/disk/LogStore.java
@@ -106,6 +106,11 @@
         change(() -> logFile.append(entries));
     }
 
+    /** Closes the last batch, so that later damage to it makes the folder lost and does not pass as a torn tail. */
+    public void mark() {
+        change(logFile::mark);
+    }
+
     /** Stores a snapshot and replaces the log by the entries after a base that is not past it. */
     public void saveSnapshot(Snapshot snapshot, Position base, List<LogEntry> entries) {
         change(() -> {
--- a/src/main/java/org/wigeongrade/nodes/log/PeerSender.java
+++ b/src/main/java/org/wigeongrade/nodes/log/PeerSender.java
@@ -22,7 +22,7 @@
 final class PeerSender implements AutoCloseable {
     private static final System.Logger LOGGER = System.getLogger(PeerSender.class.getName());
     private static final int CONNECT_TIMEOUT_MS = 300;
-    private static final int ANSWER_TIMEOUT_MS = 1_000;
+    private static final int ANSWER_TIMEOUT_MS = 300;
     private static final long IDLE_CLOSE_MS = 2_000;
     private static final long CLOSE_WAIT_MS = 300;
     private static final long RETRY_PAUSE_MS = 50;
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -39,7 +39,7 @@
     private static final int MAX_UNCOMMITTED_ENTRIES = 4_096;
     private static final int MAX_COMMAND_BYTES = 1024 * 1024;
     private static final long STOP_TIMEOUT_MS = 5_000;
-    private static final int TICKS_PER_HEARTBEAT = 10;
+    private static final int TICKS_PER_HEARTBEAT = 5;
 
     /** What other threads see; replaced as a whole after each round of the writer thread. */
     private record Status(
--- a/src/main/java/org/wigeongrade/nodes/log/ReplicaWork.java
+++ b/src/main/java/org/wigeongrade/nodes/log/ReplicaWork.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.log.EntryKind;
@@ -20,6 +22,7 @@
  * only.
  */
 final class ReplicaWork {
+    private static final long MARK_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long MAX_RETAINED_BYTES = 4L * 1024 * 1024;
 
     private final RaftCore core;
@@ -28,6 +31,7 @@
     private final ReplicatedStateMachine machine;
     private final PendingCommands pending;
     private final long compactAfterEntries;
+    private OptionalLong markDeadlineNanos = OptionalLong.empty();
 
     ReplicaWork(
             RaftCore core,
@@ -48,14 +52,22 @@
         machine.restore(snapshot.state().array());
     }
 
-    /** Does everything the core asks for now, then takes a snapshot if one is due. */
+    /** Does everything the core asks for now, then takes a snapshot and closes the last batch if that is due. */
     void run(LongSupplier clock) {
         Outputs outputs = core.drain(clock.getAsLong());
         while (!outputs.isEmpty()) {
-            execute(outputs);
+            execute(outputs, clock.getAsLong());
             outputs = core.drain(clock.getAsLong());
         }
         compactIfDue();
+        markIfDue(clock.getAsLong());
+    }
+
+    private void markIfDue(long nowNanos) {
+        if (markDeadlineNanos.isPresent() && nowNanos - markDeadlineNanos.getAsLong() >= 0) {
+            markDeadlineNanos = OptionalLong.empty();
+            store.mark();
+        }
     }
 
     private void compactIfDue() {
@@ -66,7 +78,7 @@
         }
     }
 
-    private void execute(Outputs outputs) {
+    private void execute(Outputs outputs, long nowNanos) {
         outputs.halt().ifPresent(reason -> {
             throw new WigeongradeException(
                     ErrorKind.INTERNAL,
@@ -75,7 +87,7 @@
         outputs.hardState().ifPresent(store::saveHardState);
         outputs.immediate().forEach(outgoing -> transport.send(outgoing.to(), outgoing.message()));
         outputs.installed().ifPresent(this::install);
-        persist(outputs.entries());
+        persist(outputs.entries(), nowNanos);
         outputs.afterPersist().forEach(outgoing -> transport.send(outgoing.to(), outgoing.message()));
         outputs.committed().forEach(this::apply);
     }
@@ -85,11 +97,12 @@
         machine.restore(snapshot.state().array());
     }
 
-    private void persist(List<LogEntry> entries) {
+    private void persist(List<LogEntry> entries, long nowNanos) {
         if (entries.isEmpty()) {
             return;
         }
         store.append(entries);
+        markDeadlineNanos = OptionalLong.of(nowNanos + MARK_AFTER_NANOS);
         LogEntry last = entries.get(entries.size() - 1);
         core.persisted(last.index(), last.term());
     }
--- a/src/test/java/org/wigeongrade/disk/LogStoreTest.java
+++ b/src/test/java/org/wigeongrade/disk/LogStoreTest.java
@@ -94,6 +94,27 @@
         }
     }
 
+    @Test
+    void damageToTheLastEntriesMakesTheFolderLostOnceTheyAreMarked() throws IOException {
+        long markOffset;
+        try (LogStore store = open()) {
+            store.append(entries(Position.START, 3));
+            markOffset = store.logSizeBytes();
+            store.mark();
+        }
+        byte[] file = Files.readAllBytes(log());
+        for (int at = 0; at < file.length; at++) {
+            byte[] damaged = file.clone();
+            damaged[at] ^= 0x10;
+            Files.write(log(), damaged);
+            if (at < markOffset) {
+                assertThrows(DiskLostException.class, this::open, "damage at " + at);
+            } else {
+                assertThat(reopened().entries()).hasSize(3);
+            }
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"state", "log", "snapshot"})
     void aMissingOrDamagedFileMakesTheFolderLost(String name) throws IOException {
