--- /dev/null
+++ b/src/main/java/org/wigeongrade/bench/RoutingResult.java
@@ -0,0 +1,14 @@
+package org.wigeongrade.bench;
+
+/** Figures of one run of {@link RoutingSimulation}; times in milliseconds. Immutable; safe for use from any thread. */
+public record RoutingResult(
+        String policy,
+        double loadFactor,
+        long offered,
+        long completed,
+        long refusals,
+        double prefixHitRate,
+        double firstTokenP50Ms,
+        double firstTokenP95Ms,
+        double firstTokenP99Ms,
+        double highestLoadOverMean) {}
--- a/src/main/java/org/wigeongrade/decisions/routing/AffinityChoice.java
+++ b/src/main/java/org/wigeongrade/decisions/routing/AffinityChoice.java
@@ -18,7 +18,8 @@
 
     private AffinityChoice() {}
 
-    static Choice pick(ImmutableList<EndpointView> candidates, RouteContext context, RandomGenerator random) {
+    static Choice pick(
+            ImmutableList<EndpointView> candidates, RouteContext context, boolean useHome, RandomGenerator random) {
         if (context.request().prefixDigests().isEmpty()) {
             return Choices.lessLoadedOfTwo(candidates, context, random);
         }
@@ -27,7 +28,7 @@
                 .filter(endpoint -> context.loadRatio(endpoint) <= loadLimit)
                 .collect(ImmutableList.toImmutableList());
         return cached(bearable, context)
-                .or(() -> home(bearable, context))
+                .or(() -> useHome ? home(bearable, context) : Optional.empty())
                 .orElseGet(() -> Choices.lessLoadedOfTwo(candidates, context, random));
     }
 
--- a/src/main/java/org/wigeongrade/decisions/routing/RoutingPolicy.java
+++ b/src/main/java/org/wigeongrade/decisions/routing/RoutingPolicy.java
@@ -13,6 +13,8 @@
     /** Picks the less loaded of two random endpoints, the one of the same zone on ties. */
     POWER_OF_TWO,
     /** Picks by cached prefix where the load allows it, else by power of two choices. */
+    CACHED_PREFIX,
+    /** Picks by cached prefix, else the prefix's home endpoint, where the load allows it; else by power of two choices. */
     AFFINITY;
 
     Choice pick(ImmutableList<EndpointView> candidates, RouteContext context, long turn, RandomGenerator random) {
@@ -20,7 +22,8 @@
             case ROUND_ROBIN -> Choices.inTurn(candidates, turn);
             case LEAST_IN_FLIGHT -> Choices.leastLoaded(candidates, context);
             case POWER_OF_TWO -> Choices.lessLoadedOfTwo(candidates, context, random);
-            case AFFINITY -> AffinityChoice.pick(candidates, context, random);
+            case CACHED_PREFIX -> AffinityChoice.pick(candidates, context, false, random);
+            case AFFINITY -> AffinityChoice.pick(candidates, context, true, random);
         };
     }
 
