--- a/src/main/java/org/wigeongrade/decisions/limits/FairPart.java
+++ b/src/main/java/org/wigeongrade/decisions/limits/FairPart.java
@@ -6,7 +6,7 @@
  */
 public final class FairPart {
     /** Part of the slots in use from which an equal part binds. */
-    private static final double NEARLY_USED_UP = 0.8;
+    private static final double NEARLY_USED_UP = 0.9;
 
     private FairPart() {}
 
