Leave out endpoints that refused a connection until their next try

An endpoint that refuses a connection is now left out at that entry VM for 1 s, for that incarnation only.

Ruled out: excluding tried endpoints for the whole request, since a resumed stream may have to wait for the endpoint that comes back.

--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.wigeongrade.decisions.limits.ShareKey;
 import org.wigeongrade.decisions.limits.Slot;
+import org.wigeongrade.decisions.outcomes.AttemptEvent;
 import org.wigeongrade.decisions.outcomes.SendFacts;
 import org.wigeongrade.decisions.outcomes.SendGate;
 import org.wigeongrade.decisions.outcomes.SendRefusal;
@@ -64,9 +65,10 @@
             return stopped.get();
         }
         RouteRequest request = verdict instanceof SuspectVerdict.RunAlone ? alone(wanted) : wanted;
+        final List<EndpointView> reachable = entry.unreachable().reachable(view.all(), nowNanos);
         while (true) {
             final RouteContext context = new RouteContext(request, slots, entry.prefixes(), nowNanos);
-            final RouteDecision decision = router.choose(view.all(), context, RandomGenerator.getDefault());
+            final RouteDecision decision = router.choose(reachable, context, RandomGenerator.getDefault());
             if (decision instanceof RouteDecision.Refused refused) {
                 notes.add("", "not routed", decision.explanation());
                 return refused(refused.kind(), message(refused, request));
@@ -121,9 +123,12 @@
         entry.shares().completedWarm(ready.slot());
     }
 
-    /** Gives the slot back. */
-    void ended(Dispatch.Ready ready) {
+    /** Gives the slot back; an endpoint that refused the connection is left out for a while. */
+    void ended(Dispatch.Ready ready, AttemptEvent event) {
         entry.shares().release(ready.slot());
+        if (event == AttemptEvent.CONNECT_FAILED) {
+            entry.unreachable().refused(ready.endpoint(), entry.nowNanos());
+        }
     }
 
     private Dispatch gated(
@@ -138,7 +143,7 @@
         if (refusal.isEmpty()) {
             return ready;
         }
-        ended(ready);
+        ended(ready, AttemptEvent.NOT_SENT);
         return refused(refusal.get().errorKind(), "not sent: " + refusal.get().code());
     }
 
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -228,7 +228,7 @@
     private void endAttempt(AttemptProgress running, AttemptOutcome outcome) {
         progress = Optional.empty();
         sending = Optional.empty();
-        dispatcher.ended(running.ready());
+        dispatcher.ended(running.ready(), outcome.event());
         if (outcome.event().mayBeCrash()) {
             services.entry().suspects().lost(requestDigest, running.ready().life());
             services.pullSoon().run();
--- a/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.nodes.entry;
 
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
@@ -9,6 +10,7 @@
 import org.wigeongrade.decisions.outcomes.SuspectTable;
 import org.wigeongrade.decisions.routing.PrefixIndex;
 import org.wigeongrade.decisions.routing.RetryBudget;
+import org.wigeongrade.decisions.routing.UnreachableEndpoints;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
@@ -23,6 +25,7 @@
     private static final int MAX_BLOCKS_FOR_EACH_ENGINE = 20_000;
     private static final double RETRIES_FOR_EACH_REQUEST = 0.1;
     private static final double RETRY_RESERVE = 20;
+    private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final NodeName self;
     private final AvailabilityZone zone;
@@ -35,6 +38,7 @@
     private final SuspectTable suspects;
     private final PrefixIndex prefixes = new PrefixIndex(MAX_BLOCKS_FOR_EACH_ENGINE);
     private final RetryBudget retries = new RetryBudget(RETRIES_FOR_EACH_REQUEST, RETRY_RESERVE);
+    private final UnreachableEndpoints unreachable = new UnreachableEndpoints(UNREACHABLE_NANOS);
     private final AnnouncementInbox inbox = new AnnouncementInbox();
     private final DecisionRecords decisions = new DecisionRecords();
     private final LongSupplier nanoClock;
@@ -76,6 +80,10 @@
         return shares;
     }
 
+    public UnreachableEndpoints unreachable() {
+        return unreachable;
+    }
+
     public OrganisationAdmission admission() {
         return admission;
     }
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/routing/UnreachableEndpointsTest.java
@@ -0,0 +1,50 @@
+package org.wigeongrade.decisions.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.FencingToken;
+
+final class UnreachableEndpointsTest {
+    private static final long LEAVE_OUT_NANOS = 1_000;
+
+    @ParameterizedTest(name = "{0} incarnation {1} at {2}: left out {3}")
+    @CsvSource({
+        "guide/1, 7, 500, true",
+        "guide/1, 7, 999, true",
+        "guide/1, 7, 1000, false",
+        "guide/1, 8, 500, false",
+        "guide/2, 7, 500, false",
+    })
+    void leavesOutTheRefusingIncarnationUntilTheDeadline(String id, long incarnation, long nowNanos, boolean leftOut) {
+        UnreachableEndpoints unreachable = new UnreachableEndpoints(LEAVE_OUT_NANOS);
+        unreachable.refused(endpoint("guide/1", 7), 0);
+        EndpointView asked = endpoint(id, incarnation);
+
+        assertThat(unreachable.isUnreachable(asked, nowNanos)).isEqualTo(leftOut);
+        assertThat(unreachable.reachable(List.of(asked), nowNanos)).hasSize(leftOut ? 0 : 1);
+    }
+
+    private static EndpointView endpoint(String id, long incarnation) {
+        return new EndpointView(
+                new EndpointId(id),
+                incarnation,
+                new RouteTarget(EndpointKind.ENGINE, "guide"),
+                new AvailabilityZone("zone-a"),
+                true,
+                false,
+                "127.0.0.1:1",
+                8,
+                2,
+                false,
+                Optional.empty(),
+                10_000,
+                new LoadReport(0, 0, 0),
+                FencingToken.NONE);
+    }
+}
