Set a lost folder aside also after an earlier one was removed

Cause: the subfolder's number was the count of earlier ones; with lost-1 removed and lost-2 kept, the VM could not start. Conclusion: the first free number is taken.

--- a/src/main/java/org/wigeongrade/disk/LogStore.java
+++ b/src/main/java/org/wigeongrade/disk/LogStore.java
@@ -78,8 +78,7 @@
     /** Moves a lost folder's files into a subfolder, so that the next open starts a new incarnation that may not bootstrap. */
     public static void setAside(Path folder, FileOperations files) {
         try (FolderLock held = FolderLock.take(folder)) {
-            Path aside = folder.resolve(LOST_PREFIX + (lostFolders(folder) + 1));
-            Files.createDirectory(aside);
+            Path aside = Files.createDirectory(nextLostFolder(folder));
             for (String name : ImmutableList.of(LOG_FILE, SNAPSHOT_FILE, STATE_FILE)) {
                 if (Files.exists(folder.resolve(name))) {
                     files.rename(folder.resolve(name), aside.resolve(name));
@@ -178,6 +177,14 @@
         }
     }
 
+    private static Path nextLostFolder(Path folder) {
+        int number = 1;
+        while (Files.exists(folder.resolve(LOST_PREFIX + number))) {
+            number++;
+        }
+        return folder.resolve(LOST_PREFIX + number);
+    }
+
     private static long lostFolders(Path folder) throws IOException {
         long count = 0;
         try (DirectoryStream<Path> found = Files.newDirectoryStream(folder, LOST_PREFIX + "*")) {
--- a/src/test/java/org/wigeongrade/disk/LogStoreTest.java
+++ b/src/test/java/org/wigeongrade/disk/LogStoreTest.java
@@ -147,6 +147,16 @@
         }
     }
 
+    @Test
+    void aFolderIsSetAsideAlsoAfterAnEarlierOneWasRemoved() throws IOException {
+        Files.createDirectory(folder.resolve("lost-2"));
+        for (String expected : new String[] {"lost-1", "lost-3"}) {
+            open().close();
+            LogStore.setAside(folder, files);
+            assertThat(Files.exists(folder.resolve(expected).resolve("log"))).isTrue();
+        }
+    }
+
     @Test
     void aSnapshotShortensTheLogAndKeepsTheRest() {
         Snapshot snapshot = writeSnapshot();
