Hold orders back while leases of a dissolved group run, and show why a group is not formed

Ruled out: a second phase in the log, since the leader knows the leases' end. After: VMs of such a group get no order for one view lease, nor any VM in a new leader's first one; status and why group give the reason. Groups that lost a member are not delayed, as their leases have ended. Not measured beyond the demo.

--- a/src/main/java/org/wigeongrade/nodes/LocalExplanations.java
+++ b/src/main/java/org/wigeongrade/nodes/LocalExplanations.java
@@ -7,9 +7,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.wigeongrade.decisions.config.ObjectId;
 import org.wigeongrade.decisions.config.ObjectKind;
 import org.wigeongrade.decisions.control.Decision;
+import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.nodes.control.ControlRole;
 import org.wigeongrade.nodes.entry.DecisionRecord;
 import org.wigeongrade.nodes.entry.EntryRole;
@@ -21,10 +23,12 @@
 
     private final EntryRole entry;
     private final Optional<ControlRole> control;
+    private final LongSupplier epochMsClock;
 
     public LocalExplanations(EntryRole entry, Optional<ControlRole> control) {
         this.entry = entry;
         this.control = control;
+        this.epochMsClock = System::currentTimeMillis;
     }
 
     /** Returns a JSON array of decisions, each with {@code at}, {@code node}, {@code what} and {@code why}. */
@@ -35,6 +39,17 @@
                 .ifPresent(objectKind -> role.state()
                         .decisions(new ObjectId(objectKind, id))
                         .forEach(decision -> add(records, decision))));
+        if (kind.equals("group")) {
+            control.flatMap(role -> role.holdReason(new GroupName(id)))
+                    .ifPresent(reason -> records.addObject()
+                            .put(
+                                    "at",
+                                    Instant.ofEpochMilli(epochMsClock.getAsLong())
+                                            .toString())
+                            .put("node", entry.self().value())
+                            .put("what", "not formed")
+                            .put("why", reason));
+        }
         return records.toString().getBytes(StandardCharsets.UTF_8);
     }
 
--- a/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
@@ -15,6 +15,7 @@
 import org.wigeongrade.decisions.outcomes.QuarantineProposal;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
@@ -124,6 +125,14 @@
         return leadership;
     }
 
+    /** Returns why the last plan did not form the group; empty if this VM does not lead or the group is not held back. */
+    public Optional<String> holdReason(GroupName group) {
+        return leadership()
+                .map(Leadership::holds)
+                .map(holds -> holds.get(group))
+                .map(reason -> reason.describe(""));
+    }
+
     long nowNanos() {
         return nanoClock.getAsLong();
     }
--- a/src/main/java/org/wigeongrade/nodes/control/Leadership.java
+++ b/src/main/java/org/wigeongrade/nodes/control/Leadership.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.nodes.control;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -9,6 +10,8 @@
 import org.wigeongrade.decisions.limits.ShareLedger;
 import org.wigeongrade.decisions.membership.AnnouncementTable;
 import org.wigeongrade.decisions.outcomes.CrashSuspects;
+import org.wigeongrade.decisions.placement.PlacementReason;
+import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.nodes.NodeTimings;
 
@@ -33,6 +36,7 @@
     private final CacheEventRing cacheEvents = new CacheEventRing();
     private final Map<NodeName, EntrySeen> entries = new TreeMap<>();
     private Optional<FleetSnapshot> snapshot = Optional.empty();
+    private ImmutableMap<GroupName, PlacementReason> holds = ImmutableMap.of();
 
     Leadership(long term, long sinceNanos, NodeTimings timings) {
         this.term = term;
@@ -66,6 +70,25 @@
         return sinceNanos + timings.announcementLeaseNanos();
     }
 
+    /** Returns the longest life of a lease, in nanoseconds. */
+    long leaseNanos() {
+        return timings.viewLeaseNanos();
+    }
+
+    /** Returns when no lease of an earlier leader is valid any more. */
+    long olderLeasesEndNanos() {
+        return sinceNanos + timings.viewLeaseNanos();
+    }
+
+    /** Keeps which declared groups the last plan did not form, and why. */
+    synchronized void setHolds(ImmutableMap<GroupName, PlacementReason> newHolds) {
+        holds = newHolds;
+    }
+
+    synchronized ImmutableMap<GroupName, PlacementReason> holds() {
+        return holds;
+    }
+
     /** Returns when no order of an earlier leader can arrive any more. */
     long olderOrdersEndNanos() {
         return sinceNanos + timings.viewLeaseNanos() + timings.orderTimeoutNanos();
--- a/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.nodes.control;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.util.List;
@@ -9,11 +10,15 @@
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.control.CommandResult;
+import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.placement.Order;
 import org.wigeongrade.decisions.placement.PlacementAction;
 import org.wigeongrade.decisions.placement.PlacementInput;
 import org.wigeongrade.decisions.placement.PlacementPlanner;
+import org.wigeongrade.decisions.placement.PlacementReason;
 import org.wigeongrade.endpoints.OrderSender;
 import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
 
@@ -32,6 +37,7 @@
     private final FleetMeasures measures;
     private final EventLog events;
     private final OrderPacing pacing = new OrderPacing();
+    private final FreedVms freedVms = new FreedVms();
     private final ExecutorService thread = Executors.newSingleThreadScheduledExecutor(new ThreadFactoryBuilder()
             .setNameFormat("placement")
             .setDaemon(true)
@@ -87,22 +93,30 @@
                 leadership.membersKnownAtNanos(),
                 leadership.olderOrdersEndNanos());
         final List<PlacementAction> plan = PlacementPlanner.plan(input);
+        leadership.setHolds(holds(plan));
         for (final PlacementAction action : plan) {
-            if (!carryOut(action, nowNanos)) {
+            if (!carryOut(action, leadership, nowNanos)) {
                 return;
             }
         }
     }
 
+    private static ImmutableMap<GroupName, PlacementReason> holds(List<PlacementAction> plan) {
+        return plan.stream()
+                .filter(PlacementAction.Hold.class::isInstance)
+                .map(PlacementAction.Hold.class::cast)
+                .collect(ImmutableMap.toImmutableMap(PlacementAction.Hold::group, PlacementAction.Hold::reason));
+    }
+
     /** Returns whether the rest of the plan may be carried out. */
-    private boolean carryOut(PlacementAction action, long nowNanos) {
+    private boolean carryOut(PlacementAction action, Leadership leadership, long nowNanos) {
         if (action instanceof PlacementAction.FormGroup form) {
             return commit(form.command()).isPresent() && logFormed(form.command());
         }
         if (action instanceof PlacementAction.DissolveGroup dissolve) {
-            return commit(dissolve.command()).isPresent() && logDissolved(dissolve.command());
+            return dissolve(dissolve, leadership, nowNanos);
         }
-        if (action instanceof PlacementAction.SendOrder send && pacing.isDue(send.order(), nowNanos)) {
+        if (action instanceof PlacementAction.SendOrder send && isDue(send.order(), leadership, nowNanos)) {
             final boolean leads = control.leadership().isPresent();
             if (leads) {
                 orders.send(send.order());
@@ -112,6 +126,28 @@
         return true;
     }
 
+    private boolean isDue(Order order, Leadership leadership, long nowNanos) {
+        return nowNanos - leadership.olderLeasesEndNanos() >= 0
+                && freedVms.isOrderable(order.vm().vm(), nowNanos)
+                && pacing.isDue(order, nowNanos);
+    }
+
+    private boolean dissolve(PlacementAction.DissolveGroup action, Leadership leadership, long nowNanos) {
+        final Command.DissolveGroup command = action.command();
+        final Optional<FormedGroup> group = control.state().groups().stream()
+                .filter(formed -> formed.group().equals(command.group()))
+                .findFirst();
+        if (commit(command).isEmpty()) {
+            return false;
+        }
+        if (action.reason() != PlacementReason.MEMBER_LOST) {
+            final long leasesEndNanos = nowNanos + leadership.leaseNanos();
+            group.ifPresent(formed -> freedVms.dissolved(formed, leasesEndNanos));
+        }
+        events.write(LogEvent.GROUP_DISSOLVED, command.group(), command.reason());
+        return true;
+    }
+
     private Optional<CommandResult> commit(Command command) {
         final CommandResult result = control.submit(command);
         if (result instanceof CommandResult.Refused refused) {
@@ -125,9 +161,4 @@
         events.write(LogEvent.GROUP_FORMED, command.group(), command.members(), command.reason());
         return true;
     }
-
-    private boolean logDissolved(Command.DissolveGroup command) {
-        events.write(LogEvent.GROUP_DISSOLVED, command.group(), command.reason());
-        return true;
-    }
 }
--- a/src/main/java/org/wigeongrade/nodes/control/StatusReport.java
+++ b/src/main/java/org/wigeongrade/nodes/control/StatusReport.java
@@ -39,6 +39,12 @@
                         zones.addObject().put("name", zone.value()).put("state", state.label()));
         final ArrayNode groups = status.putArray("groups");
         control.state().groups().forEach(group -> addGroup(groups, group, fleet));
+        leadership
+                .holds()
+                .forEach((group, reason) -> groups.addObject()
+                        .put("name", group.value())
+                        .put("state", "not formed")
+                        .put("reason", reason.describe("")));
         final ArrayNode endpoints = status.putArray("endpoints");
         fleet.endpoints().forEach(endpoint -> addEndpoint(endpoints, endpoint, fleet, nowNanos));
         final ArrayNode vms = status.putArray("vms");
