Keep serving through a change of leader, and end a cancelled answer without holding a lock

Cause: a new leader has heard no endpoint yet, so its first replies listed none and entry VMs replaced their view by an empty one for about a second. Found by reading; ruled out: waiting with the first reply until every member was heard, since view leases would run out meanwhile. After: until one announcement lease after the election the reply says that members are not known yet, and entry VMs keep what the earlier leader promised, up to the deadlines that it gave. A failed pull is tried again after 100 ms and not after a whole interval. A stalled caller is no longer taken for a stalled endpoint. Cancels run on the timer thread, because the thread that brings them may hold the body's lock while an exchange waits for it.

--- a/src/main/java/org/wigeongrade/callers/BodyStream.java
+++ b/src/main/java/org/wigeongrade/callers/BodyStream.java
@@ -29,7 +29,10 @@
     private boolean completed;
     private boolean ended;
 
-    /** {@code onCancel} runs if the caller goes away before the end. */
+    /**
+     * {@code onCancel} runs if the caller goes away before the end; it must take no lock on the calling thread, as that
+     * thread may hold this object's lock.
+     */
     BodyStream(Runnable onCancel) {
         this.onCancel = onCancel;
     }
@@ -48,6 +51,11 @@
         due.ifPresent(Runnable::run);
     }
 
+    /** Returns whether the caller takes the body so slowly that the source waits. */
+    synchronized boolean isBlocked() {
+        return readMore.isPresent();
+    }
+
     /** Ends the body as whole. */
     void complete() {
         synchronized (this) {
--- a/src/main/java/org/wigeongrade/callers/CallerApi.java
+++ b/src/main/java/org/wigeongrade/callers/CallerApi.java
@@ -297,10 +297,10 @@
     }
 
     /** Calls back if the caller's connection closes before the answer is sent; holds nothing on it afterwards. */
-    private static void onCallerGone(Context context, Runnable callerGone) {
+    private void onCallerGone(Context context, Runnable callerGone) {
         final ChannelFuture closed =
                 context.getDirectChannelAccess().getChannel().closeFuture();
-        final ChannelFutureListener listener = future -> callerGone.run();
+        final ChannelFutureListener listener = future -> services.delay().run(callerGone, 0);
         closed.addListener(listener);
         context.onClose(outcome -> closed.removeListener(listener));
     }
--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -363,6 +363,10 @@
 
         @Override
         public void onFailure(SendFailure failure, String detail) {
+            if (stream.filter(BodyStream::isBlocked).isPresent()) {
+                callerGone();
+                return;
+            }
             synchronized (GenerationExchange.this) {
                 if (!assembler.isWhole()) {
                     attemptFailed(running, running.failed(failure), detail);
@@ -415,7 +419,8 @@
                 return;
             }
             if (stream.isEmpty()) {
-                final BodyStream body = new BodyStream(GenerationExchange.this::callerGone);
+                final BodyStream body =
+                        new BodyStream(() -> services.delay().run(GenerationExchange.this::callerGone, 0));
                 stream = Optional.of(body);
                 result.accept(new CallerResult.Streamed(HTTP_OK, AnswerHeaders.EVENT_STREAM, body));
             }
--- a/src/main/java/org/wigeongrade/callers/PassedOn.java
+++ b/src/main/java/org/wigeongrade/callers/PassedOn.java
@@ -91,7 +91,7 @@
         if (ended) {
             return;
         }
-        final BodyStream stream = new BodyStream(this::callerGone);
+        final BodyStream stream = new BodyStream(() -> services.delay().run(this::callerGone, 0));
         body = Optional.of(stream);
         result.accept(new CallerResult.Streamed(head.status(), AnswerHeaders.fromEntryVm(head.headers()), stream));
     }
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -332,7 +332,7 @@
                     return;
                 }
                 services.metrics().firstByteSent(services.entry().nowNanos() - arrivedNanos);
-                final BodyStream body = new BodyStream(ServiceExchange.this::callerGone);
+                final BodyStream body = new BodyStream(() -> services.delay().run(ServiceExchange.this::callerGone, 0));
                 stream = Optional.of(body);
                 result.accept(new CallerResult.Streamed(head.status(), AnswerHeaders.forCaller(head.headers()), body));
             }
--- a/src/main/java/org/wigeongrade/nodes/control/PullAnswerer.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullAnswerer.java
@@ -76,6 +76,7 @@
         reply.setTerm(leadership.term());
         reply.setSentAtNanos(nowNanos);
         reply.setViewLeaseNanos(timings.viewLeaseNanos());
+        reply.setMembersKnown(nowNanos - leadership.membersKnownAtNanos() >= 0);
         putConfiguration(reply, request);
         putEndpoints(reply, request, leadership.snapshot(state, nowNanos), nowNanos);
         putGrants(reply, request, leadership, nowNanos);
--- a/src/main/java/org/wigeongrade/nodes/entry/FleetViews.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetViews.java
@@ -48,17 +48,24 @@
                 configuration,
                 reply.getEndpointsDigest(),
                 records,
-                endpoints(records, reply, configuration, sentNanos),
+                endpoints(earlier, records, reply, configuration, sentNanos),
                 reply.getQuarantineDigest(),
                 quarantined,
                 sentNanos + reply.getViewLeaseNanos()));
     }
 
     private static ImmutableMap<EndpointId, EndpointView> endpoints(
-            ImmutableList<EndpointRecord> records, PullReply reply, ConfigurationView configuration, long sentNanos) {
+            FleetView earlier,
+            ImmutableList<EndpointRecord> records,
+            PullReply reply,
+            ConfigurationView configuration,
+            long sentNanos) {
         final Map<String, LoadRecord> loads = new HashMap<>();
         reply.getLoads().forEach(load -> loads.put(load.getEndpoint(), load));
         final ImmutableMap.Builder<EndpointId, EndpointView> views = ImmutableMap.builder();
+        if (!reply.isMembersKnown()) {
+            earlier.all().forEach(view -> views.put(view.id(), underConfiguration(view, configuration)));
+        }
         for (final EndpointRecord record : records) {
             final long leaseNanos =
                     reply.getShorterServingLeaseNanos().getOrDefault(record.getId(), reply.getServingLeaseNanos());
@@ -69,6 +76,25 @@
         return views.buildKeepingLast();
     }
 
+    /** Returns an endpoint of the earlier leader, with its serving deadline, as the configuration now allows it. */
+    private static EndpointView underConfiguration(EndpointView view, ConfigurationView configuration) {
+        return new EndpointView(
+                view.id(),
+                view.incarnation(),
+                view.target(),
+                view.zone(),
+                configuration.takesNewWork(view.zone()),
+                view.leaving(),
+                view.address(),
+                view.capacity(),
+                view.coldCapacity(),
+                view.cold(),
+                view.coldHolder(),
+                view.servingDeadlineNanos(),
+                view.load(),
+                view.fencingToken());
+    }
+
     private static EndpointView endpoint(
             EndpointRecord record, ConfigurationView configuration, long servingDeadlineNanos, LoadReport load) {
         final AvailabilityZone zone = new AvailabilityZone(record.getAvailabilityZone());
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -31,7 +31,7 @@
  * another; {@link #pullSoon} may be called from any thread.
  */
 public final class ViewPuller implements AutoCloseable {
-    private static final long FIRST_PULL_INTERVAL_MS = 100;
+    private static final long RETRY_INTERVAL_MS = 100;
 
     private final EntryRole entry;
     private final ControlLink control;
@@ -83,26 +83,29 @@
 
     private void run() {
         while (!closed) {
+            boolean pulled = false;
             try {
-                pullOnce();
+                pulled = pullOnce();
             } catch (RuntimeException failure) {
                 events.writeFault(LogEvent.VIEW_PULL_FAILED, failure, leaderName(), failure.toString());
             }
             noteLease();
-            await(leaseHeld ? intervalMs : Math.min(intervalMs, FIRST_PULL_INTERVAL_MS));
+            await(pulled ? intervalMs : Math.min(intervalMs, RETRY_INTERVAL_MS));
         }
     }
 
-    private void pullOnce() {
+    /** Returns whether the leader answered. */
+    private boolean pullOnce() {
         final List<AnnouncementRecord> announcements = entry.inbox().drain();
         final PullRequest request = request(announcements);
         final long sentNanos = entry.nowNanos();
         final Optional<PullReply> reply = control.pull(request);
         if (reply.isEmpty()) {
             entry.inbox().putBack(announcements);
-            return;
+            return false;
         }
         apply(reply.get(), sentNanos);
+        return true;
     }
 
     private PullRequest request(List<AnnouncementRecord> announcements) {
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -154,6 +154,8 @@
   18: i64 cacheCursor
   17: list<SuspectRecord> suspects
   19: i64 acknowledgedCrashSequence
+  // False while a new leader has not had the time to hear of every endpoint; a missing one is not lost for that.
+  20: bool membersKnown
 }
 
 // A refusal or failure with a code from the closed list of error kinds.
