Split the control state's facts and digests off, and use one search for the nearest name

The reader of declared files had its own edit distance beside that of the settings reader; it uses the latter.

--- a/src/main/java/org/wigeongrade/decisions/config/DeclaredSet.java
+++ b/src/main/java/org/wigeongrade/decisions/config/DeclaredSet.java
@@ -28,6 +28,14 @@
         organisations = copyOf(organisations);
     }
 
+    /** Returns the longest time that a call of any declared service may run, in milliseconds; 0 without services. */
+    public long longestServiceRunMs() {
+        return services.stream()
+                .mapToLong(ServiceDeclaration::longestRunMs)
+                .max()
+                .orElse(0);
+    }
+
     private static <T> List<T> copyOf(List<T> list) {
         return list == null ? ImmutableList.of() : ImmutableList.copyOf(list);
     }
--- a/src/main/java/org/wigeongrade/decisions/control/ControlState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -3,14 +3,12 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.wigeongrade.decisions.config.ConfigurationChecker;
 import org.wigeongrade.decisions.config.ConfigurationFault;
 import org.wigeongrade.decisions.config.DeclaredObjects;
 import org.wigeongrade.decisions.config.DeclaredSet;
 import org.wigeongrade.decisions.config.ObjectId;
 import org.wigeongrade.decisions.config.ObjectKind;
-import org.wigeongrade.decisions.config.ServiceDeclaration;
 import org.wigeongrade.decisions.outcomes.Claim;
 import org.wigeongrade.decisions.outcomes.ClaimTable;
 import org.wigeongrade.decisions.outcomes.Quarantine;
@@ -104,7 +102,7 @@
         }
         if (command instanceof Command.ClaimRequest claim) {
             advanceTo(claim.proposedAtEpochMs());
-            return claims.claim(claim, nowEpochMs, longestRunMs(), revision);
+            return claims.claim(claim, nowEpochMs, declaredSet.longestServiceRunMs(), revision);
         }
         if (command instanceof Command.FinishClaim finish) {
             advanceTo(finish.proposedAtEpochMs());
@@ -118,8 +116,7 @@
 
     private CommandResult applyConfiguration(Command.ApplyConfiguration command) {
         advanceTo(command.proposedAtEpochMs());
-        final String digest = ControlCodec.digest(new Command.ApplyConfiguration(
-                command.changeId(), command.operator(), command.baseRevision(), command.declaredSet(), 0));
+        final String digest = ChangeDigest.of(command);
         return changeAnswers.find(command.changeId(), digest, revision).orElseGet(() -> {
             final CommandResult result = replaceDeclaredSet(command);
             changeAnswers.add(command.changeId(), digest, result);
@@ -151,8 +148,7 @@
 
     private CommandResult setZoneState(Command.SetZoneState command) {
         advanceTo(command.proposedAtEpochMs());
-        final String digest = ControlCodec.digest(new Command.SetZoneState(
-                command.changeId(), command.operator(), command.zone(), command.zoneState(), 0));
+        final String digest = ChangeDigest.of(command);
         return changeAnswers.find(command.changeId(), digest, revision).orElseGet(() -> {
             final CommandResult result = changeZone(command);
             changeAnswers.add(command.changeId(), digest, result);
@@ -191,7 +187,8 @@
         final ObjectId group = ObjectId.of(ObjectKind.GROUP, command.group());
         final Optional<GroupRefusal> refusal = groups.form(command, new GroupRules(declaredSet, zones));
         if (refusal.isPresent()) {
-            return refuse(group, LEADER, ErrorKind.REVISION_CONFLICT, groupMessage(group, "formed", refusal.get()));
+            return refuse(
+                    group, LEADER, ErrorKind.REVISION_CONFLICT, refusal.get().message(group, "formed"));
         }
         decide(group, "formed of " + command.members(), command.reason(), LEADER);
         command.members().forEach(member -> decide(vm(member), "joined " + group, command.reason(), LEADER));
@@ -205,7 +202,8 @@
                 groups.find(command.group()).map(FormedGroup::members).orElse(List.of());
         final Optional<GroupRefusal> refusal = groups.dissolve(command);
         if (refusal.isPresent()) {
-            return refuse(group, LEADER, ErrorKind.REVISION_CONFLICT, groupMessage(group, "dissolved", refusal.get()));
+            return refuse(
+                    group, LEADER, ErrorKind.REVISION_CONFLICT, refusal.get().message(group, "dissolved"));
         }
         decide(group, "dissolved", command.reason(), LEADER);
         members.forEach(member -> decide(vm(member), "freed from " + group, command.reason(), LEADER));
@@ -234,13 +232,6 @@
         nowEpochMs = Math.max(nowEpochMs, proposedAtEpochMs);
     }
 
-    private long longestRunMs() {
-        return declaredSet.services().stream()
-                .mapToLong(ServiceDeclaration::longestRunMs)
-                .max()
-                .orElse(0);
-    }
-
     private CommandResult refuse(ObjectId object, String by, ErrorKind kind, String message) {
         decide(object, "refused: " + kind.code(), message, by);
         return new CommandResult.Refused(kind, message, revision);
@@ -250,10 +241,6 @@
         history.add(new Decision(object, what, why, by, nowEpochMs, revision, appliedIndex));
     }
 
-    private static String groupMessage(ObjectId group, String verb, GroupRefusal refusal) {
-        return group + " was not " + verb + ": " + refusal.text() + " (" + refusal.code() + ")";
-    }
-
     private static ObjectId vm(VmIncarnation member) {
         return ObjectId.of(ObjectKind.VM, member.vm());
     }
@@ -294,15 +281,6 @@
                 revision, declaredSet, zones.all(declaredSet), groups.all(), groups.dissolved(), groups.lastToken());
     }
 
-    /** What placement decides from, at one log position. Immutable; safe for use from any thread. */
-    public record PlacementFacts(
-            Revision revision,
-            DeclaredSet declaredSet,
-            ImmutableMap<AvailabilityZone, ZoneState> zones,
-            List<FormedGroup> groups,
-            Set<GroupName> dissolvedGroups,
-            FencingToken lastToken) {}
-
     /** Returns the kept decisions about an object, oldest first. */
     public synchronized List<Decision> decisions(ObjectId object) {
         return history.about(object);
--- a/src/main/java/org/wigeongrade/decisions/control/GroupRefusal.java
+++ b/src/main/java/org/wigeongrade/decisions/control/GroupRefusal.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.decisions.control;
 
 import java.util.Locale;
+import org.wigeongrade.decisions.config.ObjectId;
 
 /** Why a command about a group was refused. Immutable; safe for use from any thread. */
 public enum GroupRefusal {
@@ -31,4 +32,9 @@
     public String text() {
         return text;
     }
+
+    /** Returns the refusal as a sentence; {@code verb} is what was to be done, for example {@code formed}. */
+    public String message(ObjectId group, String verb) {
+        return group + " was not " + verb + ": " + text + " (" + code() + ")";
+    }
 }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/control/PlacementFacts.java
@@ -0,0 +1,24 @@
+package org.wigeongrade.decisions.control;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.List;
+import java.util.Set;
+import org.wigeongrade.decisions.config.DeclaredSet;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.Revision;
+
+/** What placement decides from, at one log position. Immutable; safe for use from any thread. */
+public record PlacementFacts(
+        Revision revision,
+        DeclaredSet declaredSet,
+        ImmutableMap<AvailabilityZone, ZoneState> zones,
+        List<FormedGroup> groups,
+        Set<GroupName> dissolvedGroups,
+        FencingToken lastToken) {
+    public PlacementFacts {
+        groups = List.copyOf(groups);
+        dissolvedGroups = Set.copyOf(dissolvedGroups);
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/placement/PlacementInput.java
+++ b/src/main/java/org/wigeongrade/decisions/placement/PlacementInput.java
@@ -7,6 +7,7 @@
 import org.wigeongrade.decisions.config.DeclaredSet;
 import org.wigeongrade.decisions.control.ControlState;
 import org.wigeongrade.decisions.control.FormedGroup;
+import org.wigeongrade.decisions.control.PlacementFacts;
 import org.wigeongrade.decisions.control.ZoneState;
 import org.wigeongrade.decisions.membership.Announcement;
 import org.wigeongrade.decisions.membership.AnnouncementTable;
@@ -53,7 +54,7 @@
             long nowEpochMs,
             long membersKnownAtNanos,
             long oldLeaderOrdersEndNanos) {
-        final ControlState.PlacementFacts facts = state.placementFacts();
+        final PlacementFacts facts = state.placementFacts();
         return new PlacementInput(
                 facts.declaredSet(),
                 facts.zones(),
--- a/src/main/java/org/wigeongrade/nodes/control/ConfigurationViews.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ConfigurationViews.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.nodes.control;
 
 import org.wigeongrade.decisions.control.ControlState;
+import org.wigeongrade.decisions.control.PlacementFacts;
 import org.wigeongrade.decisions.control.ZoneEntry;
 import org.wigeongrade.nodes.ConfigurationView;
 
@@ -9,7 +10,7 @@
     private ConfigurationViews() {}
 
     static ConfigurationView of(ControlState state) {
-        final ControlState.PlacementFacts facts = state.placementFacts();
+        final PlacementFacts facts = state.placementFacts();
         return new ConfigurationView(
                 facts.revision(),
                 facts.declaredSet(),
--- a/src/main/java/org/wigeongrade/operators/TableReader.java
+++ b/src/main/java/org/wigeongrade/operators/TableReader.java
@@ -9,6 +9,7 @@
 import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
+import org.wigeongrade.settings.NearestName;
 
 /**
  * Reads the fields of one TOML table and collects the faults found on the way. A field with a fault reads as its
@@ -137,7 +138,7 @@
 
     /** Returns a message that names the nearest known name and all of them. */
     static String unknown(String what, String name, SortedSet<String> known) {
-        final String nearest = EditDistance.nearest(name, known)
+        final String nearest = NearestName.find(name, known)
                 .map(candidate -> "did you mean '" + candidate + "'? ")
                 .orElse("");
         return what + " '" + name + "'; " + nearest + "known are " + String.join(", ", known);
--- a/src/test/java/org/wigeongrade/decisions/control/ControlStateTest.java
+++ b/src/test/java/org/wigeongrade/decisions/control/ControlStateTest.java
@@ -19,13 +19,17 @@
 import org.wigeongrade.decisions.config.ObjectId;
 import org.wigeongrade.decisions.config.ObjectKind;
 import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.RunClaim;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.ChangeId;
 import org.wigeongrade.ids.FabricDomain;
 import org.wigeongrade.ids.FencingToken;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.PoolName;
+import org.wigeongrade.ids.RequestId;
 import org.wigeongrade.ids.Revision;
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
@@ -160,12 +164,41 @@
         apply(form("guide/1", "guide", GUIDE_1, ZONE_A, 1, vm("v1"), vm("v2")));
         apply(dissolve(2));
         apply(new Command.QuarantineRequest("digest", "crashed 2 endpoints", 9_000, 1_000));
+        apply(claim("open"));
+        apply(claim("finished"));
+        apply(new Command.FinishClaim(
+                OrganisationName.of("carrick"),
+                "finished",
+                RequestId.of("r1"),
+                RunClaim.COMPLETED,
+                new StoredAnswer(200, "text/plain", new byte[] {1, 2, 3}),
+                1_000));
 
         final byte[] bytes = ControlCodec.encode(state.snapshot());
         final ControlState restored = ControlState.restore(ControlCodec.decodeSnapshot(bytes));
 
         assertThat(Arrays.equals(ControlCodec.encode(restored.snapshot()), bytes))
                 .isTrue();
+        assertThat(restored.apply(99, claim("finished"))).isInstanceOf(CommandResult.AlreadyAnswered.class);
+    }
+
+    @Test
+    void timeOfTheStateNeverGoesBack() {
+        apply(new Command.ExpireRecords(5_000));
+        apply(new Command.ExpireRecords(2_000));
+
+        assertThat(state.nowEpochMs()).isEqualTo(5_000);
+    }
+
+    private static Command claim(String key) {
+        return new Command.ClaimRequest(
+                OrganisationName.of("carrick"),
+                key,
+                "digest",
+                RequestId.of("r1"),
+                NodeName.of("entry-1"),
+                6_000,
+                1_000);
     }
 
     private CommandResult apply(Command command) {
