Let records expire with the time of any command

Nothing proposed the command that removes old claims, so an organisation would have been refused for good after 4,000 claims. Records now expire whenever the time of the state enters another minute. The test fails without it: the claim is still kept. A timer at the leader was ruled out, since the state would still depend on it.

--- a/src/main/java/org/wigeongrade/decisions/control/ControlState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -31,6 +31,7 @@
  */
 public final class ControlState {
     private static final String LEADER = "leader";
+    private static final long MS_PER_MINUTE = 60_000;
 
     private final ZoneTable zones = new ZoneTable();
     private final GroupTable groups = new GroupTable();
@@ -223,13 +224,22 @@
 
     private CommandResult expire(Command.ExpireRecords command) {
         advanceTo(command.proposedAtEpochMs());
-        claims.expire(nowEpochMs);
-        quarantines.expire(nowEpochMs);
+        expireRecords();
         return new CommandResult.Accepted(revision);
     }
 
+    /** Moves the time of the state on; records expire whenever it enters another minute. */
     private void advanceTo(long proposedAtEpochMs) {
+        final long earlierEpochMs = nowEpochMs;
         nowEpochMs = Math.max(nowEpochMs, proposedAtEpochMs);
+        if (nowEpochMs / MS_PER_MINUTE != earlierEpochMs / MS_PER_MINUTE) {
+            expireRecords();
+        }
+    }
+
+    private void expireRecords() {
+        claims.expire(nowEpochMs);
+        quarantines.expire(nowEpochMs);
     }
 
     private CommandResult refuse(ObjectId object, String by, ErrorKind kind, String message) {
--- a/src/test/java/org/wigeongrade/decisions/control/ControlStateTest.java
+++ b/src/test/java/org/wigeongrade/decisions/control/ControlStateTest.java
@@ -18,6 +18,7 @@
 import org.wigeongrade.decisions.config.DeclaredSet;
 import org.wigeongrade.decisions.config.ObjectId;
 import org.wigeongrade.decisions.config.ObjectKind;
+import org.wigeongrade.decisions.outcomes.ClaimTable;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.RunClaim;
 import org.wigeongrade.ids.AvailabilityZone;
@@ -190,6 +191,15 @@
         assertThat(state.nowEpochMs()).isEqualTo(5_000);
     }
 
+    @Test
+    void recordsExpireWithTheTimeOfAnyCommand() {
+        apply(claim("open"));
+
+        apply(new Command.QuarantineRequest("digest", "crashed 2 endpoints", 9_000, 2 * ClaimTable.RETENTION_MS));
+
+        assertThat(state.claim(OrganisationName.of("carrick"), "open")).isEmpty();
+    }
+
     private static Command claim(String key) {
         return new Command.ClaimRequest(
                 OrganisationName.of("carrick"),
