--- a/src/main/java/org/wigeongrade/decisions/control/ControlState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -3,14 +3,12 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.wigeongrade.decisions.config.ConfigurationChecker;
 import org.wigeongrade.decisions.config.ConfigurationFault;
 import org.wigeongrade.decisions.config.DeclaredObjects;
 import org.wigeongrade.decisions.config.DeclaredSet;
 import org.wigeongrade.decisions.config.ObjectId;
 import org.wigeongrade.decisions.config.ObjectKind;
-import org.wigeongrade.decisions.config.ServiceDeclaration;
 import org.wigeongrade.decisions.outcomes.Claim;
 import org.wigeongrade.decisions.outcomes.ClaimTable;
 import org.wigeongrade.decisions.outcomes.Quarantine;
@@ -33,6 +31,7 @@
  */
 public final class ControlState {
     private static final String LEADER = "leader";
+    private static final long MS_PER_MINUTE = 60_000;
 
     private final ZoneTable zones = new ZoneTable();
     private final GroupTable groups = new GroupTable();
@@ -104,7 +103,7 @@
         }
         if (command instanceof Command.ClaimRequest claim) {
             advanceTo(claim.proposedAtEpochMs());
-            return claims.claim(claim, nowEpochMs, longestRunMs(), revision);
+            return claims.claim(claim, nowEpochMs, declaredSet.longestServiceRunMs(), revision);
         }
         if (command instanceof Command.FinishClaim finish) {
             advanceTo(finish.proposedAtEpochMs());
@@ -118,8 +117,7 @@
 
     private CommandResult applyConfiguration(Command.ApplyConfiguration command) {
         advanceTo(command.proposedAtEpochMs());
-        final String digest = ControlCodec.digest(new Command.ApplyConfiguration(
-                command.changeId(), command.operator(), command.baseRevision(), command.declaredSet(), 0));
+        final String digest = ChangeDigest.of(command);
         return changeAnswers.find(command.changeId(), digest, revision).orElseGet(() -> {
             final CommandResult result = replaceDeclaredSet(command);
             changeAnswers.add(command.changeId(), digest, result);
@@ -151,8 +149,7 @@
 
     private CommandResult setZoneState(Command.SetZoneState command) {
         advanceTo(command.proposedAtEpochMs());
-        final String digest = ControlCodec.digest(new Command.SetZoneState(
-                command.changeId(), command.operator(), command.zone(), command.zoneState(), 0));
+        final String digest = ChangeDigest.of(command);
         return changeAnswers.find(command.changeId(), digest, revision).orElseGet(() -> {
             final CommandResult result = changeZone(command);
             changeAnswers.add(command.changeId(), digest, result);
@@ -191,7 +188,8 @@
         final ObjectId group = ObjectId.of(ObjectKind.GROUP, command.group());
         final Optional<GroupRefusal> refusal = groups.form(command, new GroupRules(declaredSet, zones));
         if (refusal.isPresent()) {
-            return refuse(group, LEADER, ErrorKind.REVISION_CONFLICT, groupMessage(group, "formed", refusal.get()));
+            return refuse(
+                    group, LEADER, ErrorKind.REVISION_CONFLICT, refusal.get().message(group, "formed"));
         }
         decide(group, "formed of " + command.members(), command.reason(), LEADER);
         command.members().forEach(member -> decide(vm(member), "joined " + group, command.reason(), LEADER));
@@ -205,7 +203,8 @@
                 groups.find(command.group()).map(FormedGroup::members).orElse(List.of());
         final Optional<GroupRefusal> refusal = groups.dissolve(command);
         if (refusal.isPresent()) {
-            return refuse(group, LEADER, ErrorKind.REVISION_CONFLICT, groupMessage(group, "dissolved", refusal.get()));
+            return refuse(
+                    group, LEADER, ErrorKind.REVISION_CONFLICT, refusal.get().message(group, "dissolved"));
         }
         decide(group, "dissolved", command.reason(), LEADER);
         members.forEach(member -> decide(vm(member), "freed from " + group, command.reason(), LEADER));
@@ -225,20 +224,22 @@
 
     private CommandResult expire(Command.ExpireRecords command) {
         advanceTo(command.proposedAtEpochMs());
-        claims.expire(nowEpochMs);
-        quarantines.expire(nowEpochMs);
+        expireRecords();
         return new CommandResult.Accepted(revision);
     }
 
+    /** Moves the time of the state on; records expire whenever it enters another minute. */
     private void advanceTo(long proposedAtEpochMs) {
+        final long earlierEpochMs = nowEpochMs;
         nowEpochMs = Math.max(nowEpochMs, proposedAtEpochMs);
+        if (nowEpochMs / MS_PER_MINUTE != earlierEpochMs / MS_PER_MINUTE) {
+            expireRecords();
+        }
     }
 
-    private long longestRunMs() {
-        return declaredSet.services().stream()
-                .mapToLong(ServiceDeclaration::longestRunMs)
-                .max()
-                .orElse(0);
+    private void expireRecords() {
+        claims.expire(nowEpochMs);
+        quarantines.expire(nowEpochMs);
     }
 
     private CommandResult refuse(ObjectId object, String by, ErrorKind kind, String message) {
@@ -250,10 +251,6 @@
         history.add(new Decision(object, what, why, by, nowEpochMs, revision, appliedIndex));
     }
 
-    private static String groupMessage(ObjectId group, String verb, GroupRefusal refusal) {
-        return group + " was not " + verb + ": " + refusal.text() + " (" + refusal.code() + ")";
-    }
-
     private static ObjectId vm(VmIncarnation member) {
         return ObjectId.of(ObjectKind.VM, member.vm());
     }
@@ -294,15 +291,6 @@
                 revision, declaredSet, zones.all(declaredSet), groups.all(), groups.dissolved(), groups.lastToken());
     }
 
-    /** What placement decides from, at one log position. Immutable; safe for use from any thread. */
-    public record PlacementFacts(
-            Revision revision,
-            DeclaredSet declaredSet,
-            ImmutableMap<AvailabilityZone, ZoneState> zones,
-            List<FormedGroup> groups,
-            Set<GroupName> dissolvedGroups,
-            FencingToken lastToken) {}
-
     /** Returns the kept decisions about an object, oldest first. */
     public synchronized List<Decision> decisions(ObjectId object) {
         return history.about(object);
