--- a/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PlacementLoop.java
@@ -111,10 +111,18 @@
     /** Returns whether the rest of the plan may be carried out. */
     private boolean carryOut(PlacementAction action, Leadership leadership, long nowNanos) {
         if (action instanceof PlacementAction.FormGroup form) {
-            return commit(form.command()).isPresent() && logFormed(form.command());
+            if (commit(form.command()).isPresent()) {
+                events.write(
+                        LogEvent.GROUP_FORMED,
+                        form.command().group(),
+                        form.command().members(),
+                        form.command().reason());
+            }
+            return true;
         }
         if (action instanceof PlacementAction.DissolveGroup dissolve) {
-            return dissolve(dissolve, leadership, nowNanos);
+            dissolve(dissolve, leadership, nowNanos);
+            return true;
         }
         if (action instanceof PlacementAction.SendOrder send && isDue(send.order(), leadership, nowNanos)) {
             final boolean leads = control.leadership().isPresent();
@@ -132,20 +140,19 @@
                 && pacing.isDue(order, nowNanos);
     }
 
-    private boolean dissolve(PlacementAction.DissolveGroup action, Leadership leadership, long nowNanos) {
+    private void dissolve(PlacementAction.DissolveGroup action, Leadership leadership, long nowNanos) {
         final Command.DissolveGroup command = action.command();
         final Optional<FormedGroup> group = control.state().groups().stream()
                 .filter(formed -> formed.group().equals(command.group()))
                 .findFirst();
         if (commit(command).isEmpty()) {
-            return false;
+            return;
         }
         if (action.reason() != PlacementReason.MEMBER_LOST) {
             final long leasesEndNanos = nowNanos + leadership.leaseNanos();
             group.ifPresent(formed -> freedVms.dissolved(formed, leasesEndNanos));
         }
         events.write(LogEvent.GROUP_DISSOLVED, command.group(), command.reason());
-        return true;
     }
 
     private Optional<CommandResult> commit(Command command) {
@@ -156,9 +163,4 @@
         }
         return Optional.of(result);
     }
-
-    private boolean logFormed(Command.FormGroup command) {
-        events.write(LogEvent.GROUP_FORMED, command.group(), command.members(), command.reason());
-        return true;
-    }
 }
