--- a/src/main/java/org/wigeongrade/callers/GenerationRequest.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationRequest.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.callers;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -22,7 +23,8 @@
         boolean stream,
         int priority,
         ImmutableList<String> prefixes) {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private static final long DEFAULT_MAX_TOKENS = 256;
     private static final int MAX_PRIORITY = 100;
 
@@ -34,6 +36,7 @@
         if (prompt == null || !api.promptIsWellFormed(prompt)) {
             throw malformed("'" + api.promptField() + "' must be " + api.promptShape());
         }
+        checkMaxTokens(body);
         return new GenerationRequest(
                 api, body, model, readStream(body), readPriority(body), PromptBlocks.digests(api, prompt));
     }
@@ -77,6 +80,14 @@
         return value.textValue();
     }
 
+    private static void checkMaxTokens(ObjectNode body) {
+        final JsonNode value = body.get("max_tokens");
+        final boolean isAbsent = value == null || value.isNull();
+        if (!isAbsent && !(value.isIntegralNumber() && value.canConvertToInt() && value.intValue() > 0)) {
+            throw malformed("'max_tokens' must be a whole number of 1 or more");
+        }
+    }
+
     private static boolean readStream(ObjectNode body) {
         final JsonNode value = body.get("stream");
         if (value == null || value.isNull()) {
