--- a/src/main/java/org/wigeongrade/disk/LogStore.java
+++ b/src/main/java/org/wigeongrade/disk/LogStore.java
@@ -78,8 +78,7 @@
     /** Moves a lost folder's files into a subfolder, so that the next open starts a new incarnation that may not bootstrap. */
     public static void setAside(Path folder, FileOperations files) {
         try (FolderLock held = FolderLock.take(folder)) {
-            Path aside = folder.resolve(LOST_PREFIX + (lostFolders(folder) + 1));
-            Files.createDirectory(aside);
+            Path aside = Files.createDirectory(nextLostFolder(folder));
             for (String name : ImmutableList.of(LOG_FILE, SNAPSHOT_FILE, STATE_FILE)) {
                 if (Files.exists(folder.resolve(name))) {
                     files.rename(folder.resolve(name), aside.resolve(name));
@@ -106,6 +105,11 @@
         change(() -> logFile.append(entries));
     }
 
+    /** Closes the last batch, so that later damage to it makes the folder lost and does not pass as a torn tail. */
+    public void mark() {
+        change(logFile::mark);
+    }
+
     /** Stores a snapshot and replaces the log by the entries after a base that is not past it. */
     public void saveSnapshot(Snapshot snapshot, Position base, List<LogEntry> entries) {
         change(() -> {
@@ -173,6 +177,14 @@
         }
     }
 
+    private static Path nextLostFolder(Path folder) {
+        int number = 1;
+        while (Files.exists(folder.resolve(LOST_PREFIX + number))) {
+            number++;
+        }
+        return folder.resolve(LOST_PREFIX + number);
+    }
+
     private static long lostFolders(Path folder) throws IOException {
         long count = 0;
         try (DirectoryStream<Path> found = Files.newDirectoryStream(folder, LOST_PREFIX + "*")) {
--- a/src/test/java/org/wigeongrade/decisions/placement/PlacementProperties.java
+++ b/src/test/java/org/wigeongrade/decisions/placement/PlacementProperties.java
@@ -133,7 +133,7 @@
                 random.nextInt(8),
                 1 + random.nextInt(3),
                 random.nextBoolean() ? GUIDE_1 : GUIDE_2,
-                PlacementWeight.values()[random.nextInt(2)],
+                random.nextBoolean() ? PlacementWeight.GROUP_DOWNTIME : PlacementWeight.STRANDED_ACCELERATORS,
                 random.nextInt(2),
                 random.nextBoolean(),
                 1 + random.nextInt(4));
