Keep the entry VM cut off past the five seconds in the zone test

With every lease check removed in a trial the test still passed: the entry VM was back 4 s after the zone went out, so it never had the chance to send late. Now it stays cut or frozen for 7 s.

--- a/src/test/java/org/wigeongrade/proof/ZoneOutProcessTest.java
+++ b/src/test/java/org/wigeongrade/proof/ZoneOutProcessTest.java
@@ -20,6 +20,7 @@
 @Tag("process")
 final class ZoneOutProcessTest {
     private static final long IN_FORCE_MS = 5_000;
+    private static final long DEAF_MS = IN_FORCE_MS + 2_000;
 
     /** What happens to the entry VM. */
     enum Deafness {
@@ -59,9 +60,9 @@
                 deafness.begin(fleet, "entry-3");
                 zone(fleet, "out", "change-2");
                 long outNanos = System.nanoTime();
-                Await.sleepMs(4_000);
+                Await.sleepMs(DEAF_MS);
                 deafness.end(fleet, "entry-3");
-                Await.sleepMs(5_000);
+                Await.sleepMs(2_000);
                 long inNanos = System.nanoTime();
                 zone(fleet, "in", "change-3");
 
