Cut the entry VM off only once it has sent work to the zone

With every lease check removed in a trial the test still passed: the entry VM held no share of the zone's endpoint, so it could not have sent there. Now it must have sent work there before it is cut.

--- a/src/test/java/org/wigeongrade/proof/ZoneOutProcessTest.java
+++ b/src/test/java/org/wigeongrade/proof/ZoneOutProcessTest.java
@@ -56,7 +56,7 @@
             long unused = fleet.apply(declared, 0, "change-1");
             try (Callers callers = new Callers(fleet.entries(), recorder)) {
                 callers.startGenerating(6, Workload.CHAT, 6);
-                awaitWork(fleet, 0);
+                Await.until("work in zone-a through entry-3", 20_000, () -> sentThrough(fleet, recorder, "entry-3"));
                 deafness.begin(fleet, "entry-3");
                 zone(fleet, "out", "change-2");
                 long outNanos = System.nanoTime();
@@ -77,6 +77,17 @@
         }
     }
 
+    /** Returns whether the entry VM holds a share of the zone's endpoint, as it sent work there lately. */
+    private static boolean sentThrough(ProcessFleet fleet, HistoryRecorder recorder, String entry) {
+        Set<String> atZone = Histories.startedOperations(fleet.journal().stream()
+                .filter(started -> started.vm().equals("vm-a"))
+                .toList());
+        return recorder.history().stream()
+                .anyMatch(event -> event.phase() == Phase.OK
+                        && event.target().equals(fleet.entry(entry))
+                        && atZone.contains(event.subject()));
+    }
+
     private static void awaitWork(ProcessFleet fleet, long sinceNanos) {
         Await.until("work in zone-a", 15_000, () -> startsAfter(fleet.journal(), "vm-a", sinceNanos) > 0);
     }
