Wire the fair part, announced cold starts and zones of endpoints; pass requests on while an endpoint warms up

After: such requests are passed on as in a cold start; a changed view is followed by a pull after 100 ms, so that new keys get their shares; a read of the configuration needs the view lease. A claim whose fate is unknown is freed as not run, since nothing was sent.

--- a/src/main/java/org/wigeongrade/callers/CallerApi.java
+++ b/src/main/java/org/wigeongrade/callers/CallerApi.java
@@ -11,8 +11,6 @@
 import java.util.regex.Pattern;
 import org.wigeongrade.decisions.config.OrganisationDeclaration;
 import org.wigeongrade.decisions.config.ServiceDeclaration;
-import org.wigeongrade.decisions.limits.AdmissionDecision;
-import org.wigeongrade.decisions.limits.AdmissionRequest;
 import org.wigeongrade.decisions.routing.EndpointKind;
 import org.wigeongrade.decisions.routing.RouteTarget;
 import org.wigeongrade.errors.ErrorKind;
@@ -20,7 +18,6 @@
 import org.wigeongrade.ids.RequestId;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.logging.LogEvent;
-import org.wigeongrade.metrics.RequestOutcome;
 import org.wigeongrade.nodes.entry.EntryRole;
 import org.wigeongrade.nodes.entry.FleetView;
 import ratpack.exec.Promise;
@@ -44,12 +41,14 @@
     private final Dispatcher dispatcher;
     private final InFlight inFlight;
     private final ModelList modelList;
+    private final CallerAdmission admission;
 
     public CallerApi(CallerServices services, InFlight inFlight) {
         this.services = services;
         this.dispatcher = new Dispatcher(services.entry());
         this.inFlight = inFlight;
         this.modelList = new ModelList(services.entry());
+        this.admission = new CallerAdmission(services.entry());
     }
 
     @Override
@@ -149,10 +148,11 @@
                     ErrorKind.NOT_FOUND,
                     "model '" + wanted.model() + "' is not declared; the declared ones are " + modelList.names());
         }
-        if (passedOn(request, new RouteTarget(EndpointKind.ENGINE, wanted.model()))) {
+        final RouteTarget target = new RouteTarget(EndpointKind.ENGINE, wanted.model());
+        if (passedOn(request, target)) {
             return;
         }
-        final AdmissionDecision.Admitted admitted = admit(request, wanted.maxTokens());
+        final CallerAdmission.Admitted admitted = admission.admit(request.organisation(), target, wanted.maxTokens());
         final String digest = Hashing.sha256()
                 .newHasher()
                 .putString(request.organisation().name() + "\n" + api.path() + "\n", StandardCharsets.UTF_8)
@@ -164,8 +164,8 @@
         answer(request, result -> {
             final GenerationExchange exchange = new GenerationExchange(
                     services, dispatcher, wanted, request.id(), digest, request.notes(), result, end -> {
-                        services.entry().admission().finish(admitted, end.tokens());
-                        ended(end.outcome(), startNanos);
+                        admitted.finish(end.tokens());
+                        ended(end, startNanos);
                     });
             onCallerGone(request.context(), exchange::callerGone);
             exchange.start();
@@ -174,17 +174,18 @@
 
     private void callService(Arrived request, Context context) {
         final ServiceCall call = serviceCall(request, context);
-        if (passedOn(request, RouteTarget.of(call.service().name()))) {
+        final RouteTarget target = RouteTarget.of(call.service().name());
+        if (passedOn(request, target)) {
             return;
         }
-        final AdmissionDecision.Admitted admitted = admit(request, 0);
+        final CallerAdmission.Admitted admitted = admission.admit(request.organisation(), target, 0);
         inFlight.arrived();
         final long startNanos = services.entry().nowNanos();
         answer(request, result -> {
             final ServiceExchange exchange =
-                    new ServiceExchange(services, dispatcher, call, request.id(), request.notes(), result, outcome -> {
-                        services.entry().admission().finish(admitted, 0);
-                        ended(outcome, startNanos);
+                    new ServiceExchange(services, dispatcher, call, request.id(), request.notes(), result, end -> {
+                        admitted.finish(end.tokens());
+                        ended(end, startNanos);
                     });
             onCallerGone(request.context(), exchange::callerGone);
             exchange.start();
@@ -245,29 +246,6 @@
         return key;
     }
 
-    private AdmissionDecision.Admitted admit(Arrived request, long estimatedTokens) {
-        final OrganisationDeclaration organisation = request.organisation();
-        final AdmissionDecision decision = services.entry()
-                .admission()
-                .admit(
-                        new AdmissionRequest(
-                                organisation.name(),
-                                organisation.requestsInFlight(),
-                                organisation.requestsPerSecond(),
-                                organisation.tokensPerMinute(),
-                                estimatedTokens),
-                        services.entry().nowNanos());
-        if (decision instanceof AdmissionDecision.Refused refused) {
-            throw new WigeongradeException(
-                    ErrorKind.ORGANISATION_LIMIT,
-                    "organisation '" + organisation.name() + "': "
-                            + refused.reason().code(),
-                    refused.retryAfterMs(),
-                    null);
-        }
-        return (AdmissionDecision.Admitted) decision;
-    }
-
     private void answer(Arrived request, Action<Consumer<CallerResult>> exchange) {
         Promise.<CallerResult>async(downstream -> exchange.execute(downstream::success))
                 .then(result -> send(request, result));
@@ -305,10 +283,10 @@
         context.onClose(outcome -> closed.removeListener(listener));
     }
 
-    private void ended(RequestOutcome outcome, long startNanos) {
+    private void ended(ExchangeEnd end, long startNanos) {
         inFlight.left();
         services.metrics()
-                .requestEnded(services.entry().zone(), outcome, services.entry().nowNanos() - startNanos);
+                .requestEnded(end.zone(), end.outcome(), services.entry().nowNanos() - startNanos);
     }
 
     private void refuse(Context context, RequestId id, WigeongradeException failure) {
--- a/src/main/java/org/wigeongrade/callers/ClaimKeeper.java
+++ b/src/main/java/org/wigeongrade/callers/ClaimKeeper.java
@@ -58,6 +58,9 @@
         try {
             return read(services.control().submit(command, deadlineNanos), call, deadlineNanos);
         } catch (WigeongradeException failure) {
+            if (failure.kind() == ErrorKind.OUTCOME_UNKNOWN) {
+                services.workers().execute(() -> finish(call, requestId, RunClaim.NOT_RUN, Optional.empty()));
+            }
             return new Outcome.Refused(new WigeongradeException(
                     ErrorKind.CONTROL_UNAVAILABLE, "the call could not be claimed: " + failure.getMessage(), failure));
         }
--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -84,8 +84,8 @@
     }
 
     /**
-     * Returns the entry VM to pass a request on to: the target's endpoints are cold and other entry VMs alone may send
-     * to them. Empty if this VM can serve the request, or no VM can.
+     * Returns the entry VM to pass a request on to: the target's endpoints are cold or warming up, and other entry VMs
+     * hold all their slots. Empty if this VM can serve the request, or no VM can.
      */
     Optional<String> coldHolderAddress(RouteTarget target) {
         final long nowNanos = entry.nowNanos();
@@ -99,7 +99,7 @@
             if (rejection.isEmpty()) {
                 return Optional.empty();
             }
-            if (rejection.get() == RouteReason.COLD_NOT_HOLDER) {
+            if (isHeldElsewhere(endpoint, rejection.get(), nowNanos)) {
                 view.coldHolderAddress(endpoint.id()).ifPresent(addresses::add);
             }
         }
@@ -109,6 +109,17 @@
                 : Optional.of(found.get(RandomGenerator.getDefault().nextInt(found.size())));
     }
 
+    /** Returns whether another entry VM holds the slots that the endpoint can bear while it is cold or warming up. */
+    private boolean isHeldElsewhere(EndpointView endpoint, RouteReason rejection, long nowNanos) {
+        if (rejection == RouteReason.COLD_NOT_HOLDER) {
+            return true;
+        }
+        final ShareKey key = ShareKey.endpointSlots(endpoint.id());
+        return rejection == RouteReason.NO_FREE_SLOT
+                && entry.shares().grantedSlots(key, nowNanos) == 0
+                && endpoint.coldHolder().filter(entry.self()::equals).isEmpty();
+    }
+
     /** Counts an attempt that is sent now. */
     void begun(String requestDigest, Dispatch.Ready ready) {
         entry.suspects().begin(requestDigest, ready.life());
--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -60,13 +60,14 @@
     private final String requestDigest;
     private final DecisionNotes notes;
     private final Consumer<CallerResult> result;
-    private final Consumer<GenerationEnd> onEnd;
+    private final Consumer<ExchangeEnd> onEnd;
     private final Retries retries;
     private final long arrivedNanos;
     private final long deadlineNanos;
     private final StreamAssembler assembler;
 
     private final Set<EndpointId> tried = new HashSet<>();
+    private AvailabilityZone zone;
     private int attempts;
     private boolean ended;
     private boolean mayHaveRun;
@@ -77,9 +78,6 @@
     private Optional<AttemptProgress> progress = Optional.empty();
     private Optional<String> modelVersion = Optional.empty();
 
-    /** How the exchange ended, for limits and measures. */
-    record GenerationEnd(RequestOutcome outcome, AvailabilityZone zone, long tokens) {}
-
     GenerationExchange(
             CallerServices services,
             Dispatcher dispatcher,
@@ -88,7 +86,7 @@
             String requestDigest,
             DecisionNotes notes,
             Consumer<CallerResult> result,
-            Consumer<GenerationEnd> onEnd) {
+            Consumer<ExchangeEnd> onEnd) {
         this.services = services;
         this.dispatcher = dispatcher;
         this.request = request;
@@ -97,6 +95,7 @@
         this.notes = notes;
         this.result = result;
         this.onEnd = onEnd;
+        this.zone = services.entry().zone();
         this.retries = new Retries(services.entry().retries());
         this.arrivedNanos = services.entry().nowNanos();
         this.deadlineNanos =
@@ -187,6 +186,7 @@
 
     private void send(Dispatch.Ready ready) {
         attempts++;
+        zone = ready.endpoint().zone();
         modelVersion = modelVersion.or(() -> versionOf(ready.endpoint().id()));
         final AttemptId attemptId = new AttemptId(requestId.value() + "." + attempts);
         final AttemptProgress running = new AttemptProgress(attemptId, ready);
@@ -300,8 +300,7 @@
 
     private void finish(RequestOutcome outcome) {
         ended = true;
-        final AvailabilityZone zone = services.entry().zone();
-        onEnd.accept(new GenerationEnd(outcome, zone, tokens));
+        onEnd.accept(new ExchangeEnd(outcome, zone, tokens));
     }
 
     private void coldSeen(AttemptProgress running) {
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -29,6 +29,7 @@
 import org.wigeongrade.errors.RunClaim;
 import org.wigeongrade.errors.WigeongradeException;
 import org.wigeongrade.ids.AttemptId;
+import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.RequestId;
 import org.wigeongrade.logging.LogEvent;
@@ -54,12 +55,13 @@
     private final String requestDigest;
     private final DecisionNotes notes;
     private final Consumer<CallerResult> result;
-    private final Consumer<RequestOutcome> onEnd;
+    private final Consumer<ExchangeEnd> onEnd;
     private final Retries retries;
     private final long arrivedNanos;
     private final long deadlineNanos;
 
     private final Set<EndpointId> tried = new HashSet<>();
+    private AvailabilityZone zone;
     private int attempts;
     private boolean ended;
     private boolean mayHaveRun;
@@ -75,7 +77,7 @@
             RequestId requestId,
             DecisionNotes notes,
             Consumer<CallerResult> result,
-            Consumer<RequestOutcome> onEnd) {
+            Consumer<ExchangeEnd> onEnd) {
         this.services = services;
         this.dispatcher = dispatcher;
         this.claims = new ClaimKeeper(services);
@@ -85,6 +87,7 @@
         this.notes = notes;
         this.result = result;
         this.onEnd = onEnd;
+        this.zone = services.entry().zone();
         this.retries = new Retries(services.entry().retries());
         this.arrivedNanos = services.entry().nowNanos();
         this.deadlineNanos = arrivedNanos
@@ -165,6 +168,7 @@
 
     private void send(Dispatch.Ready ready) {
         attempts++;
+        zone = ready.endpoint().zone();
         final AttemptId attemptId = new AttemptId(requestId.value() + "." + attempts);
         final AttemptProgress running = new AttemptProgress(attemptId, ready);
         progress = Optional.of(running);
@@ -300,7 +304,7 @@
 
     private void finish(RequestOutcome outcome) {
         ended = true;
-        onEnd.accept(outcome);
+        onEnd.accept(new ExchangeEnd(outcome, zone, 0));
     }
 
     private void coldSeen(AttemptProgress running) {
--- a/src/main/java/org/wigeongrade/nodes/control/ShareBounds.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ShareBounds.java
@@ -43,7 +43,7 @@
                 leadership.term(), endpoint.getIncarnation(), endpoint.getFencingTerm(), endpoint.getFencingSequence());
         final Life earlier = lives.put(endpoint.getId(), life);
         final boolean sameTerm = earlier != null && earlier.term() == life.term();
-        if (sameTerm && !earlier.equals(life)) {
+        if (endpoint.isCold() || (sameTerm && !earlier.equals(life))) {
             leadership.shares().coldSign(key);
         }
     }
--- a/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import org.wigeongrade.decisions.limits.OrganisationAdmission;
+import org.wigeongrade.decisions.limits.OrganisationUse;
 import org.wigeongrade.decisions.limits.ShareHolder;
 import org.wigeongrade.decisions.limits.ShareKey;
 import org.wigeongrade.decisions.outcomes.SuspectTable;
@@ -25,6 +26,7 @@
     private static final int MAX_BLOCKS_FOR_EACH_ENGINE = 20_000;
     private static final double RETRIES_FOR_EACH_REQUEST = 0.1;
     private static final double RETRY_RESERVE = 20;
+    private static final long ORGANISATION_ACTIVE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final NodeName self;
@@ -35,6 +37,7 @@
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final ShareHolder shares = new ShareHolder();
     private final OrganisationAdmission admission = new OrganisationAdmission(shares);
+    private final OrganisationUse organisationUse = new OrganisationUse(ORGANISATION_ACTIVE_NANOS);
     private final SuspectTable suspects;
     private final PrefixIndex prefixes = new PrefixIndex(MAX_BLOCKS_FOR_EACH_ENGINE);
     private final RetryBudget retries = new RetryBudget(RETRIES_FOR_EACH_REQUEST, RETRY_RESERVE);
@@ -88,6 +91,10 @@
         return admission;
     }
 
+    public OrganisationUse organisationUse() {
+        return organisationUse;
+    }
+
     public SuspectTable suspects() {
         return suspects;
     }
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -44,6 +44,7 @@
     private final Object wakeUp = new Object();
     private boolean soon;
     private volatile boolean closed;
+    private boolean viewChanged;
     private boolean leaseHeld;
     private long leaseLostNanos;
     private long cacheCursorTerm;
@@ -90,7 +91,7 @@
                 events.writeFault(LogEvent.VIEW_PULL_FAILED, failure, leaderName(), failure.toString());
             }
             noteLease();
-            await(pulled ? intervalMs : Math.min(intervalMs, RETRY_INTERVAL_MS));
+            await(pulled && !viewChanged ? intervalMs : Math.min(intervalMs, RETRY_INTERVAL_MS));
         }
     }
 
@@ -163,6 +164,8 @@
             events.write(LogEvent.VIEW_PULL_FAILED, leaderName(), "the reply is older than the view in force");
             return;
         }
+        viewChanged = !earlier.revision().equals(next.get().revision())
+                || earlier.endpointsDigest() != next.get().endpointsDigest();
         noteChangedEndpoints(earlier, next.get());
         entry.setView(next.get());
         entry.inbox().replyReceived(reply.getTerm(), reply.getSentAtNanos(), entry.nowNanos());
--- a/src/main/java/org/wigeongrade/operators/OperatorApi.java
+++ b/src/main/java/org/wigeongrade/operators/OperatorApi.java
@@ -151,9 +151,9 @@
                 new Revision(baseRevision(context)),
                 set,
                 epochMsClock.getAsLong());
-        final String answer = submit(command);
-        events.write(LogEvent.CONFIGURATION_APPLIED, answer, operator(context), changeId(context));
-        return answer;
+        final Revision revision = submit(command);
+        events.write(LogEvent.CONFIGURATION_APPLIED, revision, operator(context), changeId(context));
+        return accepted(revision);
     }
 
     private String setZone(Context context) {
@@ -162,12 +162,15 @@
         final ZoneState state = zoneState(context.getPathTokens().get("state"));
         final Command command =
                 new Command.SetZoneState(changeId(context), operator(context), zone, state, epochMsClock.getAsLong());
-        final String answer = submit(command);
-        events.write(state.takesNewWork() ? LogEvent.ZONE_IN : LogEvent.ZONE_OUT, zone, answer, operator(context));
-        return answer;
+        final Revision revision = submit(command);
+        events.write(state.takesNewWork() ? LogEvent.ZONE_IN : LogEvent.ZONE_OUT, zone, revision, operator(context));
+        return accepted(revision);
     }
 
     private String configuration() {
+        if (!entry.view().hasLease(entry.nowNanos())) {
+            throw new WigeongradeException(ErrorKind.NO_VIEW_LEASE, "this entry VM holds no valid view lease");
+        }
         return new String(entry.view().configuration().encode(), StandardCharsets.UTF_8);
     }
 
@@ -207,15 +210,17 @@
         warnings.forEach(warning -> array.add(warning.toString()));
     }
 
-    private String submit(Command command) {
+    private Revision submit(Command command) {
         final long deadlineNanos = entry.nowNanos() + TimeUnit.MILLISECONDS.toNanos(SUBMIT_TIMEOUT_MS);
         final CommandResult result = control.submit(command, deadlineNanos);
         if (result instanceof CommandResult.Refused refused) {
             throw new WigeongradeException(refused.kind(), refused.message());
         }
-        return MAPPER.createObjectNode()
-                .put("revision", ((CommandResult.Accepted) result).revision().value())
-                .toString();
+        return ((CommandResult.Accepted) result).revision();
+    }
+
+    private static String accepted(Revision revision) {
+        return MAPPER.createObjectNode().put("revision", revision.value()).toString();
     }
 
     private static ZoneState zoneState(String text) {
--- a/src/test/java/org/wigeongrade/nodes/log/PeerSenderTest.java
+++ b/src/test/java/org/wigeongrade/nodes/log/PeerSenderTest.java
@@ -19,6 +19,8 @@
 
 final class PeerSenderTest {
     private static final int CAPACITY = 256;
+    private static final int RESEND_MS = 100;
+    private static final int RESENDS = 50;
 
     @Test
     void aConnectionThatGoesSilentIsReplaced() throws IOException {
@@ -30,8 +32,7 @@
                 try (Socket silent = server.accept()) {
                     silent.setSoTimeout(5_000);
                     readToEnd(silent);
-                    sender.send(new LogMessage.HandOver(2, 1));
-                    try (Socket next = server.accept()) {
+                    try (Socket next = acceptWhileSending(server, sender)) {
                         assertThat(next.getPort()).isNotEqualTo(silent.getPort());
                     }
                 }
@@ -55,6 +56,20 @@
         assertThat(kept.get(1)).isEqualTo(heartbeat(1));
     }
 
+    /** Sends as heartbeats do, since messages that wait while the peer cannot be reached are dropped. */
+    private static Socket acceptWhileSending(ServerSocket server, PeerSender sender) throws IOException {
+        server.setSoTimeout(RESEND_MS);
+        for (int attempt = 0; attempt < RESENDS; attempt++) {
+            sender.send(new LogMessage.HandOver(2, 1));
+            try {
+                return server.accept();
+            } catch (SocketTimeoutException notYet) {
+                assertThat(notYet).isNotNull();
+            }
+        }
+        throw new AssertionError("no new connection within " + RESENDS * RESEND_MS + " ms");
+    }
+
     private static void readToEnd(Socket socket) throws IOException {
         byte[] read = socket.getInputStream().readAllBytes();
         assertThat(read.length).isGreaterThan(0);
