--- a/src/test/java/org/wigeongrade/proof/ProcessFleet.java
+++ b/src/test/java/org/wigeongrade/proof/ProcessFleet.java
@@ -134,6 +134,11 @@
         });
     }
 
+    /** Silences every open connection between nodes for good, while new ones pass. */
+    void silenceOpenConnections() {
+        proxies.values().forEach(CuttingProxy::silenceOpenConnections);
+    }
+
     /** Starts engine VMs in one process; {@code vms} are names with commas. Returns the process. */
     ManagedProcess engines(String vms, String... arguments) {
         return standin("engine", vms, arguments);
