Give the attempts of an exchange a class of their own

Attempts now holds it once; behaviour is unchanged, except that a first attempt is counted for the retry budget when the exchange is made and not when it starts.

--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -5,10 +5,8 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wigeongrade.decisions.outcomes.AttemptEvent;
@@ -18,9 +16,6 @@
 import org.wigeongrade.decisions.outcomes.StreamStep;
 import org.wigeongrade.decisions.routing.EndpointKind;
 import org.wigeongrade.decisions.routing.EndpointView;
-import org.wigeongrade.decisions.routing.Retries;
-import org.wigeongrade.decisions.routing.RetryFacts;
-import org.wigeongrade.decisions.routing.RetryRefusal;
 import org.wigeongrade.decisions.routing.RouteRequest;
 import org.wigeongrade.decisions.routing.RouteTarget;
 import org.wigeongrade.endpoints.AnswerHead;
@@ -32,8 +27,6 @@
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.RunClaim;
 import org.wigeongrade.errors.WigeongradeException;
-import org.wigeongrade.ids.AttemptId;
-import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.RequestId;
 import org.wigeongrade.logging.LogEvent;
@@ -61,21 +54,15 @@
     private final DecisionNotes notes;
     private final Consumer<CallerResult> result;
     private final Consumer<ExchangeEnd> onEnd;
-    private final Retries retries;
     private final long arrivedNanos;
     private final long deadlineNanos;
     private final StreamAssembler assembler;
 
-    private final Set<EndpointId> tried = new HashSet<>();
-    private AvailabilityZone zone;
-    private int attempts;
+    private final Attempts attempts;
     private boolean ended;
-    private boolean mayHaveRun;
     private long lastTokenNanos;
     private long tokens;
     private Optional<BodyStream> stream = Optional.empty();
-    private Optional<SendHandle> sending = Optional.empty();
-    private Optional<AttemptProgress> progress = Optional.empty();
     private Optional<String> modelVersion = Optional.empty();
 
     GenerationExchange(
@@ -95,17 +82,16 @@
         this.notes = notes;
         this.result = result;
         this.onEnd = onEnd;
-        this.zone = services.entry().zone();
-        this.retries = new Retries(services.entry().retries());
         this.arrivedNanos = services.entry().nowNanos();
         this.deadlineNanos =
                 arrivedNanos + TimeUnit.MILLISECONDS.toNanos(services.limits().requestTimeoutMs());
         this.assembler = new StreamAssembler("gen-" + requestId.value());
+        this.attempts = new Attempts(
+                services, dispatcher, notes, target(), requestId, requestDigest, true, MAX_ATTEMPTS, deadlineNanos);
     }
 
     /** Sends the first attempt, or refuses at once. */
     synchronized void start() {
-        retries.firstAttempt(target());
         attempt();
     }
 
@@ -116,8 +102,7 @@
             if (ended) {
                 return;
             }
-            handle = sending;
-            progress.ifPresent(running -> endAttempt(running, running.callerGone()));
+            handle = attempts.callerGone();
             notes.add("", "cancelled", "the caller closed its connection");
             finish(RequestOutcome.CANCELLED);
         }
@@ -155,19 +140,19 @@
 
     /** A first attempt that finds no endpoint is refused at once; a later one waits for its turn. */
     private void refusedBeforeSend(WigeongradeException failure) {
-        final boolean waits = failure.kind() != ErrorKind.REQUEST_QUARANTINED && attempts > 0;
+        final boolean waits = failure.kind() != ErrorKind.REQUEST_QUARANTINED && attempts.made() > 0;
         if (!waits) {
             giveUp(failure);
             return;
         }
-        tried.clear();
+        attempts.forgetTried();
         services.delay().run(this::attempt, WAIT_FOR_SLOT_MS);
     }
 
     /** Returns the endpoints that this request must not go to: those it was tried on, and other model versions. */
     private ImmutableSet<EndpointId> excluded() {
         final ImmutableSet.Builder<EndpointId> excluded =
-                ImmutableSet.<EndpointId>builder().addAll(tried);
+                ImmutableSet.<EndpointId>builder().addAll(attempts.tried());
         if (modelVersion.isPresent()) {
             services.entry().view().all().stream()
                     .map(EndpointView::id)
@@ -185,15 +170,10 @@
     }
 
     private void send(Dispatch.Ready ready) {
-        attempts++;
-        zone = ready.endpoint().zone();
         modelVersion = modelVersion.or(() -> versionOf(ready.endpoint().id()));
-        final AttemptId attemptId = new AttemptId(requestId.value() + "." + attempts);
-        final AttemptProgress running = new AttemptProgress(attemptId, ready);
-        progress = Optional.of(running);
-        dispatcher.begun(requestDigest, ready);
+        final AttemptProgress running = attempts.begin(ready);
         final EndpointRequest outgoing = new EndpointRequest(
-                attemptId,
+                running.attemptId(),
                 ready.endpoint().address(),
                 "POST",
                 request.api().path(),
@@ -205,7 +185,7 @@
                 stallTimeout());
         final AnswerListener listener =
                 request.stream() ? new StreamListener(running, assembler.beginAttempt()) : new WholeListener(running);
-        sending = Optional.of(services.client().send(outgoing, listener));
+        attempts.sent(services.client().send(outgoing, listener));
     }
 
     private Duration stallTimeout() {
@@ -215,65 +195,16 @@
 
     /** Ends an attempt that failed, and tries again where the rules allow it. */
     private synchronized void attemptFailed(AttemptProgress running, AttemptOutcome outcome, String detail) {
-        if (ended || progress.filter(running::equals).isEmpty()) {
+        if (ended || !attempts.isRunning(running)) {
             return;
         }
-        endAttempt(running, outcome);
-        mayHaveRun |= outcome.claim() != RunClaim.NOT_RUN;
-        final Optional<RetryRefusal> refusal = retries.refusal(new RetryFacts(
-                target(),
-                outcome.claim(),
-                true,
-                !assembler.forwardedAny() || assembler.isResumable(),
-                attempts,
-                MAX_ATTEMPTS,
-                deadlineNanos,
-                services.entry().nowNanos()));
-        final String endpoint = running.ready().endpoint().id().value();
-        if (refusal.isPresent()) {
-            notes.add(
-                    endpoint,
-                    "not retried",
-                    refusal.get().code() + " after " + outcome.event().code());
-            giveUp(new WigeongradeException(
-                    outcome.event().errorKind().orElse(ErrorKind.ENDPOINT_FAILED),
-                    "endpoint " + endpoint + ": " + detail + "; not retried: "
-                            + refusal.get().code()));
-            return;
-        }
-        tried.add(running.ready().endpoint().id());
-        noteRetry(endpoint, outcome.event(), detail);
-        attempt();
-    }
-
-    private void noteRetry(String endpoint, AttemptEvent event, String detail) {
-        notes.add(endpoint, "retried", event.code() + ": " + detail);
-        services.metrics().retried(RetryReasons.of(event, assembler.forwardedAny()));
-        final LogEvent logged = assembler.forwardedAny() ? LogEvent.STREAM_RESUMED : LogEvent.REQUEST_RETRIED;
-        services.events().write(logged, requestId, endpoint, event.code());
-    }
-
-    private void endAttempt(AttemptProgress running, AttemptOutcome outcome) {
-        progress = Optional.empty();
-        sending = Optional.empty();
-        dispatcher.ended(running.ready(), outcome.event());
-        if (outcome.event().mayBeCrash()) {
-            services.entry().suspects().lost(requestDigest, running.ready().life());
-            services.pullSoon().run();
-            return;
-        }
-        services.entry().suspects().end(requestDigest, running.ready().life(), outcome.event());
-    }
-
-    private void answered(AttemptProgress running) {
-        endAttempt(running, new AttemptOutcome(AttemptEvent.ANSWERED));
-        final EndpointId endpoint = running.ready().endpoint().id();
-        dispatcher.answered(running.ready(), running.head().statesCold());
-        notes.add(endpoint.value(), "answered", "status " + running.head().status() + ", attempt " + attempts);
+        final boolean resumed = assembler.forwardedAny();
+        final boolean resumable = !resumed || assembler.isResumable();
+        attempts.failed(running, outcome, detail, resumable, resumed).ifPresentOrElse(this::giveUp, this::attempt);
     }
 
     private void giveUp(WigeongradeException failure) {
-        final WigeongradeException told = truthful(failure);
+        final WigeongradeException told = attempts.truthful(failure, ErrorKind.ENDPOINT_FAILED);
         services.metrics().refused(told.kind());
         notes.add("", "refused", told.kind().code() + ": " + told.getMessage());
         services.events()
@@ -289,25 +220,9 @@
         finish(refused ? RequestOutcome.REFUSED : RequestOutcome.FAILED);
     }
 
-    /** Returns the failure, or one that does not claim "not run" if an earlier attempt may have run. */
-    private WigeongradeException truthful(WigeongradeException failure) {
-        if (!mayHaveRun || failure.kind().runClaim() != RunClaim.NOT_RUN) {
-            return failure;
-        }
-        return new WigeongradeException(
-                ErrorKind.ENDPOINT_FAILED, "an earlier attempt may have run; then: " + failure.getMessage(), failure);
-    }
-
     private void finish(RequestOutcome outcome) {
         ended = true;
-        onEnd.accept(new ExchangeEnd(outcome, zone, tokens));
-    }
-
-    private void coldSeen(AttemptProgress running) {
-        final EndpointView endpoint = running.ready().endpoint();
-        if (running.head().statesCold() && !endpoint.cold()) {
-            services.coldSigns().seen(endpoint.id(), "its answer says so", endpoint.coldCapacity());
-        }
+        onEnd.accept(new ExchangeEnd(outcome, attempts.zone(), tokens));
     }
 
     /** Hands one streamed answer on event by event. */
@@ -326,7 +241,7 @@
         public void onHead(AnswerHead head) {
             synchronized (GenerationExchange.this) {
                 running.began(head);
-                coldSeen(running);
+                attempts.noteColdSign(running);
             }
         }
 
@@ -383,14 +298,14 @@
                     finish.data().forEach(event -> append(forward, event));
                 } else if (step instanceof StreamStep.Fail fail) {
                     handOn(forward, () -> {});
-                    sending.ifPresent(SendHandle::cancel);
+                    attempts.cancelConnection();
                     attemptFailed(running, new AttemptOutcome(fail.event()), fail.message());
                     return;
                 }
             }
             handOn(forward, readMore);
             if (assembler.isWhole() && !ended) {
-                answered(running);
+                attempts.answered(running);
                 stream.ifPresent(BodyStream::complete);
                 finish(RequestOutcome.COMPLETED);
             }
@@ -427,7 +342,7 @@
         }
 
         private void passErrorOn() {
-            answered(running);
+            attempts.answered(running);
             if (stream.isPresent()) {
                 giveUp(new WigeongradeException(
                         ErrorKind.ENDPOINT_FAILED,
@@ -458,7 +373,7 @@
         public void onHead(AnswerHead head) {
             synchronized (GenerationExchange.this) {
                 running.began(head);
-                coldSeen(running);
+                attempts.noteColdSign(running);
             }
         }
 
@@ -467,7 +382,7 @@
             synchronized (GenerationExchange.this) {
                 body.writeBytes(bytes);
                 if (body.size() > MAX_WHOLE_ANSWER_BYTES) {
-                    sending.ifPresent(SendHandle::cancel);
+                    attempts.cancelConnection();
                     attemptFailed(running, new AttemptOutcome(AttemptEvent.CUT_SHORT), "the answer is too large");
                     return;
                 }
@@ -486,7 +401,7 @@
                 if (ended) {
                     return;
                 }
-                answered(running);
+                attempts.answered(running);
                 tokens = GenerationUsage.completionTokens(body.toByteArray());
                 passOn(running, body.toByteArray());
             }
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -1,23 +1,17 @@
 package org.wigeongrade.callers;
 
 import com.google.common.collect.ImmutableListMultimap;
-import com.google.common.collect.ImmutableSet;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wigeongrade.decisions.control.StoredAnswer;
 import org.wigeongrade.decisions.outcomes.AttemptEvent;
 import org.wigeongrade.decisions.outcomes.AttemptOutcome;
-import org.wigeongrade.decisions.routing.Retries;
-import org.wigeongrade.decisions.routing.RetryFacts;
-import org.wigeongrade.decisions.routing.RetryRefusal;
 import org.wigeongrade.decisions.routing.RouteRequest;
 import org.wigeongrade.decisions.routing.RouteTarget;
 import org.wigeongrade.endpoints.AnswerHead;
@@ -28,9 +22,6 @@
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.RunClaim;
 import org.wigeongrade.errors.WigeongradeException;
-import org.wigeongrade.ids.AttemptId;
-import org.wigeongrade.ids.AvailabilityZone;
-import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.RequestId;
 import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.metrics.RequestOutcome;
@@ -56,18 +47,12 @@
     private final DecisionNotes notes;
     private final Consumer<CallerResult> result;
     private final Consumer<ExchangeEnd> onEnd;
-    private final Retries retries;
     private final long arrivedNanos;
     private final long deadlineNanos;
 
-    private final Set<EndpointId> tried = new HashSet<>();
-    private AvailabilityZone zone;
-    private int attempts;
+    private final Attempts attempts;
     private boolean ended;
-    private boolean mayHaveRun;
     private OptionalLong claimDeadlineNanos = OptionalLong.empty();
-    private Optional<SendHandle> sending = Optional.empty();
-    private Optional<AttemptProgress> progress = Optional.empty();
     private Optional<BodyStream> stream = Optional.empty();
 
     ServiceExchange(
@@ -87,17 +72,24 @@
         this.notes = notes;
         this.result = result;
         this.onEnd = onEnd;
-        this.zone = services.entry().zone();
-        this.retries = new Retries(services.entry().retries());
         this.arrivedNanos = services.entry().nowNanos();
         this.deadlineNanos = arrivedNanos
                 + TimeUnit.MILLISECONDS.toNanos(Math.min(
                         services.limits().requestTimeoutMs(), call.service().longestRunMs()));
+        this.attempts = new Attempts(
+                services,
+                dispatcher,
+                notes,
+                RouteTarget.of(call.service().name()),
+                requestId,
+                requestDigest,
+                call.isIdempotent(),
+                MAX_ATTEMPTS,
+                deadlineNanos);
     }
 
     /** Sends the first attempt, claims it first, or refuses at once. */
     void start() {
-        retries.firstAttempt(target());
         if (call.needsClaim()) {
             services.workers().execute(this::claim);
             return;
@@ -112,18 +104,13 @@
             if (ended || call.needsClaim()) {
                 return;
             }
-            handle = sending;
-            progress.ifPresent(running -> endAttempt(running, running.callerGone()));
+            handle = attempts.callerGone();
             notes.add("", "cancelled", "the caller closed its connection");
             finish(RequestOutcome.CANCELLED);
         }
         handle.ifPresent(SendHandle::cancel);
     }
 
-    private RouteTarget target() {
-        return RouteTarget.of(call.service().name());
-    }
-
     private void claim() {
         final ClaimKeeper.Outcome outcome = claims.claim(call, requestId);
         if (outcome instanceof ClaimKeeper.Outcome.Claimed claimed) {
@@ -151,10 +138,10 @@
 
     private synchronized void attempt() {
         final RouteRequest wanted = new RouteRequest(
-                target(),
+                RouteTarget.of(call.service().name()),
                 List.of(),
                 0,
-                ImmutableSet.copyOf(tried),
+                attempts.tried(),
                 services.entry().zone(),
                 services.entry().self(),
                 false);
@@ -167,15 +154,10 @@
     }
 
     private void send(Dispatch.Ready ready) {
-        attempts++;
-        zone = ready.endpoint().zone();
-        final AttemptId attemptId = new AttemptId(requestId.value() + "." + attempts);
-        final AttemptProgress running = new AttemptProgress(attemptId, ready);
-        progress = Optional.of(running);
-        dispatcher.begun(requestDigest, ready);
+        final AttemptProgress running = attempts.begin(ready);
         final long leftMs = dispatcher.leftMs(deadlineNanos);
         final EndpointRequest outgoing = new EndpointRequest(
-                attemptId,
+                running.attemptId(),
                 ready.endpoint().address(),
                 call.method(),
                 call.pathAndQuery(),
@@ -187,75 +169,24 @@
                 Duration.ofMillis(leftMs));
         final AnswerListener listener =
                 call.needsClaim() ? new BufferingListener(running) : new StreamingListener(running);
-        sending = Optional.of(services.client().send(outgoing, listener));
+        attempts.sent(services.client().send(outgoing, listener));
     }
 
     private synchronized void attemptFailed(AttemptProgress running, AttemptOutcome outcome, String detail) {
-        if (ended || progress.filter(running::equals).isEmpty()) {
+        if (ended || !attempts.isRunning(running)) {
             return;
         }
-        endAttempt(running, outcome);
-        mayHaveRun |= outcome.claim() != RunClaim.NOT_RUN;
-        final Optional<RetryRefusal> refusal = retries.refusal(new RetryFacts(
-                target(),
-                outcome.claim(),
-                call.isIdempotent(),
-                stream.isEmpty(),
-                attempts,
-                MAX_ATTEMPTS,
-                deadlineNanos,
-                services.entry().nowNanos()));
-        final String endpoint = running.ready().endpoint().id().value();
-        if (refusal.isPresent()) {
-            notes.add(
-                    endpoint,
-                    "not retried",
-                    refusal.get().code() + " after " + outcome.event().code());
-            giveUp(new WigeongradeException(
-                    outcome.event().errorKind().orElse(ErrorKind.ENDPOINT_FAILED),
-                    "endpoint " + endpoint + ": " + detail + "; not retried: "
-                            + refusal.get().code()));
-            return;
-        }
-        tried.add(running.ready().endpoint().id());
-        notes.add(endpoint, "retried", outcome.event().code() + ": " + detail);
-        services.metrics().retried(RetryReasons.of(outcome.event(), false));
-        services.events()
-                .write(
-                        LogEvent.REQUEST_RETRIED,
-                        requestId,
-                        endpoint,
-                        outcome.event().code());
-        attempt();
-    }
-
-    private void endAttempt(AttemptProgress running, AttemptOutcome outcome) {
-        progress = Optional.empty();
-        sending = Optional.empty();
-        dispatcher.ended(running.ready(), outcome.event());
-        if (outcome.event().mayBeCrash()) {
-            services.entry().suspects().lost(requestDigest, running.ready().life());
-            services.pullSoon().run();
-            return;
-        }
-        services.entry().suspects().end(requestDigest, running.ready().life(), outcome.event());
-    }
-
-    private void answered(AttemptProgress running) {
-        endAttempt(running, new AttemptOutcome(AttemptEvent.ANSWERED));
-        final EndpointId endpoint = running.ready().endpoint().id();
-        dispatcher.answered(running.ready(), running.head().statesCold());
-        notes.add(endpoint.value(), "answered", "status " + running.head().status() + ", attempt " + attempts);
+        attempts.failed(running, outcome, detail, stream.isEmpty(), false).ifPresentOrElse(this::giveUp, this::attempt);
     }
 
     /** Ends the call with an error; a claim is settled first, so that a resend learns the same. */
     private void giveUp(WigeongradeException failure) {
-        final WigeongradeException told = truthful(failure);
+        final WigeongradeException told = attempts.truthful(failure, ErrorKind.OUTCOME_UNKNOWN);
         if (!call.needsClaim()) {
             refuse(told);
             return;
         }
-        final RunClaim outcome = mayHaveRun ? RunClaim.UNKNOWN : RunClaim.NOT_RUN;
+        final RunClaim outcome = attempts.mayHaveRun() ? RunClaim.UNKNOWN : RunClaim.NOT_RUN;
         services.workers().execute(() -> {
             claims.finish(call, requestId, outcome, Optional.empty());
             synchronized (this) {
@@ -264,14 +195,6 @@
         });
     }
 
-    private WigeongradeException truthful(WigeongradeException failure) {
-        if (!mayHaveRun || failure.kind().runClaim() != RunClaim.NOT_RUN) {
-            return failure;
-        }
-        return new WigeongradeException(
-                ErrorKind.OUTCOME_UNKNOWN, "an earlier attempt may have run; then: " + failure.getMessage(), failure);
-    }
-
     private void refuse(WigeongradeException told) {
         if (ended) {
             return;
@@ -304,17 +227,7 @@
 
     private void finish(RequestOutcome outcome) {
         ended = true;
-        onEnd.accept(new ExchangeEnd(outcome, zone, 0));
-    }
-
-    private void coldSeen(AttemptProgress running) {
-        if (running.head().statesCold() && !running.ready().endpoint().cold()) {
-            services.coldSigns()
-                    .seen(
-                            running.ready().endpoint().id(),
-                            "its answer says so",
-                            running.ready().endpoint().coldCapacity());
-        }
+        onEnd.accept(new ExchangeEnd(outcome, attempts.zone(), 0));
     }
 
     /** Hands an unclaimed call's answer on while it arrives. */
@@ -330,7 +243,7 @@
         public void onHead(AnswerHead head) {
             synchronized (ServiceExchange.this) {
                 running.began(head);
-                coldSeen(running);
+                attempts.noteColdSign(running);
                 refusedNotRun = running.wholeAnswer().event() != AttemptEvent.ANSWERED;
                 if (refusedNotRun || ended) {
                     return;
@@ -364,7 +277,7 @@
                 if (ended) {
                     return;
                 }
-                answered(running);
+                attempts.answered(running);
                 stream.ifPresent(BodyStream::complete);
                 finish(RequestOutcome.COMPLETED);
             }
@@ -389,7 +302,7 @@
         public void onHead(AnswerHead head) {
             synchronized (ServiceExchange.this) {
                 running.began(head);
-                coldSeen(running);
+                attempts.noteColdSign(running);
             }
         }
 
@@ -411,7 +324,7 @@
                     attemptFailed(running, outcome, "status " + running.head().status());
                     return;
                 }
-                answered(running);
+                attempts.answered(running);
             }
             final StoredAnswer answer = new StoredAnswer(
                     running.head().status(),
