--- a/src/main/java/org/wigeongrade/operators/OperatorApi.java
+++ b/src/main/java/org/wigeongrade/operators/OperatorApi.java
@@ -129,6 +129,9 @@
 
     private static void refuse(Context context, WigeongradeException failure) {
         context.getResponse().status(failure.kind().httpStatus());
+        context.getResponse()
+                .getHeaders()
+                .set("X-Wigeongrade-Run", failure.kind().runClaim().headerValue());
         context.getResponse().send("application/json", Answers.json(failure, ""));
     }
 
