Keep the VM's name out of the id of an order

Cause: the id joined the token and the VM's name, and a name of 118 characters or more passed the 128 that an id may have; building the order then failed and every later plan with it. Found by reading. The token alone names the order. Figures: MemberLossProcessTest, ColdCapacityProcessTest and ArchitectureTest pass.

--- a/src/main/java/org/wigeongrade/endpoints/OrderSender.java
+++ b/src/main/java/org/wigeongrade/endpoints/OrderSender.java
@@ -39,7 +39,7 @@
     public void send(Order order) {
         final EndpointRequest request = new EndpointRequest(
                 new AttemptId("order/" + order.fencingToken().term() + "/"
-                        + order.fencingToken().sequence() + "/" + order.vm().vm()),
+                        + order.fencingToken().sequence()),
                 order.address(),
                 "POST",
                 PATH,
