--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/limits/InFlightExceeded.java
@@ -0,0 +1,19 @@
+package org.wigeongrade.decisions.limits;
+
+/** Organisation has as many requests in flight as its limit allows. */
+final class InFlightExceeded implements AdmissionRule {
+    @Override
+    public AdmissionReason reason() {
+        return AdmissionReason.IN_FLIGHT_EXCEEDED;
+    }
+
+    @Override
+    public boolean applies(AdmissionRequest request) {
+        return request.requestsInFlight() > 0;
+    }
+
+    @Override
+    public TakeResult take(AdmissionRequest request, ShareHolder shares, long nowNanos) {
+        return shares.take(ShareKey.inFlight(request.organisation()), 1, nowNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/limits/RequestRateExceeded.java
@@ -0,0 +1,19 @@
+package org.wigeongrade.decisions.limits;
+
+/** Organisation began as many requests in a second as its limit allows. */
+final class RequestRateExceeded implements AdmissionRule {
+    @Override
+    public AdmissionReason reason() {
+        return AdmissionReason.REQUEST_RATE_EXCEEDED;
+    }
+
+    @Override
+    public boolean applies(AdmissionRequest request) {
+        return request.requestsPerSecond() > 0;
+    }
+
+    @Override
+    public TakeResult take(AdmissionRequest request, ShareHolder shares, long nowNanos) {
+        return shares.take(ShareKey.requestRate(request.organisation()), 1, nowNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/limits/ShareBound.java
@@ -0,0 +1,20 @@
+package org.wigeongrade.decisions.limits;
+
+/**
+ * The bound of one thing: {@code slots} when warm, {@code coldSlots} in a cold start (equal to {@code slots} for what
+ * has no cold start). {@code longestRunNanos} is the longest time that one piece of work may run. Immutable; safe for
+ * use from any thread.
+ */
+public record ShareBound(int slots, int coldSlots, long longestRunNanos) {
+    public ShareBound {
+        if (coldSlots < 1 || coldSlots > slots) {
+            throw new IllegalArgumentException("share bound has " + coldSlots + " cold slots of " + slots
+                    + " slots: declare 1 <= cold capacity <= capacity");
+        }
+    }
+
+    /** Returns the bound of a thing that has no cold start. */
+    public static ShareBound of(int slots, long longestRunNanos) {
+        return new ShareBound(slots, slots, longestRunNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/limits/TokenRateExceeded.java
@@ -0,0 +1,19 @@
+package org.wigeongrade.decisions.limits;
+
+/** Organisation used as many tokens in a minute as its limit allows. */
+final class TokenRateExceeded implements AdmissionRule {
+    @Override
+    public AdmissionReason reason() {
+        return AdmissionReason.TOKEN_RATE_EXCEEDED;
+    }
+
+    @Override
+    public boolean applies(AdmissionRequest request) {
+        return request.tokensPerMinute() > 0;
+    }
+
+    @Override
+    public TakeResult take(AdmissionRequest request, ShareHolder shares, long nowNanos) {
+        return shares.take(ShareKey.tokensPerMinute(request.organisation()), request.estimatedTokens(), nowNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendFacts.java
@@ -0,0 +1,14 @@
+package org.wigeongrade.decisions.outcomes;
+
+import java.util.OptionalLong;
+
+/**
+ * The deadlines that must not have passed when a request is sent, on this VM's monotonic clock in nanoseconds.
+ *
+ * <p>{@code claimDeadlineNanos} is set for a call that may run once at most. Immutable; safe for use from any thread.
+ */
+public record SendFacts(
+        long viewLeaseDeadlineNanos,
+        long servingDeadlineNanos,
+        OptionalLong claimDeadlineNanos,
+        long attemptDeadlineNanos) {}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendRefusal.java
@@ -0,0 +1,28 @@
+package org.wigeongrade.decisions.outcomes;
+
+import java.util.Locale;
+import org.wigeongrade.errors.ErrorKind;
+
+/** Why a request was not sent at the last moment; the codes are documented in docs/RULES-routing.md. */
+public enum SendRefusal {
+    VIEW_LEASE_ENDED(ErrorKind.NO_VIEW_LEASE),
+    SEND_SERVING_LEASE_ENDED(ErrorKind.NO_WHOLE_GROUP),
+    CLAIM_DEADLINE_PASSED(ErrorKind.CONTROL_UNAVAILABLE),
+    ATTEMPT_DEADLINE_PASSED(ErrorKind.NO_FREE_SLOT);
+
+    private final ErrorKind errorKind;
+
+    SendRefusal(ErrorKind errorKind) {
+        this.errorKind = errorKind;
+    }
+
+    /** Returns the kind of error for the caller; it always says that the request was not run. */
+    public ErrorKind errorKind() {
+        return errorKind;
+    }
+
+    /** Returns the code as it stands in answers, counters and docs. */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendRule.java
@@ -0,0 +1,20 @@
+package org.wigeongrade.decisions.outcomes;
+
+import com.google.common.collect.ImmutableList;
+
+/** One reason not to send a request that is about to be sent. Implementations are stateless. */
+interface SendRule {
+    /** All rules, in the order in which they are asked. */
+    ImmutableList<SendRule> ALL = ImmutableList.of(
+            new ViewLeaseEnded(), new SendServingLeaseEnded(), new ClaimDeadlinePassed(), new AttemptDeadlinePassed());
+
+    SendRefusal refusal();
+
+    /** Returns whether the request must not be sent. */
+    boolean refuses(SendFacts facts, long nowNanos);
+
+    /** Returns whether a deadline has passed; the instant of the deadline itself counts as passed. */
+    static boolean hasPassed(long deadlineNanos, long nowNanos) {
+        return nowNanos - deadlineNanos >= 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/routing/EndpointView.java
@@ -0,0 +1,36 @@
+package org.wigeongrade.decisions.routing;
+
+import java.util.Optional;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.FencingToken;
+import org.wigeongrade.ids.NodeName;
+
+/**
+ * What an entry VM knows of one endpoint: a whole group, or a replica of a plain service.
+ *
+ * <p>{@code incarnation} is that of the endpoint process which takes the requests. {@code servingDeadlineNanos} is the
+ * end of the serving lease on this VM's monotonic clock, never later than the earliest announcement lease of the group's
+ * members. {@code coldHolder} is the entry VM that alone may send while the endpoint is cold. Immutable; safe for use
+ * from any thread.
+ */
+public record EndpointView(
+        EndpointId id,
+        long incarnation,
+        RouteTarget target,
+        AvailabilityZone zone,
+        boolean zoneTakesNewWork,
+        boolean leaving,
+        String address,
+        int capacity,
+        int coldCapacity,
+        boolean cold,
+        Optional<NodeName> coldHolder,
+        long servingDeadlineNanos,
+        LoadReport load,
+        FencingToken fencingToken) {
+    /** Returns what the endpoint can bear now, in requests in flight; 1 at least. */
+    public int bearableRequests() {
+        return Math.max(1, cold ? coldCapacity : capacity);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/routing/Excluded.java
@@ -0,0 +1,14 @@
+package org.wigeongrade.decisions.routing;
+
+/** Request was tried on this endpoint before. */
+final class Excluded implements CandidateRule {
+    @Override
+    public RouteReason reason() {
+        return RouteReason.EXCLUDED;
+    }
+
+    @Override
+    public boolean rejects(EndpointView endpoint, RouteContext context) {
+        return context.request().excluded().contains(endpoint.id());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/routing/MayHaveRun.java
@@ -0,0 +1,16 @@
+package org.wigeongrade.decisions.routing;
+
+import org.wigeongrade.errors.RunClaim;
+
+/** The request is not idempotent and may have run; running it again could double its effect. */
+final class MayHaveRun implements RetryRule {
+    @Override
+    public RetryRefusal refusal() {
+        return RetryRefusal.MAY_HAVE_RUN;
+    }
+
+    @Override
+    public boolean refuses(RetryFacts facts, RetryBudget budget) {
+        return facts.lastClaim() == RunClaim.UNKNOWN && !facts.idempotent();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/routing/RetryBudgetSpent.java
@@ -0,0 +1,14 @@
+package org.wigeongrade.decisions.routing;
+
+/** Retries of this target have used up what its first attempts earned. */
+final class RetryBudgetSpent implements RetryRule {
+    @Override
+    public RetryRefusal refusal() {
+        return RetryRefusal.RETRY_BUDGET_SPENT;
+    }
+
+    @Override
+    public boolean refuses(RetryFacts facts, RetryBudget budget) {
+        return !budget.tryRetry(facts.target());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/routing/ServingLeaseEnded.java
@@ -0,0 +1,14 @@
+package org.wigeongrade.decisions.routing;
+
+/** Serving lease has ended: a member of the group may be missing. */
+final class ServingLeaseEnded implements CandidateRule {
+    @Override
+    public RouteReason reason() {
+        return RouteReason.SERVING_LEASE_ENDED;
+    }
+
+    @Override
+    public boolean rejects(EndpointView endpoint, RouteContext context) {
+        return context.nowNanos() - endpoint.servingDeadlineNanos() >= 0;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/StreamAssemblerTest.java
@@ -0,0 +1,123 @@
+package org.wigeongrade.decisions.outcomes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A caller's streamed answer over attempts that are cut, crossed or resumed. */
+final class StreamAssemblerTest {
+    private final StreamAssembler assembler = new StreamAssembler("req-1");
+
+    private static String chunk(String id, String content) {
+        return "{\"id\":\"" + id + "\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + content
+                + "\"},\"finish_reason\":null}]}";
+    }
+
+    private static String finish(String id) {
+        return "{\"id\":\"" + id + "\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}";
+    }
+
+    @Test
+    void wholeStreamIsHandedOnUnderTheCallersId() {
+        int attempt = assembler.beginAttempt();
+        StreamStep first = assembler.accept(attempt, chunk("up-1", "ab"));
+        assertThat(((StreamStep.Forward) first).data()).contains("\"id\":\"req-1\"");
+        assertThat(assembler.accept(attempt, finish("up-1"))).isInstanceOf(StreamStep.Nothing.class);
+        assertThat(assembler.accept(attempt, StreamAssembler.END_MARK)).isInstanceOf(StreamStep.Finish.class);
+        assertThat(assembler.isWhole()).isTrue();
+        assertThat(assembler.text()).isEqualTo("ab");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"[DONE]", "{\"error\":{\"message\":\"out of memory\"}}", "{\"id\":", "[]"})
+    void brokenEndIsCutShort(String data) {
+        int attempt = assembler.beginAttempt();
+        assembler.accept(attempt, chunk("up-1", "ab"));
+        StreamStep.Fail fail = (StreamStep.Fail) assembler.accept(attempt, data);
+        assertThat(fail.event()).isEqualTo(AttemptEvent.CUT_SHORT);
+        assertThat(assembler.accept(attempt, chunk("up-1", "late"))).isInstanceOf(StreamStep.Nothing.class);
+        assertThat(assembler.text()).isEqualTo("ab");
+    }
+
+    @Test
+    void streamWithEventsOfTwoAnswersIsMismatched() {
+        int attempt = assembler.beginAttempt();
+        assembler.accept(attempt, chunk("up-1", "ab"));
+        StreamStep.Fail fail = (StreamStep.Fail) assembler.accept(attempt, chunk("up-2", "xy"));
+        assertThat(fail.event()).isEqualTo(AttemptEvent.ANSWER_MISMATCHED);
+        assertThat(assembler.text()).isEqualTo("ab");
+    }
+
+    @Test
+    void endBeforeTheEndMarkIsCutShortEvenAfterTheFinishReason() {
+        int attempt = assembler.beginAttempt();
+        assembler.accept(attempt, chunk("up-1", "ab"));
+        assembler.accept(attempt, finish("up-1"));
+        assertThat(assembler.ended(attempt).orElseThrow().event()).isEqualTo(AttemptEvent.CUT_SHORT);
+        assertThat(assembler.isResumable()).isTrue();
+    }
+
+    @Test
+    void severalChoicesAreNotResumable() {
+        int attempt = assembler.beginAttempt();
+        assembler.accept(attempt, "{\"choices\":[{\"index\":1,\"delta\":{\"content\":\"x\"}}]}");
+        assertThat(assembler.isResumable()).isFalse();
+    }
+
+    /** Cuts streams at random places over 500 seeds; the caller's text is always the whole text, once. */
+    @Test
+    void resumedStreamsLoseAndDoubleNothing() {
+        String whole = "the quick brown fox jumps over the lazy dog";
+        for (int seed = 0; seed < 500; seed++) {
+            assertThat(run(whole, new Random(seed))).isEqualTo(whole);
+        }
+    }
+
+    private static String run(String whole, Random random) {
+        StreamAssembler assembler = new StreamAssembler("req");
+        StringBuilder seen = new StringBuilder();
+        int previous = 0;
+        while (!assembler.isWhole()) {
+            int attempt = assembler.beginAttempt();
+            List<String> events = engine(whole, assembler.text(), "up-" + attempt, random);
+            int cut = random.nextInt(4) == 0 ? events.size() : random.nextInt(events.size() + 1);
+            for (String event : events.subList(0, cut)) {
+                see(assembler.accept(attempt, event), seen);
+                see(assembler.accept(previous, chunk("late", "LATE")), seen);
+            }
+            assembler.ended(attempt);
+            previous = attempt;
+        }
+        return seen.toString();
+    }
+
+    private static List<String> engine(String whole, String continueFrom, String id, Random random) {
+        List<String> events = new ArrayList<>();
+        events.add("{\"id\":\"" + id
+                + "\",\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}]}");
+        int at = continueFrom.length();
+        while (at < whole.length()) {
+            int end = Math.min(whole.length(), at + 1 + random.nextInt(5));
+            events.add(chunk(id, whole.substring(at, end)));
+            at = end;
+        }
+        events.add(finish(id));
+        events.add(StreamAssembler.END_MARK);
+        return events;
+    }
+
+    private static void see(StreamStep step, StringBuilder seen) {
+        if (step instanceof StreamStep.Forward forward) {
+            int begin = forward.data().indexOf("\"content\":\"");
+            if (begin >= 0) {
+                int from = begin + "\"content\":\"".length();
+                seen.append(forward.data(), from, forward.data().indexOf('"', from));
+            }
+        }
+    }
+}
