--- a/src/main/java/org/wigeongrade/command/Node.java
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -45,8 +45,8 @@
 import org.wigeongrade.nodes.log.LogSettings;
 import org.wigeongrade.nodes.log.RaftReplicatedLog;
 import org.wigeongrade.nodes.thrift.NodeService;
+import org.wigeongrade.operators.HealthApi;
 import org.wigeongrade.operators.OperatorApi;
-import org.wigeongrade.platform.PlatformApi;
 import org.wigeongrade.settings.NodeAddress;
 import org.wigeongrade.settings.NodeSettings;
 import org.wigeongrade.settings.PeerSettings;
@@ -236,7 +236,7 @@
                 events,
                 settings.limits());
         placement = control.map(role -> placementLoop(role, client));
-        chain.insert(new PlatformApi(entry, metrics));
+        chain.insert(new HealthApi(entry, metrics));
         chain.insert(new EndpointApi(entry));
         chain.insert(new OperatorApi(
                 entry, link, new Explanations(entry, control, link, peers), events, epochMsClock, this::stop));
--- a/src/main/java/org/wigeongrade/command/StopSignals.java
+++ b/src/main/java/org/wigeongrade/command/StopSignals.java
@@ -27,6 +27,17 @@
         NAMES.forEach(name -> handle(name, handler));
     }
 
+    /** Installs the handler of SIGHUP; it runs on each one. */
+    static void onHangUp(Runnable action) {
+        handle("HUP", (proxy, method, arguments) -> {
+            if (!method.getName().equals("handle")) {
+                return method.invoke(action, arguments);
+            }
+            action.run();
+            return null;
+        });
+    }
+
     private static void handle(String name, InvocationHandler handler) {
         try {
             final Class<?> signal = Class.forName("sun.misc.Signal");
--- a/src/main/java/org/wigeongrade/command/Subcommands.java
+++ b/src/main/java/org/wigeongrade/command/Subcommands.java
@@ -10,6 +10,8 @@
     /** Every subcommand; a new one is registered by one line here. */
     public static final ImmutableList<SubcommandEntry> ALL = ImmutableList.of(
             new SubcommandEntry("node", "run one node of the system", NodeCommand::new),
+            new SubcommandEntry(
+                    "fleet-node", "run a node of a fleet that finds itself through seeds", FleetNodeCommand::new),
             new SubcommandEntry("check", "check a declared set without publishing it", CheckCommand::new),
             new SubcommandEntry("apply", "check and publish a declared set", ApplyCommand::new),
             new SubcommandEntry("get", "print the configuration in force", GetCommand::new),
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -0,0 +1,111 @@
+package org.wigeongrade.decisions.balancing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Sends each request to the endpoint where it is predicted to be answered first.
+ *
+ * <p>Endpoints that failed of late or stand still are used only if there is no other one. Stateless but for the random
+ * numbers; not thread safe.
+ */
+public final class Balancer {
+    /** Requests that may wait at a full endpoint; one pass frees about as many places as this. */
+    private static final int QUEUED_AT_FULL = 2;
+    /** Time without a byte from an endpoint with requests after which it gets no new ones. */
+    private static final long STANDSTILL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** Cost of another availability zone, in milliseconds: the way there and back, and what the bytes are worth. */
+    private static final double OTHER_ZONE_MS = 4;
+    /** Cost of each millisecond by which the predicted pause exceeds the target. */
+    private static final double LATE_PAUSE_WEIGHT = 4;
+    /** Cost of an endpoint that fails all of its requests, in milliseconds. */
+    private static final double FAILURE_MS = 2_000;
+    /** Spread of random factors on the cost, so that entry nodes with the same view do not all choose the same endpoint. */
+    private static final double JITTER = 0.15;
+    /** Time to the answer of a plain endpoint that is idle; a moving average corrects it. */
+    private static final double PLAIN_ANSWER_MS = 40;
+    /** Shortest time after which coming back to a busy fleet may help, in milliseconds. */
+    private static final long BUSY_RETRY_MS = 150;
+    /** Time in which a lost group is usually formed again, in milliseconds. */
+    private static final long NONE_SERVES_RETRY_MS = 600;
+
+    private final RandomGenerator random;
+
+    public Balancer(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /**
+     * Chooses among endpoints that may serve the request.
+     *
+     * @param engine present where the endpoints are groups of one model
+     */
+    public Placement place(
+            BalancedRequest request,
+            List<EndpointLoad> endpoints,
+            Optional<EngineModel> engine,
+            BalancingLimits limits,
+            long nowNanos) {
+        final List<EndpointLoad> untried = endpoints.stream()
+                .filter(endpoint -> !request.tried().contains(endpoint.vm().vm()))
+                .toList();
+        if (untried.isEmpty()) {
+            return Placement.refused(Placement.Refusal.NONE_SERVES, 0, NONE_SERVES_RETRY_MS);
+        }
+        final List<EndpointLoad> open = untried.stream()
+                .filter(endpoint -> hasRoom(endpoint, engine, limits, nowNanos))
+                .toList();
+        if (open.isEmpty()) {
+            return Placement.refused(Placement.Refusal.ALL_BUSY, untried.size(), retryAfterBusyMs(untried, engine));
+        }
+        final List<EndpointLoad> sound = open.stream()
+                .filter(endpoint -> !endpoint.isAvoided(nowNanos) && endpoint.stalledNanos(nowNanos) < STANDSTILL_NANOS)
+                .toList();
+        final EndpointLoad chosen = (sound.isEmpty() ? open : sound)
+                .stream()
+                        .map(endpoint -> new Costed(endpoint, cost(endpoint, request, engine)))
+                        .min(Comparator.comparingDouble(Costed::cost))
+                        .orElseThrow()
+                        .endpoint();
+        return Placement.at(chosen, predictedMs(chosen, request, engine), open.size());
+    }
+
+    private record Costed(EndpointLoad endpoint, double cost) {}
+
+    private static boolean hasRoom(
+            EndpointLoad endpoint, Optional<EngineModel> engine, BalancingLimits limits, long nowNanos) {
+        if (endpoint.isCold(nowNanos)
+                && endpoint.sendsInLastSecond(nowNanos) + 1 > Math.max(1, limits.coldSendsPerSecond())) {
+            return false;
+        }
+        final int slots = engine.map(EngineModel::slots).orElse(endpoint.slots());
+        return endpoint.running() < slots + QUEUED_AT_FULL;
+    }
+
+    private double cost(EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine) {
+        final double firstMs = predictedMs(endpoint, request, engine);
+        final double pauseMs =
+                engine.map(model -> model.passMs(endpoint.running() + 1)).orElse(0.0) * endpoint.slowness();
+        final double latePauseMs = request.targetPauseMs() == 0 ? 0 : Math.max(0, pauseMs - request.targetPauseMs());
+        final double zoneMs = endpoint.zone().equals(request.zone()) ? 0 : OTHER_ZONE_MS;
+        final double jitter = 1 + JITTER * random.nextDouble();
+        return (firstMs + pauseMs + zoneMs) * jitter
+                + LATE_PAUSE_WEIGHT * latePauseMs
+                + FAILURE_MS * endpoint.failureRate();
+    }
+
+    private static double predictedMs(EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine) {
+        final double idealMs = engine.map(model -> model.firstEventMs(endpoint.running(), request.promptTokens()))
+                .orElseGet(() -> PLAIN_ANSWER_MS * (1 + (double) endpoint.running() / Math.max(1, endpoint.slots())));
+        return idealMs * endpoint.slowness();
+    }
+
+    private static long retryAfterBusyMs(List<EndpointLoad> busy, Optional<EngineModel> engine) {
+        final int least = busy.stream().mapToInt(EndpointLoad::running).min().orElse(0);
+        final double waitMs = engine.map(model -> model.waitForSlotMs(least)).orElse(0.0);
+        return Math.max(BUSY_RETRY_MS, Math.round(waitMs));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupChange.java
@@ -0,0 +1,15 @@
+package org.wigeongrade.decisions.grouping;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmIncarnation;
+
+/** A group came to a new phase. Immutable; safe for use from any thread. */
+public record GroupChange(
+        GroupName group, ModelVersionName model, GroupPhase phase, List<VmIncarnation> members, String cause) {
+    public GroupChange {
+        members = ImmutableList.copyOf(members);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -0,0 +1,247 @@
+package org.wigeongrade.decisions.grouping;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.wigeongrade.decisions.discovery.VmHeartbeat;
+import org.wigeongrade.decisions.discovery.VmRecord;
+import org.wigeongrade.decisions.published.EngineProfile;
+import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.ids.FabricDomain;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * Plans the groups of one service for one term of leadership: repairs what broke, forms what is missing, keeps spares.
+ *
+ * <p>Invariants: a VM is in one managed group at most; an epoch is used for one group only and grows; a VM that did not
+ * answer is not used before it was heard from again. Time is a parameter. Not thread safe.
+ */
+public final class GroupPlanner {
+    /** Epochs of one term; a leader forms far fewer groups. */
+    private static final long EPOCHS_PER_TERM = 1_000_000;
+
+    private final long term;
+    private final GroupTimings timings;
+    private final Consumer<GroupChange> changes;
+    private final List<ManagedGroup> groups = new ArrayList<>();
+    private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
+    private final LoadCeiling loadCeiling = new LoadCeiling();
+    private long nextEpoch;
+    private boolean adopted;
+
+    /**
+     * @param term of this leader; orders of lower terms are refused by the VMs
+     * @param changes takes a record of each group that changed its phase
+     */
+    public GroupPlanner(long term, GroupTimings timings, Consumer<GroupChange> changes) {
+        this.term = term;
+        this.timings = timings;
+        this.changes = changes;
+        this.nextEpoch = term * EPOCHS_PER_TERM + 1;
+    }
+
+    /**
+     * Makes the next step and returns the orders to give now.
+     *
+     * @param vms the latest records of the service's VMs
+     * @param evidence what entry VMs saw of endpoints, by VM
+     */
+    public ImmutableList<GroupOrder> plan(
+            EngineProfile engine, List<VmRecord> vms, Map<VmName, EndpointEvidence> evidence, long nowNanos) {
+        final ImmutableMap<VmName, VmRecord> byName =
+                vms.stream().collect(ImmutableMap.toImmutableMap(vm -> vm.vm().vm(), vm -> vm));
+        final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
+        final GroupSurroundings around = new GroupSurroundings(nowNanos, term, timings, byName, evidence, orders::add);
+        if (!adopted) {
+            adopted = true;
+            groups.addAll(InheritedGroups.adopt(engine, vms, nowNanos));
+        }
+        groups.forEach(group -> step(group, around));
+        groups.removeIf(group -> group.phase() == GroupPhase.ENDED);
+        formMissing(engine, around);
+        keepSpares(engine, around);
+        return orders.build();
+    }
+
+    /** Takes what came back for an order. */
+    public void answered(GroupOrder order, OrderAnswer answer, long nowNanos) {
+        if (!answer.showsLife()) {
+            unresponsiveSinceNanos.put(order.vm(), nowNanos);
+        }
+        groups.stream()
+                .filter(group -> group.name.equals(order.group()) && group.epoch == order.epoch())
+                .flatMap(group -> group.members.stream())
+                .filter(member -> member.vm.equals(order.vm()))
+                .forEach(member -> member.answered(order.kind(), answer, nowNanos));
+    }
+
+    /** Returns the groups whose heads may be sent requests. */
+    public ImmutableList<ServingGroup> serving() {
+        return groups.stream()
+                .filter(group -> group.phase().isRoutable())
+                .map(group -> new ServingGroup(group.name, group.head().vm, group.model.name()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private void step(ManagedGroup group, GroupSurroundings around) {
+        final GroupPhase before = group.phase();
+        group.step(around);
+        if (group.phase() != before) {
+            note(group);
+        }
+    }
+
+    private void note(ManagedGroup group) {
+        changes.accept(new GroupChange(
+                group.name,
+                group.model.name(),
+                group.phase(),
+                group.members.stream().map(member -> member.vm).toList(),
+                group.cause()));
+    }
+
+    private void formMissing(EngineProfile engine, GroupSurroundings around) {
+        Optional<GroupedModel> model = mostWanted(engine, around);
+        while (model.isPresent()) {
+            final boolean formed = form(engine, model.get(), around);
+            model = formed ? mostWanted(engine, around) : Optional.empty();
+        }
+    }
+
+    /** Returns the model that lacks the largest part of its wanted groups and can be given one. */
+    private Optional<GroupedModel> mostWanted(EngineProfile engine, GroupSurroundings around) {
+        final int usable = usable(around).size();
+        return engine.models().stream()
+                .filter(model -> count(model) < WantedGroups.of(model, usable))
+                .filter(model -> choose(engine, model, around).isPresent())
+                .min((first, second) -> Double.compare(
+                        (double) count(first) / WantedGroups.of(first, usable),
+                        (double) count(second) / WantedGroups.of(second, usable)));
+    }
+
+    private boolean form(EngineProfile engine, GroupedModel model, GroupSurroundings around) {
+        final Optional<FormationChoice> choice = choose(engine, model, around);
+        if (choice.isEmpty()) {
+            return false;
+        }
+        choice.get()
+                .members()
+                .forEach(member -> groups.stream()
+                        .filter(group ->
+                                group.isSpare() && group.has(member.vm().vm()))
+                        .forEach(group -> group.endSpare(around.nowNanos())));
+        groups.removeIf(group -> group.phase() == GroupPhase.ENDED);
+        start(GroupPhase.FORMING, model, choice.get().members(), around);
+        loadCeiling.started(choice.get().loads(), around.nowNanos());
+        return true;
+    }
+
+    private Optional<FormationChoice> choose(EngineProfile engine, GroupedModel model, GroupSurroundings around) {
+        final List<VmHeartbeat> free = free(around, true);
+        final Optional<FormationChoice> within =
+                FormationChoice.within(free, model, domain -> countIn(domain, model, around));
+        final boolean needsLoad = within.isEmpty() || within.get().loads() > 0;
+        final Optional<FormationChoice> across =
+                needsLoad ? FormationChoice.acrossDomains(free, model) : Optional.empty();
+        return across.or(() -> within.filter(choice -> loadCeiling.allows(
+                choice.loads(),
+                runningLoads(around),
+                engine.loadsPerSecond(),
+                engine.loadsAtOnce(),
+                around.nowNanos())));
+    }
+
+    private void keepSpares(EngineProfile engine, GroupSurroundings around) {
+        for (final VmHeartbeat vm : free(around, false)) {
+            final Optional<GroupedModel> model = SpareChoice.modelFor(vm, engine, groups, around);
+            final boolean allowed = model.filter(wanted -> loadCeiling.allows(
+                            Readiness.of(vm, wanted) == Readiness.EMPTY ? 1 : 0,
+                            runningLoads(around),
+                            engine.loadsPerSecond(),
+                            engine.loadsAtOnce(),
+                            around.nowNanos()))
+                    .isPresent();
+            if (allowed) {
+                loadCeiling.started(Readiness.of(vm, model.get()) == Readiness.EMPTY ? 1 : 0, around.nowNanos());
+                start(GroupPhase.SPARE, model.get(), ImmutableList.of(vm), around);
+            }
+        }
+    }
+
+    private void start(GroupPhase phase, GroupedModel model, List<VmHeartbeat> vms, GroupSurroundings around) {
+        final long epoch = nextEpoch++;
+        final String prefix = phase == GroupPhase.SPARE ? InheritedGroups.SPARE_PREFIX : InheritedGroups.GROUP_PREFIX;
+        final ManagedGroup group = new ManagedGroup(
+                GroupName.of(prefix + epoch),
+                epoch,
+                model,
+                vms.stream().map(vm -> new GroupMember(vm.vm(), vm.address())).toList(),
+                phase,
+                false,
+                around.nowNanos());
+        groups.add(group);
+        note(group);
+        group.step(around);
+    }
+
+    private int count(GroupedModel model) {
+        return (int) groups.stream()
+                .filter(group -> group.phase().counts() && group.model.name().equals(model.name()))
+                .count();
+    }
+
+    private int countIn(FabricDomain domain, GroupedModel model, GroupSurroundings around) {
+        return (int) groups.stream()
+                .filter(group -> group.phase().counts() && group.model.name().equals(model.name()))
+                .filter(group -> around.record(group.head())
+                        .flatMap(head -> head.heartbeat().domain())
+                        .filter(domain::equals)
+                        .isPresent())
+                .count();
+    }
+
+    /** Returns members that were told to join a model whose weights they do not hold yet. */
+    private int runningLoads(GroupSurroundings around) {
+        return (int) groups.stream()
+                .filter(group -> group.phase() == GroupPhase.FORMING || group.isSpare())
+                .flatMap(group -> group.members.stream()
+                        .filter(member -> around.record(member)
+                                .filter(vm -> isLoading(vm.heartbeat(), group.model.name()))
+                                .isPresent()))
+                .count();
+    }
+
+    private static boolean isLoading(VmHeartbeat vm, ModelVersionName model) {
+        return !vm.stagedModels().contains(model)
+                && vm.loadedModel().filter(model::equals).isEmpty();
+    }
+
+    private List<VmRecord> usable(GroupSurroundings around) {
+        return around.vms().values().stream()
+                .filter(vm -> vm.isStaying() && vm.silentNanos(around.nowNanos()) <= timings.silentNanos())
+                .toList();
+    }
+
+    private List<VmHeartbeat> free(GroupSurroundings around, boolean withSpares) {
+        return usable(around).stream()
+                .filter(vm -> groups.stream()
+                        .noneMatch(group -> !(withSpares && group.isSpare())
+                                && group.has(vm.vm().vm())))
+                .filter(vm -> heardSinceUnresponsive(vm))
+                .map(VmRecord::heartbeat)
+                .toList();
+    }
+
+    private boolean heardSinceUnresponsive(VmRecord vm) {
+        final Long sinceNanos = unresponsiveSinceNanos.get(vm.vm());
+        return sinceNanos == null || vm.heardNanos() - sinceNanos > 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/grouping/SpareChoice.java
@@ -0,0 +1,34 @@
+package org.wigeongrade.decisions.grouping;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.wigeongrade.decisions.discovery.VmHeartbeat;
+import org.wigeongrade.decisions.published.EngineProfile;
+import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.ids.FabricDomain;
+
+/** Chooses the model that a free VM is kept warm for: the one whose groups in its domain have the fewest spares. */
+final class SpareChoice {
+    private SpareChoice() {}
+
+    static Optional<GroupedModel> modelFor(
+            VmHeartbeat vm, EngineProfile engine, List<ManagedGroup> groups, GroupSurroundings around) {
+        return vm.domain()
+                .flatMap(domain -> engine.models().stream()
+                        .min(Comparator.comparingInt((GroupedModel model) -> spares(domain, model, groups, around))
+                                .thenComparing(model -> Readiness.of(vm, model))
+                                .thenComparingInt(model -> -model.groupSize())));
+    }
+
+    private static int spares(
+            FabricDomain domain, GroupedModel model, List<ManagedGroup> groups, GroupSurroundings around) {
+        return (int) groups.stream()
+                .filter(group -> group.isSpare() && group.model.name().equals(model.name()))
+                .filter(group -> around.record(group.head())
+                        .flatMap(spare -> spare.heartbeat().domain())
+                        .filter(domain::equals)
+                        .isPresent())
+                .count();
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/log/Bytes.java
+++ b/src/main/java/org/wigeongrade/decisions/log/Bytes.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.log;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.Arrays;
 
 /**
@@ -18,11 +20,13 @@
     }
 
     /** Wraps the array without a copy; the caller gives it up. */
+    @JsonCreator
     public static Bytes wrap(byte[] array) {
         return new Bytes(array);
     }
 
     /** Returns the array itself; the caller must not change it. */
+    @JsonValue
     public byte[] array() {
         return array;
     }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/published/GroupedModel.java
@@ -0,0 +1,15 @@
+package org.wigeongrade.decisions.published;
+
+import org.wigeongrade.ids.ModelVersionName;
+
+/**
+ * A model whose replicas are groups of VMs. Immutable; safe for use from any thread.
+ *
+ * @param groupSize VMs of one group
+ * @param share part of the service's VMs that the model needs at the start, from 0 to 1
+ * @param paceFactor factor on all times of the model's groups
+ * @param loadMs time to load the weights from the weight store
+ * @param warmupMs time to load the weights from the VM's own host
+ */
+public record GroupedModel(
+        ModelVersionName name, int groupSize, double share, double paceFactor, long loadMs, long warmupMs) {}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/published/PublishedCommand.java
@@ -0,0 +1,49 @@
+package org.wigeongrade.decisions.published;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.ids.AvailabilityZone;
+
+/** A change of {@link PublishedState} as the replicated log carries it. Immutable; safe for use from any thread. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = PublishedCommand.Publish.class, name = "publish"),
+    @JsonSubTypes.Type(value = PublishedCommand.SetZone.class, name = "set_zone")
+})
+public sealed interface PublishedCommand {
+    /** Publishes a document that was checked before. */
+    record Publish(long version, Bytes document) implements PublishedCommand {}
+
+    /** Takes an availability zone out or brings it in. */
+    record SetZone(AvailabilityZone zone, boolean out) implements PublishedCommand {}
+
+    /** Returns the command as JSON. */
+    default byte[] encode() {
+        try {
+            return Codec.MAPPER.writerFor(PublishedCommand.class).writeValueAsBytes(this);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException("command cannot be encoded", e);
+        }
+    }
+
+    /** Reads what {@link #encode} wrote. */
+    static PublishedCommand decode(byte[] bytes) {
+        try {
+            return Codec.MAPPER.readValue(bytes, PublishedCommand.class);
+        } catch (IOException e) {
+            throw new UncheckedIOException("command of the log cannot be read", e);
+        }
+    }
+
+    /** Holds the mapper, which is safe for use from any thread. */
+    final class Codec {
+        static final ObjectMapper MAPPER = new ObjectMapper();
+
+        private Codec() {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/published/PublishedStateMachine.java
@@ -0,0 +1,73 @@
+package org.wigeongrade.decisions.published;
+
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.ids.AvailabilityZone;
+
+/**
+ * Applies published commands in the order of the replicated log.
+ *
+ * <p>Invariant: the state depends on nothing but the commands so far. Commands are applied by one thread at a time; {@link
+ * #state} may be read from any thread.
+ */
+public final class PublishedStateMachine {
+    private record Stored(long version, Bytes document, List<AvailabilityZone> zonesOut) {}
+
+    private volatile PublishedState state = PublishedState.EMPTY;
+
+    /** Returns the state after the last applied command. */
+    public PublishedState state() {
+        return state;
+    }
+
+    /** Applies a command and returns its encoded result, see {@link #outcome}. */
+    public byte[] apply(byte[] command) {
+        final PublishedCommand decoded = PublishedCommand.decode(command);
+        if (decoded instanceof PublishedCommand.Publish publish) {
+            final PublishOutcome outcome =
+                    state.outcomeOf(publish.version(), publish.document().array());
+            state = state.publish(publish.version(), publish.document().array());
+            return encode(outcome);
+        }
+        if (decoded instanceof PublishedCommand.SetZone setZone) {
+            state = state.withZone(setZone.zone(), setZone.out());
+        }
+        return encode(PublishOutcome.IN_FORCE);
+    }
+
+    /** Reads the result of {@link #apply}. */
+    public static PublishOutcome outcome(byte[] result) {
+        return PublishOutcome.valueOf(new String(result, StandardCharsets.US_ASCII));
+    }
+
+    /** Returns the whole state, encoded. */
+    public byte[] snapshot() {
+        final PublishedState taken = state;
+        try {
+            return PublishedCommand.Codec.MAPPER.writeValueAsBytes(new Stored(
+                    taken.version(),
+                    taken.document().map(Bytes::wrap).orElse(Bytes.EMPTY),
+                    ImmutableList.copyOf(taken.zonesOut())));
+        } catch (IOException e) {
+            throw new UncheckedIOException("state cannot be encoded", e);
+        }
+    }
+
+    /** Replaces the whole state by an encoded one. */
+    public void restore(byte[] snapshot) {
+        try {
+            final Stored stored = PublishedCommand.Codec.MAPPER.readValue(snapshot, Stored.class);
+            state = PublishedState.of(stored.version(), stored.document().array(), stored.zonesOut());
+        } catch (IOException e) {
+            throw new UncheckedIOException("state of a snapshot cannot be read", e);
+        }
+    }
+
+    private static byte[] encode(PublishOutcome outcome) {
+        return outcome.name().getBytes(StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/published/RouteWithoutTimeout.java
@@ -0,0 +1,18 @@
+package org.wigeongrade.decisions.published;
+
+import java.util.stream.Stream;
+
+/** Finds routes whose timeout is not positive. Stateless. */
+final class RouteWithoutTimeout implements PublishedRule {
+    @Override
+    public String code() {
+        return "route_without_timeout";
+    }
+
+    @Override
+    public Stream<String> faults(PublishedConfiguration configuration) {
+        return configuration.routes().stream()
+                .filter(route -> route.timeoutMs() <= 0)
+                .map(route -> "the timeout of route " + route.name() + " must be at least 1 ms");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/ConfigurationCache.java
@@ -0,0 +1,23 @@
+package org.wigeongrade.fleet;
+
+import java.util.Optional;
+import org.wigeongrade.decisions.published.PublishedConfiguration;
+import org.wigeongrade.fleet.control.DocumentReader;
+
+/** Keeps the configuration that was read last, by its version. Thread safe. */
+public final class ConfigurationCache {
+    private final DocumentReader reader;
+    private Optional<PublishedConfiguration> latest = Optional.empty();
+
+    public ConfigurationCache(DocumentReader reader) {
+        this.reader = reader;
+    }
+
+    /** Returns the configuration of a document that was accepted under this version. */
+    public synchronized PublishedConfiguration get(long version, byte[] document) {
+        if (latest.filter(known -> known.version() == version).isEmpty()) {
+            latest = Optional.of(reader.read(document));
+        }
+        return latest.get();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/ControlDirectory.java
@@ -0,0 +1,63 @@
+package org.wigeongrade.fleet;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.nodes.log.PeerDirectory;
+
+/**
+ * The control VMs that a node knows, named by their IP numbers; the ports are the same on all of them.
+ *
+ * <p>Invariant: only grows, from the seeds on. Thread safe.
+ */
+public final class ControlDirectory implements PeerDirectory {
+    private final int logPort;
+    private final int fleetPort;
+    private final int controlPort;
+    private final Set<String> known = new LinkedHashSet<>();
+
+    public ControlDirectory(int logPort, int fleetPort, int controlPort, Collection<String> seeds) {
+        this.logPort = logPort;
+        this.fleetPort = fleetPort;
+        this.controlPort = controlPort;
+        this.known.addAll(seeds);
+    }
+
+    /** Adds control VMs; returns those that were not known. */
+    public synchronized ImmutableSet<String> learn(Collection<String> ips) {
+        final ImmutableSet.Builder<String> added = ImmutableSet.builder();
+        ips.stream().filter(InetAddresses::isInetAddress).filter(known::add).forEach(added::add);
+        return added.build();
+    }
+
+    /** Returns every known control VM. */
+    public synchronized ImmutableSet<String> known() {
+        return ImmutableSet.copyOf(known);
+    }
+
+    @Override
+    public Optional<InetSocketAddress> addressOf(NodeName peer) {
+        return InetAddresses.isInetAddress(peer.value())
+                ? Optional.of(address(peer.value(), logPort))
+                : Optional.empty();
+    }
+
+    /** Returns where a control VM takes calls of other nodes. */
+    public InetSocketAddress fleetAddress(String ip) {
+        return address(ip, fleetPort);
+    }
+
+    /** Returns where a control VM serves endpoints and operators. */
+    public InetSocketAddress controlAddress(String ip) {
+        return address(ip, controlPort);
+    }
+
+    private static InetSocketAddress address(String ip, int port) {
+        return new InetSocketAddress(InetAddresses.forString(ip), port);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -0,0 +1,242 @@
+package org.wigeongrade.fleet.control;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import org.wigeongrade.decisions.discovery.VmRegistry;
+import org.wigeongrade.decisions.grouping.GroupTimings;
+import org.wigeongrade.decisions.log.CoreSettings;
+import org.wigeongrade.decisions.log.LogTimings;
+import org.wigeongrade.decisions.log.VoterPolicy;
+import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.fleet.ConfigurationCache;
+import org.wigeongrade.fleet.ControlDirectory;
+import org.wigeongrade.fleet.MetricsListener;
+import org.wigeongrade.fleet.SuspendAwareClock;
+import org.wigeongrade.fleet.net.CallServer;
+import org.wigeongrade.fleet.net.EventLoop;
+import org.wigeongrade.fleet.net.HttpListener;
+import org.wigeongrade.fleet.net.HttpReply;
+import org.wigeongrade.fleet.net.OneCall;
+import org.wigeongrade.fleet.thrift.FleetService;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.nodes.NodeServer;
+import org.wigeongrade.nodes.log.LogSettings;
+import org.wigeongrade.nodes.log.RaftReplicatedLog;
+import org.wigeongrade.settings.FleetKey;
+import org.wigeongrade.settings.FleetSettings;
+import org.wigeongrade.settings.NodeAddress;
+
+/** A process of the control role. Thread safe; the lock of {@code exchanges} is taken last. */
+public final class ControlNode implements AutoCloseable {
+    /** Threads for calls of other nodes; each call takes some milliseconds. */
+    private static final int WORKER_THREADS = 4;
+    /** Largest configuration that is taken, in bytes: what one command of the log carries, less its JSON form. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    /** Heartbeat 150 ms, election 900 to 1,600 ms, lease 800 ms: small VMs may pause for some 100 ms. */
+    private static final LogTimings LOG_TIMINGS = LogTimings.ofMs(150, 900, 1_600, 800);
+    /** A voter that is silent for longer than any restart gives way to a VM that took its place. */
+    private static final long REPLACE_SILENT_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** A fleet that has fewer control VMs than it needs accepts changes after this time all the same. */
+    private static final long FEW_CONTROL_VMS_NANOS = TimeUnit.SECONDS.toNanos(12);
+
+    private static final int HALT_STATUS = 70;
+
+    private final FleetSettings settings;
+    private final EventLog events;
+    private final Metrics metrics;
+    private final SuspendAwareClock clock = new SuspendAwareClock();
+    private final NodeName self;
+    private final ControlDirectory directory;
+    private final VmRegistry registry = new VmRegistry();
+    private final RelayQueue relay = new RelayQueue();
+    private final PublishedStateMachine machine = new PublishedStateMachine();
+    private final EventLoop loop = new EventLoop();
+    private final Map<String, PeerExchange> exchanges = new HashMap<>();
+    private final long startedNanos = System.nanoTime();
+    private final RaftReplicatedLog log;
+    private final LeaderLoop leaderLoop;
+    private final ControlDesk desk;
+    private final NodeServer nodeServer;
+    private final AtomicBoolean stopRequested = new AtomicBoolean();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private HttpListener listener;
+
+    public ControlNode(
+            FleetSettings settings, DocumentReader reader, OrderCodec orderCodec, EventLog events, Metrics metrics) {
+        this.settings = settings;
+        this.events = events;
+        this.metrics = metrics;
+        this.self = NodeName.of(settings.ip());
+        this.directory = new ControlDirectory(
+                settings.logPort(),
+                settings.fleetPort(),
+                settings.controlPort(),
+                settings.seeds().stream().map(NodeAddress::ip).toList());
+        this.log = openLog();
+        final GroupTimings timings = new GroupTimings(
+                TimeUnit.MILLISECONDS.toNanos(settings.ms(FleetKey.HEARTBEAT_MS)),
+                TimeUnit.MILLISECONDS.toNanos(settings.ms(FleetKey.STALL_MS)));
+        this.leaderLoop = new LeaderLoop(
+                self,
+                log,
+                machine,
+                registry,
+                new ConfigurationCache(reader),
+                new OrderSender(new OneCall(loop), orderCodec, events),
+                timings,
+                events,
+                clock);
+        this.desk = new ControlDesk(
+                self, log, machine, registry, directory, reader, relay, this::votersNeeded, events, System::nanoTime);
+        final ControlService service =
+                new ControlService(log, machine, registry, directory, leaderLoop::current, this::learn, clock);
+        this.nodeServer = new NodeServer(
+                new InetSocketAddress(settings.ip(), settings.fleetPort()),
+                new FleetService.Processor<>(service),
+                WORKER_THREADS);
+    }
+
+    /** Begins to serve; {@code api} makes the answers to endpoint VMs and operators from the desk. */
+    public void start(Function<ControlDesk, Function<CallServer.Call, CompletableFuture<HttpReply>>> api) {
+        nodeServer.start();
+        directory.known().forEach(this::addPeer);
+        learn(List.of(settings.ip()));
+        leaderLoop.start();
+        final Function<CallServer.Call, CompletableFuture<HttpReply>> answers = api.apply(desk);
+        listener = HttpListener.open(
+                loop,
+                settings.controlListen().orElseThrow().toSocketAddress(),
+                MAX_HEADER_BYTES,
+                pipeline -> addHandlers(pipeline, answers));
+        MetricsListener.open(loop, new InetSocketAddress(settings.ip(), settings.metricsPort()), metrics);
+        events.write(LogEvent.NODE_STARTED, settings.name(), settings.availabilityZone(), listenText());
+    }
+
+    /** Begins to stop and returns at once. */
+    public void stop() {
+        if (stopRequested.compareAndSet(false, true)) {
+            new Thread(this::close, "stop").start();
+        }
+    }
+
+    /** Waits until the node has stopped. */
+    public void awaitStopped() throws InterruptedException {
+        stopped.await();
+    }
+
+    /** Takes up seeds that the settings name now. */
+    public void reload(FleetSettings changed) {
+        learn(changed.seeds().stream().map(NodeAddress::ip).toList());
+    }
+
+    private String listenText() {
+        return settings.controlListen().orElseThrow().toString();
+    }
+
+    private static void addHandlers(
+            ChannelPipeline pipeline, Function<CallServer.Call, CompletableFuture<HttpReply>> answers) {
+        pipeline.addLast(new HttpObjectAggregator(MAX_BODY_BYTES)).addLast(new CallServer(answers));
+    }
+
+    private RaftReplicatedLog openLog() {
+        final ImmutableSortedSet<NodeName> starters = settings.bootstrap()
+                ? settings.seeds().stream()
+                        .map(seed -> NodeName.of(seed.ip()))
+                        .collect(ImmutableSortedSet.toImmutableSortedSet(NodeName::compareTo))
+                : ImmutableSortedSet.of();
+        final CoreSettings core =
+                new CoreSettings(self, starters, VoterPolicy.bearing(lossesBorne(), REPLACE_SILENT_NANOS), LOG_TIMINGS);
+        final LogSettings logSettings = new LogSettings(
+                core,
+                settings.dataFolder().orElseThrow(),
+                new InetSocketAddress(settings.ip(), settings.logPort()),
+                directory,
+                LogSettings.DEFAULT_COMPACT_AFTER_ENTRIES);
+        return RaftReplicatedLog.open(logSettings, new ReplicatedPublishedState(machine), clock, this::logFailed);
+    }
+
+    private int lossesBorne() {
+        return (int) settings.number(FleetKey.LOSSES_BORNE);
+    }
+
+    /** A change is accepted once so many vote that a quorum of disks outlives the losses that must be borne. */
+    private int votersNeeded() {
+        final int wanted = 2 * lossesBorne() + 1;
+        final int known = directory.known().size();
+        final boolean few = known < wanted && System.nanoTime() - startedNanos > FEW_CONTROL_VMS_NANOS;
+        return few ? Math.min(known, lossesBorne() + 1) : wanted;
+    }
+
+    private void logFailed(RuntimeException failure) {
+        events.writeFault(LogEvent.DISK_FAILED, failure, settings.dataFolder().orElseThrow(), failure.getMessage());
+        Runtime.getRuntime().halt(HALT_STATUS);
+    }
+
+    private void learn(List<String> ips) {
+        final ImmutableSet<String> added = directory.learn(ips);
+        added.forEach(ip ->
+                events.write(LogEvent.CONTROL_VM_FOUND, ip, directory.known().size()));
+        added.forEach(this::addPeer);
+    }
+
+    private void addPeer(String ip) {
+        if (ip.equals(settings.ip())) {
+            return;
+        }
+        log.discover(NodeName.of(ip));
+        synchronized (exchanges) {
+            exchanges.computeIfAbsent(ip, this::startExchange);
+        }
+    }
+
+    private PeerExchange startExchange(String ip) {
+        final PeerExchange exchange = new PeerExchange(
+                settings.ip(),
+                ip,
+                directory,
+                registry,
+                () -> log.leader().filter(leader -> leader.value().equals(ip)).isPresent(),
+                this::learn,
+                events,
+                clock);
+        relay.addTaker(exchange::add);
+        exchange.start();
+        return exchange;
+    }
+
+    /** Hands the lead over, then ends; changes that were accepted lie on other disks, too. */
+    @Override
+    public void close() {
+        events.write(LogEvent.NODE_STOPPING, settings.name(), "a signal", 0);
+        log.handOver();
+        listener.close();
+        leaderLoop.close();
+        log.close();
+        synchronized (exchanges) {
+            exchanges.values().forEach(PeerExchange::close);
+        }
+        nodeServer.close();
+        loop.close();
+        events.write(
+                LogEvent.NODE_STOPPED,
+                settings.name(),
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos));
+        stopped.countDown();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -0,0 +1,106 @@
+package org.wigeongrade.fleet.control;
+
+import com.google.common.collect.ImmutableList;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.wigeongrade.decisions.discovery.VmRegistry;
+import org.wigeongrade.decisions.published.PublishedState;
+import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.fleet.ControlDirectory;
+import org.wigeongrade.fleet.thrift.ExchangeReply;
+import org.wigeongrade.fleet.thrift.ExchangeRequest;
+import org.wigeongrade.fleet.thrift.FleetService;
+import org.wigeongrade.fleet.thrift.HeartbeatRecord;
+import org.wigeongrade.fleet.thrift.PullReply;
+import org.wigeongrade.fleet.thrift.PullRequest;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.ids.VmName;
+import org.wigeongrade.nodes.log.RaftReplicatedLog;
+
+/**
+ * Answers calls of other nodes.
+ *
+ * <p>Invariant: a pull is answered as the leader only if the lease held after the state was read, so the answer holds every
+ * change that was accepted before the pull was sent. Thread safe; holds no state of its own.
+ */
+final class ControlService implements FleetService.Iface {
+    private static final System.Logger LOGGER = System.getLogger(ControlService.class.getName());
+
+    private final RaftReplicatedLog log;
+    private final PublishedStateMachine machine;
+    private final VmRegistry registry;
+    private final ControlDirectory directory;
+    private final Supplier<Optional<LeaderTerm>> leaderTerm;
+    private final Consumer<List<String>> learned;
+    private final LongSupplier nanoClock;
+
+    ControlService(
+            RaftReplicatedLog log,
+            PublishedStateMachine machine,
+            VmRegistry registry,
+            ControlDirectory directory,
+            Supplier<Optional<LeaderTerm>> leaderTerm,
+            Consumer<List<String>> learned,
+            LongSupplier nanoClock) {
+        this.log = log;
+        this.machine = machine;
+        this.registry = registry;
+        this.directory = directory;
+        this.leaderTerm = leaderTerm;
+        this.learned = learned;
+        this.nanoClock = nanoClock;
+    }
+
+    @Override
+    public PullReply pull(PullRequest request) {
+        final PullReply reply = new PullReply()
+                .setLeader(log.leader().map(NodeName::value).orElse(""))
+                .setControlVms(List.copyOf(directory.known()))
+                .setChanged(ImmutableList.of())
+                .setRemoved(ImmutableList.of());
+        final Optional<LeaderTerm> term = leaderTerm.get();
+        if (term.isEmpty()) {
+            return reply;
+        }
+        final PublishedState state = machine.state();
+        writeState(state, request.getConfigurationVersion(), reply);
+        term.get().answer(request, reply, nanoClock.getAsLong());
+        return reply.setLeads(log.leadsWithLease());
+    }
+
+    @Override
+    public ExchangeReply exchange(ExchangeRequest request) {
+        learned.accept(List.of(request.getSender()));
+        learned.accept(request.getControlVms());
+        final long nowNanos = nanoClock.getAsLong();
+        request.getHeartbeats().forEach(heartbeat -> hear(heartbeat, nowNanos));
+        return new ExchangeReply(List.copyOf(directory.known()));
+    }
+
+    private void hear(HeartbeatRecord heartbeat, long nowNanos) {
+        try {
+            registry.hear(
+                    HeartbeatRecords.decode(heartbeat), nowNanos - TimeUnit.MILLISECONDS.toNanos(heartbeat.getAgeMs()));
+            if (heartbeat.isDeparted()) {
+                registry.depart(VmName.of(heartbeat.getVm()));
+            }
+        } catch (IllegalArgumentException e) {
+            LOGGER.log(System.Logger.Level.WARNING, "heartbeat from another control VM dropped: " + e.getMessage());
+        }
+    }
+
+    private static void writeState(PublishedState state, long knownVersion, PullReply reply) {
+        reply.setConfigurationVersion(state.version())
+                .setZonesOut(
+                        state.zonesOut().stream().map(AvailabilityZone::value).toList());
+        if (state.version() > knownVersion) {
+            state.document().ifPresent(document -> reply.setDocument(ByteBuffer.wrap(document)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/control/OrderCodec.java
@@ -0,0 +1,15 @@
+package org.wigeongrade.fleet.control;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import org.wigeongrade.decisions.grouping.GroupOrder;
+import org.wigeongrade.decisions.grouping.OrderAnswer;
+import org.wigeongrade.fleet.net.OneCall;
+
+/** Writes orders as endpoint VMs take them. Implementations are stateless and safe for use from any thread. */
+public interface OrderCodec {
+    /** Returns the request that carries the order. */
+    FullHttpRequest encode(GroupOrder order);
+
+    /** Returns what the answer says of the order. */
+    OrderAnswer decode(GroupOrder order, OneCall.Answer answer);
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/control/OrderSender.java
@@ -0,0 +1,60 @@
+package org.wigeongrade.fleet.control;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import org.wigeongrade.decisions.grouping.GroupOrder;
+import org.wigeongrade.decisions.grouping.OrderAnswer;
+import org.wigeongrade.fleet.net.OneCall;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+
+/** Gives orders to endpoint VMs and hands back what came of them. Thread safe. */
+final class OrderSender {
+    /** Longest wait for the answer to an order, in milliseconds; VMs answer orders at once and are some ms away. */
+    private static final int ORDER_TIMEOUT_MS = 450;
+
+    private final OneCall calls;
+    private final OrderCodec codec;
+    private final EventLog events;
+
+    OrderSender(OneCall calls, OrderCodec codec, EventLog events) {
+        this.calls = calls;
+        this.codec = codec;
+        this.events = events;
+    }
+
+    void send(GroupOrder order, BiConsumer<GroupOrder, OrderAnswer> answered) {
+        final HostAndPort target = HostAndPort.fromString(order.address());
+        final InetSocketAddress address =
+                new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort());
+        events.write(
+                LogEvent.ORDER_SENT,
+                order.kind(),
+                order.group(),
+                order.vm(),
+                order.fencingTerm() + "." + order.epoch());
+        final var unused = calls.send(address, codec.encode(order), ORDER_TIMEOUT_MS)
+                .whenComplete((answer, failure) -> {
+                    final OrderAnswer outcome = failure == null ? codec.decode(order, answer) : outcomeOf(failure);
+                    if (outcome != OrderAnswer.BEGUN && outcome != OrderAnswer.DONE) {
+                        final String cause = failure == null ? "status " + answer.status() : failure.toString();
+                        events.write(
+                                LogEvent.ORDER_REFUSED,
+                                order.kind(),
+                                order.group(),
+                                order.vm(),
+                                outcome + ", " + cause);
+                    }
+                    answered.accept(order, outcome);
+                });
+    }
+
+    private static OrderAnswer outcomeOf(Throwable failure) {
+        final boolean refused = failure instanceof ConnectException
+                && String.valueOf(failure.getMessage()).contains("refused");
+        return refused ? OrderAnswer.NO_LISTENER : OrderAnswer.NONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/control/ReplicatedPublishedState.java
@@ -0,0 +1,22 @@
+package org.wigeongrade.fleet.control;
+
+import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.nodes.log.ReplicatedStateMachine;
+
+/** Feeds the replicated log's commands to the published state. Called by the log's thread. */
+record ReplicatedPublishedState(PublishedStateMachine machine) implements ReplicatedStateMachine {
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        return machine.apply(command);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return machine.snapshot();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        machine.restore(snapshot);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/entry/Routables.java
@@ -0,0 +1,27 @@
+package org.wigeongrade.fleet.entry;
+
+import java.util.Optional;
+import org.wigeongrade.decisions.balancing.EndpointLoad;
+import org.wigeongrade.fleet.thrift.RoutableRecord;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+/** Makes endpoints of what the leader sends. Stateless. */
+final class Routables {
+    private Routables() {}
+
+    static EndpointLoad decode(RoutableRecord record, long coldUntilNanos, long nowNanos) {
+        return new EndpointLoad(
+                new VmIncarnation(VmName.of(record.getVm()), record.getIncarnation()),
+                ServiceName.of(record.getServiceName()),
+                record.getAddress(),
+                AvailabilityZone.of(record.getAvailabilityZone()),
+                Optional.of(record.getModel()).filter(model -> !model.isEmpty()).map(ModelVersionName::of),
+                record.getSlots(),
+                coldUntilNanos,
+                nowNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry role: takes callers' requests and sends them to endpoints. */
+package org.wigeongrade.fleet.entry;
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/net/HttpListener.java
@@ -0,0 +1,63 @@
+package org.wigeongrade.fleet.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+
+/** Listens for HTTP connections on one address. Thread safe. */
+public final class HttpListener implements AutoCloseable {
+    /** Connections that may wait to be accepted; many clients come back at once after an outage. */
+    private static final int BACKLOG = 1_024;
+
+    private static final int MAX_INITIAL_LINE_BYTES = 16 * 1024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+    private final Channel channel;
+
+    private HttpListener(Channel channel) {
+        this.channel = channel;
+    }
+
+    /**
+     * Begins to listen; {@code handlers} adds its own handlers behind the codec of each connection.
+     *
+     * @throws WigeongradeException with {@link ErrorKind#INTERNAL} if the address cannot be listened on
+     */
+    public static HttpListener open(
+            EventLoop loop, InetSocketAddress address, int maxHeaderBytes, Consumer<ChannelPipeline> handlers) {
+        final ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loop.group())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel child) {
+                        child.pipeline()
+                                .addLast(new HttpServerCodec(MAX_INITIAL_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES));
+                        handlers.accept(child.pipeline());
+                    }
+                });
+        try {
+            return new HttpListener(
+                    bootstrap.bind(address).syncUninterruptibly().channel());
+        } catch (RuntimeException e) {
+            throw new WigeongradeException(ErrorKind.INTERNAL, "cannot listen on " + address + ": " + e, e);
+        }
+    }
+
+    @Override
+    public void close() {
+        channel.close().syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/net/package-info.java
@@ -0,0 +1,2 @@
+/** Listening and calling by HTTP on one event loop. */
+package org.wigeongrade.fleet.net;
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -17,6 +17,8 @@
     NODE_STOPPED(1003, Level.INFO, "node {node} stopped after {elapsed_ms} ms"),
     NODE_STOP_CUT_SHORT(1004, Level.WARNING, "node {node} stopped with {in_flight} requests cut short by {cause}"),
     NODE_START_FAILED(1005, Level.ERROR, "node {node} did not start: {cause}"),
+    SETTINGS_RELOADED(1006, Level.INFO, "settings of node {node} read again, seeds {seeds}"),
+    SETTINGS_REFUSED(1007, Level.WARNING, "settings file {file} not taken up: {cause}"),
 
     VIEW_LEASE_LOST(1101, Level.WARNING, "view lease ran out at revision {revision}; no new work is sent"),
     VIEW_LEASE_REGAINED(1102, Level.INFO, "view lease regained at revision {revision} after {elapsed_ms} ms"),
@@ -33,6 +35,8 @@
     VOTER_CAUGHT_UP(1208, Level.INFO, "control VM {peer} caught up at position {position} and votes"),
     LOG_DISK_LOST(1209, Level.ERROR, "log of data folder {data_folder} is lost: {cause}; starting as a learner"),
 
+    CONTROL_VM_FOUND(1210, Level.INFO, "control VM {peer} found; {known} are known"),
+
     CONFIGURATION_APPLIED(1301, Level.INFO, "configuration revision {revision} applied by {operator}, change {change}"),
     CONFIGURATION_REFUSED(1302, Level.WARNING, "change {change} of {operator} refused with {code}: {cause}"),
     ZONE_OUT(1303, Level.INFO, "availability zone {zone} taken out at revision {revision} by {operator}"),
@@ -46,6 +50,7 @@
     ORDER_SENT(1406, Level.INFO, "order {order} for group {group} sent to VM {vm} with fencing token {token}"),
     ORDER_REFUSED(1407, Level.WARNING, "order {order} for group {group} refused by VM {vm}: {cause}"),
     PLACEMENT_FAILED(1408, Level.WARNING, "placement could not be carried out: {cause}"),
+    GROUP_PHASE_CHANGED(1409, Level.INFO, "group {group} of model {model} is {phase} with VMs {members}: {cause}"),
 
     ENDPOINT_COLD(1501, Level.WARNING, "endpoint {endpoint} is cold: {cause}; its load is held to {slots} requests"),
     ENDPOINT_WARM(1502, Level.INFO, "endpoint {endpoint} is warm; its load may reach {slots} requests"),
@@ -53,6 +58,9 @@
     ENDPOINT_ABSENT(1504, Level.WARNING, "endpoint VM {vm} stopped announcing itself"),
     ENDPOINT_LEAVING(1505, Level.INFO, "endpoint {endpoint} is leaving; no new work is sent to it"),
 
+    ENDPOINT_ROUTABLE(1506, Level.INFO, "endpoint {endpoint} at {address} in {zone} may be sent requests for {model}"),
+    ENDPOINT_NOT_ROUTABLE(1507, Level.INFO, "endpoint {endpoint} gets no new requests; {in_flight} are in flight"),
+
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
     REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
     STREAM_RESUMED(1603, Level.INFO, "stream of request {request} resumed on endpoint {endpoint}: {cause}"),
@@ -63,6 +71,19 @@
             1606, Level.WARNING, "request digest {digest} quarantined after it crashed {crashes} endpoints"),
     ANSWER_REJECTED(1607, Level.WARNING, "answer of endpoint {endpoint} to request {request} rejected: {cause}"),
     REQUEST_FAULT(1608, Level.ERROR, "request {request} met a fault of this system: {cause}"),
+    REQUEST_SENT(
+            1609,
+            Level.INFO,
+            "request {request} of {organisation} on route {route} sent to {endpoint}: {running} running there,"
+                    + " {predicted_ms} ms predicted, {candidates} candidates, view {view_age_ms} ms old, configuration"
+                    + " {version}, {remaining_ms} ms left"),
+    REQUEST_ANSWERED(
+            1610,
+            Level.INFO,
+            "request {request} answered with {status} by {endpoint}: first bytes after {first_ms} ms, whole after"
+                    + " {elapsed_ms} ms, {sends} sends, {events} events"),
+    REQUEST_FAILED(1611, Level.WARNING, "request {request} failed with {code} after {elapsed_ms} ms: {cause}"),
+    REQUEST_CANCELLED(1612, Level.INFO, "request {request} cancelled by its caller after {elapsed_ms} ms"),
 
     PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
--- a/src/main/java/org/wigeongrade/logging/LogSetup.java
+++ b/src/main/java/org/wigeongrade/logging/LogSetup.java
@@ -36,6 +36,18 @@
         EVENTS.setLevel(level.level());
     }
 
+    /**
+     * Sends every record to standard output, without ever waiting for whoever reads it; records beyond a bounded queue
+     * are dropped and counted.
+     */
+    public static void installOnStandardOutput(LogLevel level) {
+        LogManager.getLogManager().reset();
+        final Logger root = Logger.getLogger("");
+        root.setLevel(Level.WARNING);
+        root.addHandler(QueuedHandler.start(new FlushingHandler(System.out)));
+        EVENTS.setLevel(level.level());
+    }
+
     private static OutputStream open(Optional<Path> file) {
         if (file.isEmpty()) {
             return System.err;
--- a/src/main/java/org/wigeongrade/nodes/log/LogOpening.java
+++ b/src/main/java/org/wigeongrade/nodes/log/LogOpening.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger.Level;
 import java.security.SecureRandom;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.wigeongrade.disk.DiskLostException;
 import org.wigeongrade.disk.FileOperations;
 import org.wigeongrade.disk.LogStore;
@@ -14,20 +15,16 @@
     private LogOpening() {}
 
     static RaftReplicatedLog open(
-            LogSettings settings, ReplicatedStateMachine machine, Consumer<RuntimeException> onFailure) {
+            LogSettings settings,
+            ReplicatedStateMachine machine,
+            LongSupplier clock,
+            Consumer<RuntimeException> onFailure) {
         SecureRandom random = new SecureRandom();
         LogStore store = openStore(settings, random);
         LateReceiver receiver = new LateReceiver();
         LogTransport transport = listen(settings, store, receiver);
         RaftReplicatedLog log = new RaftReplicatedLog(
-                settings.core(),
-                store,
-                transport,
-                machine,
-                System::nanoTime,
-                random,
-                settings.compactAfterEntries(),
-                onFailure);
+                settings.core(), store, transport, machine, clock, random, settings.compactAfterEntries(), onFailure);
         receiver.connect(log);
         log.start();
         return log;
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -119,7 +119,16 @@
      */
     public static RaftReplicatedLog open(
             LogSettings settings, ReplicatedStateMachine machine, Consumer<RuntimeException> onFailure) {
-        return LogOpening.open(settings, machine, onFailure);
+        return LogOpening.open(settings, machine, System::nanoTime, onFailure);
+    }
+
+    /** Opens as {@link #open(LogSettings, ReplicatedStateMachine, Consumer)} does, with a clock of its own. */
+    public static RaftReplicatedLog open(
+            LogSettings settings,
+            ReplicatedStateMachine machine,
+            LongSupplier clock,
+            Consumer<RuntimeException> onFailure) {
+        return LogOpening.open(settings, machine, clock, onFailure);
     }
 
     /** Starts the writer thread. */
--- a/src/main/java/org/wigeongrade/platform/PlatformApi.java
+++ b/src/main/java/org/wigeongrade/operators/HealthApi.java
@@ -1,4 +1,4 @@
-package org.wigeongrade.platform;
+package org.wigeongrade.operators;
 
 import org.wigeongrade.metrics.Metrics;
 import org.wigeongrade.nodes.entry.EntryRole;
@@ -7,14 +7,14 @@
 import ratpack.handling.Context;
 
 /** Serves the balancer's health check and the metrics. Thread safe: holds no state of its own. */
-public final class PlatformApi implements Action<Chain> {
+public final class HealthApi implements Action<Chain> {
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final EntryRole entry;
     private final Metrics metrics;
 
-    public PlatformApi(EntryRole entry, Metrics metrics) {
+    public HealthApi(EntryRole entry, Metrics metrics) {
         this.entry = entry;
         this.metrics = metrics;
     }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/platform/CallerMessages.java
@@ -0,0 +1,196 @@
+package org.wigeongrade.platform;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.fleet.entry.AnswerHead;
+import org.wigeongrade.fleet.entry.CallerCodec;
+import org.wigeongrade.fleet.entry.CallerRequest;
+import org.wigeongrade.fleet.entry.SendTerms;
+import org.wigeongrade.fleet.net.HttpReply;
+import org.wigeongrade.ids.VmName;
+
+/** Messages of callers and endpoints on the platform's wire. Stateless; safe for use from any thread. */
+public final class CallerMessages implements CallerCodec {
+    private static final String READINESS_PATH = "/-/readyz";
+    private static final int MS_PER_S = 1_000;
+    /** An answer that names no idle time comes from an endpoint that keeps connections for less than a second. */
+    private static final long UNSTATED_IDLE_MS = 250;
+    /** Taken off a stated idle time, so that a request does not meet the endpoint's close on its way. */
+    private static final long IDLE_MARGIN_MS = 500;
+
+    /** Headers that concern one connection only, and the framing that each connection has of its own. */
+    private static final ImmutableSet<String> ONE_CONNECTION = ImmutableSet.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length");
+
+    private static final ImmutableSet<String> SET_BY_THIS_SYSTEM = ImmutableSet.of(
+            WireHeaders.KEY, WireHeaders.ORGANISATION, WireHeaders.EXPECTED_VM, WireHeaders.DEADLINE_MS);
+
+    @Override
+    public boolean isReadinessCall(String method, String path) {
+        return method.equals("GET") && path.equals(READINESS_PATH);
+    }
+
+    @Override
+    public CallerRequest decode(FullHttpRequest request) {
+        final HttpHeaders headers = request.headers();
+        if (request.decoderResult().isFailure()) {
+            throw new WigeongradeException(
+                    ErrorKind.MALFORMED_REQUEST,
+                    "the request cannot be read: " + request.decoderResult().cause());
+        }
+        final int query = request.uri().indexOf('?');
+        final byte[] body = new byte[request.content().readableBytes()];
+        request.content().getBytes(request.content().readerIndex(), body);
+        return new CallerRequest(
+                text(headers, WireHeaders.ATTEMPT_ID),
+                request.method().name(),
+                hostname(headers),
+                request.uri(),
+                query < 0 ? request.uri() : request.uri().substring(0, query),
+                number(headers, WireHeaders.DEADLINE_MS),
+                text(headers, WireHeaders.KEY),
+                text(headers, WireHeaders.MODEL),
+                promptTokens(headers),
+                number(headers, WireHeaders.LAST_EVENT_ID),
+                without(headers, SET_BY_THIS_SYSTEM),
+                Bytes.wrap(body));
+    }
+
+    @Override
+    public FullHttpRequest encode(CallerRequest request, SendTerms terms, String address) {
+        final ByteBuf body = Unpooled.wrappedBuffer(request.body().array());
+        final FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.target(), body);
+        message.headers()
+                .set(request.headers())
+                .set(WireHeaders.DEADLINE_MS, terms.remainingMs())
+                .set(WireHeaders.EXPECTED_VM, terms.vm().value());
+        terms.organisation()
+                .ifPresent(organisation -> message.headers().set(WireHeaders.ORGANISATION, organisation.value()));
+        terms.resumeAfter().ifPresent(eventId -> message.headers().set(WireHeaders.LAST_EVENT_ID, eventId));
+        if (request.body().sizeBytes() > 0 || request.method().equals("POST")) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().sizeBytes());
+        }
+        return message;
+    }
+
+    @Override
+    public AnswerHead decode(HttpResponse response) {
+        final HttpHeaders headers = response.headers();
+        final int status = response.status().code();
+        return new AnswerHead(
+                status,
+                text(headers, WireHeaders.ATTEMPT_ID),
+                headers.contains(WireHeaders.NOT_RUN) || status == ErrorStatus.MISDIRECTED,
+                headers.contains(WireHeaders.SIGNATURE),
+                headers.contains(HttpHeaderNames.CONTENT_ENCODING),
+                faultyVm(headers),
+                reusableForMs(response),
+                without(headers, ImmutableSet.of()));
+    }
+
+    @Override
+    public HttpReply error(CallerRequest request, ErrorKind kind, String message, long retryAfterMs) {
+        HttpReply reply = HttpReply.text(kind.httpStatus(), kind.code() + ": " + message + "\n");
+        if (request.attemptId().isPresent()) {
+            reply = reply.with(WireHeaders.ATTEMPT_ID, request.attemptId().get());
+        }
+        return retryAfterMs > 0
+                ? reply.with("retry-after", String.format(Locale.ROOT, "%.3f", (double) retryAfterMs / MS_PER_S))
+                : reply;
+    }
+
+    /** Statuses that mean the same on the platform whatever else an answer holds. */
+    private static final class ErrorStatus {
+        static final int MISDIRECTED = 421;
+    }
+
+    private static String hostname(HttpHeaders headers) {
+        final String host = headers.get(HttpHeaderNames.HOST, "");
+        final int port = host.lastIndexOf(':');
+        return (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
+    }
+
+    private static Optional<String> text(HttpHeaders headers, String name) {
+        return Optional.ofNullable(headers.get(name)).map(String::strip).filter(value -> !value.isEmpty());
+    }
+
+    private static OptionalLong number(HttpHeaders headers, String name) {
+        final Long value = text(headers, name).map(Longs::tryParse).orElse(null);
+        return value == null || value < 0 ? OptionalLong.empty() : OptionalLong.of(value);
+    }
+
+    private static int promptTokens(HttpHeaders headers) {
+        final List<String> counts = Splitter.on(',').trimResults().splitToList(headers.get(WireHeaders.TOKENS, ""));
+        final Integer tokens = Ints.tryParse(counts.get(0));
+        return tokens == null ? 0 : Math.max(0, tokens);
+    }
+
+    private static Optional<VmName> faultyVm(HttpHeaders headers) {
+        try {
+            return text(headers, WireHeaders.FAULTY_VM).map(VmName::of);
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static OptionalLong reusableForMs(HttpResponse response) {
+        if (!HttpUtil.isKeepAlive(response)) {
+            return OptionalLong.empty();
+        }
+        final Optional<Integer> statedS = text(response.headers(), "keep-alive")
+                .flatMap(value -> Splitter.on(',').trimResults().splitToList(value).stream()
+                        .filter(part -> part.startsWith("timeout="))
+                        .findFirst())
+                .map(part -> Ints.tryParse(part.substring("timeout=".length())));
+        final long idleMs =
+                statedS.map(seconds -> seconds * MS_PER_S - IDLE_MARGIN_MS).orElse(UNSTATED_IDLE_MS);
+        return idleMs > 0 ? OptionalLong.of(idleMs) : OptionalLong.empty();
+    }
+
+    private static HttpHeaders without(HttpHeaders headers, Set<String> more) {
+        final Set<String> named = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+        headers.getAll(HttpHeaderNames.CONNECTION)
+                .forEach(value -> named.addAll(Splitter.on(',').trimResults().splitToList(value)));
+        named.addAll(ONE_CONNECTION);
+        named.addAll(more);
+        final HttpHeaders rest = new DefaultHttpHeaders(false);
+        for (final Map.Entry<String, String> header : headers) {
+            if (!named.contains(header.getKey())) {
+                rest.add(header.getKey(), header.getValue());
+            }
+        }
+        return rest;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/wigeongrade/platform/OrderWriter.java
@@ -0,0 +1,84 @@
+package org.wigeongrade.platform;
+
+import com.google.common.collect.ImmutableMap;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.wigeongrade.decisions.grouping.GroupOrder;
+import org.wigeongrade.decisions.grouping.GroupOrderKind;
+import org.wigeongrade.decisions.grouping.OrderAnswer;
+import org.wigeongrade.fleet.control.OrderCodec;
+import org.wigeongrade.fleet.net.OneCall;
+import org.wigeongrade.ids.VmName;
+
+/** Writes orders to engine VMs and reads their answers. Stateless; safe for use from any thread. */
+public final class OrderWriter implements OrderCodec {
+    private static final String ORDER_PATH = "/-/order";
+    private static final String REPORT_PATH = "/-/report";
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int MISDIRECTED = 421;
+
+    @Override
+    public FullHttpRequest encode(GroupOrder order) {
+        final boolean probe = order.kind() == GroupOrderKind.PROBE;
+        final byte[] body = probe ? new byte[0] : WireJson.write(fields(order));
+        final FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                probe ? HttpMethod.GET : HttpMethod.POST,
+                probe ? REPORT_PATH : ORDER_PATH,
+                Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set(HttpHeaderNames.HOST, order.address())
+                .set(HttpHeaderNames.CONNECTION, "close")
+                .set(WireHeaders.EXPECTED_VM, order.vm().vm().value());
+        if (!probe) {
+            request.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return request;
+    }
+
+    @Override
+    public OrderAnswer decode(GroupOrder order, OneCall.Answer answer) {
+        return switch (answer.status()) {
+            case OK -> OrderAnswer.DONE;
+            case ACCEPTED -> OrderAnswer.BEGUN;
+            case MISDIRECTED -> OrderAnswer.ENDED;
+            default -> OrderAnswer.REFUSED;
+        };
+    }
+
+    private static ImmutableMap<String, Object> fields(GroupOrder order) {
+        final ImmutableMap.Builder<String, Object> fields = ImmutableMap.<String, Object>builder()
+                .put("operation", operation(order.kind()))
+                .put("fencingToken", order.fencingTerm())
+                .put("group", order.group().value())
+                .put("epoch", order.epoch());
+        switch (order.kind()) {
+            case JOIN ->
+                fields.put("model", order.model().value())
+                        .put(
+                                "members",
+                                order.members().stream().map(VmName::value).toList());
+            case CLOSE_WHEN_DONE -> fields.put("method", "wait");
+            case CLOSE_NOW -> fields.put("method", "evict");
+            case OPEN, LEAVE, PROBE -> {}
+        }
+        return fields.buildOrThrow();
+    }
+
+    private static String operation(GroupOrderKind kind) {
+        return switch (kind) {
+            case JOIN -> "join";
+            case OPEN -> "open";
+            case CLOSE_WHEN_DONE, CLOSE_NOW -> "close";
+            case LEAVE -> "leave";
+            case PROBE -> throw new IllegalArgumentException("a probe is no order");
+        };
+    }
+}
--- a/src/main/java/org/wigeongrade/settings/CheckedTable.java
+++ b/src/main/java/org/wigeongrade/settings/CheckedTable.java
@@ -90,6 +90,17 @@
         return number;
     }
 
+    /** Reads an integer or fraction from {@code min} to {@code max}; a value outside is a fault and read as absent. */
+    public Optional<Double> number(String key, double min, double max) {
+        final String expected = "a number from " + min + " to " + max;
+        final Optional<Double> number = value(key, Number.class, expected).map(Number::doubleValue);
+        if (number.isPresent() && (number.get() < min || number.get() > max)) {
+            report(key, "is " + number.get() + "; expected " + expected);
+            return Optional.empty();
+        }
+        return number;
+    }
+
     /** Reads an optional boolean. */
     public Optional<Boolean> bool(String key) {
         return value(key, Boolean.class, "true or false");
--- /dev/null
+++ b/src/main/java/org/wigeongrade/settings/FleetSettings.java
@@ -0,0 +1,72 @@
+package org.wigeongrade.settings;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.NodeName;
+
+/**
+ * Settings of one process of a fleet whose processes find each other through seeds.
+ *
+ * <p>Invariant: an entry node has {@code callerListen} and {@code readinessListen}, a control node has {@code
+ * controlListen} and {@code dataFolder}. The internal ports are the same on every VM of the fleet. Immutable; safe for
+ * use from any thread.
+ *
+ * @param ip the VM's own address, which also names it among the control VMs
+ * @param firstInternalPort first of three ports: replicated log, calls between nodes, metrics
+ * @param seeds control addresses of some control VMs; they may be out of date
+ * @param bootstrap whether the fleet starts for the first time, with empty disks
+ */
+public record FleetSettings(
+        NodeName name,
+        FleetRole role,
+        AvailabilityZone availabilityZone,
+        String ip,
+        Optional<NodeAddress> callerListen,
+        Optional<NodeAddress> readinessListen,
+        Optional<NodeAddress> controlListen,
+        int firstInternalPort,
+        List<NodeAddress> seeds,
+        boolean bootstrap,
+        Optional<Path> dataFolder,
+        Map<FleetKey, Double> numbers) {
+    public FleetSettings {
+        seeds = ImmutableList.copyOf(seeds);
+        numbers = ImmutableMap.copyOf(numbers);
+    }
+
+    /** Returns the value of a numeric key, in the unit that its name ends with. */
+    public double number(FleetKey key) {
+        return numbers.getOrDefault(key, key.defaultValue());
+    }
+
+    /** Returns the value of a key that is given in milliseconds or seconds, in milliseconds. */
+    public long ms(FleetKey key) {
+        final double factor = key.key().endsWith("_s") ? 1_000 : 1;
+        return Math.round(number(key) * factor);
+    }
+
+    /** Returns the port of the replicated log. */
+    public int logPort() {
+        return firstInternalPort;
+    }
+
+    /** Returns the port of calls between the nodes. */
+    public int fleetPort() {
+        return firstInternalPort + 1;
+    }
+
+    /** Returns the port of the metrics. */
+    public int metricsPort() {
+        return firstInternalPort + 2;
+    }
+
+    /** Returns the port that every control VM serves endpoints and operators on. */
+    public int controlPort() {
+        return controlListen.map(NodeAddress::port).orElseGet(() -> seeds.get(0).port());
+    }
+}
--- /dev/null
+++ b/src/main/thrift/fleet.thrift
@@ -0,0 +1,118 @@
+// What entry VMs and control VMs say to each other in a deployment whose nodes find each other through seeds.
+namespace java org.wigeongrade.fleet.thrift
+
+// One endpoint that requests may be sent to: the head of a whole group, or one replica of a plain service.
+struct RoutableRecord {
+  1: string vm
+  2: i64 incarnation
+  3: string serviceName
+  4: string address
+  5: string availabilityZone
+  // Empty for a replica of a plain service.
+  6: string model
+  7: i32 slots
+  // Remaining time of the cold start; 0 if warm.
+  8: i64 coldForMs
+}
+
+// What one entry VM saw of one endpoint.
+struct UsageRecord {
+  1: string vm
+  2: i64 incarnation
+  3: i32 inFlight
+  // Time since the endpoint last sent a byte of an answer to this entry VM; meaningful with requests in flight only.
+  4: i64 sinceProgressMs
+  // The endpoint refused a connection, so that its process has ended.
+  5: bool refusedConnection
+  // The endpoint sent a byte of an answer since the last pull.
+  6: bool progressed
+  // A VM that a refusal of this endpoint named as the one at fault; empty if none.
+  7: string faultyVm
+}
+
+// A request digest that was in flight at an endpoint whose connection broke.
+struct CrashRecord {
+  1: string requestDigest
+  2: string vm
+  3: i64 incarnation
+}
+
+struct PullRequest {
+  1: string node
+  2: string availabilityZone
+  3: i64 configurationVersion
+  // Term and number of the last endpoint change that the entry VM knows.
+  4: i64 term
+  5: i64 changeNumber
+  6: list<UsageRecord> usage
+  7: list<CrashRecord> crashes
+}
+
+struct PullReply {
+  1: bool leads
+  // IP number of the leader; empty if unknown.
+  2: string leader
+  3: i64 term
+  4: list<string> controlVms
+  5: i64 configurationVersion
+  // Present if the entry VM's version is older: the configuration as it was published.
+  6: optional binary document
+  7: list<string> zonesOut
+  // False while a new leader has not had the time to hear of every endpoint; what it does not list may still serve.
+  8: bool settled
+  9: i64 changeNumber
+  // True if the lists below are the whole state and not a change of it.
+  10: bool complete
+  11: list<RoutableRecord> changed
+  // VMs that are no longer routable.
+  12: list<string> removed
+  // Requests that other entry VMs have in flight, by VM.
+  13: map<string, i32> inFlightElsewhere
+  // Request digests that must not be sent any more.
+  14: list<string> quarantined
+  15: i32 entryVms
+}
+
+// What an endpoint VM last said of itself, as one control VM heard it.
+struct HeartbeatRecord {
+  1: string vm
+  2: i64 incarnation
+  3: i64 sequence
+  4: string serviceName
+  5: string address
+  6: string availabilityZone
+  7: string softwareVersion
+  8: i32 slots
+  9: bool draining
+  10: i64 coldForMs
+  // Empty where the VM runs no engine.
+  11: string fabricDomain
+  12: list<string> stagedModels
+  13: string loadedModel
+  14: string groupName
+  15: i64 groupEpoch
+  16: i32 groupRank
+  // Empty if the VM is in no group.
+  17: string groupState
+  18: i64 ageMs
+  // The VM said that it has left for good.
+  19: bool departed
+}
+
+struct ExchangeRequest {
+  // IP number of the sender.
+  1: string sender
+  2: list<string> controlVms
+  3: list<HeartbeatRecord> heartbeats
+}
+
+struct ExchangeReply {
+  1: list<string> controlVms
+}
+
+service FleetService {
+  // Entry VM to the leader, at a fixed interval: reports what it saw, gets what changed.
+  PullReply pull(1: PullRequest request)
+  // Control VM to control VM: heartbeats that the sender heard, and the control VMs that it knows.
+  ExchangeReply exchange(1: ExchangeRequest request)
+}
