--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -56,6 +56,9 @@
      */
     public ImmutableList<GroupOrder> plan(
             EngineProfile engine, List<VmRecord> vms, Map<VmName, EndpointEvidence> evidence, long nowNanos) {
+        if (evidence.values().stream().anyMatch(seen -> seen.inFlight() > 0)) {
+            loadCeiling.callersSeen();
+        }
         final ImmutableMap<VmName, VmRecord> byName =
                 vms.stream().collect(ImmutableMap.toImmutableMap(vm -> vm.vm().vm(), vm -> vm));
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
--- a/src/main/java/org/wigeongrade/decisions/grouping/LoadCeiling.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/LoadCeiling.java
@@ -16,18 +16,24 @@
     /** Part of the store's rate that is used, so that orders carried out late do not add up beyond it. */
     private static final double USED_PART = 0.5;
 
+    private boolean callersSeen;
     private final Deque<Long> startsNanos = new ArrayDeque<>();
 
+    /** Takes the news that callers send requests; loads before that are not counted by the store. */
+    void callersSeen() {
+        callersSeen = true;
+    }
+
     /** Returns whether so many loads may begin now, given those that run. */
     boolean allows(int loads, int running, double loadsPerSecond, int loadsAtOnce, long nowNanos) {
-        if (loads == 0) {
-            return true;
+        final boolean room = running == 0 || running + loads <= loadsAtOnce;
+        if (loads == 0 || !callersSeen) {
+            return loads == 0 || room;
         }
         while (!startsNanos.isEmpty() && nowNanos - startsNanos.peekFirst() > WINDOW_NANOS) {
             startsNanos.removeFirst();
         }
         final double perWindow = USED_PART * loadsPerSecond * TimeUnit.NANOSECONDS.toSeconds(WINDOW_NANOS);
-        final boolean room = running == 0 || running + loads <= loadsAtOnce;
         return room && startsNanos.size() + loads <= Math.max(perWindow, loads);
     }
 
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -1,7 +1,7 @@
 package org.wigeongrade.fleet.control;
 
-import com.google.common.collect.ImmutableList;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -62,8 +62,8 @@
         final PullReply reply = new PullReply()
                 .setLeader(log.leader().map(NodeName::value).orElse(""))
                 .setControlVms(List.copyOf(directory.known()))
-                .setChanged(ImmutableList.of())
-                .setRemoved(ImmutableList.of());
+                .setChanged(new ArrayList<>())
+                .setRemoved(new ArrayList<>());
         final Optional<LeaderTerm> term = leaderTerm.get();
         if (term.isEmpty()) {
             return reply;
