Wait longer before a request moves, and learn how late first events come

Cause: first events come about 120 ms later than the published profile says, so the predicted time was too short and 130 streams moved after 150 ms without bytes; the moves spent the retry allowance, and requests that had been cancelled for a move were then refused it. Ruled out: moving in time to be on time still; starting again takes longer than what is left of the aims.

--- a/src/main/java/org/wigeongrade/decisions/balancing/EngineModel.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EngineModel.java
@@ -4,7 +4,7 @@
 import org.wigeongrade.decisions.published.GroupedModel;
 
 /**
- * Predicts how long a group takes, from the published profile of its engine. Immutable; safe for use from any thread.
+ * Predicts how long a group takes, from the published profile of its engine and what was observed. Not thread safe.
  *
  * <p>An engine works in passes: each pass reads pieces of waiting prompts and then runs some token steps for all requests
  * that write. An event holds the tokens of one pass.
@@ -20,10 +20,18 @@
 
     private final EngineProfile engine;
     private final double pace;
+    private final LearnedOverhead overhead;
 
-    public EngineModel(EngineProfile engine, GroupedModel model) {
+    /** @param overhead what first events took longer than the profile says; learned by the node that predicts */
+    public EngineModel(EngineProfile engine, GroupedModel model, LearnedOverhead overhead) {
         this.engine = engine;
         this.pace = model.paceFactor();
+        this.overhead = overhead;
+    }
+
+    /** Takes the time that a first event took against what was predicted, in milliseconds. */
+    public void observedFirst(double tookMs, double predictedMs) {
+        overhead.observed(tookMs - predictedMs + overhead.ms());
     }
 
     /** Returns the requests that one group runs at once. */
@@ -50,7 +58,7 @@
         final int pieces = 1 + promptTokens / Math.max(1, engine.chunkTokens());
         final double passMs = passMs(running + 1);
         final double startMs = running == 0 ? 0 : passMs / 2;
-        return startMs + readMs(promptTokens) + pieces * passMs + waitForSlotMs(running);
+        return overhead.ms() + startMs + readMs(promptTokens) + pieces * passMs + waitForSlotMs(running);
     }
 
     /** Returns about how long a request waits until one of the running ones ends, in milliseconds. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
@@ -22,7 +22,8 @@
 
     /** Returns whether the order was not given as the latest one, or is due again because nothing came of it. */
     boolean isDue(GroupOrderKind kind, long resendNanos, long nowNanos) {
-        return lastKind.filter(kind::equals).isEmpty() || nowNanos - lastSentNanos >= resendNanos;
+        final long waitNanos = unanswered > GroupTimings.QUICK_RESENDS ? GroupTimings.SLOW_RESEND_NANOS : resendNanos;
+        return lastKind.filter(kind::equals).isEmpty() || nowNanos - lastSentNanos >= waitNanos;
     }
 
     void sent(GroupOrderKind kind, long nowNanos) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -19,6 +19,10 @@
     static final long ORDER_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     /** A head that has begun to close is asked this often whether it is done; closing takes one pass of the engine. */
     static final long CLOSING_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Orders without an answer after which a VM is asked less often. */
+    static final int QUICK_RESENDS = 3;
+    /** Pause between two orders to a VM that has not answered for a while. */
+    static final long SLOW_RESEND_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** Joins are answered at once and reported when done; a report may come a heartbeat late. */
     static final long JOIN_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     /** Longer than any pause between two events that still counts as on time, shorter than the engines' stall time. */
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointFleet.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointFleet.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.EngineModel;
+import org.wigeongrade.decisions.balancing.LearnedOverhead;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
 import org.wigeongrade.fleet.thrift.CrashRecord;
@@ -171,8 +172,8 @@
         return configuration.services().stream()
                 .map(PublishedService::engine)
                 .flatMap(Optional::stream)
-                .flatMap(engine ->
-                        engine.models().stream().map(model -> Map.entry(model.name(), new EngineModel(engine, model))))
+                .flatMap(engine -> engine.models().stream()
+                        .map(model -> Map.entry(model.name(), new EngineModel(engine, model, new LearnedOverhead()))))
                 .collect(
                         ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue, (first, second) -> second));
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -191,7 +191,7 @@
                                 nowNanos - services.fleet().view().sentNanos()),
                         services.fleet().view().version(),
                         remainingMs);
-        final Send send = new Send(this, endpoint, placement.predictedMs(), nowNanos);
+        final Send send = new Send(this, endpoint, services.fleet().engine(model()), placement.predictedMs(), nowNanos);
         current = Optional.of(send);
         endpoint.sent(nowNanos);
         final SendTerms terms =
@@ -293,8 +293,22 @@
         mayHaveRun(send, RetryReason.ENDPOINT_FAILED, "the endpoint answered " + answer.status());
     }
 
-    /** Returns whether another endpoint could take the request over from one that stands still. */
-    boolean canMove() {
+    /**
+     * Returns whether another endpoint may take the request over from one that stands still; counts the send if so.
+     * {@link #movedFrom} must follow.
+     */
+    boolean tryMove() {
+        return canMove() && mayRepeatNow();
+    }
+
+    /** Sends the request to another endpoint after {@link #tryMove}. */
+    void movedFrom(Send send, RetryReason reason, String cause) {
+        current = Optional.empty();
+        mayHaveRun++;
+        retry(send, reason, cause);
+    }
+
+    private boolean canMove() {
         return route.orElseThrow().mayRepeat()
                 && mayHaveRun + 1 < route.get().maxAttempts()
                 && sends < MAX_SENDS
--- a/src/main/java/org/wigeongrade/fleet/entry/Send.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Send.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
+import org.wigeongrade.decisions.balancing.EngineModel;
 import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.metrics.RetryReason;
 
@@ -26,6 +27,7 @@
     private final Exchange exchange;
     private final EntryServices services;
     private final EndpointLoad endpoint;
+    private final Optional<EngineModel> engine;
     private final double predictedMs;
     private final long startedNanos;
     private final EventCutter cutter = new EventCutter();
@@ -34,13 +36,15 @@
     private Optional<ScheduledFuture<?>> check = Optional.empty();
     private long checkDueNanos;
     private long progressNanos;
+    private long eventNanos;
     private int events;
     EndpointCall call;
 
-    Send(Exchange exchange, EndpointLoad endpoint, double predictedMs, long nowNanos) {
+    Send(Exchange exchange, EndpointLoad endpoint, Optional<EngineModel> engine, double predictedMs, long nowNanos) {
         this.exchange = exchange;
         this.services = exchange.services();
         this.endpoint = endpoint;
+        this.engine = engine;
         this.predictedMs = predictedMs;
         this.startedNanos = nowNanos;
         this.progressNanos = nowNanos;
@@ -176,9 +180,14 @@
     }
 
     private void noteEvent() {
+        final long nowNanos = services.nowNanos();
         if (events == 0) {
-            endpoint.observed(elapsedMs(), predictedMs);
+            engine.ifPresent(model -> model.observedFirst(elapsedMs(), predictedMs));
+        } else {
+            engine.ifPresent(
+                    model -> endpoint.observed((nowNanos - eventNanos) / 1e6, model.passMs(endpoint.running())));
         }
+        eventNanos = nowNanos;
         events++;
     }
 
@@ -209,7 +218,7 @@
         final long silentNanos = nowNanos - progressNanos;
         final boolean standsStill =
                 silentNanos >= patienceNanos && endpoint.stalledNanos(nowNanos) >= STANDSTILL_PART * patienceNanos;
-        if (standsStill && exchange.canMove()) {
+        if (standsStill && exchange.tryMove()) {
             move(TimeUnit.NANOSECONDS.toMillis(silentNanos));
             return;
         }
@@ -223,7 +232,7 @@
         endpoint.failed(services.nowNanos());
         final String cause = "no byte for " + silentMs + " ms";
         if (sent) {
-            exchange.mayHaveRun(this, RetryReason.STREAM_STALLED, cause);
+            exchange.movedFrom(this, RetryReason.STREAM_STALLED, cause);
         } else {
             exchange.notRun(this, RetryReason.CONNECT_FAILED, cause);
         }
