--- a/src/main/java/org/wigeongrade/fleet/entry/Patience.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Patience.java
@@ -17,7 +17,7 @@
 
     /** Returns the wait for the first bytes, in milliseconds. */
     static long firstMs(Route route, double predictedMs) {
-        final double latestMs = Math.max(SHORTEST_FIRST_MS, route.targetLatencyMs());
+        final double latestMs = Math.max(SHORTEST_FIRST_MS, (double) route.targetLatencyMs());
         return Math.round(Math.min(latestMs, Math.max(SHORTEST_FIRST_MS, PREDICTED_FACTOR * predictedMs)));
     }
 
