--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -33,9 +33,9 @@
     private final Consumer<GroupChange> changes;
     private final List<ManagedGroup> groups = new ArrayList<>();
     private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
+    private final InheritedGroups inherited = new InheritedGroups();
     private final LoadCeiling loadCeiling = new LoadCeiling();
     private long nextEpoch;
-    private boolean adopted;
 
     /**
      * @param term of this leader; orders of lower terms are refused by the VMs
@@ -63,12 +63,12 @@
                 vms.stream().collect(ImmutableMap.toImmutableMap(vm -> vm.vm().vm(), vm -> vm));
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
         final GroupSurroundings around = new GroupSurroundings(nowNanos, term, timings, byName, evidence, orders::add);
-        if (!adopted) {
-            adopted = true;
-            groups.addAll(InheritedGroups.adopt(engine, vms, nowNanos));
-        }
+        inherited.adopt(engine, vms, timings.silentNanos(), nowNanos).forEach(group -> {
+            groups.add(group);
+            note(group);
+        });
         groups.forEach(group -> step(group, around));
-        groups.removeIf(group -> group.phase() == GroupPhase.ENDED);
+        removeEnded(nowNanos);
         formMissing(engine, around);
         keepSpares(engine, around);
         return orders.build();
@@ -123,11 +123,11 @@
     private Optional<GroupedModel> mostWanted(EngineProfile engine, GroupSurroundings around) {
         final int usable = usable(around).size();
         return engine.models().stream()
-                .filter(model -> count(model) < WantedGroups.of(model, usable))
+                .filter(model -> count(model, around) < WantedGroups.of(model, usable))
                 .filter(model -> choose(engine, model, around).isPresent())
                 .min((first, second) -> Double.compare(
-                        (double) count(first) / WantedGroups.of(first, usable),
-                        (double) count(second) / WantedGroups.of(second, usable)));
+                        (double) count(first, around) / WantedGroups.of(first, usable),
+                        (double) count(second, around) / WantedGroups.of(second, usable)));
     }
 
     private boolean form(EngineProfile engine, GroupedModel model, GroupSurroundings around) {
@@ -141,7 +141,7 @@
                         .filter(group ->
                                 group.isSpare() && group.has(member.vm().vm()))
                         .forEach(group -> group.endSpare(around.nowNanos())));
-        groups.removeIf(group -> group.phase() == GroupPhase.ENDED);
+        removeEnded(around.nowNanos());
         start(GroupPhase.FORMING, model, choice.get().members(), around);
         loadCeiling.started(choice.get().loads(), around.nowNanos());
         return true;
@@ -182,6 +182,7 @@
     private void start(GroupPhase phase, GroupedModel model, List<VmHeartbeat> vms, GroupSurroundings around) {
         final long epoch = nextEpoch++;
         final String prefix = phase == GroupPhase.SPARE ? InheritedGroups.SPARE_PREFIX : InheritedGroups.GROUP_PREFIX;
+        inherited.own(GroupName.of(prefix + epoch), epoch);
         final ManagedGroup group = new ManagedGroup(
                 GroupName.of(prefix + epoch),
                 epoch,
@@ -195,10 +196,20 @@
         group.step(around);
     }
 
-    private int count(GroupedModel model) {
-        return (int) groups.stream()
+    private void removeEnded(long nowNanos) {
+        groups.stream()
+                .filter(group -> group.phase() == GroupPhase.ENDED)
+                .forEach(group -> inherited.ended(group.name, group.epoch, nowNanos));
+        groups.removeIf(group -> group.phase() == GroupPhase.ENDED);
+    }
+
+    private int count(GroupedModel model, GroupSurroundings around) {
+        final long managed = groups.stream()
                 .filter(group -> group.phase().counts() && group.model.name().equals(model.name()))
                 .count();
+        return (int) managed
+                + inherited.pending(
+                        model.name(), ImmutableList.copyOf(around.vms().values()));
     }
 
     private int countIn(FabricDomain domain, GroupedModel model, GroupSurroundings around) {
@@ -238,7 +249,7 @@
                 .filter(vm -> groups.stream()
                         .noneMatch(group -> !(withSpares && group.isSpare())
                                 && group.has(vm.vm().vm())))
-                .filter(vm -> heardSinceUnresponsive(vm))
+                .filter(vm -> heardSinceUnresponsive(vm) && !inherited.isIn(vm))
                 .map(VmRecord::heartbeat)
                 .toList();
     }
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -24,7 +24,7 @@
  */
 final class LeaderLoop implements AutoCloseable {
     /** Heartbeats that a new leader waits for before what it did not hear of counts as lost. */
-    private static final double SETTLING_HEARTBEATS = 1.25;
+    private static final double SETTLING_HEARTBEATS = 2;
 
     private final NodeName self;
     private final RaftReplicatedLog log;
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -0,0 +1,142 @@
+package org.wigeongrade.decisions.balancing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.published.EngineProfile;
+import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+final class BalancerTest {
+    private static final GroupedModel MODEL = new GroupedModel(ModelVersionName.of("m"), 4, 1, 1, 16_000, 1_600);
+    private static final EngineProfile PROFILE =
+            new EngineProfile(18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300);
+    private static final AvailabilityZone HERE = AvailabilityZone.of("here");
+    private static final AvailabilityZone THERE = AvailabilityZone.of("there");
+    private static final BalancingLimits UNBOUNDED = new BalancingLimits(Double.MAX_VALUE);
+
+    private final Balancer balancer = new Balancer(new Random(1));
+    private final Optional<EngineModel> engine = Optional.of(new EngineModel(PROFILE, MODEL, new LearnedOverhead()));
+
+    @Test
+    void leastLoadedGroupIsChosen() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE), group("c", HERE));
+        send(groups.get(0), 12);
+        send(groups.get(1), 3);
+        send(groups.get(2), 9);
+
+        assertThat(place(groups, Set.of(), 0).endpoint().orElseThrow()).isEqualTo(groups.get(1));
+    }
+
+    @Test
+    void requestsOfOtherEntryNodesCount() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        groups.get(0).elsewhere(10);
+        send(groups.get(1), 2);
+
+        assertThat(place(groups, Set.of(), 0).endpoint().orElseThrow()).isEqualTo(groups.get(1));
+    }
+
+    @Test
+    void groupThatStandsStillGetsNothingWhileAnotherServes() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        send(groups.get(0), 1);
+        send(groups.get(1), 12);
+        final long laterNanos = TimeUnit.MILLISECONDS.toNanos(300);
+        groups.get(1).progressed(laterNanos);
+
+        assertThat(place(groups, Set.of(), laterNanos).endpoint().orElseThrow()).isEqualTo(groups.get(1));
+    }
+
+    @Test
+    void groupThatFailedIsAvoidedForAWhile() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        groups.get(0).failed(0);
+        send(groups.get(1), 12);
+
+        assertThat(place(groups, Set.of(), 1).endpoint().orElseThrow()).isEqualTo(groups.get(1));
+    }
+
+    @Test
+    void slowGroupGetsLess() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        for (int i = 0; i < 40; i++) {
+            groups.get(0).observed(500, 100);
+        }
+        send(groups.get(1), 6);
+
+        assertThat(place(groups, Set.of(), 0).endpoint().orElseThrow()).isEqualTo(groups.get(1));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"17, true", "19, true", "20, false"})
+    void burstIsRefusedOnceEveryGroupIsFull(int running, boolean taken) {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", THERE));
+        groups.forEach(group -> send(group, running));
+        final Placement placement = place(groups, Set.of(), 0);
+
+        assertThat(placement.endpoint().isPresent()).isEqualTo(taken);
+        assertThat(placement.refusal()).isEqualTo(taken ? Optional.empty() : Optional.of(Placement.Refusal.ALL_BUSY));
+        assertThat(placement.retryAfterMs() > 0).isEqualTo(!taken);
+    }
+
+    @Test
+    void triedGroupIsNotTriedAgain() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE));
+
+        assertThat(place(groups, Set.of(VmName.of("a")), 0).refusal()).hasValue(Placement.Refusal.NONE_SERVES);
+    }
+
+    @Test
+    void coldGroupGetsNoMoreThanThisNodesPart() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE));
+        groups.get(0).coldUntil(TimeUnit.SECONDS.toNanos(5));
+        int taken = 0;
+        for (int i = 0; i < 20; i++) {
+            final Placement placement = balancer.place(request(Set.of()), groups, engine, new BalancingLimits(4.5), 1);
+            taken += placement.endpoint().isPresent() ? 1 : 0;
+            placement.endpoint().ifPresent(endpoint -> send(endpoint, 1));
+        }
+
+        assertThat(taken).isEqualTo(4);
+    }
+
+    private Placement place(List<EndpointLoad> groups, Set<VmName> tried, long nowNanos) {
+        return balancer.place(request(tried), groups, engine, UNBOUNDED, nowNanos);
+    }
+
+    private static BalancedRequest request(Set<VmName> tried) {
+        return new BalancedRequest(1_000, 300, 8_000, ImmutableSet.copyOf(tried), HERE);
+    }
+
+    private static void send(EndpointLoad group, int requests) {
+        for (int i = 0; i < requests; i++) {
+            group.sent(0);
+        }
+    }
+
+    private static EndpointLoad group(String name, AvailabilityZone zone) {
+        return new EndpointLoad(
+                new VmIncarnation(VmName.of(name), 1),
+                ServiceName.of("pool"),
+                "10.0.0.1:80",
+                zone,
+                Optional.of(MODEL.name()),
+                18,
+                0,
+                0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/discovery/VmRegistryTest.java
@@ -0,0 +1,78 @@
+package org.wigeongrade.decisions.discovery;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+final class VmRegistryTest {
+    private final VmRegistry registry = new VmRegistry();
+
+    @ParameterizedTest
+    @CsvSource({
+        // incarnation and sequence of the later heartbeat, whether it is taken up after incarnation 10, sequence 5
+        "10, 6, true",
+        "10, 5, false",
+        "10, 4, false",
+        "11, 1, true",
+        "9, 99, false",
+    })
+    void takesOnlyNewerHeartbeatsOfOneVm(long incarnation, long sequence, boolean taken) {
+        registry.hear(heartbeat("a", 10, 5, "10.0.0.1:80"), 0);
+
+        assertThat(registry.hear(heartbeat("a", incarnation, sequence, "10.0.0.1:80"), 1))
+                .isEqualTo(taken);
+    }
+
+    @Test
+    void youngerVmAtAnAddressEndsTheOlderOne() {
+        registry.hear(heartbeat("old", 10, 1, "10.0.0.1:80"), 0);
+        registry.hear(heartbeat("new", 20, 1, "10.0.0.1:80"), 1);
+
+        assertThat(registry.find(VmName.of("old")).orElseThrow().ended()).isTrue();
+        assertThat(registry.hear(heartbeat("old", 10, 2, "10.0.0.1:80"), 2)).isFalse();
+        assertThat(registry.find(VmName.of("new")).orElseThrow().ended()).isFalse();
+    }
+
+    @Test
+    void lateHeartbeatBringsNoDepartedVmBack() {
+        registry.hear(heartbeat("a", 10, 5, "10.0.0.1:80"), 0);
+        registry.depart(VmName.of("a"));
+
+        assertThat(registry.hear(heartbeat("a", 10, 6, "10.0.0.1:80"), 1)).isFalse();
+        assertThat(registry.find(VmName.of("a")).orElseThrow().isStaying()).isFalse();
+        assertThat(registry.hear(heartbeat("a", 11, 1, "10.0.0.1:80"), 2)).isTrue();
+    }
+
+    @Test
+    void forgetsVmsThatWereSilentForLong() {
+        registry.hear(heartbeat("a", 10, 5, "10.0.0.1:80"), 0);
+
+        assertThat(registry.records(59_000_000_000L)).hasSize(1);
+        assertThat(registry.records(61_000_000_000L)).isEmpty();
+    }
+
+    private static VmHeartbeat heartbeat(String vm, long incarnation, long sequence, String address) {
+        return new VmHeartbeat(
+                new VmIncarnation(VmName.of(vm), incarnation),
+                sequence,
+                ServiceName.of("pool"),
+                address,
+                AvailabilityZone.of("zone-a"),
+                "v1",
+                18,
+                false,
+                0,
+                Optional.empty(),
+                Set.of(),
+                Optional.empty(),
+                Optional.empty());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -0,0 +1,121 @@
+package org.wigeongrade.decisions.grouping;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.wigeongrade.decisions.grouping.SimulatedFleet.LARGE;
+import static org.wigeongrade.decisions.grouping.SimulatedFleet.SMALL;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Patterns of lost VMs against engine VMs in virtual time. */
+final class GroupPlannerTest {
+    private static final long LOADED_MS = 60_000;
+    private final SimulatedFleet fleet = new SimulatedFleet(6, 8, 1);
+
+    @Test
+    void formsGroupsByShareAndKeepsSpares() {
+        fleet.run(LOADED_MS);
+
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.serving(SMALL)).isEqualTo(6);
+        assertThat(fleet.violations).isEmpty();
+    }
+
+    @Test
+    void lostMemberIsReplacedByWarmSpareWithinTwoHeartbeatsAndAHalf() {
+        fleet.run(LOADED_MS);
+        final SimulatedVm head = fleet.anyHead();
+        final int before = fleet.loads;
+        fleet.vms.stream()
+                .filter(vm -> !vm.isHead() && head.group.equals(vm.group))
+                .findFirst()
+                .orElseThrow()
+                .ended = true;
+        fleet.run(5 * SimulatedFleet.HEARTBEAT_MS / 2 + 1_500);
+
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.serving(SMALL)).isEqualTo(6);
+        assertThat(fleet.loads).isAtMost(before + 1);
+        assertThat(fleet.violations).isEmpty();
+    }
+
+    @Test
+    void survivorsOfDarkHeadWaitUntilItIsBroken() {
+        fleet.run(LOADED_MS);
+        fleet.anyHead().dark = true;
+        fleet.run(12_000);
+
+        assertThat(fleet.violations).isEmpty();
+        assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isAtLeast(12);
+    }
+
+    @Test
+    void leavingMemberEndsItsGroupAndIsReplaced() {
+        fleet.run(LOADED_MS);
+        fleet.anyInGroup().draining = true;
+        fleet.run(10_000);
+
+        assertThat(fleet.violations).isEmpty();
+        assertThat(fleet.serving(LARGE)).isAtLeast(6);
+        assertThat(fleet.serving(SMALL)).isAtLeast(6);
+    }
+
+    @Test
+    void newLeaderTakesOverWholeGroupsAsTheyAre() {
+        fleet.run(LOADED_MS);
+        final int before = fleet.loads;
+        fleet.newLeader();
+        fleet.run(5_000);
+
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.serving(SMALL)).isEqualTo(6);
+        assertThat(fleet.loads).isEqualTo(before);
+        assertThat(fleet.violations).isEmpty();
+    }
+
+    @Test
+    void leaderThatKnowsNothingTakesOverEachGroupAsItsMembersAreHeard() {
+        fleet.run(LOADED_MS);
+        final int before = fleet.loads;
+        fleet.restartControl();
+        fleet.run(10_000);
+
+        assertThat(fleet.violations).isEmpty();
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.serving(SMALL)).isEqualTo(6);
+        assertThat(fleet.loads).isEqualTo(before);
+    }
+
+    @Test
+    void emptyVmBecomesSpareThatNeedsNoLoadLater() {
+        fleet.run(LOADED_MS);
+        fleet.anyInGroup().ended = true;
+        fleet.add("vm-new", "domain-0");
+        fleet.run(40_000);
+
+        assertThat(fleet.vms.get(fleet.vms.size() - 1).lastModel).isNotNull();
+        assertThat(fleet.violations).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void noGroupIsPartialAndNoVmInTwoWhateverHappens(long seed) {
+        final SimulatedFleet shaken = new SimulatedFleet(4, 8, seed);
+        shaken.run(LOADED_MS);
+        for (int round = 0; round < 25; round++) {
+            shaken.lateOrders = shaken.random.nextInt(3) == 0 ? 0.35 : 0;
+            switch (shaken.random.nextInt(7)) {
+                case 0 -> shaken.anyInGroup().ended = true;
+                case 1 -> shaken.anyInGroup().dark = true;
+                case 2 -> shaken.newLeader();
+                case 3 -> shaken.vms.forEach(vm -> vm.dark = false);
+                case 4 -> shaken.anyInGroup().draining = true;
+                case 5 -> shaken.restartControl();
+                default -> shaken.add("vm-added-" + round, "domain-" + shaken.random.nextInt(4));
+            }
+            shaken.run(shaken.random.nextInt(6_000));
+        }
+        assertThat(shaken.violations).isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -0,0 +1,200 @@
+package org.wigeongrade.decisions.grouping;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.wigeongrade.decisions.discovery.VmRegistry;
+import org.wigeongrade.decisions.published.EngineProfile;
+import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * Engine VMs and the leaders that form groups of them, in virtual time.
+ *
+ * <p>Checks the two promises that hold always: no group begins to serve before each member was ready in it, and no VM
+ * joins another group while the head of its group may still serve. Not thread safe.
+ */
+final class SimulatedFleet {
+    static final long HEARTBEAT_MS = 1_200;
+    static final long STEP_MS = 50;
+    static final GroupedModel LARGE = new GroupedModel(ModelVersionName.of("large"), 4, 0.67, 1, 16_000, 1_600);
+    static final GroupedModel SMALL = new GroupedModel(ModelVersionName.of("small"), 2, 0.33, 0.6, 12_000, 1_100);
+    static final EngineProfile ENGINE =
+            new EngineProfile(18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300);
+    private static final long ORDER_TIMEOUT_MS = 450;
+
+    private record Event(long atMs, long sequence, Runnable action) {}
+
+    final List<SimulatedVm> vms = new ArrayList<>();
+    final List<String> violations = new ArrayList<>();
+    final List<GroupChange> changes = new ArrayList<>();
+    final Random random;
+    /** Part of the orders that get no answer and are carried out 2 to 12 s later. */
+    double lateOrders;
+
+    int loads;
+    private final Map<GroupName, Set<VmName>> everReady = new HashMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
+    private VmRegistry registry = new VmRegistry();
+    private GroupPlanner planner;
+    private long term;
+    private long nowMs;
+    /** A leader plans nothing before it had the time to hear of each VM. */
+    private long settledMs = 2 * HEARTBEAT_MS;
+
+    private long sequence;
+
+    SimulatedFleet(int domains, int vmsInDomain, long seed) {
+        this.random = new Random(seed);
+        for (int domain = 0; domain < domains; domain++) {
+            for (int vm = 0; vm < vmsInDomain; vm++) {
+                add("vm-" + domain + "-" + vm, "domain-" + domain);
+            }
+        }
+        newLeader();
+    }
+
+    SimulatedVm add(String name, String domain) {
+        final SimulatedVm vm = new SimulatedVm(this, name, domain, nowMs + 1);
+        vms.add(vm);
+        return vm;
+    }
+
+    /** Another control VM leads; it knows what VMs reported, not what the earlier leader planned. */
+    void newLeader() {
+        term++;
+        planner = new GroupPlanner(
+                term, new GroupTimings(nanos(HEARTBEAT_MS), nanos(SimulatedVm.STALL_MS)), changes::add);
+    }
+
+    /** Every control VM restarts: the leader has heard of nothing and hears of each VM with its next heartbeat. */
+    void restartControl() {
+        registry = new VmRegistry();
+        newLeader();
+        settledMs = nowMs + 2 * HEARTBEAT_MS;
+    }
+
+    void run(long forMs) {
+        final long endMs = nowMs + forMs;
+        while (nowMs < endMs) {
+            nowMs += STEP_MS;
+            while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
+                events.poll().action().run();
+            }
+            vms.forEach(vm -> vm.tick().ifPresent(heartbeat -> registry.hear(heartbeat, nanos(nowMs))));
+            if (nowMs > settledMs) {
+                plan();
+            }
+        }
+    }
+
+    private void plan() {
+        final GroupPlanner leader = planner;
+        leader.plan(ENGINE, registry.records(nanos(nowMs)), ImmutableMap.of(), nanos(nowMs))
+                .forEach(order -> deliver(leader, order));
+    }
+
+    private void deliver(GroupPlanner leader, GroupOrder order) {
+        final SimulatedVm vm = vms.stream()
+                .filter(each -> each.life.equals(order.vm()))
+                .findFirst()
+                .orElseThrow();
+        final boolean late = random.nextDouble() < lateOrders;
+        if (late) {
+            at(2_000 + random.nextInt(10_000), () -> take(vm, order));
+        }
+        if (late || vm.dark || vm.ended) {
+            at(ORDER_TIMEOUT_MS, () -> leader.answered(order, OrderAnswer.NONE, nanos(nowMs)));
+            return;
+        }
+        at(5, () -> {
+            final OrderAnswer answer = vm.ended ? OrderAnswer.NONE : vm.take(order);
+            at(5, () -> leader.answered(order, answer, nanos(nowMs)));
+        });
+    }
+
+    private static void take(SimulatedVm vm, GroupOrder order) {
+        if (!vm.ended && !vm.dark) {
+            vm.take(order);
+        }
+    }
+
+    int serving(GroupedModel model) {
+        return (int) planner.serving().stream()
+                .filter(group -> group.model().equals(model.name()))
+                .filter(group -> vms.stream()
+                        .anyMatch(vm -> vm.life.equals(group.head())
+                                && vm.mayServe()
+                                && vm.members.stream().allMatch(member -> isIn(member, vm.group, vm.epoch))))
+                .count();
+    }
+
+    GroupedModel model(ModelVersionName name) {
+        return ENGINE.model(name).orElseThrow();
+    }
+
+    SimulatedVm anyInGroup() {
+        final List<SimulatedVm> joined = vms.stream()
+                .filter(vm -> !vm.ended && !vm.dark && vm.group != null)
+                .toList();
+        return joined.get(random.nextInt(joined.size()));
+    }
+
+    SimulatedVm anyHead() {
+        return vms.stream().filter(SimulatedVm::mayServe).findFirst().orElseThrow();
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    int indexOf(SimulatedVm vm) {
+        return vms.indexOf(vm);
+    }
+
+    boolean isIn(VmName member, GroupName group, long epoch) {
+        return vms.stream()
+                .anyMatch(
+                        vm -> !vm.ended && vm.life.vm().equals(member) && group.equals(vm.group) && vm.epoch == epoch);
+    }
+
+    void readyOnce(GroupName group, VmName vm) {
+        everReady.computeIfAbsent(group, unused -> new HashSet<>()).add(vm);
+    }
+
+    void checkOpens(SimulatedVm head) {
+        final Set<VmName> ready = everReady.getOrDefault(head.group, Set.of());
+        final boolean whole =
+                head.members.size() == model(head.lastModel).groupSize() && ready.containsAll(head.members);
+        if (!whole) {
+            violations.add(nowMs + " ms: " + head.group + " opens, ready were " + ready + " of " + head.members);
+        }
+    }
+
+    void checkJoin(SimulatedVm vm, GroupOrder order) {
+        vms.stream()
+                .filter(head -> head.mayServe() && head.group.equals(vm.group) && head.epoch == vm.epoch)
+                .forEach(head -> violations.add(nowMs + " ms: " + vm.life + " joins " + order.group() + " while head "
+                        + head.life + " of " + head.group + " is " + head.state));
+    }
+
+    private void at(long delayMs, Runnable action) {
+        events.add(new Event(nowMs + delayMs, sequence++, action));
+    }
+
+    private static long nanos(long ms) {
+        return TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/CallerMessagesTest.java
@@ -0,0 +1,123 @@
+package org.wigeongrade.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.fleet.entry.AnswerHead;
+import org.wigeongrade.fleet.entry.CallerRequest;
+import org.wigeongrade.fleet.entry.SendTerms;
+import org.wigeongrade.fleet.net.HttpReply;
+import org.wigeongrade.ids.OrganisationName;
+import org.wigeongrade.ids.VmName;
+
+final class CallerMessagesTest {
+    private static final SendTerms TERMS =
+            new SendTerms(750, VmName.of("i-1"), Optional.of(OrganisationName.of("shop")), OptionalLong.empty());
+    private final CallerMessages messages = new CallerMessages();
+
+    @Test
+    void passesRequestOnUnchangedButForWhatConcernsThisSystem() {
+        final CallerRequest request = messages.decode(message());
+        final FullHttpRequest passedOn = messages.encode(request, TERMS, "10.0.0.1:80");
+
+        assertThat(passedOn.method()).isEqualTo(HttpMethod.POST);
+        assertThat(passedOn.uri()).isEqualTo("/chat/1?q=%20x");
+        assertThat(passedOn.content().toString(StandardCharsets.UTF_8)).isEqualTo("body");
+        assertThat(passedOn.headers().get("X-Attempt-Id")).isEqualTo("a1");
+        assertThat(passedOn.headers().get("X-Model")).isEqualTo("m0");
+        assertThat(passedOn.headers().get("X-Deadline-Ms")).isEqualTo("750");
+        assertThat(passedOn.headers().getAll("X-Tenant")).containsExactly("shop");
+        assertThat(passedOn.headers().getAll("X-Expect-Instance")).containsExactly("i-1");
+        assertThat(passedOn.headers().contains("X-Credential")).isFalse();
+        assertThat(passedOn.headers().contains("X-Secret")).isFalse();
+        assertThat(passedOn.headers().contains("Transfer-Encoding")).isFalse();
+        assertThat(passedOn.headers().get("Content-Length")).isEqualTo("4");
+    }
+
+    @Test
+    void decodesWhatDecides() {
+        final CallerRequest request = messages.decode(message());
+
+        assertThat(request.hostname()).isEqualTo("desk.example");
+        assertThat(request.path()).isEqualTo("/chat/1");
+        assertThat(request.callerWaitsMs()).isEqualTo(OptionalLong.of(8_000));
+        assertThat(request.key()).hasValue("key-1");
+        assertThat(request.promptTokens()).isEqualTo(1_460);
+    }
+
+    @Test
+    void resumedStreamNamesTheLastEventThatWasPassedOn() {
+        final SendTerms resumed = new SendTerms(750, VmName.of("i-1"), Optional.empty(), OptionalLong.of(7));
+        final FullHttpRequest passedOn = messages.encode(messages.decode(message()), resumed, "10.0.0.1:80");
+
+        assertThat(passedOn.headers().getAll("Last-Event-Id")).containsExactly("7");
+        assertThat(passedOn.headers().contains("X-Tenant")).isFalse();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // status, header, value, not run, signed, encoded, reusable for
+        "200, X-Server-Seal, s, false, true, false, 250",
+        "503, X-Not-Executed, 1, true, false, false, 250",
+        "421, X-Instance-Id, i-9, true, false, false, 250",
+        "500, X-Server-Seal, s, false, true, false, 250",
+        "200, Content-Encoding, gzip, false, false, true, 250",
+        "200, Keep-Alive, timeout=5, false, false, false, 4500",
+        "200, Connection, close, false, false, false, -1",
+    })
+    void decodesHeadsOfAnswers(
+            int status, String header, String value, boolean notRun, boolean signed, boolean encoded, long reusableMs) {
+        final HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        response.headers().set(header, value);
+        final AnswerHead head = messages.decode(response);
+
+        assertThat(head.notRun()).isEqualTo(notRun);
+        assertThat(head.signed()).isEqualTo(signed);
+        assertThat(head.encoded()).isEqualTo(encoded);
+        assertThat(head.reusableForMs().orElse(-1)).isEqualTo(reusableMs);
+    }
+
+    @Test
+    void refusalTellsWhenToComeBack() {
+        final HttpReply reply = messages.error(messages.decode(message()), ErrorKind.NO_FREE_SLOT, "busy", 150);
+
+        assertThat(reply.status()).isEqualTo(503);
+        assertThat(reply.headers()).containsEntry("retry-after", "0.150");
+        assertThat(reply.headers()).doesNotContainKey("x-server-seal");
+    }
+
+    private static FullHttpRequest message() {
+        final FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.POST,
+                "/chat/1?q=%20x",
+                Unpooled.copiedBuffer("body", StandardCharsets.UTF_8));
+        message.headers()
+                .set("Host", "Desk.example:80")
+                .set("X-Attempt-Id", "a1")
+                .set("X-Model", "m0")
+                .set("X-Token-Count", "1460,80")
+                .set("X-Deadline-Ms", "8000")
+                .set("X-Credential", "key-1")
+                .set("X-Tenant", "forged")
+                .set("X-Expect-Instance", "forged")
+                .set("X-Secret", "s")
+                .set("Connection", "keep-alive, X-Secret")
+                .set("Transfer-Encoding", "chunked");
+        return message;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/HeartbeatReaderTest.java
@@ -0,0 +1,72 @@
+package org.wigeongrade.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.discovery.GroupReport;
+import org.wigeongrade.decisions.discovery.GroupState;
+import org.wigeongrade.decisions.discovery.VmHeartbeat;
+import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.FabricDomain;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+
+final class HeartbeatReaderTest {
+    private static final String HEARTBEAT = """
+            {"service":"pool","address":"10.128.0.9:8080","zone":"zone-a","version":"v1","slots":18,"state":"ready",
+             "coldRemainingMs":1500,"models":[{"name":"m0","version":1,"adapters":[]}],"sequence":4,"born":1700000000123,
+             "domain":"d3","staged":["m0"],"group":{"name":"g7","epoch":12,"rank":1,"state":"ready"}}
+            """;
+
+    @Test
+    void readsAMemberOfAGroup() {
+        final VmHeartbeat read = read(HEARTBEAT);
+
+        assertThat(read.vm().incarnation()).isEqualTo(1_700_000_000_123L);
+        assertThat(read.domain()).hasValue(FabricDomain.of("d3"));
+        assertThat(read.loadedModel()).hasValue(ModelVersionName.of("m0"));
+        assertThat(read.stagedModels()).containsExactly(ModelVersionName.of("m0"));
+        assertThat(read.group()).hasValue(new GroupReport(GroupName.of("g7"), 12, 1, GroupState.READY));
+        assertThat(read.coldForMs()).isEqualTo(1_500);
+    }
+
+    @Test
+    void readsAPlainEndpoint() {
+        final VmHeartbeat read = read("""
+                {"service":"app","address":"10.128.0.9:8080","zone":"zone-a","version":"v1","slots":6,
+                 "state":"draining","coldRemainingMs":0,"sequence":4,"born":1}
+                """);
+
+        assertThat(read.draining()).isTrue();
+        assertThat(read.domain()).isEmpty();
+        assertThat(read.group()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"service\":\"pool\", | ''",
+                "\"address\":\"10.128.0.9:8080\" | \"address\":\"host:8080\"",
+                "\"slots\":18,\"state\":\"ready\" | \"slots\":18,\"state\":\"asleep\"",
+                "\"sequence\":4 | \"sequence\":\"4\"",
+                "\"born\":1700000000123 | \"born\":1.5",
+                "\"born\":1700000000123, | ''",
+                "\"slots\":18 | \"slots\":-1",
+                "\"rank\":1,\"state\":\"ready\" | \"rank\":1,\"state\":\"odd\"",
+            })
+    void refusesFieldsThatAreMissingOrOfAnotherType(String part, String replacement) {
+        final String broken = HEARTBEAT.replace(part, replacement);
+
+        assertThat(broken).isNotEqualTo(HEARTBEAT);
+        assertThrows(WigeongradeException.class, () -> read(broken));
+    }
+
+    private static VmHeartbeat read(String text) {
+        return HeartbeatReader.read("i-1", text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/OrderWriterTest.java
@@ -0,0 +1,62 @@
+package org.wigeongrade.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.grouping.GroupOrder;
+import org.wigeongrade.decisions.grouping.GroupOrderKind;
+import org.wigeongrade.decisions.grouping.OrderAnswer;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.fleet.net.OneCall;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
+
+final class OrderWriterTest {
+    private final OrderWriter writer = new OrderWriter();
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "JOIN | {\"operation\":\"join\",\"fencingToken\":3,\"group\":\"g1\",\"epoch\":9,\"model\":\"m0\",\"members\":[\"i-1\",\"i-2\"]}",
+                "OPEN | {\"operation\":\"open\",\"fencingToken\":3,\"group\":\"g1\",\"epoch\":9}",
+                "CLOSE_WHEN_DONE | {\"operation\":\"close\",\"fencingToken\":3,\"group\":\"g1\",\"epoch\":9,\"method\":\"wait\"}",
+                "CLOSE_NOW | {\"operation\":\"close\",\"fencingToken\":3,\"group\":\"g1\",\"epoch\":9,\"method\":\"evict\"}",
+                "LEAVE | {\"operation\":\"leave\",\"fencingToken\":3,\"group\":\"g1\",\"epoch\":9}",
+                "PROBE | ''",
+            })
+    void writesEachOrder(GroupOrderKind kind, String body) {
+        final FullHttpRequest request = writer.encode(order(kind));
+
+        assertThat(request.content().toString(StandardCharsets.UTF_8)).isEqualTo(body);
+        assertThat(request.headers().get("X-Expect-Instance")).isEqualTo("i-1");
+        assertThat(request.uri()).isEqualTo(kind == GroupOrderKind.PROBE ? "/-/report" : "/-/order");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200, DONE", "202, BEGUN", "409, REFUSED", "412, REFUSED", "400, REFUSED", "421, ENDED"})
+    void readsEachAnswer(int status, OrderAnswer expected) {
+        assertThat(writer.decode(
+                        order(GroupOrderKind.JOIN), new OneCall.Answer(status, new DefaultHttpHeaders(), Bytes.EMPTY)))
+                .isEqualTo(expected);
+    }
+
+    private static GroupOrder order(GroupOrderKind kind) {
+        return new GroupOrder(
+                kind,
+                new VmIncarnation(VmName.of("i-1"), 1),
+                "10.0.0.1:80",
+                3,
+                GroupName.of("g1"),
+                9,
+                ModelVersionName.of("m0"),
+                ImmutableList.of(VmName.of("i-1"), VmName.of("i-2")));
+    }
+}
