Predict first events with the prompts that wait, and refuse what would come late

Entry nodes now share the tokens that are not read yet, a request whose first event would come later than 1.4 times its target is refused at once, the slowness of a group counts against that of its kin, and a group across fabric domains states its factor. An unsettled leader hands out whole groups at once.

--- /dev/null
+++ b/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
@@ -0,0 +1,87 @@
+package org.wigeongrade.command;
+
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.kohsuke.args4j.Option;
+import org.wigeongrade.fleet.control.ControlNode;
+import org.wigeongrade.fleet.entry.EntryNode;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogLevel;
+import org.wigeongrade.logging.LogSetup;
+import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.platform.CallerMessages;
+import org.wigeongrade.platform.ConfigurationReader;
+import org.wigeongrade.platform.ControlApi;
+import org.wigeongrade.platform.OrderWriter;
+import org.wigeongrade.settings.FleetKey;
+import org.wigeongrade.settings.FleetRole;
+import org.wigeongrade.settings.FleetSettings;
+import org.wigeongrade.settings.NodeAddress;
+
+/**
+ * Starts one control and one entry node in this process, on loopback ports, and ends. The build runs it to record which
+ * classes a node loads. Not safe for use from several threads.
+ */
+final class FleetTrialCommand extends Subcommand {
+    private static final String LOOPBACK = "127.0.0.1";
+    /** Another address of the loopback range, since the internal ports are the same on every VM. */
+    private static final String SECOND_LOOPBACK = "127.0.0.2";
+
+    private static final int INTERNAL_PORTS = 3;
+
+    @Option(name = "--first-port", metaVar = "PORT", usage = "first of six free loopback ports (default: 27340)")
+    private int firstPort = 27_340;
+
+    @Option(name = "--seconds", metaVar = "N", usage = "how long the nodes run (default: 3)")
+    private int seconds = 3;
+
+    @Override
+    protected ExitCode run(CommandIo io) {
+        LogSetup.installOnStandardOutput(LogLevel.INFO);
+        final EventLog events = new EventLog();
+        final ControlNode control = new ControlNode(
+                settings(FleetRole.CONTROL), new ConfigurationReader(), new OrderWriter(), events, new Metrics());
+        control.start(ControlApi::new);
+        final EntryNode entry = new EntryNode(
+                settings(FleetRole.ENTRY), new ConfigurationReader(), new CallerMessages(), events, new Metrics());
+        entry.start();
+        Uninterruptibles.sleepUninterruptibly(seconds, TimeUnit.SECONDS);
+        control.close();
+        return ExitCode.OK;
+    }
+
+    private FleetSettings settings(FleetRole role) {
+        final boolean isControl = role == FleetRole.CONTROL;
+        final int control = firstPort + INTERNAL_PORTS;
+        return new FleetSettings(
+                NodeName.of("trial"),
+                role,
+                AvailabilityZone.of("trial"),
+                isControl ? LOOPBACK : SECOND_LOOPBACK,
+                isControl ? Optional.empty() : Optional.of(new NodeAddress(SECOND_LOOPBACK, control + 1)),
+                isControl ? Optional.empty() : Optional.of(new NodeAddress(SECOND_LOOPBACK, control + 2)),
+                isControl ? Optional.of(new NodeAddress(LOOPBACK, control)) : Optional.empty(),
+                firstPort,
+                List.of(new NodeAddress(LOOPBACK, control)),
+                true,
+                isControl ? Optional.of(temporaryFolder()) : Optional.empty(),
+                Map.of(FleetKey.LOSSES_BORNE, 0.0));
+    }
+
+    private static Path temporaryFolder() {
+        try {
+            return Files.createTempDirectory("wigeongrade-trial");
+        } catch (IOException e) {
+            throw new UncheckedIOException("no temporary folder can be made", e);
+        }
+    }
+}
--- a/src/main/java/org/wigeongrade/command/Subcommands.java
+++ b/src/main/java/org/wigeongrade/command/Subcommands.java
@@ -12,6 +12,8 @@
             new SubcommandEntry("node", "run one node of the system", NodeCommand::new),
             new SubcommandEntry(
                     "fleet-node", "run a node of a fleet that finds itself through seeds", FleetNodeCommand::new),
+            new SubcommandEntry(
+                    "fleet-trial", "start one control and one entry node for some seconds", FleetTrialCommand::new),
             new SubcommandEntry("check", "check a declared set without publishing it", CheckCommand::new),
             new SubcommandEntry("apply", "check and publish a declared set", ApplyCommand::new),
             new SubcommandEntry("get", "print the configuration in force", GetCommand::new),
--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -23,6 +23,8 @@
     private static final double LATE_PAUSE_WEIGHT = 4;
     /** Cost of an endpoint that fails all of its requests, in milliseconds. */
     private static final double FAILURE_MS = 2_000;
+    /** Times the target that the predicted first event may take; a later one is worth little and delays others. */
+    private static final double LATEST_FACTOR = 1.4;
     /** Spread of random factors on the cost, so that entry nodes with the same view do not all choose the same endpoint. */
     private static final double JITTER = 0.15;
     /** Time to the answer of a plain endpoint that is idle; a moving average corrects it. */
@@ -55,8 +57,10 @@
         if (untried.isEmpty()) {
             return Placement.refused(Placement.Refusal.NONE_SERVES, 0, NONE_SERVES_RETRY_MS);
         }
+        final double usualSlowness = usualSlowness(endpoints);
         final List<EndpointLoad> open = untried.stream()
-                .filter(endpoint -> hasRoom(endpoint, engine, limits, nowNanos))
+                .filter(endpoint -> hasRoom(endpoint, engine, limits, nowNanos)
+                        && isInTime(endpoint, request, engine, usualSlowness))
                 .toList();
         if (open.isEmpty()) {
             return Placement.refused(Placement.Refusal.ALL_BUSY, untried.size(), retryAfterBusyMs(untried, engine));
@@ -66,11 +70,11 @@
                 .toList();
         final EndpointLoad chosen = (sound.isEmpty() ? open : sound)
                 .stream()
-                        .map(endpoint -> new Costed(endpoint, cost(endpoint, request, engine)))
+                        .map(endpoint -> new Costed(endpoint, cost(endpoint, request, engine, usualSlowness)))
                         .min(Comparator.comparingDouble(Costed::cost))
                         .orElseThrow()
                         .endpoint();
-        return Placement.at(chosen, predictedMs(chosen, request, engine), open.size());
+        return Placement.at(chosen, predictedMs(chosen, request, engine, usualSlowness), open.size());
     }
 
     private record Costed(EndpointLoad endpoint, double cost) {}
@@ -85,10 +89,30 @@
         return endpoint.running() < slots + QUEUED_AT_FULL;
     }
 
-    private double cost(EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine) {
-        final double firstMs = predictedMs(endpoint, request, engine);
+    /** Returns whether a request that is sent here now would get its first event not much after it was due. */
+    private static boolean isInTime(
+            EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine, double usualSlowness) {
+        return engine.isEmpty()
+                || predictedMs(endpoint, request, engine, usualSlowness) <= LATEST_FACTOR * request.targetLatencyMs();
+    }
+
+    /** Returns the middle one of the endpoints' slowness, since load slows all of them alike. */
+    private static double usualSlowness(List<EndpointLoad> endpoints) {
+        final double[] sorted =
+                endpoints.stream().mapToDouble(EndpointLoad::slowness).sorted().toArray();
+        return sorted[(sorted.length - 1) / 2];
+    }
+
+    private static double slowness(EndpointLoad endpoint, double usualSlowness) {
+        return endpoint.paceFactor() * Math.max(1, endpoint.slowness() / usualSlowness);
+    }
+
+    private double cost(
+            EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine, double usualSlowness) {
+        final double firstMs = predictedMs(endpoint, request, engine, usualSlowness);
         final double pauseMs =
-                engine.map(model -> model.passMs(endpoint.running() + 1)).orElse(0.0) * endpoint.slowness();
+                engine.map(model -> model.passMs(endpoint.running() + 1)).orElse(0.0)
+                        * slowness(endpoint, usualSlowness);
         final double latePauseMs = request.targetPauseMs() == 0 ? 0 : Math.max(0, pauseMs - request.targetPauseMs());
         final double zoneMs = endpoint.zone().equals(request.zone()) ? 0 : OTHER_ZONE_MS;
         final double jitter = 1 + JITTER * random.nextDouble();
@@ -97,10 +121,12 @@
                 + FAILURE_MS * endpoint.failureRate();
     }
 
-    private static double predictedMs(EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine) {
-        final double idealMs = engine.map(model -> model.firstEventMs(endpoint.running(), request.promptTokens()))
+    private static double predictedMs(
+            EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine, double usualSlowness) {
+        final double idealMs = engine.map(model ->
+                        model.firstEventMs(endpoint.running(), endpoint.unreadTokens(), request.promptTokens()))
                 .orElseGet(() -> PLAIN_ANSWER_MS * (1 + (double) endpoint.running() / Math.max(1, endpoint.slots())));
-        return idealMs * endpoint.slowness();
+        return idealMs * slowness(endpoint, usualSlowness);
     }
 
     private static long retryAfterBusyMs(List<EndpointLoad> busy, Optional<EngineModel> engine) {
--- a/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
@@ -29,9 +29,12 @@
     private final AvailabilityZone zone;
     private final Optional<ModelVersionName> model;
     private final int slots;
+    private final double paceFactor;
     private long coldUntilNanos;
     private int inFlight;
     private int inFlightElsewhere;
+    private int unreadTokens;
+    private int unreadTokensElsewhere;
     private long progressNanos;
     private long activeNanos;
     private boolean progressedSinceReport;
@@ -49,6 +52,7 @@
             AvailabilityZone zone,
             Optional<ModelVersionName> model,
             int slots,
+            double paceFactor,
             long coldUntilNanos,
             long nowNanos) {
         this.vm = vm;
@@ -57,6 +61,7 @@
         this.zone = zone;
         this.model = model;
         this.slots = slots;
+        this.paceFactor = paceFactor;
         this.coldUntilNanos = coldUntilNanos;
         this.progressNanos = nowNanos;
         this.activeNanos = nowNanos;
@@ -96,9 +101,35 @@
         return nowNanos - coldUntilNanos < 0;
     }
 
-    /** Takes the number of requests that other entry nodes have at the endpoint. */
-    public void elsewhere(int requests) {
+    /** Takes the requests that other entry nodes have at the endpoint, and the prompt tokens not read of these. */
+    public void elsewhere(int requests, int promptTokens) {
         inFlightElsewhere = requests;
+        unreadTokensElsewhere = promptTokens;
+    }
+
+    /** Returns the factor on the group's times that comes from its place in the fabric; 1 if it has none. */
+    public double paceFactor() {
+        return paceFactor;
+    }
+
+    /** Returns the prompt tokens that were sent to the endpoint and are not read yet, those of other nodes included. */
+    public int unreadTokens() {
+        return unreadTokens + unreadTokensElsewhere;
+    }
+
+    /** Returns the prompt tokens that this node sent and that are not read yet. */
+    public int ownUnreadTokens() {
+        return unreadTokens;
+    }
+
+    /** Counts a prompt that is sent now. */
+    public void reads(int promptTokens) {
+        unreadTokens += promptTokens;
+    }
+
+    /** Counts a prompt that was read, or whose request ended before. */
+    public void hasRead(int promptTokens) {
+        unreadTokens -= promptTokens;
     }
 
     /** Returns the requests at the endpoint, those of other entry nodes included. */
--- a/src/main/java/org/wigeongrade/decisions/balancing/EngineModel.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EngineModel.java
@@ -39,26 +39,41 @@
         return engine.slots();
     }
 
-    /** Returns the time of one pass without reading, in milliseconds, with so many requests that write. */
-    public double passMs(int writing) {
+    /** Returns the time of one token step, in milliseconds, with so many requests that write. */
+    private double stepMs(int writing) {
         final int inBatch = Math.min(writing, engine.slots());
         final double contextMs = engine.contextMsPerKilotoken() * USUAL_CONTEXT_TOKENS / TOKENS_PER_KILOTOKEN;
-        final double stepMs = engine.stepMs() + inBatch * (engine.perSequenceMs() + contextMs);
-        return pace * stepMs * engine.strideSteps();
+        return pace * (engine.stepMs() + inBatch * (engine.perSequenceMs() + contextMs));
+    }
+
+    /** Returns the time of one pass without reading, in milliseconds, with so many requests that write. */
+    public double passMs(int writing) {
+        return stepMs(writing) * engine.strideSteps();
     }
 
-    /** Returns the time to read a prompt, in milliseconds, with nothing else to do. */
+    /** Returns the time to read prompts, in milliseconds, with nothing else to do. */
     public double readMs(int promptTokens) {
         final double pairsMs = engine.pairsMsPerMillion() * promptTokens / 2.0 * promptTokens / PAIRS_PER_MILLION;
         return pace * (promptTokens / engine.readTokensPerSecond() * MS_PER_SECOND + pairsMs);
     }
 
-    /** Returns the time from the arrival of a request to its first event, in milliseconds, with others before it. */
-    public double firstEventMs(int running, int promptTokens) {
-        final int pieces = 1 + promptTokens / Math.max(1, engine.chunkTokens());
-        final double passMs = passMs(running + 1);
-        final double startMs = running == 0 ? 0 : passMs / 2;
-        return overhead.ms() + startMs + readMs(promptTokens) + pieces * passMs + waitForSlotMs(running);
+    /**
+     * Returns the time from the arrival of a request to its first event, in milliseconds.
+     *
+     * @param running requests at the group
+     * @param unreadTokens prompt tokens of those that are not read yet
+     */
+    public double firstEventMs(int running, int unreadTokens, int promptTokens) {
+        final double waitingReadMs = pace * unreadTokens / engine.readTokensPerSecond() * MS_PER_SECOND;
+        final int readSteps = 1 + (unreadTokens + promptTokens) / Math.max(1, engine.chunkTokens());
+        final double startMs = running == 0 ? 0 : passMs(running) / 2;
+        return overhead.ms()
+                + startMs
+                + waitingReadMs
+                + readMs(promptTokens)
+                + readSteps * stepMs(running)
+                + passMs(running + 1)
+                + waitForSlotMs(running);
     }
 
     /** Returns about how long a request waits until one of the running ones ends, in milliseconds. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
@@ -1,12 +1,15 @@
 package org.wigeongrade.decisions.grouping;
 
 import java.util.Optional;
+import org.wigeongrade.decisions.discovery.VmHeartbeat;
+import org.wigeongrade.ids.FabricDomain;
 import org.wigeongrade.ids.VmIncarnation;
 
 /** A member of one group and the latest order that it was given there. Not thread safe. */
 final class GroupMember {
     final VmIncarnation vm;
     final String address;
+    final Optional<FabricDomain> domain;
     private Optional<GroupOrderKind> lastKind = Optional.empty();
     private Optional<OrderAnswer> lastAnswer = Optional.empty();
     private long lastSentNanos;
@@ -15,9 +18,10 @@
     /** When the member last answered an order or probe; {@link Long#MIN_VALUE} if never. */
     private long answeredNanos = Long.MIN_VALUE;
 
-    GroupMember(VmIncarnation vm, String address) {
-        this.vm = vm;
-        this.address = address;
+    GroupMember(VmHeartbeat vm) {
+        this.vm = vm.vm();
+        this.address = vm.address();
+        this.domain = vm.domain();
     }
 
     /** Returns whether the order was not given as the latest one, or is due again because nothing came of it. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -63,10 +63,7 @@
                 vms.stream().collect(ImmutableMap.toImmutableMap(vm -> vm.vm().vm(), vm -> vm));
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
         final GroupSurroundings around = new GroupSurroundings(nowNanos, term, timings, byName, evidence, orders::add);
-        inherited.adopt(engine, vms, timings.silentNanos(), nowNanos).forEach(group -> {
-            groups.add(group);
-            note(group);
-        });
+        adopt(engine, vms, timings.silentNanos(), nowNanos);
         groups.forEach(group -> step(group, around));
         removeEnded(nowNanos);
         formMissing(engine, around);
@@ -74,6 +71,11 @@
         return orders.build();
     }
 
+    /** Takes over the whole groups of earlier leaders and does nothing else, while VMs may not have been heard of yet. */
+    public void takeOver(EngineProfile engine, List<VmRecord> vms, long nowNanos) {
+        adopt(engine, vms, Long.MAX_VALUE, nowNanos);
+    }
+
     /** Takes what came back for an order. */
     public void answered(GroupOrder order, OrderAnswer answer, long nowNanos) {
         if (!answer.showsLife()) {
@@ -87,13 +89,21 @@
     }
 
     /** Returns the groups whose heads may be sent requests. */
-    public ImmutableList<ServingGroup> serving() {
+    public ImmutableList<ServingGroup> serving(EngineProfile engine) {
         return groups.stream()
                 .filter(group -> group.phase().isRoutable())
-                .map(group -> new ServingGroup(group.name, group.head().vm, group.model.name()))
+                .map(group -> new ServingGroup(
+                        group.name, group.head().vm, group.model.name(), group.spansDomains() ? engine.farFactor() : 1))
                 .collect(ImmutableList.toImmutableList());
     }
 
+    private void adopt(EngineProfile engine, List<VmRecord> vms, long patienceNanos, long nowNanos) {
+        inherited.adopt(engine, vms, patienceNanos, nowNanos).forEach(group -> {
+            groups.add(group);
+            note(group);
+        });
+    }
+
     private void step(ManagedGroup group, GroupSurroundings around) {
         final GroupPhase before = group.phase();
         group.step(around);
@@ -154,12 +164,13 @@
         final boolean needsLoad = within.isEmpty() || within.get().loads() > 0;
         final Optional<FormationChoice> across =
                 needsLoad ? FormationChoice.acrossDomains(free, model) : Optional.empty();
-        return across.or(() -> within.filter(choice -> loadCeiling.allows(
-                choice.loads(),
-                runningLoads(around),
-                engine.loadsPerSecond(),
-                engine.loadsAtOnce(),
-                around.nowNanos())));
+        return across.or(() -> within.filter(choice -> choice.loads() == 0 || !loadCeiling.haveCallersBeenSeen())
+                .filter(choice -> loadCeiling.allows(
+                        choice.loads(),
+                        runningLoads(around),
+                        engine.loadsPerSecond(),
+                        engine.loadsAtOnce(),
+                        around.nowNanos())));
     }
 
     private void keepSpares(EngineProfile engine, GroupSurroundings around) {
@@ -187,7 +198,7 @@
                 GroupName.of(prefix + epoch),
                 epoch,
                 model,
-                vms.stream().map(vm -> new GroupMember(vm.vm(), vm.address())).toList(),
+                vms.stream().map(GroupMember::new).toList(),
                 phase,
                 false,
                 around.nowNanos());
--- a/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
@@ -128,9 +128,7 @@
     }
 
     private static List<GroupMember> membersOf(List<VmRecord> byRank) {
-        return byRank.stream()
-                .map(vm -> new GroupMember(vm.vm(), vm.heartbeat().address()))
-                .toList();
+        return byRank.stream().map(vm -> new GroupMember(vm.heartbeat())).toList();
     }
 
     private static GroupReport report(VmRecord vm) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/LoadCeiling.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/LoadCeiling.java
@@ -24,6 +24,11 @@
         callersSeen = true;
     }
 
+    /** Returns whether callers send requests, so that a load takes its full time. */
+    boolean haveCallersBeenSeen() {
+        return callersSeen;
+    }
+
     /** Returns whether so many loads may begin now, given those that run. */
     boolean allows(int loads, int running, double loadsPerSecond, int loadsAtOnce, long nowNanos) {
         final boolean room = running == 0 || running + loads <= loadsAtOnce;
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -66,6 +66,11 @@
         return cause;
     }
 
+    /** Returns whether the members lie in several fabric domains, which slows the group. */
+    boolean spansDomains() {
+        return members.stream().map(member -> member.domain).distinct().count() > 1;
+    }
+
     boolean has(VmName vm) {
         return members.stream().anyMatch(member -> member.vm.vm().equals(vm));
     }
--- a/src/main/java/org/wigeongrade/decisions/grouping/SpareChoice.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/SpareChoice.java
@@ -8,7 +8,10 @@
 import org.wigeongrade.decisions.published.GroupedModel;
 import org.wigeongrade.ids.FabricDomain;
 
-/** Chooses the model that a free VM is kept warm for: the one whose groups in its domain have the fewest spares. */
+/**
+ * Chooses the model that a free VM is kept warm for: the one with the fewest spares in the domain for each VM of a group,
+ * since a larger group loses a member more often. Stateless.
+ */
 final class SpareChoice {
     private SpareChoice() {}
 
@@ -16,7 +19,8 @@
             VmHeartbeat vm, EngineProfile engine, List<ManagedGroup> groups, GroupSurroundings around) {
         return vm.domain()
                 .flatMap(domain -> engine.models().stream()
-                        .min(Comparator.comparingInt((GroupedModel model) -> spares(domain, model, groups, around))
+                        .min(Comparator.comparingDouble((GroupedModel model) ->
+                                        (double) spares(domain, model, groups, around) / model.groupSize())
                                 .thenComparing(model -> Readiness.of(vm, model))
                                 .thenComparingInt(model -> -model.groupSize())));
     }
--- a/src/main/java/org/wigeongrade/decisions/published/EngineProfile.java
+++ b/src/main/java/org/wigeongrade/decisions/published/EngineProfile.java
@@ -19,6 +19,7 @@
  * @param loadsPerSecond loads from the weight store that may begin in a second, over all VMs
  * @param loadsAtOnce loads that may run at once without slowing each other
  * @param formationMs time from the order to open a group until it serves
+ * @param farFactor factor on all times of a group whose members lie in several fabric domains
  */
 public record EngineProfile(
         int slots,
@@ -32,7 +33,8 @@
         int chunkTokens,
         double loadsPerSecond,
         int loadsAtOnce,
-        long formationMs) {
+        long formationMs,
+        double farFactor) {
     public EngineProfile {
         models = ImmutableList.copyOf(models);
     }
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -48,8 +48,8 @@
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private static final int MAX_HEADER_BYTES = 16 * 1024;
-    /** Heartbeat 150 ms, election 900 to 1,600 ms, lease 800 ms: small VMs may pause for some 100 ms. */
-    private static final LogTimings LOG_TIMINGS = LogTimings.ofMs(150, 900, 1_600, 800);
+    /** Heartbeat 120 ms, election 600 to 1,100 ms, lease 500 ms: a restart of every control VM costs callers this wait. */
+    private static final LogTimings LOG_TIMINGS = LogTimings.ofMs(120, 600, 1_100, 500);
     /** A voter that is silent for longer than any restart gives way to a VM that took its place. */
     private static final long REPLACE_SILENT_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** A fleet that has fewer control VMs than it needs accepts changes after this time all the same. */
--- a/src/main/java/org/wigeongrade/fleet/control/EvidenceTable.java
+++ b/src/main/java/org/wigeongrade/fleet/control/EvidenceTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToIntFunction;
 import org.wigeongrade.decisions.grouping.EndpointEvidence;
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.thrift.UsageRecord;
@@ -40,25 +41,17 @@
         return reports.size();
     }
 
-    /** Returns the requests that other entry nodes have in flight at each endpoint. */
-    ImmutableMap<String, Integer> inFlightElsewhere(NodeName asking) {
+    /** Returns what the other entry nodes have at each endpoint, summed up. */
+    ImmutableMap<String, Integer> elsewhere(NodeName asking, ToIntFunction<UsageRecord> amount) {
         final Map<String, Integer> sums = new HashMap<>();
         reports.forEach((node, report) -> {
             if (!node.equals(asking)) {
-                report.usage().forEach(record -> sums.merge(record.getVm(), record.getInFlight(), Integer::sum));
+                report.usage().forEach(record -> sums.merge(record.getVm(), amount.applyAsInt(record), Integer::sum));
             }
         });
         return ImmutableMap.copyOf(sums);
     }
 
-    /** Returns the requests in flight at all endpoints together. */
-    int inFlight() {
-        return reports.values().stream()
-                .flatMap(report -> report.usage().stream())
-                .mapToInt(UsageRecord::getInFlight)
-                .sum();
-    }
-
     /** Returns the evidence for each endpoint that was reported. */
     ImmutableMap<VmName, EndpointEvidence> evidence(long nowNanos) {
         forget(nowNanos);
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -21,11 +21,13 @@
 import org.wigeongrade.decisions.outcomes.Quarantine;
 import org.wigeongrade.decisions.outcomes.QuarantineProposal;
 import org.wigeongrade.decisions.outcomes.QuarantineTable;
+import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
 import org.wigeongrade.fleet.thrift.CrashRecord;
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
+import org.wigeongrade.fleet.thrift.UsageRecord;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.ids.ServiceName;
@@ -73,9 +75,6 @@
     synchronized ImmutableList<GroupOrder> plan(
             PublishedConfiguration configuration, List<VmRecord> vms, boolean vmsKnown, long nowNanos) {
         settled = settled || vmsKnown;
-        if (!settled) {
-            return ImmutableList.of();
-        }
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
         final Map<VmName, RoutableTable.Routable> routable = new HashMap<>();
         for (final PublishedService service : configuration.services()) {
@@ -106,7 +105,8 @@
         reply.setTerm(term)
                 .setSettled(settled)
                 .setEntryVms(evidence.entryNodes(nowNanos))
-                .setInFlightElsewhere(evidence.inFlightElsewhere(node))
+                .setInFlightElsewhere(evidence.elsewhere(node, UsageRecord::getInFlight))
+                .setUnreadTokensElsewhere(evidence.elsewhere(node, UsageRecord::getUnreadTokens))
                 .setQuarantined(quarantined(nowNanos));
     }
 
@@ -117,14 +117,19 @@
             long nowNanos) {
         final GroupPlanner planner =
                 planners.computeIfAbsent(service.name(), name -> new GroupPlanner(term, timings, this::note));
+        final EngineProfile engine = service.engine().orElseThrow();
+        if (!settled) {
+            planner.takeOver(engine, vms, nowNanos);
+        }
         final ImmutableList<GroupOrder> orders =
-                planner.plan(service.engine().orElseThrow(), vms, evidence.evidence(nowNanos), nowNanos);
+                settled ? planner.plan(engine, vms, evidence.evidence(nowNanos), nowNanos) : ImmutableList.of();
         final ImmutableMap<VmIncarnation, VmRecord> byLife =
                 vms.stream().collect(ImmutableMap.toImmutableMap(VmRecord::vm, vm -> vm));
-        for (final ServingGroup group : planner.serving()) {
+        for (final ServingGroup group : planner.serving(engine)) {
             Optional.ofNullable(byLife.get(group.head()))
-                    .ifPresent(head ->
-                            routable.put(head.vm().vm(), new RoutableTable.Routable(head, Optional.of(group.model()))));
+                    .ifPresent(head -> routable.put(
+                            head.vm().vm(),
+                            new RoutableTable.Routable(head, Optional.of(group.model()), group.paceFactor())));
         }
         return orders;
     }
@@ -138,7 +143,7 @@
                         || Optional.ofNullable(seen.get(vm.vm().vm()))
                                 .filter(found -> found.progressedWithin(silentNanos, nowNanos))
                                 .isPresent())
-                .forEach(vm -> routable.put(vm.vm().vm(), new RoutableTable.Routable(vm, Optional.empty())));
+                .forEach(vm -> routable.put(vm.vm().vm(), new RoutableTable.Routable(vm, Optional.empty(), 1)));
     }
 
     private void takeCrashes(NodeName node, List<CrashRecord> crashes, long nowNanos) {
--- a/src/main/java/org/wigeongrade/fleet/control/RoutableTable.java
+++ b/src/main/java/org/wigeongrade/fleet/control/RoutableTable.java
@@ -22,7 +22,7 @@
     private static final long COLD_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     /** One routable endpoint and the model that it serves, if it heads a group. */
-    record Routable(VmRecord vm, Optional<ModelVersionName> model) {}
+    record Routable(VmRecord vm, Optional<ModelVersionName> model, double paceFactor) {}
 
     private record Entry(Optional<Routable> routable, long changeNumber) {}
 
@@ -84,6 +84,7 @@
                 .setAvailabilityZone(vm.heartbeat().zone().value())
                 .setModel(routable.model().map(ModelVersionName::value).orElse(""))
                 .setSlots(vm.heartbeat().slots())
+                .setPaceFactor(routable.paceFactor())
                 .setColdForMs(Math.max(0, TimeUnit.NANOSECONDS.toMillis(vm.coldUntilNanos() - nowNanos)));
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointFleet.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointFleet.java
@@ -16,7 +16,6 @@
 import org.wigeongrade.fleet.thrift.CrashRecord;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.fleet.thrift.UsageRecord;
-import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.ModelVersionName;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmName;
@@ -32,6 +31,9 @@
     /** Endpoints that were used within this time are reported to the leader. */
     private static final long REPORTED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** A report of other entry nodes that is older than this tells little of what they do now. */
+    private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
     private final EventLog events;
     private final Map<VmName, EndpointLoad> routable = new HashMap<>();
     private final List<EndpointLoad> retired = new ArrayList<>();
@@ -58,13 +60,18 @@
             next.endpoints().forEach((vm, record) -> addOrUpdate(vm, record, nowNanos));
             retireMissing(next);
         }
-        routable.forEach((vm, load) -> load.elsewhere(next.inFlightElsewhere().getOrDefault(vm.value(), 0)));
+        routable.forEach((vm, load) -> load.elsewhere(
+                next.inFlightElsewhere().getOrDefault(vm.value(), 0),
+                next.unreadTokensElsewhere().getOrDefault(vm.value(), 0)));
         retired.removeIf(load -> load.inFlight() == 0);
         view = next;
     }
 
     /** Returns the endpoints of a service, or of one of its models, in the zones that are in. */
-    List<EndpointLoad> candidates(ServiceName service, Optional<ModelVersionName> model) {
+    List<EndpointLoad> candidates(ServiceName service, Optional<ModelVersionName> model, long nowNanos) {
+        if (nowNanos - view.sentNanos() > STALE_NANOS) {
+            routable.values().forEach(this::estimateElsewhere);
+        }
         return routable.values().stream()
                 .filter(load -> load.service().equals(service))
                 .filter(load -> load.model().equals(model))
@@ -76,9 +83,13 @@
         return model.map(engines::get);
     }
 
-    /** Returns whether the zone may be sent requests. */
-    boolean isIn(AvailabilityZone zone) {
-        return !view.zonesOut().contains(zone);
+    /** Takes it that other entry nodes have as many requests at an endpoint as this one, at most those reported last. */
+    private void estimateElsewhere(EndpointLoad load) {
+        final int others = Math.max(0, view.entryNodes() - 1);
+        final String vm = load.vm().vm().value();
+        load.elsewhere(
+                Math.min(view.inFlightElsewhere().getOrDefault(vm, 0), others * load.inFlight()),
+                Math.min(view.unreadTokensElsewhere().getOrDefault(vm, 0), others * load.ownUnreadTokens()));
     }
 
     /** Takes the news that a request was in flight at an endpoint whose connection broke. */
@@ -122,7 +133,8 @@
                 TimeUnit.NANOSECONDS.toMillis(load.stalledNanos(nowNanos)),
                 load.takeRefusedConnection(),
                 load.takeProgressed(),
-                Optional.ofNullable(faultyVms.remove(load.vm().vm())).orElse(""));
+                Optional.ofNullable(faultyVms.remove(load.vm().vm())).orElse(""),
+                load.ownUnreadTokens());
     }
 
     private void addOrUpdate(VmName vm, RoutableRecord record, long nowNanos) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
@@ -22,6 +22,7 @@
         Set<AvailabilityZone> zonesOut,
         Map<VmName, RoutableRecord> endpoints,
         Map<String, Integer> inFlightElsewhere,
+        Map<String, Integer> unreadTokensElsewhere,
         Set<String> quarantined,
         int entryNodes,
         long term,
@@ -31,11 +32,12 @@
         zonesOut = ImmutableSet.copyOf(zonesOut);
         endpoints = ImmutableMap.copyOf(endpoints);
         inFlightElsewhere = ImmutableMap.copyOf(inFlightElsewhere);
+        unreadTokensElsewhere = ImmutableMap.copyOf(unreadTokensElsewhere);
         quarantined = ImmutableSet.copyOf(quarantined);
     }
 
     static EntryView nothing(long nowNanos) {
-        return new EntryView(Optional.empty(), Set.of(), Map.of(), Map.of(), Set.of(), 1, 0, 0, nowNanos);
+        return new EntryView(Optional.empty(), Set.of(), Map.of(), Map.of(), Map.of(), Set.of(), 1, 0, 0, nowNanos);
     }
 
     long version() {
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -150,11 +150,12 @@
                 .place(
                         new BalancedRequest(
                                 request.promptTokens(),
-                                route.orElseThrow().targetPauseMs(),
+                                route.orElseThrow().targetLatencyMs(),
+                                route.get().targetPauseMs(),
                                 remainingMs,
                                 ImmutableSet.copyOf(tried),
                                 services.zone()),
-                        services.fleet().candidates(service.orElseThrow().name(), model),
+                        services.fleet().candidates(service.orElseThrow().name(), model, nowNanos),
                         engine,
                         services.coldLimits()
                                 .limitsFor(
@@ -313,7 +314,7 @@
                 && mayHaveRun + 1 < route.get().maxAttempts()
                 && sends < MAX_SENDS
                 && stream.isResumable()
-                && services.fleet().candidates(service.orElseThrow().name(), model()).stream()
+                && services.fleet().candidates(service.orElseThrow().name(), model(), services.nowNanos()).stream()
                         .anyMatch(endpoint ->
                                 !tried.contains(endpoint.vm().vm()) && !endpoint.isAvoided(services.nowNanos()));
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/Routables.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Routables.java
@@ -21,6 +21,7 @@
                 AvailabilityZone.of(record.getAvailabilityZone()),
                 Optional.of(record.getModel()).filter(model -> !model.isEmpty()).map(ModelVersionName::of),
                 record.getSlots(),
+                Math.max(1, record.getPaceFactor()),
                 coldUntilNanos,
                 nowNanos);
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/Send.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Send.java
@@ -37,6 +37,7 @@
     private long checkDueNanos;
     private long progressNanos;
     private long eventNanos;
+    private int unreadTokens;
     private int events;
     EndpointCall call;
 
@@ -55,6 +56,8 @@
     }
 
     void start(FullHttpRequest message, boolean mayRepeat) {
+        unreadTokens = exchange.request().promptTokens();
+        endpoint.reads(unreadTokens);
         call = new EndpointCall(exchange.request().attemptId(), message, this);
         if (mayRepeat) {
             scheduleCheck(patienceMs());
@@ -182,6 +185,7 @@
     private void noteEvent() {
         final long nowNanos = services.nowNanos();
         if (events == 0) {
+            noteRead();
             engine.ifPresent(model -> model.observedFirst(elapsedMs(), predictedMs));
         } else {
             engine.ifPresent(
@@ -195,13 +199,19 @@
         return (services.nowNanos() - startedNanos) / 1e6;
     }
 
+    private void noteRead() {
+        endpoint.hasRead(unreadTokens);
+        unreadTokens = 0;
+    }
+
     private void finish() {
+        noteRead();
         check.ifPresent(timer -> timer.cancel(false));
         endpoint.ended(services.nowNanos());
     }
 
     private long patienceMs() {
-        return events == 0 ? Patience.firstMs(exchange.route(), predictedMs) : Patience.pauseMs(exchange.route());
+        return events == 0 ? Patience.firstMs(predictedMs) : Patience.pauseMs(exchange.route());
     }
 
     private void scheduleCheck(long delayMs) {
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewClient.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewClient.java
@@ -156,6 +156,7 @@
                 reply.getZonesOut().stream().map(AvailabilityZone::of).collect(ImmutableSet.toImmutableSet()),
                 EntryView.merge(known.endpoints(), reply.getChanged(), reply.getRemoved(), replaces),
                 Optional.ofNullable(reply.getInFlightElsewhere()).orElse(Map.of()),
+                Optional.ofNullable(reply.getUnreadTokensElsewhere()).orElse(Map.of()),
                 ImmutableSet.copyOf(reply.getQuarantined()),
                 reply.getEntryVms(),
                 // A leader that is not settled is asked for its whole state again.
--- a/src/main/java/org/wigeongrade/platform/ConfigurationReader.java
+++ b/src/main/java/org/wigeongrade/platform/ConfigurationReader.java
@@ -111,7 +111,8 @@
                 json.smallInteger("chunk"),
                 json.number("loadsPerS"),
                 json.smallInteger("loads_at_once"),
-                Math.round(json.number("formationMs", 0)));
+                Math.round(json.number("formationMs", 0)),
+                json.number("far_x", 1));
     }
 
     private static GroupedModel model(WireJson json) {
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -13,6 +13,8 @@
   7: i32 slots
   // Remaining time of the cold start; 0 if warm.
   8: i64 coldForMs
+  // Factor on all times of a group whose members lie in several fabric domains; 1 otherwise.
+  9: double paceFactor
 }
 
 // What one entry VM saw of one endpoint.
@@ -28,6 +30,8 @@
   6: bool progressed
   // A VM that a refusal of this endpoint named as the one at fault; empty if none.
   7: string faultyVm
+  // Prompt tokens of requests at the endpoint that have not had their first event.
+  8: i32 unreadTokens
 }
 
 // A request digest that was in flight at an endpoint whose connection broke.
@@ -71,6 +75,8 @@
   // Request digests that must not be sent any more.
   14: list<string> quarantined
   15: i32 entryVms
+  // Prompt tokens that other entry VMs have sent and that are not read yet, by VM.
+  16: map<string, i32> unreadTokensElsewhere
 }
 
 // What an endpoint VM last said of itself, as one control VM heard it.
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -23,7 +23,7 @@
 final class BalancerTest {
     private static final GroupedModel MODEL = new GroupedModel(ModelVersionName.of("m"), 4, 1, 1, 16_000, 1_600);
     private static final EngineProfile PROFILE =
-            new EngineProfile(18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300);
+            new EngineProfile(18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final AvailabilityZone HERE = AvailabilityZone.of("here");
     private static final AvailabilityZone THERE = AvailabilityZone.of("there");
     private static final BalancingLimits UNBOUNDED = new BalancingLimits(Double.MAX_VALUE);
@@ -44,7 +44,7 @@
     @Test
     void requestsOfOtherEntryNodesCount() {
         final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
-        groups.get(0).elsewhere(10);
+        groups.get(0).elsewhere(10, 0);
         send(groups.get(1), 2);
 
         assertThat(place(groups, Set.of(), 0).endpoint().orElseThrow()).isEqualTo(groups.get(1));
@@ -93,6 +93,29 @@
         assertThat(placement.retryAfterMs() > 0).isEqualTo(!taken);
     }
 
+    @Test
+    void burstOfLongPromptsIsRefusedOnceItCannotBeReadInTime() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        groups.forEach(group -> {
+            send(group, 4);
+            group.reads(40_000);
+        });
+
+        assertThat(place(groups, Set.of(), 0).refusal()).hasValue(Placement.Refusal.ALL_BUSY);
+        groups.get(1).hasRead(39_000);
+        assertThat(place(groups, Set.of(), 0).endpoint()).hasValue(groups.get(1));
+    }
+
+    @Test
+    void groupAcrossFabricDomainsIsUsedOnlyUnderLoad() {
+        final EndpointLoad far = far("far");
+        final EndpointLoad near = group("near", HERE);
+
+        assertThat(place(List.of(far, near), Set.of(), 0).endpoint()).hasValue(near);
+        send(near, 20);
+        assertThat(place(List.of(far, near), Set.of(), 0).endpoint()).hasValue(far);
+    }
+
     @Test
     void triedGroupIsNotTriedAgain() {
         final List<EndpointLoad> groups = List.of(group("a", HERE));
@@ -119,7 +142,7 @@
     }
 
     private static BalancedRequest request(Set<VmName> tried) {
-        return new BalancedRequest(1_000, 300, 8_000, ImmutableSet.copyOf(tried), HERE);
+        return new BalancedRequest(1_000, 500, 300, 8_000, ImmutableSet.copyOf(tried), HERE);
     }
 
     private static void send(EndpointLoad group, int requests) {
@@ -128,7 +151,15 @@
         }
     }
 
+    private static EndpointLoad far(String name) {
+        return endpoint(name, HERE, PROFILE.farFactor());
+    }
+
     private static EndpointLoad group(String name, AvailabilityZone zone) {
+        return endpoint(name, zone, 1);
+    }
+
+    private static EndpointLoad endpoint(String name, AvailabilityZone zone, double paceFactor) {
         return new EndpointLoad(
                 new VmIncarnation(VmName.of(name), 1),
                 ServiceName.of("pool"),
@@ -136,6 +167,7 @@
                 zone,
                 Optional.of(MODEL.name()),
                 18,
+                paceFactor,
                 0,
                 0);
     }
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -30,8 +30,8 @@
     static final long STEP_MS = 50;
     static final GroupedModel LARGE = new GroupedModel(ModelVersionName.of("large"), 4, 0.67, 1, 16_000, 1_600);
     static final GroupedModel SMALL = new GroupedModel(ModelVersionName.of("small"), 2, 0.33, 0.6, 12_000, 1_100);
-    static final EngineProfile ENGINE =
-            new EngineProfile(18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300);
+    static final EngineProfile ENGINE = new EngineProfile(
+            18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final long ORDER_TIMEOUT_MS = 450;
 
     private record Event(long atMs, long sequence, Runnable action) {}
@@ -132,7 +132,7 @@
     }
 
     int serving(GroupedModel model) {
-        return (int) planner.serving().stream()
+        return (int) planner.serving(ENGINE).stream()
                 .filter(group -> group.model().equals(model.name()))
                 .filter(group -> vms.stream()
                         .anyMatch(vm -> vm.life.equals(group.head())
