Keep warm spares for the groups of their own domain

Cause, found in virtual time: while a group was being closed, the planner formed another one of the spares of four domains, so each loss spent four spares on a group that runs 2.5 times slower. Only VMs in domains without a group of the model may form one across domains now; such a group ends once one inside a domain can take its place; a domain whose larger group has no spare left lets a spare of the smaller one load its weights ahead of the next loss. Streams that have begun are placed also if they come late, and a request is refused if its first event would come later than 1.05 times its target.

--- a/src/main/java/org/wigeongrade/decisions/balancing/BalancedRequest.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/BalancedRequest.java
@@ -13,6 +13,7 @@
  * @param targetPauseMs longest pause between two events that counts as on time; 0 where nothing is streamed
  * @param remainingMs time until the caller gives up
  * @param tried endpoints that the request was sent to before
+ * @param begun whether an endpoint may have worked on the request; giving it up would waste that
  * @param zone availability zone of this entry node
  */
 public record BalancedRequest(
@@ -21,6 +22,7 @@
         long targetPauseMs,
         long remainingMs,
         Set<VmName> tried,
+        boolean begun,
         AvailabilityZone zone) {
     public BalancedRequest {
         tried = ImmutableSet.copyOf(tried);
--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -24,7 +24,11 @@
     /** Cost of an endpoint that fails all of its requests, in milliseconds. */
     private static final double FAILURE_MS = 2_000;
     /** Times the target that the predicted first event may take; a later one is worth little and delays others. */
-    private static final double LATEST_FACTOR = 1.4;
+    private static final double LATEST_FACTOR = 1.05;
+    /** Times the usual time from which on an endpoint counts as slow; nearly nothing is on time there. */
+    private static final double SLOW_FACTOR = 1.8;
+    /** Times the target at a slow endpoint, where a late answer delays no other one that could be on time. */
+    private static final double LATEST_AT_SLOW_FACTOR = 2.5;
     /** Spread of random factors on the cost, so that entry nodes with the same view do not all choose the same endpoint. */
     private static final double JITTER = 0.15;
     /** Time to the answer of a plain endpoint that is idle; a moving average corrects it. */
@@ -89,11 +93,15 @@
         return endpoint.running() < slots + QUEUED_AT_FULL;
     }
 
-    /** Returns whether a request that is sent here now would get its first event not much after it was due. */
+    /** Returns whether a request that is sent here now would get its first event early enough. */
     private static boolean isInTime(
             EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine, double usualSlowness) {
-        return engine.isEmpty()
-                || predictedMs(endpoint, request, engine, usualSlowness) <= LATEST_FACTOR * request.targetLatencyMs();
+        if (engine.isEmpty() || request.begun()) {
+            return true;
+        }
+        final boolean slow = slowness(endpoint, usualSlowness) >= SLOW_FACTOR;
+        return predictedMs(endpoint, request, engine, usualSlowness)
+                <= (slow ? LATEST_AT_SLOW_FACTOR : LATEST_FACTOR) * request.targetLatencyMs();
     }
 
     /** Returns the middle one of the endpoints' slowness, since load slows all of them alike. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -7,7 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.published.EngineProfile;
@@ -68,6 +71,8 @@
         removeEnded(nowNanos);
         formMissing(engine, around);
         keepSpares(engine, around);
+        changeSpares(engine, around);
+        joinNearer(around);
         return orders.build();
     }
 
@@ -163,7 +168,7 @@
                 FormationChoice.within(free, model, domain -> countIn(domain, model, around));
         final boolean needsLoad = within.isEmpty() || within.get().loads() > 0;
         final Optional<FormationChoice> across =
-                needsLoad ? FormationChoice.acrossDomains(free, model) : Optional.empty();
+                needsLoad ? FormationChoice.acrossDomains(stranded(free, model), model) : Optional.empty();
         return across.or(() -> within.filter(choice -> choice.loads() == 0 || !loadCeiling.haveCallersBeenSeen())
                 .filter(choice -> loadCeiling.allows(
                         choice.loads(),
@@ -173,6 +178,22 @@
                         around.nowNanos())));
     }
 
+    /** Returns free VMs in domains without a group of the model; elsewhere they stand by for the group of their domain. */
+    private List<VmHeartbeat> stranded(List<VmHeartbeat> free, GroupedModel model) {
+        final Set<FabricDomain> withGroup = groups.stream()
+                .filter(group -> !group.isSpare()
+                        && !group.spansDomains()
+                        && group.model.name().equals(model.name()))
+                .map(group -> group.head().domain)
+                .flatMap(Optional::stream)
+                .collect(Collectors.toSet());
+        return free.stream()
+                .filter(vm -> vm.domain()
+                        .filter(domain -> !withGroup.contains(domain))
+                        .isPresent())
+                .toList();
+    }
+
     private void keepSpares(EngineProfile engine, GroupSurroundings around) {
         for (final VmHeartbeat vm : free(around, false)) {
             final Optional<GroupedModel> model = SpareChoice.modelFor(vm, engine, groups, around);
@@ -190,6 +211,53 @@
         }
     }
 
+    /** Ends a group across domains, once its streams are done, where one inside a domain could take its place at once. */
+    private void joinNearer(GroupSurroundings around) {
+        final boolean changing = groups.stream().anyMatch(group -> group.phase() == GroupPhase.DRAINING);
+        if (changing) {
+            return;
+        }
+        groups.stream()
+                .filter(group -> group.phase() == GroupPhase.SERVING && group.spansDomains())
+                .filter(group -> couldBeNear(group, around))
+                .findFirst()
+                .ifPresent(group -> group.drain("a group inside one fabric domain can take its place", around));
+    }
+
+    private boolean couldBeNear(ManagedGroup group, GroupSurroundings around) {
+        final List<VmHeartbeat> members = group.members.stream()
+                .map(around::record)
+                .flatMap(Optional::stream)
+                .map(VmRecord::heartbeat)
+                .toList();
+        final List<VmHeartbeat> holders = Stream.concat(members.stream(), free(around, true).stream())
+                .filter(vm -> Readiness.of(vm, group.model) == Readiness.WARM)
+                .toList();
+        return FormationChoice.within(holders, group.model, domain -> 0).isPresent();
+    }
+
+    /** Lets one spare at a time load the weights of a model that stands without a spare in its domain. */
+    private void changeSpares(EngineProfile engine, GroupSurroundings around) {
+        if (!loadCeiling.haveCallersBeenSeen()) {
+            return;
+        }
+        for (final ManagedGroup spare : ImmutableList.copyOf(groups)) {
+            final Optional<GroupedModel> model =
+                    spare.isSpare() ? SpareChoice.changeFor(spare, engine, groups, around) : Optional.empty();
+            final Optional<VmRecord> vm = around.record(spare.head());
+            final boolean allowed = model.isPresent()
+                    && vm.isPresent()
+                    && loadCeiling.allows(
+                            1, runningLoads(around), engine.loadsPerSecond(), engine.loadsAtOnce(), around.nowNanos());
+            if (allowed) {
+                spare.endSpare(around.nowNanos());
+                removeEnded(around.nowNanos());
+                loadCeiling.started(1, around.nowNanos());
+                start(GroupPhase.SPARE, model.get(), ImmutableList.of(vm.get().heartbeat()), around);
+            }
+        }
+    }
+
     private void start(GroupPhase phase, GroupedModel model, List<VmHeartbeat> vms, GroupSurroundings around) {
         final long epoch = nextEpoch++;
         final String prefix = phase == GroupPhase.SPARE ? InheritedGroups.SPARE_PREFIX : InheritedGroups.GROUP_PREFIX;
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -85,6 +85,11 @@
         become(GroupPhase.ENDED, "taken for a group", nowNanos);
     }
 
+    /** Lets the head end its work, then ends the group. */
+    void drain(String why, GroupSurroundings around) {
+        become(GroupPhase.DRAINING, why, around.nowNanos());
+    }
+
     void step(GroupSurroundings around) {
         switch (phase) {
             case FORMING -> form(around);
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -154,6 +154,7 @@
                                 route.get().targetPauseMs(),
                                 remainingMs,
                                 ImmutableSet.copyOf(tried),
+                                mayHaveRun > 0,
                                 services.zone()),
                         services.fleet().candidates(service.orElseThrow().name(), model, nowNanos),
                         engine,
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -106,6 +106,15 @@
         assertThat(place(groups, Set.of(), 0).endpoint()).hasValue(groups.get(1));
     }
 
+    @Test
+    void streamThatHasBegunIsPlacedAlsoIfItComesLate() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        groups.forEach(group -> group.reads(40_000));
+
+        assertThat(place(groups, Set.of(), 0).endpoint()).isEmpty();
+        assertThat(place(groups, Set.of(VmName.of("a")), 0).endpoint()).hasValue(groups.get(1));
+    }
+
     @Test
     void groupAcrossFabricDomainsIsUsedOnlyUnderLoad() {
         final EndpointLoad far = far("far");
@@ -142,7 +151,7 @@
     }
 
     private static BalancedRequest request(Set<VmName> tried) {
-        return new BalancedRequest(1_000, 500, 300, 8_000, ImmutableSet.copyOf(tried), HERE);
+        return new BalancedRequest(1_000, 500, 300, 8_000, ImmutableSet.copyOf(tried), !tried.isEmpty(), HERE);
     }
 
     private static void send(EndpointLoad group, int requests) {
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -61,6 +61,20 @@
         assertThat(fleet.serving(SMALL)).isAtLeast(6);
     }
 
+    @Test
+    void domainThatLostTwoMembersServesWithinAnotherDomainsReachAndComesBack() {
+        fleet.run(LOADED_MS);
+        fleet.callersCome();
+        fleet.loseMembers(LARGE, 2);
+        fleet.run(8_000);
+        assertThat(fleet.serving(LARGE)).isAtLeast(5);
+
+        fleet.run(30_000);
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.servingAcrossDomains()).isEqualTo(0);
+        assertThat(fleet.violations).isEmpty();
+    }
+
     @Test
     void newLeaderTakesOverWholeGroupsAsTheyAre() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -15,6 +15,7 @@
 import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.ids.FabricDomain;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.ModelVersionName;
 import org.wigeongrade.ids.VmName;
@@ -33,6 +34,9 @@
     static final EngineProfile ENGINE = new EngineProfile(
             18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final long ORDER_TIMEOUT_MS = 450;
+    /** One request at an endpoint that belongs to no group here. */
+    private static final ImmutableMap<VmName, EndpointEvidence> CALLERS =
+            ImmutableMap.of(VmName.of("plain"), new EndpointEvidence(1, 0, 0, false));
 
     private record Event(long atMs, long sequence, Runnable action) {}
 
@@ -49,6 +53,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
     private VmRegistry registry = new VmRegistry();
     private GroupPlanner planner;
+    private boolean callers;
     private long term;
     private long nowMs;
     /** A leader plans nothing before it had the time to hear of each VM. */
@@ -102,7 +107,7 @@
 
     private void plan() {
         final GroupPlanner leader = planner;
-        leader.plan(ENGINE, registry.records(nanos(nowMs)), ImmutableMap.of(), nanos(nowMs))
+        leader.plan(ENGINE, registry.records(nanos(nowMs)), callers ? CALLERS : ImmutableMap.of(), nanos(nowMs))
                 .forEach(order -> deliver(leader, order));
     }
 
@@ -131,6 +136,37 @@
         }
     }
 
+    /** Callers send requests from now on, so that loads take their time. */
+    void callersCome() {
+        callers = true;
+    }
+
+    /** Ends members of one group, one after the other, so that the later one meets the repaired group. */
+    void loseMembers(GroupedModel model, int count) {
+        final FabricDomain domain = vms.stream()
+                .filter(vm -> vm.mayServe() && model.name().equals(vm.lastModel))
+                .findFirst()
+                .orElseThrow()
+                .domain;
+        for (int i = 0; i < count; i++) {
+            vms.stream()
+                    .filter(vm -> !vm.ended
+                            && vm.domain.equals(domain)
+                            && model.name().equals(vm.lastModel))
+                    .filter(vm -> vm.group != null && vm.members.size() == model.groupSize() && !vm.isHead())
+                    .findFirst()
+                    .orElseThrow()
+                    .ended = true;
+            run(5_000);
+        }
+    }
+
+    int servingAcrossDomains() {
+        return (int) planner.serving(ENGINE).stream()
+                .filter(group -> group.paceFactor() > 1)
+                .count();
+    }
+
     int serving(GroupedModel model) {
         return (int) planner.serving(ENGINE).stream()
                 .filter(group -> group.model().equals(model.name()))
