--- a/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
+++ b/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
@@ -3,13 +3,18 @@
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.kohsuke.args4j.Option;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.errors.WigeongradeException;
 import org.wigeongrade.fleet.control.ControlNode;
 import org.wigeongrade.fleet.entry.EntryNode;
 import org.wigeongrade.ids.AvailabilityZone;
@@ -37,9 +42,17 @@
     private static final String SECOND_LOOPBACK = "127.0.0.2";
 
     private static final int INTERNAL_PORTS = 3;
+    /** Range of ports that are searched for free ones; below the usual range of outgoing connections. */
+    private static final int FIRST_PORT_MIN = 20_000;
 
-    @Option(name = "--first-port", metaVar = "PORT", usage = "first of six free loopback ports (default: 27340)")
-    private int firstPort = 27_340;
+    private static final int FIRST_PORT_MAX = 30_000;
+    private static final int PORT_TRIES = 200;
+
+    @Option(
+            name = "--first-port",
+            metaVar = "PORT",
+            usage = "first of six free loopback ports (default: any free ones)")
+    private int firstPort;
 
     @Option(name = "--seconds", metaVar = "N", usage = "how long the nodes run (default: 3)")
     private int seconds = 3;
@@ -47,6 +60,9 @@
     @Override
     protected ExitCode run(CommandIo io) {
         LogSetup.installOnStandardOutput(LogLevel.INFO);
+        if (firstPort == 0) {
+            firstPort = findFreePorts();
+        }
         final EventLog events = new EventLog();
         final ControlNode control = new ControlNode(
                 settings(FleetRole.CONTROL), new ConfigurationReader(), new OrderWriter(), events, new Metrics());
@@ -77,6 +93,27 @@
                 Map.of(FleetKey.LOSSES_BORNE, 0.0));
     }
 
+    private static int findFreePorts() {
+        return new SplittableRandom()
+                .ints(PORT_TRIES, FIRST_PORT_MIN, FIRST_PORT_MAX)
+                .filter(FleetTrialCommand::areFree)
+                .findFirst()
+                .orElseThrow(() -> new WigeongradeException(
+                        ErrorKind.INTERNAL, "no six free ports found; name the first one with --first-port"));
+    }
+
+    private static boolean areFree(int first) {
+        return IntStream.range(first, first + 2 * INTERNAL_PORTS).allMatch(FleetTrialCommand::isFree);
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket probe = new ServerSocket(port)) {
+            return probe.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private static Path temporaryFolder() {
         try {
             return Files.createTempDirectory("wigeongrade-trial");
--- a/src/test/java/org/wigeongrade/ArchitectureTest.java
+++ b/src/test/java/org/wigeongrade/ArchitectureTest.java
@@ -1,12 +1,20 @@
 package org.wigeongrade;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.ArchRule;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -55,8 +63,44 @@
             .resideInAPackage("org.wigeongrade.(decisions|callers|endpoints|operators|nodes|command|settings)..")
             .allowEmptyShould(true);
 
+    private static final ArchRule ONLY_THE_COMMAND_LINE_KNOWS_THE_PLATFORM = noClasses()
+            .that()
+            .resideOutsideOfPackages("org.wigeongrade.platform..", "org.wigeongrade.command..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.wigeongrade.platform..");
+
+    /** Names of the platform's wire, as they would stand in a string of the code. */
+    private static final Pattern WIRE_NAME =
+            Pattern.compile("\"[^\"]*(?i:x-attempt-id|x-credential|x-tenant|x-server-seal"
+                    + "|x-not-executed|x-expect-instance|x-deadline-ms|x-token-count|x-model|at-server|/-/|heartbeatAddress"
+                    + "|trafficSplit|targetItlMs|apiKeys|coldRemainingMs|fencingToken)[^\"]*\"");
+
     static Stream<ArchRule> rules() {
-        return Stream.of(DECISIONS_KNOW_NO_PEER, DECISIONS_KNOW_NO_CLOCK, IDS_KNOW_NOTHING_ELSE);
+        return Stream.of(
+                DECISIONS_KNOW_NO_PEER,
+                DECISIONS_KNOW_NO_CLOCK,
+                IDS_KNOW_NOTHING_ELSE,
+                ONLY_THE_COMMAND_LINE_KNOWS_THE_PLATFORM);
+    }
+
+    @Test
+    void noNameOfThePlatformsWireStandsOutsideItsPackage() throws IOException {
+        try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+            final List<Path> found = files.filter(file -> file.toString().endsWith(".java"))
+                    .filter(file -> !file.toString().contains("/platform/"))
+                    .filter(file -> WIRE_NAME.matcher(read(file)).find())
+                    .toList();
+            assertThat(found).isEmpty();
+        }
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     @ParameterizedTest
--- a/src/test/java/org/wigeongrade/decisions/published/PublishedCheckerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/published/PublishedCheckerTest.java
@@ -4,6 +4,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -40,6 +43,13 @@
                 .containsExactly(code);
     }
 
+    @Test
+    void rulesPageExplainsEachRule() throws IOException {
+        final List<String> page = Files.readAllLines(Path.of("docs/RULES.md"));
+
+        PublishedChecker.RULES.forEach(rule -> assertThat(page).contains("### " + rule.code()));
+    }
+
     @Test
     void acceptsSoundConfiguration() {
         assertThat(PublishedChecker.check(with(organisation("one", "key-1"), organisation("two", "key-2"))))
