--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -24,8 +24,8 @@
 /**
  * Plans the groups of one service for one term of leadership: repairs what broke, forms what is missing, keeps spares.
  *
- * <p>Invariants: a VM is in one managed group at most; an epoch is used for one group only and grows; a VM that did not
- * answer is not used before it was heard from again. Time is a parameter. Not thread safe.
+ * <p>Invariants: a VM is in one managed group at most; an epoch is used for one group only and grows; a VM is not used before
+ * it was heard from in this term, and since it did not answer. Time is a parameter. Not thread safe.
  */
 public final class GroupPlanner {
     /** Epochs of one term; a leader forms far fewer groups. */
@@ -38,16 +38,19 @@
     private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
     private final InheritedGroups inherited = new InheritedGroups();
     private final LoadCeiling loadCeiling = new LoadCeiling();
+    private final long startedNanos;
     private long nextEpoch;
 
     /**
      * @param term of this leader; orders of lower terms are refused by the VMs
      * @param changes takes a record of each group that changed its phase
+     * @param nowNanos when this leader's term began; an earlier leader may have used a VM after its last report before that
      */
-    public GroupPlanner(long term, GroupTimings timings, Consumer<GroupChange> changes) {
+    public GroupPlanner(long term, GroupTimings timings, Consumer<GroupChange> changes, long nowNanos) {
         this.term = term;
         this.timings = timings;
         this.changes = changes;
+        this.startedNanos = nowNanos;
         this.nextEpoch = term * EPOCHS_PER_TERM + 1;
     }
 
@@ -328,7 +331,7 @@
                 .filter(vm -> groups.stream()
                         .noneMatch(group -> !(withSpares && group.isSpare())
                                 && group.has(vm.vm().vm())))
-                .filter(vm -> heardSinceUnresponsive(vm) && !inherited.isIn(vm))
+                .filter(vm -> vm.heardNanos() - startedNanos > 0 && heardSinceUnresponsive(vm) && !inherited.isIn(vm))
                 .map(VmRecord::heartbeat)
                 .toList();
     }
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -90,7 +90,7 @@
         final long term = log.term();
         if (current.filter(known -> known.term() == term).isEmpty()) {
             endTerm("a newer term");
-            current = Optional.of(new LeaderTerm(term, timings, events));
+            current = Optional.of(new LeaderTerm(term, timings, events, nanoClock.getAsLong()));
             events.write(LogEvent.LEADER_ELECTED, self, term);
         }
         try {
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -53,6 +53,7 @@
     private final long term;
     private final GroupTimings timings;
     private final EventLog events;
+    private final long startedNanos;
     private final Map<ServiceName, GroupPlanner> planners = new HashMap<>();
     private final RoutableTable routables = new RoutableTable();
     private final EvidenceTable evidence = new EvidenceTable();
@@ -61,10 +62,11 @@
     private long crashSequence;
     private boolean settled;
 
-    LeaderTerm(long term, GroupTimings timings, EventLog events) {
+    LeaderTerm(long term, GroupTimings timings, EventLog events, long nowNanos) {
         this.term = term;
         this.timings = timings;
         this.events = events;
+        this.startedNanos = nowNanos;
     }
 
     long term() {
@@ -115,8 +117,8 @@
             ImmutableList<VmRecord> vms,
             Map<VmName, RoutableTable.Routable> routable,
             long nowNanos) {
-        final GroupPlanner planner =
-                planners.computeIfAbsent(service.name(), name -> new GroupPlanner(term, timings, this::note));
+        final GroupPlanner planner = planners.computeIfAbsent(
+                service.name(), name -> new GroupPlanner(term, timings, this::note, startedNanos));
         final EngineProfile engine = service.engine().orElseThrow();
         if (!settled) {
             planner.takeOver(engine, vms, nowNanos);
