Keep VMs that report a group which was taken over without them, and warm spares with their model

A spare that could not be reached for a while loaded the other model's weights and was lost to its group.

--- a/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
+++ b/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
@@ -87,6 +87,7 @@
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(SECOND_LOOPBACK, control + 2)),
                 isControl ? Optional.of(new NodeAddress(LOOPBACK, control)) : Optional.empty(),
                 firstPort,
+                firstPort + 2,
                 List.of(new NodeAddress(LOOPBACK, control)),
                 true,
                 isControl ? Optional.of(temporaryFolder()) : Optional.empty(),
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -330,12 +330,20 @@
         return usable(around).stream()
                 .filter(vm -> groups.stream()
                         .noneMatch(group -> !(withSpares && group.isSpare())
-                                && group.has(vm.vm().vm())))
+                                && (group.has(vm.vm().vm()) || isReportedBy(vm, group))))
                 .filter(vm -> vm.heardNanos() - startedNanos > 0 && heardSinceUnresponsive(vm) && !inherited.isIn(vm))
                 .map(VmRecord::heartbeat)
                 .toList();
     }
 
+    /** Returns whether the VM says that it is in the group, which may have been taken over before the VM was heard of. */
+    private static boolean isReportedBy(VmRecord vm, ManagedGroup group) {
+        return vm.heartbeat()
+                .group()
+                .filter(report -> report.group().equals(group.name) && report.epoch() == group.epoch)
+                .isPresent();
+    }
+
     private boolean heardSinceUnresponsive(VmRecord vm) {
         final Long sinceNanos = unresponsiveSinceNanos.get(vm.vm());
         return sinceNanos == null || vm.heardNanos() - sinceNanos > 0;
--- a/src/main/java/org/wigeongrade/settings/FleetSettings.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettings.java
@@ -17,7 +17,8 @@
  * use from any thread.
  *
  * @param ip the VM's own address, which also names it among the control VMs
- * @param firstInternalPort first of three ports: replicated log, calls between nodes, metrics
+ * @param firstInternalPort first of two ports: replicated log, calls between nodes
+ * @param metricsPort port of the metrics of this process
  * @param seeds control addresses of some control VMs; they may be out of date
  * @param bootstrap whether the fleet starts for the first time, with empty disks
  */
@@ -30,6 +31,7 @@
         Optional<NodeAddress> readinessListen,
         Optional<NodeAddress> controlListen,
         int firstInternalPort,
+        int metricsPort,
         List<NodeAddress> seeds,
         boolean bootstrap,
         Optional<Path> dataFolder,
@@ -60,11 +62,6 @@
         return firstInternalPort + 1;
     }
 
-    /** Returns the port of the metrics. */
-    public int metricsPort() {
-        return firstInternalPort + 2;
-    }
-
     /** Returns the port that every control VM serves endpoints and operators on. */
     public int controlPort() {
         return controlListen.map(NodeAddress::port).orElseGet(() -> seeds.get(0).port());
--- a/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
@@ -20,6 +20,9 @@
 /** Reads a fleet node's settings file and lists every fault of it at once. Stateless; safe for use from any thread. */
 public final class FleetSettingsReader {
     private static final int MAX_FIRST_PORT = 65_533;
+    private static final int MAX_PORT = 65_535;
+    /** Place of the metrics port behind the first internal one, where the settings name none. */
+    private static final int METRICS_OFFSET = 2;
 
     private FleetSettingsReader() {}
 
@@ -74,6 +77,7 @@
         final Optional<NodeAddress> controlListen = table.converted("control_listen", NodeAddress::of);
         final Optional<Path> dataFolder = table.converted("data_folder", Path::of);
         final Optional<Long> firstPort = table.integer("first_internal_port", 1, MAX_FIRST_PORT);
+        final Optional<Long> metricsPort = table.integer("metrics_port", 1, MAX_PORT);
         final List<NodeAddress> seeds = readSeeds(table);
         final boolean bootstrap = table.bool("bootstrap").orElse(false);
         final Map<FleetKey, Double> numbers = readNumbers(table);
@@ -96,6 +100,7 @@
                 readinessListen,
                 controlListen,
                 firstPort.get().intValue(),
+                metricsPort.orElse(firstPort.get() + METRICS_OFFSET).intValue(),
                 seeds,
                 bootstrap,
                 dataFolder,
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -116,6 +116,20 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    @Test
+    void spareThatCouldNotBeReachedForAWhileStaysWithItsModel() {
+        fleet.run(LOADED_MS);
+        final int before = fleet.loads;
+        fleet.vms.stream()
+                .filter(vm -> vm.group != null && vm.members.size() == 1)
+                .forEach(vm -> vm.dark = true);
+        fleet.run(6_000);
+        fleet.vms.forEach(vm -> vm.dark = false);
+        fleet.run(6_000);
+
+        assertThat(fleet.loads).isEqualTo(before);
+    }
+
     @Test
     void emptyVmBecomesSpareThatNeedsNoLoadLater() {
         fleet.run(LOADED_MS);
@@ -128,7 +142,11 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    @ValueSource(
+            longs = {
+                1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28,
+                29, 30
+            })
     void noGroupIsPartialAndNoVmInTwoWhateverHappens(long seed) {
         final SimulatedFleet shaken = new SimulatedFleet(4, 8, seed);
         shaken.run(LOADED_MS);
