--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -20,8 +20,6 @@
 import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmName;
-import org.wigeongrade.logging.LogEvent;
-import org.wigeongrade.metrics.RequestOutcome;
 import org.wigeongrade.metrics.RetryReason;
 
 /**
@@ -40,7 +38,7 @@
     private final CallerRequest request;
     private final CallerLink caller;
     private final Runnable onOver;
-    private final long arrivedNanos;
+    private final ExchangeLog log;
     private final Set<VmName> tried = new HashSet<>();
     private Optional<Route> route = Optional.empty();
     private Optional<OrganisationName> organisation = Optional.empty();
@@ -50,7 +48,6 @@
     private final RelayedStream stream = new RelayedStream();
     private Optional<WholeAnswer> failedAnswer = Optional.empty();
     private long deadlineNanos;
-    private long firstBytesNanos;
     private int sends;
     private int mayHaveRun;
     private boolean over;
@@ -60,13 +57,12 @@
         this.request = request;
         this.caller = caller;
         this.onOver = onOver;
-        this.arrivedNanos = services.nowNanos();
+        this.log = new ExchangeLog(services, request);
     }
 
     /** Routes and sends the request, or refuses it. */
     void start() {
-        services.metrics().requestArrived();
-        services.allowance().requested(arrivedNanos);
+        services.allowance().requested(log.arrivedNanos());
         final Optional<PublishedConfiguration> configuration =
                 services.fleet().view().configuration();
         if (configuration.isEmpty()) {
@@ -89,9 +85,9 @@
     /** Takes the news that the caller has left. */
     void callerLeft() {
         if (!over) {
-            services.events().write(LogEvent.REQUEST_CANCELLED, request.name(), elapsedMs());
             current.ifPresent(Send::cancel);
-            end(RequestOutcome.CANCELLED);
+            log.cancelled();
+            end();
         }
     }
 
@@ -102,7 +98,7 @@
 
     private void setDeadline(Route known) {
         final long waitMs = Math.min(known.timeoutMs(), request.callerWaitsMs().orElse(known.timeoutMs()));
-        deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        deadlineNanos = log.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
         deadlineTimer =
                 Optional.of(services.loop().loop().schedule(this::deadlinePassed, waitMs, TimeUnit.MILLISECONDS));
     }
@@ -112,7 +108,7 @@
         if (known.anonymous() || !configuration.requiresKeys()) {
             return true;
         }
-        if (!services.keysAreFresh(arrivedNanos)) {
+        if (!services.keysAreFresh(log.arrivedNanos())) {
             refuse(
                     ErrorKind.NO_VIEW_LEASE,
                     "the keys known here are too old, version " + configuration.version(),
@@ -179,20 +175,7 @@
         final EndpointLoad endpoint = placement.endpoint().orElseThrow();
         sends++;
         tried.add(endpoint.vm().vm());
-        services.events()
-                .write(
-                        LogEvent.REQUEST_SENT,
-                        request.name(),
-                        organisation.map(OrganisationName::value).orElse("-"),
-                        route.orElseThrow().name(),
-                        endpoint.vm(),
-                        endpoint.running(),
-                        Math.round(placement.predictedMs()),
-                        placement.candidates(),
-                        TimeUnit.NANOSECONDS.toMillis(
-                                nowNanos - services.fleet().view().sentNanos()),
-                        services.fleet().view().version(),
-                        remainingMs);
+        log.sent(organisation, route.orElseThrow().name(), placement, remainingMs);
         final Send send = new Send(this, endpoint, services.fleet().engine(model()), placement.predictedMs(), nowNanos);
         current = Optional.of(send);
         endpoint.sent(nowNanos);
@@ -253,11 +236,8 @@
         return caller;
     }
 
-    void noteFirstBytes() {
-        if (firstBytesNanos == 0) {
-            firstBytesNanos = services.nowNanos();
-            services.metrics().firstByteSent(firstBytesNanos - arrivedNanos);
-        }
+    ExchangeLog log() {
+        return log;
     }
 
     /** Takes the news that the endpoint did not run the request. */
@@ -325,41 +305,25 @@
     }
 
     private void retry(Send send, RetryReason reason, String cause) {
-        services.metrics().retried(reason);
-        final LogEvent event = stream.hasBegun() ? LogEvent.STREAM_RESUMED : LogEvent.REQUEST_RETRIED;
-        services.events()
-                .write(event, request.name(), "after " + send.endpoint().vm(), reason.code() + ", " + cause);
+        log.retried(send.endpoint(), reason, cause, stream.hasBegun());
         send();
     }
 
     /** Passes a whole answer on. */
     void answered(Send send, WholeAnswer answer) {
         current = Optional.empty();
-        noteFirstBytes();
+        log.firstBytes();
         caller.answer(answer.status(), answer.headers(), answer.body());
-        noteAnswer(send, answer.status());
-        end(RequestOutcome.COMPLETED);
+        log.answered(send.endpoint(), answer.status(), sends, 0);
+        end();
     }
 
     /** Ends a stream whose last event was passed on. */
     void streamed(Send send) {
         current = Optional.empty();
         caller.endStream();
-        noteAnswer(send, stream.status());
-        end(RequestOutcome.COMPLETED);
-    }
-
-    private void noteAnswer(Send send, int status) {
-        services.events()
-                .write(
-                        LogEvent.REQUEST_ANSWERED,
-                        request.name(),
-                        status,
-                        send.endpoint().vm(),
-                        TimeUnit.NANOSECONDS.toMillis(firstBytesNanos - arrivedNanos),
-                        elapsedMs(),
-                        sends,
-                        stream.events());
+        log.answered(send.endpoint(), stream.status(), sends, stream.events());
+        end();
     }
 
     private void deadlinePassed() {
@@ -393,23 +357,17 @@
 
     private void giveUpAsMayHaveRun(ErrorKind kind, String cause, long retryAfterMs) {
         if (stream.hasBegun()) {
-            services.events().write(LogEvent.REQUEST_FAILED, request.name(), kind.code(), elapsedMs(), cause);
-            services.metrics().refused(kind);
+            log.failed(kind, cause);
             caller.breakOff();
-            end(RequestOutcome.FAILED);
-            return;
-        }
-        if (failedAnswer.isPresent()) {
+        } else if (failedAnswer.isPresent()) {
             final WholeAnswer answer = failedAnswer.get();
-            services.events().write(LogEvent.REQUEST_FAILED, request.name(), answer.status(), elapsedMs(), cause);
+            log.failedAtEndpoint(answer.status(), cause);
             caller.answer(answer.status(), answer.headers(), answer.body());
-            end(RequestOutcome.FAILED);
-            return;
+        } else {
+            log.failed(kind, cause);
+            caller.answer(services.codec().error(request, kind, cause, retryAfterMs));
         }
-        services.events().write(LogEvent.REQUEST_FAILED, request.name(), kind.code(), elapsedMs(), cause);
-        services.metrics().refused(kind);
-        caller.answer(services.codec().error(request, kind, cause, retryAfterMs));
-        end(RequestOutcome.FAILED);
+        end();
     }
 
     private void fail(ErrorKind kind, String cause) {
@@ -418,30 +376,14 @@
 
     /** Answers that the request has not run; the caller may come back after the time. */
     private void refuse(ErrorKind kind, String cause, long retryAfterMs) {
-        services.events()
-                .write(
-                        LogEvent.REQUEST_REFUSED,
-                        request.name(),
-                        organisation.map(OrganisationName::value).orElse("-"),
-                        kind.code(),
-                        cause + "; after " + elapsedMs() + " ms, view "
-                                + TimeUnit.NANOSECONDS.toMillis(services.nowNanos()
-                                        - services.fleet().view().sentNanos())
-                                + " ms old, retry after " + retryAfterMs + " ms");
-        services.metrics().refused(kind);
+        log.refused(organisation, kind, cause, retryAfterMs);
         caller.answer(services.codec().error(request, kind, cause, retryAfterMs));
-        end(RequestOutcome.REFUSED);
-    }
-
-    private long elapsedMs() {
-        return TimeUnit.NANOSECONDS.toMillis(services.nowNanos() - arrivedNanos);
+        end();
     }
 
-    private void end(RequestOutcome outcome) {
+    private void end() {
         over = true;
         deadlineTimer.ifPresent(timer -> timer.cancel(false));
-        services.metrics().requestLeft();
-        services.metrics().requestEnded(services.zone(), outcome, services.nowNanos() - arrivedNanos);
         onOver.run();
     }
 }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -0,0 +1,125 @@
+package org.wigeongrade.fleet.entry;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.wigeongrade.decisions.balancing.EndpointLoad;
+import org.wigeongrade.decisions.balancing.Placement;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.ids.OrganisationName;
+import org.wigeongrade.ids.RouteName;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.RequestOutcome;
+import org.wigeongrade.metrics.RetryReason;
+
+/** Writes what was decided about one request, and counts it. Used on the event loop only. */
+final class ExchangeLog {
+    private static final String ABSENT = "-";
+
+    private final EntryServices services;
+    private final String request;
+    private final long arrivedNanos;
+    private long firstBytesNanos;
+
+    ExchangeLog(EntryServices services, CallerRequest request) {
+        this.services = services;
+        this.request = request.name();
+        this.arrivedNanos = services.nowNanos();
+        services.metrics().requestArrived();
+    }
+
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    long elapsedMs() {
+        return TimeUnit.NANOSECONDS.toMillis(services.nowNanos() - arrivedNanos);
+    }
+
+    void sent(Optional<OrganisationName> organisation, RouteName route, Placement placement, long remainingMs) {
+        final EndpointLoad endpoint = placement.endpoint().orElseThrow();
+        services.events()
+                .write(
+                        LogEvent.REQUEST_SENT,
+                        request,
+                        organisation.map(OrganisationName::value).orElse(ABSENT),
+                        route,
+                        endpoint.vm(),
+                        endpoint.running(),
+                        Math.round(placement.predictedMs()),
+                        placement.candidates(),
+                        viewAgeMs(),
+                        services.fleet().view().version(),
+                        remainingMs);
+    }
+
+    void retried(EndpointLoad endpoint, RetryReason reason, String cause, boolean resumed) {
+        services.metrics().retried(reason);
+        services.events()
+                .write(
+                        resumed ? LogEvent.STREAM_RESUMED : LogEvent.REQUEST_RETRIED,
+                        request,
+                        "after " + endpoint.vm(),
+                        reason.code() + ", " + cause);
+    }
+
+    void firstBytes() {
+        if (firstBytesNanos == 0) {
+            firstBytesNanos = services.nowNanos();
+            services.metrics().firstByteSent(firstBytesNanos - arrivedNanos);
+        }
+    }
+
+    void answered(EndpointLoad endpoint, int status, int sends, int events) {
+        services.events()
+                .write(
+                        LogEvent.REQUEST_ANSWERED,
+                        request,
+                        status,
+                        endpoint.vm(),
+                        TimeUnit.NANOSECONDS.toMillis(firstBytesNanos - arrivedNanos),
+                        elapsedMs(),
+                        sends,
+                        events);
+        ended(RequestOutcome.COMPLETED);
+    }
+
+    void refused(Optional<OrganisationName> organisation, ErrorKind kind, String cause, long retryAfterMs) {
+        services.events()
+                .write(
+                        LogEvent.REQUEST_REFUSED,
+                        request,
+                        organisation.map(OrganisationName::value).orElse(ABSENT),
+                        kind.code(),
+                        cause + "; after " + elapsedMs() + " ms, view " + viewAgeMs() + " ms old, retry after "
+                                + retryAfterMs + " ms");
+        services.metrics().refused(kind);
+        ended(RequestOutcome.REFUSED);
+    }
+
+    void failed(ErrorKind kind, String cause) {
+        services.events().write(LogEvent.REQUEST_FAILED, request, kind.code(), elapsedMs(), cause);
+        services.metrics().refused(kind);
+        ended(RequestOutcome.FAILED);
+    }
+
+    /** The endpoint's own failure was passed on. */
+    void failedAtEndpoint(int status, String cause) {
+        services.events().write(LogEvent.REQUEST_FAILED, request, status, elapsedMs(), cause);
+        ended(RequestOutcome.FAILED);
+    }
+
+    void cancelled() {
+        services.events().write(LogEvent.REQUEST_CANCELLED, request, elapsedMs());
+        ended(RequestOutcome.CANCELLED);
+    }
+
+    private long viewAgeMs() {
+        return TimeUnit.NANOSECONDS.toMillis(
+                services.nowNanos() - services.fleet().view().sentNanos());
+    }
+
+    private void ended(RequestOutcome outcome) {
+        services.metrics().requestLeft();
+        services.metrics().requestEnded(services.zone(), outcome, services.nowNanos() - arrivedNanos);
+    }
+}
--- a/src/main/java/org/wigeongrade/fleet/entry/Send.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Send.java
@@ -93,7 +93,7 @@
         }
         for (final EventCutter.Event event : cutter.accept(bytes)) {
             noteEvent();
-            exchange.noteFirstBytes();
+            exchange.log().firstBytes();
             exchange.stream().begin(head.orElseThrow(), exchange.caller());
             exchange.stream().relay(event, exchange.caller());
         }
@@ -143,7 +143,7 @@
             return;
         }
         endpoint.succeeded();
-        exchange.noteFirstBytes();
+        exchange.log().firstBytes();
         exchange.stream().begin(head.orElseThrow(), exchange.caller());
         exchange.streamed(this);
     }
