--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.balancing;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -29,6 +31,10 @@
     private static final double SLOW_FACTOR = 1.8;
     /** Times the target at a slow endpoint, where a late answer delays no other one that could be on time. */
     private static final double LATEST_AT_SLOW_FACTOR = 2.5;
+    /** Nodes up to which each one compares every endpoint: between two views they send less than one request to each. */
+    private static final int NODES_THAT_COMPARE_ALL = 10;
+    /** Endpoints that are compared at least; the choice of the better of two avoids most of the imbalance. */
+    private static final int FEWEST_COMPARED = 3;
     /** Spread of random factors on the cost, so that entry nodes with the same view do not all choose the same endpoint. */
     private static final double JITTER = 0.15;
     /** Time to the answer of a plain endpoint that is idle; a moving average corrects it. */
@@ -72,15 +78,31 @@
         final List<EndpointLoad> sound = open.stream()
                 .filter(endpoint -> !endpoint.isAvoided(nowNanos) && endpoint.stalledNanos(nowNanos) < STANDSTILL_NANOS)
                 .toList();
-        final EndpointLoad chosen = (sound.isEmpty() ? open : sound)
-                .stream()
-                        .map(endpoint -> new Costed(endpoint, cost(endpoint, request, engine, usualSlowness)))
-                        .min(Comparator.comparingDouble(Costed::cost))
-                        .orElseThrow()
-                        .endpoint();
+        final EndpointLoad chosen = sample(sound.isEmpty() ? open : sound, limits.entryNodes()).stream()
+                .map(endpoint -> new Costed(endpoint, cost(endpoint, request, engine, usualSlowness)))
+                .min(Comparator.comparingDouble(Costed::cost))
+                .orElseThrow()
+                .endpoint();
         return Placement.at(chosen, predictedMs(chosen, request, engine, usualSlowness), open.size());
     }
 
+    /**
+     * Returns all endpoints while few nodes choose, and a random part of them while many do: they would otherwise all send
+     * to the same endpoint until the next view shows it.
+     */
+    private List<EndpointLoad> sample(List<EndpointLoad> endpoints, int entryNodes) {
+        final double part = (double) NODES_THAT_COMPARE_ALL / Math.max(1, entryNodes);
+        final int size = Math.max(FEWEST_COMPARED, (int) Math.ceil(part * endpoints.size()));
+        if (size >= endpoints.size()) {
+            return endpoints;
+        }
+        final List<EndpointLoad> shuffled = new ArrayList<>(endpoints);
+        for (int i = 0; i < size; i++) {
+            Collections.swap(shuffled, i, random.nextInt(i, shuffled.size()));
+        }
+        return shuffled.subList(0, size);
+    }
+
     private record Costed(EndpointLoad endpoint, double cost) {}
 
     private static boolean hasRoom(
--- a/src/main/java/org/wigeongrade/fleet/entry/ColdLimits.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ColdLimits.java
@@ -15,9 +15,9 @@
 
     BalancingLimits limitsFor(PublishedService service, int entryNodes) {
         if (service.coldRatePerSecond() <= 0) {
-            return new BalancingLimits(Double.MAX_VALUE);
+            return new BalancingLimits(Double.MAX_VALUE, entryNodes);
         }
         final double bound = service.coldRatePerSecond() * burstFactor + marginPerSecond;
-        return new BalancingLimits(USED_PART * bound / Math.max(1, entryNodes));
+        return new BalancingLimits(USED_PART * bound / Math.max(1, entryNodes), entryNodes);
     }
 }
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -4,11 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -26,7 +28,7 @@
             new EngineProfile(18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final AvailabilityZone HERE = AvailabilityZone.of("here");
     private static final AvailabilityZone THERE = AvailabilityZone.of("there");
-    private static final BalancingLimits UNBOUNDED = new BalancingLimits(Double.MAX_VALUE);
+    private static final BalancingLimits UNBOUNDED = new BalancingLimits(Double.MAX_VALUE, 7);
 
     private final Balancer balancer = new Balancer(new Random(1));
     private final Optional<EngineModel> engine = Optional.of(new EngineModel(PROFILE, MODEL, new LearnedOverhead()));
@@ -125,6 +127,23 @@
         assertThat(place(List.of(far, near), Set.of(), 0).endpoint()).hasValue(far);
     }
 
+    @ParameterizedTest
+    @CsvSource({"7, 1", "72, 5"})
+    void manyNodesWithTheSameViewDoNotAllChooseTheSameGroup(int entryNodes, int chosenAtLeast) {
+        final List<EndpointLoad> groups = IntStream.range(0, 20)
+                .mapToObj(index -> group("g" + index, HERE))
+                .toList();
+        groups.stream().skip(1).forEach(group -> send(group, 2));
+        final Set<VmName> chosen = new HashSet<>();
+        for (int node = 0; node < entryNodes; node++) {
+            final Placement placement = new Balancer(new Random(node))
+                    .place(request(Set.of()), groups, engine, new BalancingLimits(Double.MAX_VALUE, entryNodes), 0);
+            chosen.add(placement.endpoint().orElseThrow().vm().vm());
+        }
+
+        assertThat(chosen.size()).isAtLeast(chosenAtLeast);
+    }
+
     @Test
     void triedGroupIsNotTriedAgain() {
         final List<EndpointLoad> groups = List.of(group("a", HERE));
@@ -138,7 +157,8 @@
         groups.get(0).coldUntil(TimeUnit.SECONDS.toNanos(5));
         int taken = 0;
         for (int i = 0; i < 20; i++) {
-            final Placement placement = balancer.place(request(Set.of()), groups, engine, new BalancingLimits(4.5), 1);
+            final Placement placement =
+                    balancer.place(request(Set.of()), groups, engine, new BalancingLimits(4.5, 7), 1);
             taken += placement.endpoint().isPresent() ? 1 : 0;
             placement.endpoint().ifPresent(endpoint -> send(endpoint, 1));
         }
