Check the lease before the state is read, too

A new leader that applied its last entries between the read of the state and the check of the lease could have answered with an older configuration. Found on reading; not seen in a run.

--- a/src/main/java/org/wigeongrade/fleet/control/ControlDesk.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlDesk.java
@@ -31,7 +31,8 @@
  * Answers operators and endpoint VMs at one control node.
  *
  * <p>Invariants: a change is accepted only once it lies on enough disks; a read is answered only by a leader whose lease
- * held after the state was read, so it is never older than an accepted change. Thread safe; holds no lock of its own.
+ * held before the state was read, so that it is complete, and after, so that it is never older than an accepted change.
+ * Thread safe; holds no lock of its own.
  */
 public final class ControlDesk {
     private final NodeName self;
@@ -120,8 +121,9 @@
 
     /** Returns the newest configuration. */
     public DeskAnswer read() {
+        final boolean ledBefore = log.leadsWithLease();
         final PublishedState state = machine.state();
-        if (!log.leadsWithLease()) {
+        if (!ledBefore || !log.leadsWithLease()) {
             return elsewhereOrUnavailable();
         }
         return state.document()
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -26,8 +26,8 @@
 /**
  * Answers calls of other nodes.
  *
- * <p>Invariant: a pull is answered as the leader only if the lease held after the state was read, so the answer holds every
- * change that was accepted before the pull was sent. Thread safe; holds no state of its own.
+ * <p>Invariant: a pull is answered as the leader only if the lease held before and after the state was read, so the answer
+ * holds every change that was accepted before the pull was sent. Thread safe; holds no state of its own.
  */
 final class ControlService implements FleetService.Iface {
     private static final System.Logger LOGGER = System.getLogger(ControlService.class.getName());
@@ -68,10 +68,11 @@
         if (term.isEmpty()) {
             return reply;
         }
+        final boolean ledBefore = log.leadsWithLease();
         final PublishedState state = machine.state();
         writeState(state, request.getConfigurationVersion(), reply);
         term.get().answer(request, reply, nanoClock.getAsLong());
-        return reply.setLeads(log.leadsWithLease());
+        return reply.setLeads(ledBefore && log.leadsWithLease());
     }
 
     @Override
