--- a/src/test/java/org/wigeongrade/platform/FleetOnLoopbackTest.java
+++ b/src/test/java/org/wigeongrade/platform/FleetOnLoopbackTest.java
@@ -6,6 +6,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -57,7 +58,7 @@
     @BeforeEach
     void start() throws IOException {
         firstPort = LoopbackPorts.freeRow(6);
-        endpoint = HttpServer.create(new InetSocketAddress(CONTROL_IP, 0), 0);
+        endpoint = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         endpoint.createContext("/", this::serve);
         endpoint.start();
         final EventLog events = new EventLog();
