Stamp heartbeats with the clock that they are judged by, and remove two unused methods

Cause: the desk of a control node stamped heartbeats with the steady clock, while the planner, the exchange and the registry's readers use the clock that counts suspensions. After a suspension or a forward jump of the time of day, every VM would have looked silent for as long as the jump. Found on reading the whole change; not seen in a run, and no test failed first: a test with a jumped clock around the whole control node is still owed.

--- a/src/main/java/org/wigeongrade/decisions/published/Route.java
+++ b/src/main/java/org/wigeongrade/decisions/published/Route.java
@@ -40,12 +40,6 @@
         return kind.mayRepeat(resumable);
     }
 
-    /** Returns whether requests of this route may be sent to the service. */
-    public boolean leadsTo(ServiceName service) {
-        return targets.stream()
-                .anyMatch(target -> target.weight() > 0 && target.service().equals(service));
-    }
-
     /** Returns the service at a point of the weights, {@code point} from 0 to less than 1. */
     public ServiceName targetAt(double point) {
         double rest = point * totalWeight();
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -103,7 +103,7 @@
                 events,
                 clock);
         this.desk = new ControlDesk(
-                self, log, machine, registry, directory, reader, relay, this::votersNeeded, events, System::nanoTime);
+                self, log, machine, registry, directory, reader, relay, this::votersNeeded, events, clock);
         final ControlService service =
                 new ControlService(log, machine, registry, directory, leaderLoop::current, this::learn, clock);
         this.nodeServer = new NodeServer(
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnections.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnections.java
@@ -70,15 +70,6 @@
         });
     }
 
-    /** Closes the idle connections to endpoints that are not routed to any more. */
-    void closeIdle(VmIncarnation vm) {
-        final Deque<Idle> connections = idle.remove(vm);
-        if (connections != null) {
-            connections.forEach(
-                    connection -> Futures.unwatched(connection.channel().close()));
-        }
-    }
-
     private static boolean isRefusal(Throwable cause) {
         return cause instanceof ConnectException
                 && String.valueOf(cause.getMessage()).contains("refused");
