--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -19,6 +19,10 @@
     private static final int QUEUED_AT_FULL = 2;
     /** Time without a byte from an endpoint with requests after which it gets no new ones. */
     private static final long STANDSTILL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** Passes of an engine without a byte that are usual while streams run: one more may wait for its last bytes. */
+    private static final int USUAL_SILENT_PASSES = 2;
+    /** Cost of each millisecond of silence beyond the usual, since whoever is sent there waits at least as long again. */
+    private static final double SILENCE_WEIGHT = 2;
     /** Cost of another availability zone, in milliseconds: the way there and back, and what the bytes are worth. */
     private static final double OTHER_ZONE_MS = 4;
     /** Cost of each millisecond by which the predicted pause exceeds the target. */
@@ -39,10 +43,12 @@
     private static final double JITTER = 0.15;
     /** Time to the answer of a plain endpoint that is idle; a moving average corrects it. */
     private static final double PLAIN_ANSWER_MS = 40;
-    /** Shortest time after which coming back to a busy fleet may help, in milliseconds. */
-    private static final long BUSY_RETRY_MS = 150;
-    /** Time in which a lost group is usually formed again, in milliseconds. */
-    private static final long NONE_SERVES_RETRY_MS = 600;
+    /** Longest time after which a refused caller comes back, in milliseconds: a lost group is formed again within it. */
+    private static final long LONGEST_RETRY_MS = 2_000;
+    /** Part of the time left that callers wait at most before they come back. */
+    private static final double RETRY_PART_OF_REMAINING = 1.0 / 3;
+    /** Callers that are refused together come back spread over this part of the time, so that they fit. */
+    private static final double RETRY_SPREAD = 0.5;
 
     private final RandomGenerator random;
 
@@ -65,7 +71,7 @@
                 .filter(endpoint -> !request.tried().contains(endpoint.vm().vm()))
                 .toList();
         if (untried.isEmpty()) {
-            return Placement.refused(Placement.Refusal.NONE_SERVES, 0, NONE_SERVES_RETRY_MS);
+            return Placement.refused(Placement.Refusal.NONE_SERVES, 0, retryAfterMs(request));
         }
         final double usualSlowness = usualSlowness(endpoints);
         final List<EndpointLoad> open = untried.stream()
@@ -73,19 +79,24 @@
                         && isInTime(endpoint, request, engine, usualSlowness))
                 .toList();
         if (open.isEmpty()) {
-            return Placement.refused(Placement.Refusal.ALL_BUSY, untried.size(), retryAfterBusyMs(untried, engine));
+            return Placement.refused(Placement.Refusal.ALL_BUSY, untried.size(), retryAfterMs(request));
         }
-        final List<EndpointLoad> sound = open.stream()
-                .filter(endpoint -> !endpoint.isAvoided(nowNanos) && endpoint.stalledNanos(nowNanos) < STANDSTILL_NANOS)
-                .toList();
+        final List<EndpointLoad> sound =
+                open.stream().filter(endpoint -> isSound(endpoint, nowNanos)).toList();
         final EndpointLoad chosen = sample(sound.isEmpty() ? open : sound, limits.entryNodes()).stream()
-                .map(endpoint -> new Costed(endpoint, cost(endpoint, request, engine, usualSlowness)))
+                .map(endpoint -> new Costed(endpoint, cost(endpoint, request, engine, usualSlowness, nowNanos)))
                 .min(Comparator.comparingDouble(Costed::cost))
                 .orElseThrow()
                 .endpoint();
         return Placement.at(chosen, predictedMs(chosen, request, engine, usualSlowness), open.size());
     }
 
+    private static boolean isSound(EndpointLoad endpoint, long nowNanos) {
+        return !endpoint.isAvoided(nowNanos)
+                && !endpoint.isSuspect()
+                && endpoint.stalledNanos(nowNanos) < STANDSTILL_NANOS;
+    }
+
     /**
      * Returns all endpoints while few nodes choose, and a random part of them while many do: they would otherwise all send
      * to the same endpoint until the next view shows it.
@@ -138,7 +149,11 @@
     }
 
     private double cost(
-            EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine, double usualSlowness) {
+            EndpointLoad endpoint,
+            BalancedRequest request,
+            Optional<EngineModel> engine,
+            double usualSlowness,
+            long nowNanos) {
         final double firstMs = predictedMs(endpoint, request, engine, usualSlowness);
         final double pauseMs =
                 engine.map(model -> model.passMs(endpoint.running() + 1)).orElse(0.0)
@@ -146,11 +161,25 @@
         final double latePauseMs = request.targetPauseMs() == 0 ? 0 : Math.max(0, pauseMs - request.targetPauseMs());
         final double zoneMs = endpoint.zone().equals(request.zone()) ? 0 : OTHER_ZONE_MS;
         final double jitter = 1 + JITTER * random.nextDouble();
+        final double silentMs =
+                engine.map(model -> unusualSilenceMs(endpoint, model, nowNanos)).orElse(0.0);
         return (firstMs + pauseMs + zoneMs) * jitter
+                + SILENCE_WEIGHT * silentMs
                 + LATE_PAUSE_WEIGHT * latePauseMs
                 + FAILURE_MS * endpoint.failureRate();
     }
 
+    /** Returns for how much longer than usual the group has sent no byte while streams run there, in milliseconds. */
+    private static double unusualSilenceMs(EndpointLoad endpoint, EngineModel model, long nowNanos) {
+        if (endpoint.writing() == 0) {
+            return 0;
+        }
+        final double silentMs = endpoint.stalledNanos(nowNanos) / 1e6;
+        final double usualMs =
+                USUAL_SILENT_PASSES * model.passMs(endpoint.running()) + model.readMs(endpoint.unreadTokens());
+        return Math.max(0, silentMs - usualMs * endpoint.paceFactor());
+    }
+
     private static double predictedMs(
             EndpointLoad endpoint, BalancedRequest request, Optional<EngineModel> engine, double usualSlowness) {
         final double idealMs = engine.map(model ->
@@ -159,9 +188,12 @@
         return idealMs * slowness(endpoint, usualSlowness);
     }
 
-    private static long retryAfterBusyMs(List<EndpointLoad> busy, Optional<EngineModel> engine) {
-        final int least = busy.stream().mapToInt(EndpointLoad::running).min().orElse(0);
-        final double waitMs = engine.map(model -> model.waitForSlotMs(least)).orElse(0.0);
-        return Math.max(BUSY_RETRY_MS, Math.round(waitMs));
+    /**
+     * Returns when a refused caller should come back, in milliseconds. An answer would be late in any case, and callers
+     * come back only once: so as late as they agree to wait, when what was lost is formed again or the rush is over.
+     */
+    private long retryAfterMs(BalancedRequest request) {
+        final double longestMs = Math.min(LONGEST_RETRY_MS, RETRY_PART_OF_REMAINING * request.remainingMs());
+        return Math.round(longestMs * (1 - RETRY_SPREAD * random.nextDouble()));
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
@@ -31,7 +31,9 @@
     private final int slots;
     private final double paceFactor;
     private long coldUntilNanos;
+    private boolean suspect;
     private int inFlight;
+    private int writing;
     private int inFlightElsewhere;
     private int unreadTokens;
     private int unreadTokensElsewhere;
@@ -97,6 +99,16 @@
         coldUntilNanos = deadlineNanos;
     }
 
+    /** Takes the news of whether the leader doubts that every member of the group is there. */
+    public void suspected(boolean isSuspect) {
+        suspect = isSuspect;
+    }
+
+    /** Returns whether new requests should go elsewhere, since the leader doubts that the group is whole. */
+    public boolean isSuspect() {
+        return suspect;
+    }
+
     public boolean isCold(long nowNanos) {
         return nowNanos - coldUntilNanos < 0;
     }
@@ -152,6 +164,21 @@
         forgetSends(nowNanos);
     }
 
+    /** Counts a stream whose first event came. */
+    public void beganWriting() {
+        writing++;
+    }
+
+    /** Counts the end of a stream whose first event had come. */
+    public void endedWriting() {
+        writing--;
+    }
+
+    /** Returns the streams of this node that had their first event and have not ended. */
+    public int writing() {
+        return writing;
+    }
+
     /** Counts the end of a request. */
     public void ended(long nowNanos) {
         inFlight--;
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
@@ -51,6 +51,11 @@
         unanswered = answer.showsLife() ? 0 : unanswered + 1;
     }
 
+    /** Counts orders without an answer anew, for a new round of probes. */
+    void forgetUnanswered() {
+        unanswered = 0;
+    }
+
     /** Returns the answer to the latest order if it was of this kind. */
     Optional<OrderAnswer> answerTo(GroupOrderKind kind) {
         return lastKind.filter(kind::equals).flatMap(unused -> lastAnswer);
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -101,7 +101,11 @@
         return groups.stream()
                 .filter(group -> group.phase().isRoutable())
                 .map(group -> new ServingGroup(
-                        group.name, group.head().vm, group.model.name(), group.spansDomains() ? engine.farFactor() : 1))
+                        group.name,
+                        group.head().vm,
+                        group.model.name(),
+                        group.spansDomains() ? engine.farFactor() : 1,
+                        group.phase() == GroupPhase.CHECKING))
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -25,8 +25,12 @@
     static final long SLOW_RESEND_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** Joins are answered at once and reported when done; a report may come a heartbeat late. */
     static final long JOIN_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    /** Longer than any pause between two events that still counts as on time, shorter than the engines' stall time. */
-    static final long STALLED_MS = 500;
+    /** Longer than a pass that reads full pieces of prompts, about 280 ms; a probe costs little, so it may be sent in vain. */
+    static final long STALLED_MS = 300;
+    /** A probe without an answer is sent once more after this time, on a connection that other packets serve. */
+    static final long PROBE_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Probes in a row without an answer after which a VM counts as lost. */
+    static final int LOST_PROBES = 2;
     /** Bytes from the group within this time show that every member works. */
     static final long PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
     /** Pause between two rounds of probes to one group, so that probes stay few. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -167,6 +167,7 @@
             return;
         }
         if (isSuspect(around) && around.nowNanos() - nextCheckNanos >= 0) {
+            members.forEach(GroupMember::forgetUnanswered);
             members.forEach(member -> order(member, GroupOrderKind.PROBE, around));
             become(GroupPhase.CHECKING, "no progress or a late heartbeat", around.nowNanos());
         }
@@ -184,12 +185,25 @@
             return;
         }
         final Optional<GroupMember> lost = members.stream()
-                .filter(member -> member.answerTo(GroupOrderKind.PROBE)
-                        .filter(answer -> !answer.showsLife())
-                        .isPresent())
+                .filter(member -> !member.answeredSince(phaseSinceNanos) && isLost(member))
                 .findFirst();
-        lost.ifPresent(
-                member -> become(GroupPhase.CLOSING, "member " + member.vm + " does not answer", around.nowNanos()));
+        if (lost.isPresent()) {
+            become(GroupPhase.CLOSING, "member " + lost.get().vm + " does not answer", around.nowNanos());
+            return;
+        }
+        members.stream()
+                .filter(member -> !member.answeredSince(phaseSinceNanos))
+                .filter(member ->
+                        member.isDue(GroupOrderKind.PROBE, GroupTimings.PROBE_RESEND_NANOS, around.nowNanos()))
+                .forEach(member -> order(member, GroupOrderKind.PROBE, around));
+    }
+
+    private static boolean isLost(GroupMember member) {
+        final Optional<OrderAnswer> answer = member.answerTo(GroupOrderKind.PROBE);
+        final boolean anotherProcess = answer.filter(
+                        given -> given == OrderAnswer.NO_LISTENER || given == OrderAnswer.ENDED)
+                .isPresent();
+        return anotherProcess || member.unanswered() >= GroupTimings.LOST_PROBES;
     }
 
     private void drain(GroupSurroundings around) {
--- a/src/main/java/org/wigeongrade/fleet/FleetTimings.java
+++ b/src/main/java/org/wigeongrade/fleet/FleetTimings.java
@@ -20,6 +20,9 @@
     /** Time between two steps of the leader's planning, in milliseconds; a tenth of a rejoin and formation. */
     public static final int PLAN_INTERVAL_MS = 50;
 
+    /** Shortest time between two steps of the planning, in milliseconds, so that news that come together make one step. */
+    public static final int SHORTEST_PLAN_INTERVAL_MS = 10;
+
     /** An entry node that did not pull for this long does not count any more, in milliseconds. */
     public static final long ENTRY_FORGOTTEN_MS = 3_000;
 
--- a/src/main/java/org/wigeongrade/fleet/control/ControlDesk.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlDesk.java
@@ -42,10 +42,12 @@
     private final ControlDirectory directory;
     private final DocumentReader reader;
     private final RelayQueue relay;
+    private final Runnable onNews;
     private final IntSupplier votersNeeded;
     private final EventLog events;
     private final LongSupplier nanoClock;
 
+    /** @param onNews is told when a VM changed its group or leaves, so that the leader plans soon */
     ControlDesk(
             NodeName self,
             RaftReplicatedLog log,
@@ -54,6 +56,7 @@
             ControlDirectory directory,
             DocumentReader reader,
             RelayQueue relay,
+            Runnable onNews,
             IntSupplier votersNeeded,
             EventLog events,
             LongSupplier nanoClock) {
@@ -64,6 +67,7 @@
         this.directory = directory;
         this.reader = reader;
         this.relay = relay;
+        this.onNews = onNews;
         this.votersNeeded = votersNeeded;
         this.events = events;
         this.nanoClock = nanoClock;
@@ -84,6 +88,7 @@
         registry.depart(vm);
         events.write(LogEvent.ENDPOINT_LEAVING, vm);
         relay.add(vm);
+        onNews.run();
         return new DeskAnswer.Accepted();
     }
 
@@ -192,5 +197,10 @@
         if (heartbeat.draining() && !wasDraining) {
             events.write(LogEvent.ENDPOINT_LEAVING, heartbeat.vm());
         }
+        final boolean sameGroup =
+                sameLife && known.orElseThrow().heartbeat().group().equals(heartbeat.group());
+        if (!sameGroup || heartbeat.draining() != wasDraining) {
+            onNews.run();
+        }
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -103,9 +103,19 @@
                 events,
                 clock);
         this.desk = new ControlDesk(
-                self, log, machine, registry, directory, reader, relay, this::votersNeeded, events, clock);
-        final ControlService service =
-                new ControlService(log, machine, registry, directory, leaderLoop::current, this::learn, clock);
+                self,
+                log,
+                machine,
+                registry,
+                directory,
+                reader,
+                relay,
+                leaderLoop::wake,
+                this::votersNeeded,
+                events,
+                clock);
+        final ControlService service = new ControlService(
+                log, machine, registry, directory, leaderLoop::current, this::learn, leaderLoop::wake, clock);
         this.nodeServer = new NodeServer(
                 new InetSocketAddress(settings.ip(), settings.fleetPort()),
                 new FleetService.Processor<>(service),
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -38,6 +38,7 @@
     private final ControlDirectory directory;
     private final Supplier<Optional<LeaderTerm>> leaderTerm;
     private final Consumer<List<String>> learned;
+    private final Runnable onNews;
     private final LongSupplier nanoClock;
 
     ControlService(
@@ -47,6 +48,7 @@
             ControlDirectory directory,
             Supplier<Optional<LeaderTerm>> leaderTerm,
             Consumer<List<String>> learned,
+            Runnable onNews,
             LongSupplier nanoClock) {
         this.log = log;
         this.machine = machine;
@@ -54,6 +56,7 @@
         this.directory = directory;
         this.leaderTerm = leaderTerm;
         this.learned = learned;
+        this.onNews = onNews;
         this.nanoClock = nanoClock;
     }
 
@@ -81,6 +84,9 @@
         learned.accept(request.getControlVms());
         final long nowNanos = nanoClock.getAsLong();
         request.getHeartbeats().forEach(heartbeat -> hear(heartbeat, nowNanos));
+        if (!request.getHeartbeats().isEmpty()) {
+            onNews.run();
+        }
         return new ExchangeReply(List.copyOf(directory.known()));
     }
 
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.wigeongrade.decisions.discovery.VmRecord;
@@ -18,7 +19,7 @@
 import org.wigeongrade.nodes.log.RaftReplicatedLog;
 
 /**
- * Plans at a fixed interval while this node leads.
+ * Plans while this node leads: at a fixed interval, and soon after news of a group.
  *
  * <p>Invariant: a term's plans are made by one {@link LeaderTerm}, and only while the lease holds. Thread safe.
  */
@@ -37,6 +38,7 @@
     private final LongSupplier nanoClock;
     private final long startedNanos;
     private final Thread worker = new Thread(this::run, "plan");
+    private final Semaphore news = new Semaphore(0);
     private volatile Optional<LeaderTerm> current = Optional.empty();
 
     LeaderLoop(
@@ -71,11 +73,19 @@
         return current;
     }
 
+    /** Asks for a step soon, since an answer or the report of a group came. */
+    void wake() {
+        news.release();
+    }
+
     private void run() {
         try {
             while (true) {
                 step();
-                Thread.sleep(FleetTimings.PLAN_INTERVAL_MS);
+                Thread.sleep(FleetTimings.SHORTEST_PLAN_INTERVAL_MS);
+                final boolean unused = news.tryAcquire(
+                        FleetTimings.PLAN_INTERVAL_MS - FleetTimings.SHORTEST_PLAN_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                news.drainPermits();
             }
         } catch (InterruptedException e) {
             endTerm("the node stops");
@@ -112,8 +122,10 @@
         final List<GroupOrder> given =
                 term.plan(configurations.get(state.version(), state.document().get()), vms, known, nowNanos);
         if (log.leadsWithLease()) {
-            given.forEach(
-                    order -> orders.send(order, (sent, answer) -> term.answered(sent, answer, nanoClock.getAsLong())));
+            given.forEach(order -> orders.send(order, (sent, answer) -> {
+                term.answered(sent, answer, nanoClock.getAsLong());
+                wake();
+            }));
         }
     }
 
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -131,7 +131,8 @@
             Optional.ofNullable(byLife.get(group.head()))
                     .ifPresent(head -> routable.put(
                             head.vm().vm(),
-                            new RoutableTable.Routable(head, Optional.of(group.model()), group.paceFactor())));
+                            new RoutableTable.Routable(
+                                    head, Optional.of(group.model()), group.paceFactor(), group.suspect())));
         }
         return orders;
     }
@@ -145,7 +146,7 @@
                         || Optional.ofNullable(seen.get(vm.vm().vm()))
                                 .filter(found -> found.progressedWithin(silentNanos, nowNanos))
                                 .isPresent())
-                .forEach(vm -> routable.put(vm.vm().vm(), new RoutableTable.Routable(vm, Optional.empty(), 1)));
+                .forEach(vm -> routable.put(vm.vm().vm(), new RoutableTable.Routable(vm, Optional.empty(), 1, false)));
     }
 
     private void takeCrashes(NodeName node, List<CrashRecord> crashes, long nowNanos) {
--- a/src/main/java/org/wigeongrade/fleet/control/OrderSender.java
+++ b/src/main/java/org/wigeongrade/fleet/control/OrderSender.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.BiConsumer;
 import org.wigeongrade.decisions.grouping.GroupOrder;
+import org.wigeongrade.decisions.grouping.GroupOrderKind;
 import org.wigeongrade.decisions.grouping.OrderAnswer;
 import org.wigeongrade.fleet.net.OneCall;
 import org.wigeongrade.logging.EventLog;
@@ -15,6 +16,8 @@
 final class OrderSender {
     /** Longest wait for the answer to an order, in milliseconds; VMs answer orders at once and are some ms away. */
     private static final int ORDER_TIMEOUT_MS = 450;
+    /** Longest wait for the answer to a probe, in milliseconds; it is sent twice before a VM counts as lost. */
+    private static final int PROBE_TIMEOUT_MS = 250;
 
     private final OneCall calls;
     private final OrderCodec codec;
@@ -36,7 +39,7 @@
                 order.group(),
                 order.vm(),
                 order.fencingTerm() + "." + order.epoch());
-        final var unused = calls.send(address, codec.encode(order), ORDER_TIMEOUT_MS)
+        final var unused = calls.send(address, codec.encode(order), timeoutMs(order.kind()))
                 .whenComplete((answer, failure) -> {
                     final OrderAnswer outcome = failure == null ? codec.decode(order, answer) : outcomeOf(failure);
                     if (outcome != OrderAnswer.BEGUN && outcome != OrderAnswer.DONE) {
@@ -52,6 +55,10 @@
                 });
     }
 
+    private static int timeoutMs(GroupOrderKind kind) {
+        return kind == GroupOrderKind.PROBE ? PROBE_TIMEOUT_MS : ORDER_TIMEOUT_MS;
+    }
+
     private static OrderAnswer outcomeOf(Throwable failure) {
         final boolean refused = failure instanceof ConnectException
                 && String.valueOf(failure.getMessage()).contains("refused");
--- a/src/main/java/org/wigeongrade/fleet/control/RoutableTable.java
+++ b/src/main/java/org/wigeongrade/fleet/control/RoutableTable.java
@@ -22,7 +22,7 @@
     private static final long COLD_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     /** One routable endpoint and the model that it serves, if it heads a group. */
-    record Routable(VmRecord vm, Optional<ModelVersionName> model, double paceFactor) {}
+    record Routable(VmRecord vm, Optional<ModelVersionName> model, double paceFactor, boolean suspect) {}
 
     private record Entry(Optional<Routable> routable, long changeNumber) {}
 
@@ -69,6 +69,7 @@
                 old.vm().heartbeat().coldForMs() == 0 && now.vm().heartbeat().coldForMs() == 0;
         return old.vm().vm().equals(now.vm().vm())
                 && old.model().equals(now.model())
+                && old.suspect() == now.suspect()
                 && old.vm().heartbeat().address().equals(now.vm().heartbeat().address())
                 && old.vm().heartbeat().service().equals(now.vm().heartbeat().service())
                 && (bothWarm || coldChangeNanos <= COLD_TOLERANCE_NANOS);
@@ -85,6 +86,7 @@
                 .setModel(routable.model().map(ModelVersionName::value).orElse(""))
                 .setSlots(vm.heartbeat().slots())
                 .setPaceFactor(routable.paceFactor())
+                .setSuspect(routable.suspect())
                 .setColdForMs(Math.max(0, TimeUnit.NANOSECONDS.toMillis(vm.coldUntilNanos() - nowNanos)));
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointFleet.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointFleet.java
@@ -142,12 +142,14 @@
         final EndpointLoad known = routable.get(vm);
         if (known != null && isSame(known, record)) {
             known.coldUntil(coldUntilNanos);
+            known.suspected(record.isSuspect());
             return;
         }
         if (known != null) {
             retire(known);
         }
         final EndpointLoad added = Routables.decode(record, coldUntilNanos, nowNanos);
+        added.suspected(record.isSuspect());
         routable.put(vm, added);
         events.write(
                 LogEvent.ENDPOINT_ROUTABLE,
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -31,6 +31,8 @@
 final class Exchange {
     /** Sends of one request at most, those that no endpoint ran included. */
     private static final int MAX_SENDS = 4;
+    /** A node that has just started knows a leader by then, if the whole fleet starts: its longest election and a pull. */
+    private static final long STARTING_RETRY_MS = 1_500;
     /** A send with less time left than this cannot be answered in time, in milliseconds. */
     private static final long SHORTEST_SEND_MS = 5;
 
@@ -66,7 +68,7 @@
         final Optional<PublishedConfiguration> configuration =
                 services.fleet().view().configuration();
         if (configuration.isEmpty()) {
-            refuse(ErrorKind.NO_VIEW_LEASE, "no configuration is known yet", ErrorKind.NO_VIEW_LEASE.retryAfterMs());
+            refuse(ErrorKind.NO_VIEW_LEASE, "no configuration is known yet", STARTING_RETRY_MS);
             return;
         }
         route = configuration.get().route(request.hostname(), request.path());
--- a/src/main/java/org/wigeongrade/fleet/entry/Send.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Send.java
@@ -186,6 +186,7 @@
         final long nowNanos = services.nowNanos();
         if (events == 0) {
             noteRead();
+            endpoint.beganWriting();
             engine.ifPresent(model -> model.observedFirst(elapsedMs(), predictedMs));
         } else {
             engine.ifPresent(
@@ -206,6 +207,9 @@
 
     private void finish() {
         noteRead();
+        if (events > 0) {
+            endpoint.endedWriting();
+        }
         check.ifPresent(timer -> timer.cancel(false));
         endpoint.ended(services.nowNanos());
     }
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -15,6 +15,8 @@
   8: i64 coldForMs
   // Factor on all times of a group whose members lie in several fabric domains; 1 otherwise.
   9: double paceFactor
+  // The group makes no progress or lost a member's heartbeat, and its members are being asked whether they are there.
+  10: bool suspect
 }
 
 // What one entry VM saw of one endpoint.
