--- a/src/main/java/org/wigeongrade/decisions/grouping/EndpointEvidence.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/EndpointEvidence.java
@@ -12,6 +12,11 @@
     /** No entry VM has reported anything. */
     public static final EndpointEvidence NONE = new EndpointEvidence(0, 0, Long.MIN_VALUE, false);
 
+    /** Returns whether bytes came from the endpoint after a time. */
+    public boolean progressedSince(long sinceNanos) {
+        return progressedNanos != Long.MIN_VALUE && progressedNanos - sinceNanos > 0;
+    }
+
     /** Returns whether bytes came from the endpoint within the time before now. */
     public boolean progressedWithin(long nanos, long nowNanos) {
         return progressedNanos != Long.MIN_VALUE && nowNanos - progressedNanos <= nanos;
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupOrderKind.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupOrderKind.java
@@ -12,6 +12,8 @@
     CLOSE_NOW,
     /** Be in the group no more. */
     LEAVE,
+    /** Load a model's weights onto the host, whatever else goes on; the group stays as it is. */
+    STAGE,
     /** Only say that you are there. */
     PROBE
 }
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -36,8 +36,10 @@
     private final Consumer<GroupChange> changes;
     private final List<ManagedGroup> groups = new ArrayList<>();
     private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
+    private final Map<ModelVersionName, Long> lackedSinceNanos = new HashMap<>();
     private final InheritedGroups inherited = new InheritedGroups();
     private final LoadCeiling loadCeiling = new LoadCeiling();
+    private final RunningStages staging = new RunningStages();
     private final long startedNanos;
     private long nextEpoch;
 
@@ -72,9 +74,10 @@
         adopt(engine, vms, timings.silentNanos(), nowNanos);
         groups.forEach(group -> step(group, around));
         removeEnded(nowNanos);
+        noteLacking(engine, around);
         formMissing(engine, around);
         keepSpares(engine, around);
-        changeSpares(engine, around);
+        stageSecondModels(engine, around);
         joinNearer(around);
         return orders.build();
     }
@@ -174,8 +177,9 @@
         final Optional<FormationChoice> within =
                 FormationChoice.within(free, model, domain -> countIn(domain, model, around));
         final boolean needsLoad = within.isEmpty() || within.get().loads() > 0;
-        final Optional<FormationChoice> across =
-                needsLoad ? FormationChoice.acrossDomains(stranded(free, model), model) : Optional.empty();
+        final Optional<FormationChoice> across = needsLoad && hasLackedLong(model, around.nowNanos())
+                ? FormationChoice.acrossDomains(stranded(free, model), model)
+                : Optional.empty();
         return across.or(() -> within.filter(choice -> choice.loads() == 0 || !loadCeiling.haveCallersBeenSeen())
                 .filter(choice -> loadCeiling.allows(
                         choice.loads(),
@@ -185,6 +189,23 @@
                         around.nowNanos())));
     }
 
+    /** VMs that come back together are heard one after the other; those of one domain make the better group. */
+    private boolean hasLackedLong(GroupedModel model, long nowNanos) {
+        final Long sinceNanos = lackedSinceNanos.get(model.name());
+        return sinceNanos != null && nowNanos - sinceNanos >= GroupTimings.FAR_PATIENCE_NANOS;
+    }
+
+    private void noteLacking(EngineProfile engine, GroupSurroundings around) {
+        final int usable = usable(around).size();
+        for (final GroupedModel model : engine.models()) {
+            if (count(model, around) < WantedGroups.of(model, usable)) {
+                lackedSinceNanos.putIfAbsent(model.name(), around.nowNanos());
+            } else {
+                lackedSinceNanos.remove(model.name());
+            }
+        }
+    }
+
     /** Returns free VMs in domains without a group of the model; elsewhere they stand by for the group of their domain. */
     private List<VmHeartbeat> stranded(List<VmHeartbeat> free, GroupedModel model) {
         final Set<FabricDomain> withGroup = groups.stream()
@@ -243,24 +264,17 @@
         return FormationChoice.within(holders, group.model, domain -> 0).isPresent();
     }
 
-    /** Lets one spare at a time load the weights of a model that stands without a spare in its domain. */
-    private void changeSpares(EngineProfile engine, GroupSurroundings around) {
-        if (!loadCeiling.haveCallersBeenSeen()) {
-            return;
-        }
-        for (final ManagedGroup spare : ImmutableList.copyOf(groups)) {
-            final Optional<GroupedModel> model =
-                    spare.isSpare() ? SpareChoice.changeFor(spare, engine, groups, around) : Optional.empty();
-            final Optional<VmRecord> vm = around.record(spare.head());
-            final boolean allowed = model.isPresent()
-                    && vm.isPresent()
+    /** Lets spares load the weights of a second model onto their hosts, so that they can stand in for either one. */
+    private void stageSecondModels(EngineProfile engine, GroupSurroundings around) {
+        staging.forgetDone(around);
+        for (final SecondModel.Choice choice : SecondModel.choices(engine, groups, around)) {
+            final boolean allowed = staging.mayBegin(choice.spare(), around.nowNanos())
                     && loadCeiling.allows(
                             1, runningLoads(around), engine.loadsPerSecond(), engine.loadsAtOnce(), around.nowNanos());
             if (allowed) {
-                spare.endSpare(around.nowNanos());
-                removeEnded(around.nowNanos());
                 loadCeiling.started(1, around.nowNanos());
-                start(GroupPhase.SPARE, model.get(), ImmutableList.of(vm.get().heartbeat()), around);
+                staging.begun(choice, around.nowNanos());
+                around.orders().accept(choice.order(around.fencingTerm()));
             }
         }
     }
@@ -310,13 +324,14 @@
 
     /** Returns members that were told to join a model whose weights they do not hold yet. */
     private int runningLoads(GroupSurroundings around) {
-        return (int) groups.stream()
-                .filter(group -> group.phase() == GroupPhase.FORMING || group.isSpare())
-                .flatMap(group -> group.members.stream()
-                        .filter(member -> around.record(member)
-                                .filter(vm -> isLoading(vm.heartbeat(), group.model.name()))
-                                .isPresent()))
-                .count();
+        return staging.running()
+                + (int) groups.stream()
+                        .filter(group -> group.phase() == GroupPhase.FORMING || group.isSpare())
+                        .flatMap(group -> group.members.stream()
+                                .filter(member -> around.record(member)
+                                        .filter(vm -> isLoading(vm.heartbeat(), group.model.name()))
+                                        .isPresent()))
+                        .count();
     }
 
     private static boolean isLoading(VmHeartbeat vm, ModelVersionName model) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -41,6 +41,8 @@
     static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
     /** A group whose head does not open in this time is given up. */
     static final long OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
+    /** A model lacks a group for this long before one is formed across domains: VMs that restart come back within it. */
+    static final long FAR_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
     /** Loads slow each other down; a join that takes this many times the load time is given up. */
     static final int LOAD_PATIENCE = 4;
 
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -179,7 +179,8 @@
             become(GroupPhase.CLOSING, fault.get(), around.nowNanos());
             return;
         }
-        if (members.stream().allMatch(member -> member.answeredSince(phaseSinceNanos)) || progresses(around)) {
+        final boolean progressed = around.evidenceOf(head()).progressedSince(phaseSinceNanos);
+        if (progressed || members.stream().allMatch(member -> member.answeredSince(phaseSinceNanos))) {
             nextCheckNanos = around.nowNanos() + GroupTimings.PROBE_PAUSE_NANOS;
             become(GroupPhase.SERVING, "every member answers", around.nowNanos());
             return;
@@ -322,12 +323,15 @@
     }
 
     private boolean isSuspect(GroupSurroundings around) {
+        final EndpointEvidence evidence = around.evidenceOf(head());
+        if (evidence.refusedConnection()) {
+            return true;
+        }
         if (progresses(around)) {
             return false;
         }
-        final EndpointEvidence evidence = around.evidenceOf(head());
         final boolean stalled = evidence.inFlight() > 0 && evidence.stalledMs() >= GroupTimings.STALLED_MS;
-        return stalled || evidence.refusedConnection() || members.stream().anyMatch(around::isLate);
+        return stalled || members.stream().anyMatch(around::isLate);
     }
 
     private boolean progresses(GroupSurroundings around) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/SpareChoice.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/SpareChoice.java
@@ -34,30 +34,6 @@
                                 .thenComparingInt(model -> -model.groupSize())));
     }
 
-    /**
-     * Returns the model that a spare should change to: one that has groups or members in the spare's domain and no spare
-     * there, if the spare's own model has more for each VM of a group. Loading takes long, so this runs ahead of a loss.
-     */
-    static Optional<GroupedModel> changeFor(
-            ManagedGroup spare, EngineProfile engine, List<ManagedGroup> groups, GroupSurroundings around) {
-        return spare.head()
-                .domain
-                .flatMap(domain -> engine.models().stream()
-                        .filter(model -> model.groupSize() > spare.model.groupSize())
-                        .filter(model -> spares(domain, model, groups, around) == 0)
-                        .filter(model -> holders(domain, model, around) >= model.groupSize() - 1)
-                        .findFirst());
-    }
-
-    /** Returns the VMs of a domain that hold the model's weights and stay. */
-    private static int holders(FabricDomain domain, GroupedModel model, GroupSurroundings around) {
-        return (int) around.vms().values().stream()
-                .filter(vm -> vm.isStaying()
-                        && vm.heartbeat().domain().filter(domain::equals).isPresent()
-                        && Readiness.of(vm.heartbeat(), model) != Readiness.EMPTY)
-                .count();
-    }
-
     private static int spares(
             FabricDomain domain, GroupedModel model, List<ManagedGroup> groups, GroupSurroundings around) {
         return (int) groups.stream()
--- a/src/main/java/org/wigeongrade/platform/OrderWriter.java
+++ b/src/main/java/org/wigeongrade/platform/OrderWriter.java
@@ -56,9 +56,11 @@
     private static ImmutableMap<String, Object> fields(GroupOrder order) {
         final ImmutableMap.Builder<String, Object> fields = ImmutableMap.<String, Object>builder()
                 .put("operation", operation(order.kind()))
-                .put("fencingToken", order.fencingTerm())
-                .put("group", order.group().value())
-                .put("epoch", order.epoch());
+                .put("fencingToken", order.fencingTerm());
+        if (order.kind() == GroupOrderKind.STAGE) {
+            return fields.put("model", order.model().value()).buildOrThrow();
+        }
+        fields.put("group", order.group().value()).put("epoch", order.epoch());
         switch (order.kind()) {
             case JOIN ->
                 fields.put("model", order.model().value())
@@ -67,7 +69,7 @@
                                 order.members().stream().map(VmName::value).toList());
             case CLOSE_WHEN_DONE -> fields.put("method", "wait");
             case CLOSE_NOW -> fields.put("method", "evict");
-            case OPEN, LEAVE, PROBE -> {}
+            case OPEN, LEAVE, STAGE, PROBE -> {}
         }
         return fields.buildOrThrow();
     }
@@ -78,6 +80,8 @@
             case OPEN -> "open";
             case CLOSE_WHEN_DONE, CLOSE_NOW -> "close";
             case LEAVE -> "leave";
+            // The wire's name for loading weights onto the host.
+            case STAGE -> "phase";
             case PROBE -> throw new IllegalArgumentException("a probe is no order");
         };
     }
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -63,6 +64,50 @@
         assertThat(place(groups, Set.of(), laterNanos).endpoint().orElseThrow()).isEqualTo(groups.get(1));
     }
 
+    @ParameterizedTest
+    @CsvSource({"60, a", "180, b"})
+    void silenceOfRunningStreamsCountsLongBeforeTheGroupStandsStill(int silentMs, String chosen) {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        send(groups.get(0), 1);
+        groups.get(0).beganWriting();
+        send(groups.get(1), 3);
+        final long laterNanos = TimeUnit.MILLISECONDS.toNanos(silentMs);
+        groups.get(1).progressed(laterNanos);
+
+        assertThat(place(groups, Set.of(), laterNanos)
+                        .endpoint()
+                        .orElseThrow()
+                        .vm()
+                        .vm())
+                .isEqualTo(VmName.of(chosen));
+    }
+
+    @Test
+    void groupThatTheLeaderDoubtsIsUsedOnlyIfThereIsNoOther() {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        groups.get(0).suspected(true);
+        send(groups.get(1), 12);
+
+        assertThat(place(groups, Set.of(), 0).endpoint()).hasValue(groups.get(1));
+        assertThat(place(groups.subList(0, 1), Set.of(), 0).endpoint()).hasValue(groups.get(0));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"8000, 1000, 2000", "6000, 1000, 2000", "1500, 250, 500"})
+    void callersRefusedInARushComeBackSpreadOutAndAsLateAsTheyAgreeTo(long remainingMs, long fromMs, long toMs) {
+        final List<EndpointLoad> groups = List.of(group("a", HERE));
+        send(groups.get(0), 40);
+        final BalancedRequest request = new BalancedRequest(1_000, 500, 300, remainingMs, Set.of(), false, HERE);
+        final LongSummaryStatistics times = IntStream.range(0, 200)
+                .mapToLong(caller ->
+                        balancer.place(request, groups, engine, UNBOUNDED, 0).retryAfterMs())
+                .summaryStatistics();
+
+        assertThat(times.getMin()).isAtLeast(fromMs);
+        assertThat(times.getMax()).isAtMost(toMs);
+        assertThat(times.getMax() - times.getMin()).isAtLeast((toMs - fromMs) * 3 / 4);
+    }
+
     @Test
     void groupThatFailedIsAvoidedForAWhile() {
         final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -4,6 +4,7 @@
 import static org.wigeongrade.decisions.grouping.SimulatedFleet.LARGE;
 import static org.wigeongrade.decisions.grouping.SimulatedFleet.SMALL;
 
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -40,6 +41,71 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    @Test
+    void groupWithoutProgressIsDoubtedAtOnceAndRepairedWithinTwoSeconds() {
+        fleet.run(LOADED_MS);
+        fleet.callersKeepEveryGroupBusy();
+        fleet.run(2_000);
+        final SimulatedVm head = fleet.anyHead();
+        fleet.vms.stream()
+                .filter(vm -> !vm.isHead() && head.group.equals(vm.group))
+                .findFirst()
+                .orElseThrow()
+                .ended = true;
+        fleet.run(400);
+        assertThat(fleet.suspects()).containsExactly(head.life);
+
+        fleet.run(1_600);
+        assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isEqualTo(12);
+        assertThat(fleet.violations).isEmpty();
+    }
+
+    @Test
+    void headThatRefusesConnectionsIsDoubtedThoughItSentBytesJustBefore() {
+        fleet.run(LOADED_MS);
+        fleet.callersKeepEveryGroupBusy();
+        fleet.run(2_000);
+        final SimulatedVm head = fleet.anyHead();
+        head.ended = true;
+        fleet.refusedBy(head);
+        fleet.run(100);
+
+        assertThat(fleet.suspects()).containsExactly(head.life);
+        fleet.run(500);
+        assertThat(fleet.changes.stream()
+                        .filter(change -> change.phase() == GroupPhase.CLOSING)
+                        .flatMap(change -> change.members().stream()))
+                .contains(head.life);
+    }
+
+    @Test
+    void spareOfAnotherModelStandsInAfterAWarmupOnceItsOwnModelsSparesAreGone() {
+        fleet.run(LOADED_MS);
+        fleet.callersCome();
+        fleet.run(20_000);
+        final int before = fleet.loads;
+        fleet.loseMembers(LARGE, 2);
+
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.servingAcrossDomains()).isEqualTo(0);
+        assertThat(fleet.loads - before).isAtMost(2);
+        assertThat(fleet.violations).isEmpty();
+    }
+
+    @Test
+    void zoneThatComesBackFormsItsGroupsInsideTheirDomains() {
+        fleet.run(LOADED_MS);
+        fleet.callersCome();
+        fleet.run(20_000);
+        fleet.restartDomains(Set.of("domain-0", "domain-1"), 2_000, 300);
+        fleet.run(7_000);
+
+        assertThat(fleet.servingAcrossDomains()).isEqualTo(0);
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.serving(SMALL)).isEqualTo(6);
+        assertThat(fleet.violations).isEmpty();
+    }
+
     @Test
     void survivorsOfDarkHeadWaitUntilItIsBroken() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -19,6 +19,7 @@
 import org.wigeongrade.ids.FabricDomain;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
 
 /**
@@ -35,6 +36,7 @@
     static final EngineProfile ENGINE = new EngineProfile(
             18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final long ORDER_TIMEOUT_MS = 450;
+    private static final long PROBE_TIMEOUT_MS = 250;
     /** One request at an endpoint that belongs to no group here. */
     private static final ImmutableMap<VmName, EndpointEvidence> CALLERS =
             ImmutableMap.of(VmName.of("plain"), new EndpointEvidence(1, 0, 0, false));
@@ -58,6 +60,12 @@
     private VmRegistry registry = new VmRegistry();
     private GroupPlanner planner;
     private boolean callers;
+    /** Each open group has a request, so that entry nodes see whether it makes progress. */
+    private boolean everyGroupBusy;
+
+    /** When callers found no listener at a VM. */
+    private final Map<VmName, Long> refusedMs = new HashMap<>();
+
     private long term;
     private long nowMs;
     /** A leader plans nothing before it had the time to hear of each VM. */
@@ -123,10 +131,23 @@
 
     private void plan() {
         final GroupPlanner leader = planner;
-        leader.plan(ENGINE, registry.records(nanos(nowMs)), callers ? CALLERS : ImmutableMap.of(), nanos(nowMs))
+        leader.plan(ENGINE, registry.records(nanos(nowMs)), evidence(), nanos(nowMs))
                 .forEach(order -> deliver(leader, order));
     }
 
+    private Map<VmName, EndpointEvidence> evidence() {
+        if (!everyGroupBusy) {
+            return callers ? CALLERS : ImmutableMap.of();
+        }
+        return vms.stream()
+                .filter(vm -> vm.mayServe() || refusedMs.containsKey(vm.life.vm()))
+                .collect(ImmutableMap.toImmutableMap(head -> head.life.vm(), head -> {
+                    final boolean refuses = refusedMs.containsKey(head.life.vm());
+                    final long progressedMs = refuses ? refusedMs.get(head.life.vm()) : nowMs - head.stalledMs();
+                    return new EndpointEvidence(1, nowMs - progressedMs, nanos(progressedMs), refuses);
+                }));
+    }
+
     private void deliver(GroupPlanner leader, GroupOrder order) {
         final SimulatedVm vm = vms.stream()
                 .filter(each -> each.life.equals(order.vm()))
@@ -137,7 +158,7 @@
             at(2_000 + random.nextInt(10_000), () -> take(vm, order));
         }
         if (late || vm.dark || vm.ended) {
-            at(ORDER_TIMEOUT_MS, () -> leader.answered(order, OrderAnswer.NONE, nanos(nowMs)));
+            at(timeoutMs(order), () -> leader.answered(order, OrderAnswer.NONE, nanos(nowMs)));
             return;
         }
         at(5, () -> {
@@ -146,6 +167,10 @@
         });
     }
 
+    private static long timeoutMs(GroupOrder order) {
+        return order.kind() == GroupOrderKind.PROBE ? PROBE_TIMEOUT_MS : ORDER_TIMEOUT_MS;
+    }
+
     private static void take(SimulatedVm vm, GroupOrder order) {
         if (!vm.ended && !vm.dark) {
             vm.take(order);
@@ -157,6 +182,32 @@
         callers = true;
     }
 
+    /** Every open group has a request from now on, whose progress the leader is told of. */
+    void callersKeepEveryGroupBusy() {
+        callers = true;
+        everyGroupBusy = true;
+    }
+
+    /** Callers find no listener at a VM. */
+    void refusedBy(SimulatedVm vm) {
+        refusedMs.put(vm.life.vm(), nowMs);
+    }
+
+    /** Ends every VM of some domains; each starts again under another name, with the weights that its host keeps. */
+    void restartDomains(Set<String> domains, long downMs, long spreadMs) {
+        final List<SimulatedVm> lost = vms.stream()
+                .filter(vm -> !vm.ended && domains.contains(vm.domain.value()))
+                .toList();
+        for (final SimulatedVm vm : lost) {
+            vm.ended = true;
+            at(
+                    downMs + random.nextInt((int) spreadMs),
+                    () -> add(vm.life.vm().value() + "-again", vm.domain.value())
+                            .staged
+                            .addAll(vm.staged));
+        }
+    }
+
     /** Ends members of one group, one after the other, so that the later one meets the repaired group. */
     void loseMembers(GroupedModel model, int count) {
         final FabricDomain domain = vms.stream()
@@ -183,6 +234,13 @@
                 .count();
     }
 
+    List<VmIncarnation> suspects() {
+        return planner.serving(ENGINE).stream()
+                .filter(ServingGroup::suspect)
+                .map(ServingGroup::head)
+                .toList();
+    }
+
     int serving(GroupedModel model) {
         return (int) planner.serving(ENGINE).stream()
                 .filter(group -> group.model().equals(model.name()))
@@ -242,7 +300,7 @@
                         + head.life + " of " + head.group + " is " + head.state));
     }
 
-    private void at(long delayMs, Runnable action) {
+    void at(long delayMs, Runnable action) {
         events.add(new Event(nowMs + delayMs, sequence++, action));
     }
 
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
@@ -59,6 +59,11 @@
         return !ended && isHead() && (state == GroupState.OPEN || state == GroupState.CLOSING);
     }
 
+    /** Returns for how long nothing has moved in the group that this VM heads. */
+    long stalledMs() {
+        return Math.max(0, fleet.nowMs() - standsStillSinceMs);
+    }
+
     OrderAnswer take(GroupOrder order) {
         if (order.kind() == GroupOrderKind.PROBE) {
             return OrderAnswer.DONE;
@@ -70,6 +75,9 @@
         if (order.kind() == GroupOrderKind.JOIN) {
             return join(order);
         }
+        if (order.kind() == GroupOrderKind.STAGE) {
+            return stage(order.model());
+        }
         final boolean here = order.group().equals(group) && order.epoch() == epoch;
         if (!here) {
             return OrderAnswer.REFUSED;
@@ -78,7 +86,7 @@
             case OPEN -> open();
             case CLOSE_NOW, CLOSE_WHEN_DONE -> close();
             case LEAVE -> leave();
-            case JOIN, PROBE -> throw new IllegalStateException();
+            case JOIN, STAGE, PROBE -> throw new IllegalStateException();
         };
     }
 
@@ -96,16 +104,31 @@
         members = order.members();
         state = GroupState.JOINING;
         changesAtMs = fleet.nowMs() + joinMs(order.model());
-        if (!staged.contains(order.model())) {
+        // A join needs no load if the weights are in memory or on the host; a load replaces what the host keeps.
+        if (!order.model().equals(lastModel) && !staged.contains(order.model())) {
             fleet.loads++;
+            staged.clear();
+            staged.add(order.model());
         }
-        staged.clear();
-        staged.add(order.model());
         lastModel = order.model();
         beatSoon();
         return OrderAnswer.BEGUN;
     }
 
+    /** Loads a model onto the host, which keeps one; the weights in memory stay. */
+    private OrderAnswer stage(ModelVersionName model) {
+        if (staged.contains(model)) {
+            return OrderAnswer.DONE;
+        }
+        fleet.loads++;
+        fleet.at(fleet.model(model).loadMs(), () -> {
+            staged.clear();
+            staged.add(model);
+            beatSoon();
+        });
+        return OrderAnswer.BEGUN;
+    }
+
     private long joinMs(ModelVersionName model) {
         if (model.equals(lastModel)) {
             return REJOIN_MS;
