--- a/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
+++ b/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
@@ -83,6 +83,7 @@
                 role,
                 AvailabilityZone.of("trial"),
                 isControl ? LOOPBACK : SECOND_LOOPBACK,
+                isControl ? LOOPBACK : SECOND_LOOPBACK,
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(SECOND_LOOPBACK, control + 1)),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(SECOND_LOOPBACK, control + 2)),
                 isControl ? Optional.of(new NodeAddress(LOOPBACK, control)) : Optional.empty(),
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -117,7 +117,7 @@
         final ControlService service = new ControlService(
                 log, machine, registry, directory, leaderLoop::current, this::learn, leaderLoop::wake, clock);
         this.nodeServer = new NodeServer(
-                new InetSocketAddress(settings.ip(), settings.fleetPort()),
+                new InetSocketAddress(settings.bindIp(), settings.fleetPort()),
                 new FleetService.Processor<>(service),
                 WORKER_THREADS);
     }
@@ -134,7 +134,7 @@
                 settings.controlListen().orElseThrow().toSocketAddress(),
                 MAX_HEADER_BYTES,
                 pipeline -> addHandlers(pipeline, answers));
-        MetricsListener.open(loop, new InetSocketAddress(settings.ip(), settings.metricsPort()), metrics);
+        MetricsListener.open(loop, new InetSocketAddress(settings.bindIp(), settings.metricsPort()), metrics);
         events.write(LogEvent.NODE_STARTED, settings.name(), settings.availabilityZone(), listenText());
     }
 
@@ -175,7 +175,7 @@
         final LogSettings logSettings = new LogSettings(
                 core,
                 settings.dataFolder().orElseThrow(),
-                new InetSocketAddress(settings.ip(), settings.logPort()),
+                new InetSocketAddress(settings.bindIp(), settings.logPort()),
                 directory,
                 LogSettings.DEFAULT_COMPACT_AFTER_ENTRIES);
         return RaftReplicatedLog.open(logSettings, new ReplicatedPublishedState(machine), clock, this::logFailed);
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -121,7 +121,7 @@
                 CallerLimits.DEFAULT.maxHeaderBytes(),
                 pipeline -> pipeline.addLast(new HttpObjectAggregator(MAX_READINESS_BYTES))
                         .addLast(new CallServer(call -> CompletableFuture.completedFuture(readiness(call)))));
-        MetricsListener.open(loop, new InetSocketAddress(settings.ip(), settings.metricsPort()), metrics);
+        MetricsListener.open(loop, new InetSocketAddress(settings.bindIp(), settings.metricsPort()), metrics);
         events.write(
                 LogEvent.NODE_STARTED,
                 settings.name(),
--- a/src/main/java/org/wigeongrade/settings/FleetSettings.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettings.java
@@ -16,7 +16,8 @@
  * controlListen} and {@code dataFolder}. The internal ports are the same on every VM of the fleet. Immutable; safe for
  * use from any thread.
  *
- * @param ip the VM's own address, which also names it among the control VMs
+ * @param ip the address at which other nodes reach the VM, which also names it among the control VMs
+ * @param bindIp the address that the internal ports listen at; differs from {@code ip} behind a forwarder
  * @param firstInternalPort first of two ports: replicated log, calls between nodes
  * @param metricsPort port of the metrics of this process
  * @param seeds control addresses of some control VMs; they may be out of date
@@ -27,6 +28,7 @@
         FleetRole role,
         AvailabilityZone availabilityZone,
         String ip,
+        String bindIp,
         Optional<NodeAddress> callerListen,
         Optional<NodeAddress> readinessListen,
         Optional<NodeAddress> controlListen,
--- a/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
@@ -72,6 +72,7 @@
         final Optional<AvailabilityZone> zone =
                 table.requiredConverted("availability_zone", "the availability zone of this VM", AvailabilityZone::of);
         final Optional<String> ip = table.requiredConverted("ip", "the IP number of this VM", text -> text);
+        final Optional<String> bindIp = table.converted("bind_ip", text -> text);
         final Optional<NodeAddress> callerListen = table.converted("caller_listen", NodeAddress::of);
         final Optional<NodeAddress> readinessListen = table.converted("readiness_listen", NodeAddress::of);
         final Optional<NodeAddress> controlListen = table.converted("control_listen", NodeAddress::of);
@@ -96,6 +97,7 @@
                 role.get(),
                 zone.get(),
                 ip.get(),
+                bindIp.orElse(ip.get()),
                 callerListen,
                 readinessListen,
                 controlListen,
--- a/src/test/java/org/wigeongrade/platform/FleetOnLoopbackTest.java
+++ b/src/test/java/org/wigeongrade/platform/FleetOnLoopbackTest.java
@@ -233,6 +233,7 @@
                 role,
                 AvailabilityZone.of("zone-a"),
                 isControl ? CONTROL_IP : ENTRY_IP,
+                isControl ? CONTROL_IP : ENTRY_IP,
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ENTRY_IP, firstPort + 4)),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ENTRY_IP, firstPort + 5)),
                 isControl ? Optional.of(controlListen) : Optional.empty(),
--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/soak/ControlCaller.java
@@ -0,0 +1,49 @@
+package org.wigeongrade.platform.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Calls the control VMs as endpoints and operators do: any of them, then another one. Thread safe. */
+final class ControlCaller {
+    private static final int READ_TIMEOUT_MS = 1_000;
+    private static final int FIRST_FAILURE = 500;
+    private static final int REDIRECT = 307;
+
+    private final List<InetSocketAddress> controls;
+
+    ControlCaller(List<InetSocketAddress> controls) {
+        this.controls = List.copyOf(controls);
+    }
+
+    /** Makes one call to some control VM and follows one redirect; returns nothing if there was no clear answer. */
+    Optional<HttpConnection.Answer> call(String method, String path, String body) {
+        final InetSocketAddress first = controls.get(ThreadLocalRandom.current().nextInt(controls.size()));
+        final Optional<HttpConnection.Answer> answer = callAt(first, method, path, body);
+        final boolean elsewhere =
+                answer.filter(found -> found.status() == REDIRECT).isPresent();
+        final Optional<HttpConnection.Answer> last =
+                elsewhere ? callAt(target(answer.orElseThrow()), method, path, body) : answer;
+        return last.filter(found -> found.status() < FIRST_FAILURE && found.status() != REDIRECT);
+    }
+
+    private static InetSocketAddress target(HttpConnection.Answer redirect) {
+        final String location = redirect.headers().get("location").replaceFirst("http://", "");
+        final String authority = location.substring(0, location.indexOf('/'));
+        final int colon = authority.indexOf(':');
+        return SoakAddresses.address(authority.substring(0, colon), Integer.parseInt(authority.substring(colon + 1)));
+    }
+
+    private static Optional<HttpConnection.Answer> callAt(
+            InetSocketAddress control, String method, String path, String body) {
+        try (HttpConnection connection = new HttpConnection(control, READ_TIMEOUT_MS)) {
+            final Map<String, String> headers = Map.of("Host", "control", "Content-Type", "application/json");
+            return Optional.of(connection.call(method, path, headers, body));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/soak/HttpConnection.java
@@ -0,0 +1,114 @@
+package org.wigeongrade.platform.soak;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * One HTTP/1.1 connection of a client that never sends a request twice by itself.
+ *
+ * <p>Invariant: an answer that ends early is an {@link IOException}. Not thread safe.
+ */
+final class HttpConnection implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int HEX = 16;
+
+    private final Socket socket = new Socket();
+    private final InputStream input;
+    private boolean open = true;
+
+    /** One whole answer. */
+    record Answer(int status, Map<String, String> headers, String body) {}
+
+    HttpConnection(InetSocketAddress address, int readTimeoutMs) throws IOException {
+        socket.connect(address, CONNECT_TIMEOUT_MS);
+        socket.setSoTimeout(readTimeoutMs);
+        socket.setTcpNoDelay(true);
+        input = new BufferedInputStream(socket.getInputStream());
+    }
+
+    /** Returns whether another request may be sent. */
+    boolean isOpen() {
+        return open;
+    }
+
+    /** Sends a request with a body and reads its whole answer. */
+    Answer call(String method, String target, Map<String, String> headers, String body) throws IOException {
+        open = false;
+        final StringBuilder head =
+                new StringBuilder(method).append(' ').append(target).append(" HTTP/1.1\r\n");
+        headers.forEach(
+                (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        final byte[] content = body.getBytes(StandardCharsets.UTF_8);
+        head.append("Content-Length: ").append(content.length).append("\r\n\r\n");
+        final ByteArrayOutputStream message = new ByteArrayOutputStream();
+        message.writeBytes(head.toString().getBytes(StandardCharsets.US_ASCII));
+        message.writeBytes(content);
+        socket.getOutputStream().write(message.toByteArray());
+        return read();
+    }
+
+    private Answer read() throws IOException {
+        final String[] statusLine = line().split(" ", 3);
+        final Map<String, String> headers = new HashMap<>();
+        for (String line = line(); !line.isEmpty(); line = line()) {
+            final int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).strip());
+        }
+        final String body = new String(body(headers), StandardCharsets.UTF_8);
+        open = !"close".equalsIgnoreCase(headers.get("connection"));
+        return new Answer(Integer.parseInt(statusLine[1]), headers, body);
+    }
+
+    private byte[] body(Map<String, String> headers) throws IOException {
+        if (!"chunked".equalsIgnoreCase(headers.get("transfer-encoding"))) {
+            return exactly(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        }
+        final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        int size = Integer.parseInt(line().strip(), HEX);
+        while (size > 0) {
+            whole.writeBytes(exactly(size));
+            line();
+            size = Integer.parseInt(line().strip(), HEX);
+        }
+        line();
+        return whole.toByteArray();
+    }
+
+    private byte[] exactly(int size) throws IOException {
+        final byte[] bytes = input.readNBytes(size);
+        if (bytes.length < size) {
+            throw new EOFException("the answer ended after " + bytes.length + " of " + size + " bytes");
+        }
+        return bytes;
+    }
+
+    private String line() throws IOException {
+        final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = input.read(); next != '\n'; next = input.read()) {
+            if (next < 0) {
+                throw new EOFException("the connection ended within an answer");
+            }
+            if (next != '\r') {
+                line.write(next);
+            }
+        }
+        return line.toString(StandardCharsets.US_ASCII);
+    }
+
+    @Override
+    public void close() throws IOException {
+        open = false;
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakAddresses.java
@@ -0,0 +1,63 @@
+package org.wigeongrade.platform.soak;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.wigeongrade.proof.LoopbackPorts;
+
+/**
+ * Loopback addresses of one soak. A control VM listens at one address and is known to the others by another one, where a
+ * proxy forwards to it. Immutable; safe for use from any thread.
+ */
+record SoakAddresses(int firstPort, int controls, int entries) {
+    private static final int PORTS = 6;
+
+    static SoakAddresses free(int controls, int entries) {
+        return new SoakAddresses(LoopbackPorts.freeRow(PORTS), controls, entries);
+    }
+
+    List<Integer> forwardedPorts() {
+        return List.of(firstPort, firstPort + 1, controlPort());
+    }
+
+    int controlPort() {
+        return firstPort + 3;
+    }
+
+    int callerPort() {
+        return firstPort + 4;
+    }
+
+    int readinessPort() {
+        return firstPort + 5;
+    }
+
+    String knownControlIp(int index) {
+        return "127.78.1." + (index + 1);
+    }
+
+    String ownControlIp(int index) {
+        return "127.77.1." + (index + 1);
+    }
+
+    String entryIp(int index) {
+        return "127.77.2." + (index + 1);
+    }
+
+    /** Returns where endpoints and operators reach each control VM. */
+    List<InetSocketAddress> controlAddresses() {
+        return IntStream.range(0, controls)
+                .mapToObj(index -> address(knownControlIp(index), controlPort()))
+                .toList();
+    }
+
+    static InetSocketAddress address(String ip, int port) {
+        try {
+            return new InetSocketAddress(InetAddress.getByName(ip), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakNodes.java
@@ -0,0 +1,204 @@
+package org.wigeongrade.platform.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.wigeongrade.proof.Await;
+import org.wigeongrade.proof.CuttingProxy;
+import org.wigeongrade.proof.ManagedProcess;
+
+/**
+ * The processes of a fleet on loopback, control VMs behind proxies.
+ *
+ * <p>Invariant: {@link #close} ends every process that was started here, by its id. Thread safe; one fault at a time holds
+ * a node.
+ */
+final class SoakNodes implements AutoCloseable {
+    static final int LOSSES_BORNE = 1;
+    private static final String MAIN = "org.wigeongrade.command.Main";
+    private static final int GRACE_S = 3;
+
+    private final Path folder;
+    private final SoakAddresses addresses;
+    private final List<ManagedProcess> processes = new ArrayList<>();
+    private final List<Object> locks = new ArrayList<>();
+    private final List<List<CuttingProxy>> proxies = new ArrayList<>();
+
+    SoakNodes(Path folder, SoakAddresses addresses) throws IOException {
+        this.folder = folder;
+        this.addresses = addresses;
+        for (int control = 0; control < addresses.controls(); control++) {
+            proxies.add(proxiesOf(control));
+        }
+        for (int node = 0; node < count(); node++) {
+            locks.add(new Object());
+            writeSettings(node, true);
+            processes.add(ManagedProcess.java(
+                    name(node),
+                    folder,
+                    MAIN,
+                    List.of("fleet-node", "--settings", settingsFile(node).toString())));
+        }
+    }
+
+    private List<CuttingProxy> proxiesOf(int control) throws IOException {
+        final List<CuttingProxy> made = new ArrayList<>();
+        for (final int port : addresses.forwardedPorts()) {
+            made.add(new CuttingProxy(
+                    SoakAddresses.address(addresses.knownControlIp(control), port),
+                    SoakAddresses.address(addresses.ownControlIp(control), port)));
+        }
+        return made;
+    }
+
+    SoakAddresses addresses() {
+        return addresses;
+    }
+
+    /** Returns the number of nodes; control nodes come first. */
+    int count() {
+        return addresses.controls() + addresses.entries();
+    }
+
+    String name(int node) {
+        return isControl(node) ? "control-" + node : "entry-" + (node - addresses.controls());
+    }
+
+    void cut(int control, CuttingProxy.Mode mode) {
+        proxies.get(control).forEach(proxy -> proxy.set(mode));
+    }
+
+    /** Resets the open connections to a control VM; new ones pass. */
+    void resetConnections(int control) {
+        cut(control, CuttingProxy.Mode.RESET);
+        cut(control, CuttingProxy.Mode.PASS);
+    }
+
+    /** Kills a node and starts it again, with an empty disk if that is lost. */
+    void killAndRestart(int node, long downMs, boolean loseDisk) {
+        synchronized (locks.get(node)) {
+            processes.get(node).kill();
+            if (loseDisk) {
+                deleteData(node);
+            }
+            restartAfter(node, downMs);
+        }
+    }
+
+    /** Stops a node by SIGTERM, kills it after its grace, and starts it again. */
+    void stopAndRestart(int node, long downMs) {
+        synchronized (locks.get(node)) {
+            processes.get(node).terminate();
+            if (!processes.get(node).awaitEnd(GRACE_S * 1_000L)) {
+                processes.get(node).kill();
+            }
+            restartAfter(node, downMs);
+        }
+    }
+
+    void pause(int node, long forMs) {
+        synchronized (locks.get(node)) {
+            processes.get(node).freeze();
+            Await.sleepMs(forMs);
+            processes.get(node).thaw();
+        }
+    }
+
+    private void restartAfter(int node, long downMs) {
+        Await.sleepMs(downMs);
+        writeSettings(node, false);
+        processes.get(node).restart();
+    }
+
+    private boolean isControl(int node) {
+        return node < addresses.controls();
+    }
+
+    private Path settingsFile(int node) {
+        return folder.resolve(name(node) + ".toml");
+    }
+
+    private Path dataFolder(int node) {
+        return folder.resolve("data-" + name(node));
+    }
+
+    private void writeSettings(int node, boolean bootstrap) {
+        final String seeds = IntStream.range(0, Math.min(3, addresses.controls()))
+                .mapToObj(control -> "\"" + addresses.knownControlIp(control) + ":" + addresses.controlPort() + "\"")
+                .collect(Collectors.joining(", "));
+        final String ip =
+                isControl(node) ? addresses.knownControlIp(node) : addresses.entryIp(node - addresses.controls());
+        final String own = isControl(node) ? addresses.ownControlIp(node) : ip;
+        final String role = isControl(node)
+                ? "role = \"control\"\ncontrol_listen = \"" + own + ":" + addresses.controlPort()
+                        + "\"\ndata_folder = \"" + dataFolder(node) + "\"\n"
+                : "role = \"entry\"\ncaller_listen = \"" + own + ":" + addresses.callerPort()
+                        + "\"\nreadiness_listen = \"" + own + ":" + addresses.readinessPort() + "\"\n";
+        final String text = """
+                name = "%s"
+                availability_zone = "zone-a"
+                ip = "%s"
+                bind_ip = "%s"
+                first_internal_port = %d
+                seeds = [%s]
+                bootstrap = %s
+                losses_borne = %d
+                heartbeat_ms = %d
+                stall_ms = %d
+                revoke_ms = %d
+                grace_s = %d
+                """.formatted(
+                        name(node),
+                        ip,
+                        own,
+                        addresses.firstPort(),
+                        seeds,
+                        bootstrap,
+                        LOSSES_BORNE,
+                        StandinVm.HEARTBEAT_MS,
+                        EngineMember.STALL_MS,
+                        SoakOperator.REVOKE_MS,
+                        GRACE_S);
+        try {
+            Files.writeString(settingsFile(node), text + role);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void deleteData(int node) {
+        try (Stream<Path> files = Files.walk(dataFolder(node))) {
+            for (final Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns the logs of every node, to trace a violation. */
+    String logs() {
+        return processes.stream()
+                .map(process -> "==== " + process.name() + "\n" + process.output())
+                .collect(Collectors.joining("\n"));
+    }
+
+    @Override
+    public void close() {
+        processes.forEach(ManagedProcess::close);
+        for (final CuttingProxy proxy : proxies.stream().flatMap(List::stream).toList()) {
+            try {
+                proxy.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+}
--- a/src/test/java/org/wigeongrade/proof/Await.java
+++ b/src/test/java/org/wigeongrade/proof/Await.java
@@ -5,13 +5,13 @@
 import java.util.function.BooleanSupplier;
 
 /** Waits of the process tests, all bounded. Stateless. */
-final class Await {
+public final class Await {
     private static final long POLL_MS = 50;
 
     private Await() {}
 
     /** Waits until {@code condition} holds; fails with {@code what} after {@code timeoutMs}. */
-    static void until(String what, long timeoutMs, BooleanSupplier condition) {
+    public static void until(String what, long timeoutMs, BooleanSupplier condition) {
         long deadlineNanos = System.nanoTime() + timeoutMs * 1_000_000;
         while (!condition.getAsBoolean()) {
             assertWithMessage("%s within %s ms", what, timeoutMs)
@@ -21,7 +21,7 @@
         }
     }
 
-    static void sleepMs(long timeMs) {
+    public static void sleepMs(long timeMs) {
         try {
             Thread.sleep(timeMs);
         } catch (InterruptedException e) {
--- a/src/test/java/org/wigeongrade/proof/CuttingProxy.java
+++ b/src/test/java/org/wigeongrade/proof/CuttingProxy.java
@@ -14,11 +14,15 @@
  * <p>Invariant: a connection that went silent stays silent for good, as when something between the ends lost track of it.
  * Safe for use from any thread.
  */
-final class CuttingProxy implements AutoCloseable {
+public final class CuttingProxy implements AutoCloseable {
     /** What becomes of connections. */
-    enum Mode {
+    public enum Mode {
         /** Everything passes. */
         PASS,
+        /** Bytes arrive late. */
+        DELAYED,
+        /** Bytes towards the target vanish; those from it pass. */
+        DEAF,
         /** Bytes vanish: open connections and new ones give no sign of life and no reset. */
         SILENT,
         /** Connections are reset. */
@@ -26,6 +30,8 @@
     }
 
     private static final int BUFFER_BYTES = 16 * 1024;
+    /** Longer than a round trip between any two VMs, shorter than the timeouts between nodes. */
+    private static final long DELAY_MS = 120;
 
     private final ServerSocket server;
     private final InetSocketAddress target;
@@ -34,8 +40,15 @@
 
     /** Listens at a free loopback port and forwards to {@code targetPort}. */
     CuttingProxy(int targetPort) throws IOException {
-        this.target = new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort);
-        this.server = new ServerSocket(LoopbackPorts.free(), 50, InetAddress.getLoopbackAddress());
+        this(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), LoopbackPorts.free()),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort));
+    }
+
+    /** Listens at one address and forwards to another. */
+    public CuttingProxy(InetSocketAddress listen, InetSocketAddress target) throws IOException {
+        this.target = target;
+        this.server = new ServerSocket(listen.getPort(), 50, listen.getAddress());
         start("proxy-accept", this::accept);
     }
 
@@ -45,7 +58,7 @@
     }
 
     /** Sets what becomes of open and new connections. */
-    void set(Mode newMode) {
+    public void set(Mode newMode) {
         mode = newMode;
         if (newMode == Mode.SILENT) {
             silenceOpenConnections();
@@ -55,7 +68,7 @@
     }
 
     /** Silences the open connections for good while new ones pass. */
-    void silenceOpenConnections() {
+    public void silenceOpenConnections() {
         links.forEach(link -> link.silent = true);
     }
 
@@ -84,8 +97,8 @@
             link.reset();
             return;
         }
-        start("proxy-pump", () -> link.pump(near, far));
-        start("proxy-pump", () -> link.pump(far, near));
+        start("proxy-pump", () -> link.pump(near, far, true));
+        start("proxy-pump", () -> link.pump(far, near, false));
     }
 
     private static void start(String name, Runnable action) {
@@ -105,18 +118,24 @@
         private final Socket near;
         private final Socket far;
         private volatile boolean silent;
+        private volatile boolean deaf;
 
         private Link(Socket near, Socket far) {
             this.near = near;
             this.far = far;
         }
 
-        private void pump(Socket from, Socket to) {
+        private void pump(Socket from, Socket to, boolean towardsTarget) {
             byte[] buffer = new byte[BUFFER_BYTES];
             try {
                 int count = from.getInputStream().read(buffer);
                 while (count >= 0) {
-                    if (!silent) {
+                    if (mode == Mode.DELAYED) {
+                        Await.sleepMs(DELAY_MS);
+                    }
+                    // A connection that lost bytes must not pass later ones.
+                    deaf = deaf || (towardsTarget && mode == Mode.DEAF);
+                    if (!silent && !(towardsTarget && deaf)) {
                         to.getOutputStream().write(buffer, 0, count);
                     }
                     count = from.getInputStream().read(buffer);
--- a/src/test/java/org/wigeongrade/proof/ManagedProcess.java
+++ b/src/test/java/org/wigeongrade/proof/ManagedProcess.java
@@ -13,7 +13,7 @@
  *
  * <p>Invariant: {@link #close} leaves no process behind. Safe for use from any thread.
  */
-final class ManagedProcess implements AutoCloseable {
+public final class ManagedProcess implements AutoCloseable {
     private static final List<String> JAVA = List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Xmx64m",
@@ -38,7 +38,7 @@
     }
 
     /** Starts {@code mainClass} of this project with {@code arguments}; output goes to {@code folder/name.log}. */
-    static ManagedProcess java(String name, Path folder, String mainClass, List<String> arguments) {
+    public static ManagedProcess java(String name, Path folder, String mainClass, List<String> arguments) {
         List<String> command = new ArrayList<>(JAVA);
         command.add(mainClass);
         command.addAll(arguments);
@@ -47,12 +47,12 @@
         return managed;
     }
 
-    String name() {
+    public String name() {
         return name;
     }
 
     /** Starts the process anew; the one before must have ended. */
-    synchronized void restart() {
+    public synchronized void restart() {
         if (process != null && process.isAlive()) {
             throw new IllegalStateException(name + " still runs; end it before it is started again");
         }
@@ -67,23 +67,23 @@
     }
 
     /** Ends the process at once, as a lost VM does. */
-    synchronized void kill() {
+    public synchronized void kill() {
         process.destroyForcibly();
         awaitEnd(5_000);
     }
 
     /** Asks the process to stop by SIGTERM. */
-    synchronized void terminate() {
+    public synchronized void terminate() {
         process.destroy();
     }
 
     /** Stops the process from running (SIGSTOP) without ending it. */
-    void freeze() {
+    public void freeze() {
         signal("-STOP");
     }
 
     /** Lets a frozen process run on. */
-    void thaw() {
+    public void thaw() {
         signal("-CONT");
     }
 
@@ -103,7 +103,7 @@
         }
     }
 
-    synchronized boolean isAlive() {
+    public synchronized boolean isAlive() {
         return process.isAlive();
     }
 
@@ -112,7 +112,7 @@
     }
 
     /** Waits for the end of the process and returns whether it ended in time. */
-    boolean awaitEnd(long timeoutMs) {
+    public boolean awaitEnd(long timeoutMs) {
         Process awaited;
         synchronized (this) {
             awaited = process;
@@ -130,7 +130,7 @@
     }
 
     /** Returns what the process printed. */
-    String output() {
+    public String output() {
         try {
             return Files.exists(output) ? Files.readString(output) : "";
         } catch (IOException e) {
