--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -268,7 +268,8 @@
     private void stageSecondModels(EngineProfile engine, GroupSurroundings around) {
         staging.forgetDone(around);
         for (final SecondModel.Choice choice : SecondModel.choices(engine, groups, around)) {
-            final boolean allowed = staging.mayBegin(choice.spare(), around.nowNanos())
+            final boolean allowed = staging.running() < GroupTimings.SECOND_LOADS_AT_ONCE
+                    && staging.mayBegin(choice.spare(), around.nowNanos())
                     && loadCeiling.allows(
                             1, runningLoads(around), engine.loadsPerSecond(), engine.loadsAtOnce(), around.nowNanos());
             if (allowed) {
@@ -309,7 +310,10 @@
                 .count();
         return (int) managed
                 + inherited.pending(
-                        model.name(), ImmutableList.copyOf(around.vms().values()));
+                        model.name(),
+                        ImmutableList.copyOf(around.vms().values()),
+                        timings.silentNanos(),
+                        around.nowNanos());
     }
 
     private int countIn(FabricDomain domain, GroupedModel model, GroupSurroundings around) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -42,7 +42,9 @@
     /** A group whose head does not open in this time is given up. */
     static final long OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
     /** A model lacks a group for this long before one is formed across domains: VMs that restart come back within it. */
-    static final long FAR_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+    static final long FAR_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+    /** Loads of second models that run at once; those of VMs that hold no weights go first. */
+    static final int SECOND_LOADS_AT_ONCE = 2;
     /** Loads slow each other down; a join that takes this many times the load time is given up. */
     static final int LOAD_PATIENCE = 4;
 
--- a/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
@@ -61,9 +61,10 @@
                 && (state == GroupState.OPEN || state == GroupState.CLOSING);
     }
 
-    /** Returns the groups of a model that are known from reports and not taken over yet. */
-    int pending(ModelVersionName model, List<VmRecord> vms) {
+    /** Returns the groups of a model that are known from VMs that were heard of late and not taken over yet. */
+    int pending(ModelVersionName model, List<VmRecord> vms, long patienceNanos, long nowNanos) {
         return (int) vms.stream()
+                .filter(vm -> vm.silentNanos(nowNanos) <= patienceNanos)
                 .filter(vm -> isIn(vm)
                         && vm.heartbeat().loadedModel().filter(model::equals).isPresent())
                 .map(InheritedGroups::keyOf)
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -292,9 +292,6 @@
             if (around.record(member).isEmpty()) {
                 return Optional.of("member " + member.vm + " ended");
             }
-            if (around.isSilent(member) && !progresses(around)) {
-                return Optional.of("member " + member.vm + " is silent");
-            }
             if (reportsOtherwise(member, around)) {
                 return Optional.of("member " + member.vm + " is not in the group");
             }
--- a/src/main/java/org/wigeongrade/decisions/grouping/SecondModel.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/SecondModel.java
@@ -16,6 +16,9 @@
  * and groups of the second one after a warm-up, where it would have to load for many seconds otherwise. Stateless.
  */
 final class SecondModel {
+    /** VMs of a domain that stand by for a model, up to which another one is useful. */
+    private static final int FEW_READY = 1;
+
     /** One spare and the model to load onto its host. Immutable; safe for use from any thread. */
     record Choice(ManagedGroup spare, GroupedModel model, int readyInDomain) {
         GroupOrder order(long fencingTerm) {
@@ -34,11 +37,12 @@
 
     private SecondModel() {}
 
-    /** Returns the spares that could load a second model; first those whose domains have the fewest VMs ready for it. */
+    /** Returns the spares that could load a model that few VMs of their domain stand by for; those with none go first. */
     static List<Choice> choices(EngineProfile engine, List<ManagedGroup> groups, GroupSurroundings around) {
         return groups.stream()
                 .filter(group -> group.isSpare() && isReady(group, around))
                 .flatMap(spare -> choiceFor(spare, engine, groups, around).stream())
+                .filter(choice -> choice.readyInDomain() <= FEW_READY)
                 .sorted(Comparator.comparingInt(Choice::readyInDomain)
                         .thenComparingInt(choice -> -choice.model().groupSize()))
                 .toList();
@@ -66,14 +70,15 @@
         return vm.stagedModels().stream().anyMatch(model -> !model.equals(spare.model.name()));
     }
 
-    /** Returns the spares of a domain that need not load the model. */
+    /** Returns the VMs of a domain that are in no group that serves and need not load the model. */
     private static int ready(
             Optional<FabricDomain> domain, GroupedModel model, List<ManagedGroup> groups, GroupSurroundings around) {
-        return (int) groups.stream()
-                .filter(group -> group.isSpare() && group.head().domain.equals(domain))
-                .filter(group -> around.record(group.head())
-                        .filter(vm -> Readiness.of(vm.heartbeat(), model) != Readiness.EMPTY)
-                        .isPresent())
+        return (int) around.vms().values().stream()
+                .filter(vm -> vm.isStaying() && vm.heartbeat().domain().equals(domain))
+                .filter(vm -> Readiness.of(vm.heartbeat(), model) != Readiness.EMPTY)
+                .filter(vm -> groups.stream()
+                        .noneMatch(
+                                group -> !group.isSpare() && group.has(vm.vm().vm())))
                 .count();
     }
 }
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -82,7 +82,7 @@
     void spareOfAnotherModelStandsInAfterAWarmupOnceItsOwnModelsSparesAreGone() {
         fleet.run(LOADED_MS);
         fleet.callersCome();
-        fleet.run(20_000);
+        fleet.run(LOADED_MS);
         final int before = fleet.loads;
         fleet.loseMembers(LARGE, 2);
 
@@ -106,6 +106,21 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    @Test
+    void groupsWhoseHeartbeatsFindNoLeaderForAWhileServeOn() {
+        fleet.run(LOADED_MS);
+        fleet.changes.clear();
+        fleet.vms.forEach(vm -> vm.mute = true);
+        fleet.run(4_000);
+        fleet.newLeader();
+        fleet.run(1_000);
+        fleet.vms.forEach(vm -> vm.mute = false);
+        fleet.run(3_000);
+
+        assertThat(fleet.changes.stream().map(GroupChange::phase).toList()).doesNotContain(GroupPhase.CLOSING);
+        assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isEqualTo(12);
+    }
+
     @Test
     void survivorsOfDarkHeadWaitUntilItIsBroken() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -53,7 +53,12 @@
     /** Part of the orders that get no answer and are carried out 2 to 12 s later. */
     double lateOrders;
 
+    /** Joins that had to load their weights. */
     int loads;
+
+    /** Loads of second models onto hosts, while the VM stays as it is. */
+    int secondLoads;
+
     private final Map<GroupName, Set<VmName>> everReady = new HashMap<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
@@ -28,6 +28,9 @@
     /** The process has ended. */
     boolean ended;
 
+    /** Heartbeats get lost on their way; orders arrive. */
+    boolean mute;
+
     boolean draining;
     GroupName group;
     long epoch;
@@ -120,7 +123,7 @@
         if (staged.contains(model)) {
             return OrderAnswer.DONE;
         }
-        fleet.loads++;
+        fleet.secondLoads++;
         fleet.at(fleet.model(model).loadMs(), () -> {
             staged.clear();
             staged.add(model);
@@ -177,7 +180,7 @@
         }
         nextHeartbeatMs = fleet.nowMs() + SimulatedFleet.HEARTBEAT_MS;
         sequence++;
-        return dark ? Optional.empty() : Optional.of(heartbeat());
+        return dark || mute ? Optional.empty() : Optional.of(heartbeat());
     }
 
     private void changeState() {
