--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -177,7 +177,7 @@
         final Optional<FormationChoice> within =
                 FormationChoice.within(free, model, domain -> countIn(domain, model, around));
         final boolean needsLoad = within.isEmpty() || within.get().loads() > 0;
-        final Optional<FormationChoice> across = needsLoad && hasLackedLong(model, around.nowNanos())
+        final Optional<FormationChoice> across = needsLoad && needsFarGroup(model, around)
                 ? FormationChoice.acrossDomains(stranded(free, model), model)
                 : Optional.empty();
         return across.or(() -> within.filter(choice -> choice.loads() == 0 || !loadCeiling.haveCallersBeenSeen())
@@ -189,10 +189,17 @@
                         around.nowNanos())));
     }
 
-    /** VMs that come back together are heard one after the other; those of one domain make the better group. */
-    private boolean hasLackedLong(GroupedModel model, long nowNanos) {
+    /**
+     * Returns whether a slow group across domains is better than none. Its members could be what groups inside their own
+     * domains lack next, so it is formed only if few groups are left, and only after VMs that come back together, but are
+     * heard one after the other, had the time to form nearer ones.
+     */
+    private boolean needsFarGroup(GroupedModel model, GroupSurroundings around) {
         final Long sinceNanos = lackedSinceNanos.get(model.name());
-        return sinceNanos != null && nowNanos - sinceNanos >= GroupTimings.FAR_PATIENCE_NANOS;
+        final int wanted = WantedGroups.of(model, usable(around).size());
+        return sinceNanos != null
+                && around.nowNanos() - sinceNanos >= GroupTimings.FAR_PATIENCE_NANOS
+                && count(model, around) < WantedGroups.FEW_PART * wanted;
     }
 
     private void noteLacking(EngineProfile engine, GroupSurroundings around) {
@@ -239,7 +246,10 @@
         }
     }
 
-    /** Ends a group across domains, once its streams are done, where one inside a domain could take its place at once. */
+    /**
+     * Ends a group across domains, once its streams are done, where VMs of one domain could form a group instead: those
+     * that are free and the members of such groups. One at a time; the next step may end another one.
+     */
     private void joinNearer(GroupSurroundings around) {
         final boolean changing = groups.stream().anyMatch(group -> group.phase() == GroupPhase.DRAINING);
         if (changing) {
@@ -253,15 +263,22 @@
     }
 
     private boolean couldBeNear(ManagedGroup group, GroupSurroundings around) {
-        final List<VmHeartbeat> members = group.members.stream()
+        final Stream<VmHeartbeat> scattered = groups.stream()
+                .filter(other -> other.phase() == GroupPhase.SERVING
+                        && other.spansDomains()
+                        && other.model.name().equals(group.model.name()))
+                .flatMap(other -> other.members.stream())
                 .map(around::record)
                 .flatMap(Optional::stream)
-                .map(VmRecord::heartbeat)
-                .toList();
-        final List<VmHeartbeat> holders = Stream.concat(members.stream(), free(around, true).stream())
-                .filter(vm -> Readiness.of(vm, group.model) == Readiness.WARM)
+                .filter(VmRecord::isStaying)
+                .map(VmRecord::heartbeat);
+        final List<VmHeartbeat> holders = Stream.concat(scattered, free(around, true).stream())
+                .filter(vm -> Readiness.of(vm, group.model) != Readiness.EMPTY)
                 .toList();
-        return FormationChoice.within(holders, group.model, domain -> 0).isPresent();
+        return FormationChoice.within(holders, group.model, domain -> 0)
+                .filter(choice -> choice.members().stream()
+                        .anyMatch(vm -> group.has(vm.vm().vm())))
+                .isPresent();
     }
 
     /** Lets spares load the weights of a second model onto their hosts, so that they can stand in for either one. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/WantedGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/WantedGroups.java
@@ -7,6 +7,9 @@
     /** Part of the VMs that is kept as warm spares: one in six bears a loss in most fabric domains at once. */
     private static final double SPARE_PART = 1.0 / 6;
 
+    /** Part of the wanted groups below which a model is short of capacity: the shares leave about a third in reserve. */
+    static final double FEW_PART = 0.67;
+
     private WantedGroups() {}
 
     /** Returns the groups that the model's share of the usable VMs makes; at least one. */
