--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -230,8 +230,10 @@
     }
 
     private void keepSpares(EngineProfile engine, GroupSurroundings around) {
+        final boolean groupsLoadFirst = groupsWaitForLoads(engine, around);
         for (final VmHeartbeat vm : free(around, false)) {
-            final Optional<GroupedModel> model = SpareChoice.modelFor(vm, engine, groups, around);
+            final Optional<GroupedModel> model = SpareChoice.modelFor(vm, engine, groups, around)
+                    .filter(wanted -> !groupsLoadFirst || Readiness.of(vm, wanted) != Readiness.EMPTY);
             final boolean allowed = model.filter(wanted -> loadCeiling.allows(
                             Readiness.of(vm, wanted) == Readiness.EMPTY ? 1 : 0,
                             runningLoads(around),
@@ -246,6 +248,17 @@
         }
     }
 
+    /** Returns whether groups are missing whose VMs wait for room to load; a spare would take a part of that room. */
+    private boolean groupsWaitForLoads(EngineProfile engine, GroupSurroundings around) {
+        final int usable = usable(around).size();
+        final List<VmHeartbeat> free = free(around, true);
+        return !loadCeiling.haveCallersBeenSeen()
+                && engine.models().stream()
+                        .filter(model -> count(model, around) < WantedGroups.of(model, usable))
+                        .anyMatch(model ->
+                                FormationChoice.within(free, model, domain -> 0).isPresent());
+    }
+
     /**
      * Ends a group across domains, once its streams are done, where VMs of one domain could form a group instead: those
      * that are free and the members of such groups. One at a time; the next step may end another one.
--- a/src/main/java/org/wigeongrade/decisions/grouping/LoadCeiling.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/LoadCeiling.java
@@ -31,10 +31,14 @@
 
     /** Returns whether so many loads may begin now, given those that run. */
     boolean allows(int loads, int running, double loadsPerSecond, int loadsAtOnce, long nowNanos) {
-        final boolean room = running == 0 || running + loads <= loadsAtOnce;
-        if (loads == 0 || !callersSeen) {
-            return loads == 0 || room;
+        if (loads == 0) {
+            return true;
+        }
+        if (!callersSeen) {
+            // More loads at once take proportionally longer, so the store is kept busy until callers come.
+            return running < loadsAtOnce;
         }
+        final boolean room = running == 0 || running + loads <= loadsAtOnce;
         while (!startsNanos.isEmpty() && nowNanos - startsNanos.peekFirst() > WINDOW_NANOS) {
             startsNanos.removeFirst();
         }
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -12,6 +12,9 @@
 /** Patterns of lost VMs against engine VMs in virtual time. */
 final class GroupPlannerTest {
     private static final long LOADED_MS = 60_000;
+    /** Callers of the users' deployments come this long after the VMs have started. */
+    private static final long CALLERS_COME_MS = 15_000;
+
     private final SimulatedFleet fleet = new SimulatedFleet(6, 8, 1);
 
     @Test
@@ -23,6 +26,15 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    @Test
+    void everyGroupServesBeforeSparesTakeTheRoomForLoads() {
+        fleet.run(CALLERS_COME_MS);
+
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.serving(SMALL)).isEqualTo(6);
+        assertThat(fleet.servingAcrossDomains()).isEqualTo(0);
+    }
+
     @Test
     void lostMemberIsReplacedByWarmSpareWithinTwoHeartbeatsAndAHalf() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -260,6 +260,12 @@
         return ENGINE.model(name).orElseThrow();
     }
 
+    /** Returns how long a load takes: a tenth before callers come, and never quite the same. */
+    long loadMs(ModelVersionName name) {
+        final long usualMs = model(name).loadMs() / (callers ? 1 : 10);
+        return usualMs + random.nextInt(100);
+    }
+
     SimulatedVm anyInGroup() {
         final List<SimulatedVm> joined = vms.stream()
                 .filter(vm -> !vm.ended && !vm.dark && vm.group != null)
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
@@ -37,6 +37,7 @@
     List<VmName> members = List.of();
     GroupState state;
     ModelVersionName lastModel;
+    private ModelVersionName joining;
     final Set<ModelVersionName> staged = new HashSet<>();
     private final SimulatedFleet fleet;
     private long fencing;
@@ -107,13 +108,7 @@
         members = order.members();
         state = GroupState.JOINING;
         changesAtMs = fleet.nowMs() + joinMs(order.model());
-        // A join needs no load if the weights are in memory or on the host; a load replaces what the host keeps.
-        if (!order.model().equals(lastModel) && !staged.contains(order.model())) {
-            fleet.loads++;
-            staged.clear();
-            staged.add(order.model());
-        }
-        lastModel = order.model();
+        joining = order.model();
         beatSoon();
         return OrderAnswer.BEGUN;
     }
@@ -124,7 +119,7 @@
             return OrderAnswer.DONE;
         }
         fleet.secondLoads++;
-        fleet.at(fleet.model(model).loadMs(), () -> {
+        fleet.at(fleet.loadMs(model), () -> {
             staged.clear();
             staged.add(model);
             beatSoon();
@@ -132,12 +127,21 @@
         return OrderAnswer.BEGUN;
     }
 
+    /** A join needs no load if the weights are in memory or on the host; a load replaces what the host keeps. */
+    private void finishJoin() {
+        if (!joining.equals(lastModel) && !staged.contains(joining)) {
+            fleet.loads++;
+            staged.clear();
+            staged.add(joining);
+        }
+        lastModel = joining;
+    }
+
     private long joinMs(ModelVersionName model) {
         if (model.equals(lastModel)) {
             return REJOIN_MS;
         }
-        return fleet.model(model).warmupMs()
-                + (staged.contains(model) ? 0 : fleet.model(model).loadMs());
+        return staged.contains(model) ? fleet.model(model).warmupMs() : fleet.loadMs(model);
     }
 
     private OrderAnswer open() {
@@ -192,6 +196,9 @@
             fleet.checkOpens(this);
             state = GroupState.OPEN;
         } else {
+            if (state == GroupState.JOINING) {
+                finishJoin();
+            }
             state = GroupState.READY;
             fleet.readyOnce(group, life.vm());
         }
