--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -40,6 +40,7 @@
     private final InheritedGroups inherited = new InheritedGroups();
     private final LoadCeiling loadCeiling = new LoadCeiling();
     private final RunningStages staging = new RunningStages();
+    private final Demand demand = new Demand();
     private final long startedNanos;
     private long nextEpoch;
 
@@ -76,6 +77,7 @@
         removeEnded(nowNanos);
         noteLacking(engine, around);
         formMissing(engine, around);
+        addForDemand(engine, around);
         keepSpares(engine, around);
         stageSecondModels(engine, around);
         joinNearer(around);
@@ -144,6 +146,20 @@
         }
     }
 
+    /** Forms one more group of spares that hold the weights for a model whose groups are nearly full. */
+    private void addForDemand(EngineProfile engine, GroupSurroundings around) {
+        for (final GroupedModel model : engine.models()) {
+            final Optional<FormationChoice> choice = demand.wantsMore(engine, model, groups, around)
+                    ? FormationChoice.within(free(around, true), model, domain -> countIn(domain, model, around))
+                            .filter(found -> found.loads() == 0)
+                    : Optional.empty();
+            choice.ifPresent(found -> {
+                demand.added(around.nowNanos());
+                form(model, found, around);
+            });
+        }
+    }
+
     /** Returns the model that lacks the largest part of its wanted groups and can be given one. */
     private Optional<GroupedModel> mostWanted(EngineProfile engine, GroupSurroundings around) {
         final int usable = usable(around).size();
@@ -157,19 +173,19 @@
 
     private boolean form(EngineProfile engine, GroupedModel model, GroupSurroundings around) {
         final Optional<FormationChoice> choice = choose(engine, model, around);
-        if (choice.isEmpty()) {
-            return false;
-        }
-        choice.get()
-                .members()
+        choice.ifPresent(found -> form(model, found, around));
+        return choice.isPresent();
+    }
+
+    private void form(GroupedModel model, FormationChoice choice, GroupSurroundings around) {
+        choice.members()
                 .forEach(member -> groups.stream()
                         .filter(group ->
                                 group.isSpare() && group.has(member.vm().vm()))
                         .forEach(group -> group.endSpare(around.nowNanos())));
         removeEnded(around.nowNanos());
-        start(GroupPhase.FORMING, model, choice.get().members(), around);
-        loadCeiling.started(choice.get().loads(), around.nowNanos());
-        return true;
+        start(GroupPhase.FORMING, model, choice.members(), around);
+        loadCeiling.started(choice.loads(), around.nowNanos());
     }
 
     private Optional<FormationChoice> choose(EngineProfile engine, GroupedModel model, GroupSurroundings around) {
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -133,6 +133,19 @@
         assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isEqualTo(12);
     }
 
+    @Test
+    void burstOfOneModelIsServedBySparesThatHoldItsWeights() {
+        fleet.run(LOADED_MS);
+        fleet.callersCome();
+        fleet.run(2 * LOADED_MS);
+        fleet.crowd(SMALL);
+        fleet.run(6_000);
+
+        assertThat(fleet.serving(SMALL)).isAtLeast(8);
+        assertThat(fleet.serving(LARGE)).isEqualTo(6);
+        assertThat(fleet.violations).isEmpty();
+    }
+
     @Test
     void survivorsOfDarkHeadWaitUntilItIsBroken() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -68,6 +69,9 @@
     /** Each open group has a request, so that entry nodes see whether it makes progress. */
     private boolean everyGroupBusy;
 
+    /** The model whose groups are full of requests, if any. */
+    private Optional<GroupedModel> crowded = Optional.empty();
+
     /** When callers found no listener at a VM. */
     private final Map<VmName, Long> refusedMs = new HashMap<>();
 
@@ -149,10 +153,16 @@
                 .collect(ImmutableMap.toImmutableMap(head -> head.life.vm(), head -> {
                     final boolean refuses = refusedMs.containsKey(head.life.vm());
                     final long progressedMs = refuses ? refusedMs.get(head.life.vm()) : nowMs - head.stalledMs();
-                    return new EndpointEvidence(1, nowMs - progressedMs, nanos(progressedMs), refuses);
+                    return new EndpointEvidence(requestsAt(head), nowMs - progressedMs, nanos(progressedMs), refuses);
                 }));
     }
 
+    private int requestsAt(SimulatedVm head) {
+        return crowded.filter(model -> model.name().equals(head.lastModel))
+                .map(model -> ENGINE.slots())
+                .orElse(1);
+    }
+
     private void deliver(GroupPlanner leader, GroupOrder order) {
         final SimulatedVm vm = vms.stream()
                 .filter(each -> each.life.equals(order.vm()))
@@ -193,6 +203,12 @@
         everyGroupBusy = true;
     }
 
+    /** Callers fill the groups of one model. */
+    void crowd(GroupedModel model) {
+        callersKeepEveryGroupBusy();
+        crowded = Optional.of(model);
+    }
+
     /** Callers find no listener at a VM. */
     void refusedBy(SimulatedVm vm) {
         refusedMs.put(vm.life.vm(), nowMs);
