--- a/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
@@ -21,7 +21,7 @@
  * Plays random faults against separate processes and checks the promises to clients, endpoints and operators.
  *
  * <p>{@code -Dsoak.seeds=1,2,3} names the seeds, {@code -Dsoak.seconds=N} the time for each, {@code -Dsoak.logs=FOLDER} where
- * the nodes' logs go if a promise was broken.
+ * the nodes' logs go.
  */
 final class FleetSoakTest {
     /** A short run for CI, and each seed that ever failed. */
@@ -104,7 +104,7 @@
         System.out.println("soak seed " + seed + ": " + faults.injected().size() + " faults, " + promises
                 + ", violations " + promises.violations());
         final String logs = System.getProperty("soak.logs");
-        if (logs != null && !promises.violations().isEmpty()) {
+        if (logs != null) {
             Files.writeString(Path.of(logs, "seed-" + seed + ".log"), faults.injected() + "\n" + nodes.logs());
         }
         assertWithMessage("seed %s, faults %s", seed, faults.injected())
--- a/src/test/java/org/wigeongrade/platform/soak/SoakFaults.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakFaults.java
@@ -52,7 +52,7 @@
         final int control = random.nextInt(nodes.addresses().controls());
         final StandinVm vm = standins.vms().get(random.nextInt(standins.vms().size()));
         final long forMs = 200L + random.nextInt(LONGEST_FAULT_MS);
-        switch (random.nextInt(12)) {
+        switch (random.nextInt(13)) {
             case 0 -> start("kill " + nodes.name(node), () -> nodes.killAndRestart(node, forMs, false));
             case 1 -> start("stop " + nodes.name(node), () -> nodes.stopAndRestart(node, forMs));
             case 2 -> start("pause " + nodes.name(node), () -> nodes.pause(node, forMs));
@@ -64,6 +64,7 @@
             case 8 -> start("crash " + vm.name(), () -> crash(vm, forMs));
             case 9 -> start("darken " + vm.name(), () -> darken(vm, forMs));
             case 10 -> start("leave " + vm.name(), () -> leave(vm, forMs));
+            case 11 -> start("fill the disk of control " + control, () -> nodes.fillDisk(control, forMs));
             default -> start("lose answers of " + vm.name(), () -> loseAnswers(vm, forMs));
         }
     }
--- a/src/test/java/org/wigeongrade/platform/soak/SoakNodes.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakNodes.java
@@ -24,6 +24,8 @@
     static final int LOSSES_BORNE = 1;
     private static final String MAIN = "org.wigeongrade.command.Main";
     private static final int GRACE_S = 3;
+    /** Blocks of 512 bytes; some more than the log of a fleet that has just started. */
+    private static final int FEW_BLOCKS = 96;
 
     private final Path folder;
     private final SoakAddresses addresses;
@@ -103,6 +105,18 @@
         }
     }
 
+    /** Lets a node's disk take few bytes more; the node ends itself or is killed, and starts again with room. */
+    void fillDisk(int node, long forMs) {
+        synchronized (locks.get(node)) {
+            processes.get(node).kill();
+            writeSettings(node, false);
+            processes.get(node).restartWithFileLimit(FEW_BLOCKS);
+            final boolean unused = processes.get(node).awaitEnd(forMs);
+            processes.get(node).kill();
+            restartAfter(node, 0);
+        }
+    }
+
     void pause(int node, long forMs) {
         synchronized (locks.get(node)) {
             processes.get(node).freeze();
--- a/src/test/java/org/wigeongrade/proof/ManagedProcess.java
+++ b/src/test/java/org/wigeongrade/proof/ManagedProcess.java
@@ -53,11 +53,22 @@
 
     /** Starts the process anew; the one before must have ended. */
     public synchronized void restart() {
+        start(command);
+    }
+
+    /** Starts the process anew with a bound on the size of its files, as on a disk that is nearly full. */
+    public synchronized void restartWithFileLimit(int blocks) {
+        List<String> limited = new ArrayList<>(List.of("sh", "-c", "ulimit -f " + blocks + "; exec \"$@\"", "sh"));
+        limited.addAll(command);
+        start(limited);
+    }
+
+    private void start(List<String> started) {
         if (process != null && process.isAlive()) {
             throw new IllegalStateException(name + " still runs; end it before it is started again");
         }
         try {
-            process = new ProcessBuilder(command)
+            process = new ProcessBuilder(started)
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                     .start();
