--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -3,14 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.published.EngineProfile;
@@ -36,11 +34,11 @@
     private final Consumer<GroupChange> changes;
     private final List<ManagedGroup> groups = new ArrayList<>();
     private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
-    private final Map<ModelVersionName, Long> lackedSinceNanos = new HashMap<>();
     private final InheritedGroups inherited = new InheritedGroups();
     private final LoadCeiling loadCeiling = new LoadCeiling();
     private final RunningStages staging = new RunningStages();
     private final Demand demand = new Demand();
+    private final FarGroups farGroups = new FarGroups();
     private final long startedNanos;
     private long nextEpoch;
 
@@ -75,12 +73,13 @@
         adopt(engine, vms, timings.silentNanos(), nowNanos);
         groups.forEach(group -> step(group, around));
         removeEnded(nowNanos);
-        noteLacking(engine, around);
+        engine.models().forEach(model -> farGroups.noteLacking(model, lacksGroups(model, around), around.nowNanos()));
         formMissing(engine, around);
         addForDemand(engine, around);
         keepSpares(engine, around);
         stageSecondModels(engine, around);
-        joinNearer(around);
+        FarGroups.replaceable(groups, free(around, true), around)
+                .ifPresent(group -> group.drain("a group inside one fabric domain can take its place", around));
         return orders.build();
     }
 
@@ -162,13 +161,18 @@
 
     /** Returns the model that lacks the largest part of its wanted groups and can be given one. */
     private Optional<GroupedModel> mostWanted(EngineProfile engine, GroupSurroundings around) {
-        final int usable = usable(around).size();
         return engine.models().stream()
-                .filter(model -> count(model, around) < WantedGroups.of(model, usable))
+                .filter(model -> lacksGroups(model, around))
                 .filter(model -> choose(engine, model, around).isPresent())
-                .min((first, second) -> Double.compare(
-                        (double) count(first, around) / WantedGroups.of(first, usable),
-                        (double) count(second, around) / WantedGroups.of(second, usable)));
+                .min(Comparator.comparingDouble(model -> (double) count(model, around) / wanted(model, around)));
+    }
+
+    private boolean lacksGroups(GroupedModel model, GroupSurroundings around) {
+        return count(model, around) < wanted(model, around);
+    }
+
+    private int wanted(GroupedModel model, GroupSurroundings around) {
+        return WantedGroups.of(model, usable(around).size());
     }
 
     private boolean form(EngineProfile engine, GroupedModel model, GroupSurroundings around) {
@@ -193,8 +197,8 @@
         final Optional<FormationChoice> within =
                 FormationChoice.within(free, model, domain -> countIn(domain, model, around));
         final boolean needsLoad = within.isEmpty() || within.get().loads() > 0;
-        final Optional<FormationChoice> across = needsLoad && needsFarGroup(model, around)
-                ? FormationChoice.acrossDomains(stranded(free, model), model)
+        final Optional<FormationChoice> across = needsLoad
+                ? farGroups.choose(model, free, groups, count(model, around), wanted(model, around), around.nowNanos())
                 : Optional.empty();
         return across.or(() -> within.filter(choice -> choice.loads() == 0 || !loadCeiling.haveCallersBeenSeen())
                 .filter(choice -> loadCeiling.allows(
@@ -205,46 +209,6 @@
                         around.nowNanos())));
     }
 
-    /**
-     * Returns whether a slow group across domains is better than none. Its members could be what groups inside their own
-     * domains lack next, so it is formed only if few groups are left, and only after VMs that come back together, but are
-     * heard one after the other, had the time to form nearer ones.
-     */
-    private boolean needsFarGroup(GroupedModel model, GroupSurroundings around) {
-        final Long sinceNanos = lackedSinceNanos.get(model.name());
-        final int wanted = WantedGroups.of(model, usable(around).size());
-        return sinceNanos != null
-                && around.nowNanos() - sinceNanos >= GroupTimings.FAR_PATIENCE_NANOS
-                && count(model, around) < WantedGroups.FEW_PART * wanted;
-    }
-
-    private void noteLacking(EngineProfile engine, GroupSurroundings around) {
-        final int usable = usable(around).size();
-        for (final GroupedModel model : engine.models()) {
-            if (count(model, around) < WantedGroups.of(model, usable)) {
-                lackedSinceNanos.putIfAbsent(model.name(), around.nowNanos());
-            } else {
-                lackedSinceNanos.remove(model.name());
-            }
-        }
-    }
-
-    /** Returns free VMs in domains without a group of the model; elsewhere they stand by for the group of their domain. */
-    private List<VmHeartbeat> stranded(List<VmHeartbeat> free, GroupedModel model) {
-        final Set<FabricDomain> withGroup = groups.stream()
-                .filter(group -> !group.isSpare()
-                        && !group.spansDomains()
-                        && group.model.name().equals(model.name()))
-                .map(group -> group.head().domain)
-                .flatMap(Optional::stream)
-                .collect(Collectors.toSet());
-        return free.stream()
-                .filter(vm -> vm.domain()
-                        .filter(domain -> !withGroup.contains(domain))
-                        .isPresent())
-                .toList();
-    }
-
     private void keepSpares(EngineProfile engine, GroupSurroundings around) {
         final boolean groupsLoadFirst = groupsWaitForLoads(engine, around);
         for (final VmHeartbeat vm : free(around, false)) {
@@ -266,50 +230,14 @@
 
     /** Returns whether groups are missing whose VMs wait for room to load; a spare would take a part of that room. */
     private boolean groupsWaitForLoads(EngineProfile engine, GroupSurroundings around) {
-        final int usable = usable(around).size();
         final List<VmHeartbeat> free = free(around, true);
         return !loadCeiling.haveCallersBeenSeen()
                 && engine.models().stream()
-                        .filter(model -> count(model, around) < WantedGroups.of(model, usable))
+                        .filter(model -> lacksGroups(model, around))
                         .anyMatch(model ->
                                 FormationChoice.within(free, model, domain -> 0).isPresent());
     }
 
-    /**
-     * Ends a group across domains, once its streams are done, where VMs of one domain could form a group instead: those
-     * that are free and the members of such groups. One at a time; the next step may end another one.
-     */
-    private void joinNearer(GroupSurroundings around) {
-        final boolean changing = groups.stream().anyMatch(group -> group.phase() == GroupPhase.DRAINING);
-        if (changing) {
-            return;
-        }
-        groups.stream()
-                .filter(group -> group.phase() == GroupPhase.SERVING && group.spansDomains())
-                .filter(group -> couldBeNear(group, around))
-                .findFirst()
-                .ifPresent(group -> group.drain("a group inside one fabric domain can take its place", around));
-    }
-
-    private boolean couldBeNear(ManagedGroup group, GroupSurroundings around) {
-        final Stream<VmHeartbeat> scattered = groups.stream()
-                .filter(other -> other.phase() == GroupPhase.SERVING
-                        && other.spansDomains()
-                        && other.model.name().equals(group.model.name()))
-                .flatMap(other -> other.members.stream())
-                .map(around::record)
-                .flatMap(Optional::stream)
-                .filter(VmRecord::isStaying)
-                .map(VmRecord::heartbeat);
-        final List<VmHeartbeat> holders = Stream.concat(scattered, free(around, true).stream())
-                .filter(vm -> Readiness.of(vm, group.model) != Readiness.EMPTY)
-                .toList();
-        return FormationChoice.within(holders, group.model, domain -> 0)
-                .filter(choice -> choice.members().stream()
-                        .anyMatch(vm -> group.has(vm.vm().vm())))
-                .isPresent();
-    }
-
     /** Lets spares load the weights of a second model onto their hosts, so that they can stand in for either one. */
     private void stageSecondModels(EngineProfile engine, GroupSurroundings around) {
         staging.forgetDone(around);
