--- a/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
@@ -52,27 +52,45 @@
         final SoakOperator operator = new SoakOperator(control, promises);
         try (SoakNodes nodes = new SoakNodes(folder, addresses);
                 StandinFleet standins = new StandinFleet(promises, control, operator)) {
-            assertThat(operator.publishNext(true, START_MS)).isTrue();
-            standins.start();
-            final AtomicBoolean stopped = new AtomicBoolean();
-            final List<Thread> clients = startClients(seed, addresses, promises, operator, stopped);
-            awaitServed(promises, "served at first", START_MS);
-            final Thread publishing = start("operator", () -> operator.run(new Random(seed + 1), forMs));
             final SoakFaults faults = new SoakFaults(nodes, standins, new Random(seed));
-            faults.run(forMs);
-            publishing.join();
-            awaitServed(promises, "served again after the faults " + faults.injected(), RECOVERY_MS);
-            Await.until(
-                    "the configuration is read back",
-                    RECOVERY_MS,
-                    () -> operator.read()
-                            .filter(version -> version >= operator.acknowledged())
-                            .isPresent());
-            stopped.set(true);
-            for (final Thread client : clients) {
-                client.join();
+            try {
+                play(seed, forMs, promises, addresses, operator, standins, faults);
+            } finally {
+                report(seed, promises, faults, nodes);
             }
-            report(seed, promises, faults, nodes);
+            assertWithMessage("seed %s, faults %s", seed, faults.injected())
+                    .that(promises.violations())
+                    .isEmpty();
+        }
+    }
+
+    private static void play(
+            long seed,
+            long forMs,
+            Promises promises,
+            SoakAddresses addresses,
+            SoakOperator operator,
+            StandinFleet standins,
+            SoakFaults faults)
+            throws InterruptedException {
+        assertThat(operator.publishNext(true, START_MS)).isTrue();
+        standins.start();
+        final AtomicBoolean stopped = new AtomicBoolean();
+        final List<Thread> clients = startClients(seed, addresses, promises, operator, stopped);
+        awaitServed(promises, "served at first", START_MS);
+        final Thread publishing = start("operator", () -> operator.run(new Random(seed + 1), forMs));
+        faults.run(forMs);
+        publishing.join();
+        awaitServed(promises, "served again after the faults " + faults.injected(), RECOVERY_MS);
+        Await.until(
+                "the configuration is read back",
+                RECOVERY_MS,
+                () -> operator.read()
+                        .filter(version -> version >= operator.acknowledged())
+                        .isPresent());
+        stopped.set(true);
+        for (final Thread client : clients) {
+            client.join();
         }
     }
 
@@ -107,8 +125,5 @@
         if (logs != null) {
             Files.writeString(Path.of(logs, "seed-" + seed + ".log"), faults.injected() + "\n" + nodes.logs());
         }
-        assertWithMessage("seed %s, faults %s", seed, faults.injected())
-                .that(promises.violations())
-                .isEmpty();
     }
 }
