--- a/src/test/java/org/wigeongrade/platform/soak/EngineMember.java
+++ b/src/test/java/org/wigeongrade/platform/soak/EngineMember.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import org.wigeongrade.proof.Await;
 
 /**
@@ -17,6 +18,9 @@
     static final long STALL_MS = 1_000;
     static final int GROUP_SIZE = 2;
     private static final long JOIN_MS = 150;
+    /** Members of a group are not ready at the same moment. */
+    private static final long JOIN_SPREAD_MS = 400;
+
     private static final long FORMATION_MS = 100;
     private static final long CLOSE_MS = 30;
     private static final int BEGUN = 202;
@@ -158,7 +162,7 @@
         loaded = true;
         standsStillSinceNanos = 0;
         become("joining");
-        later("ready", JOIN_MS);
+        later("ready", JOIN_MS + ThreadLocalRandom.current().nextLong(JOIN_SPREAD_MS));
         return BEGUN;
     }
 
--- a/src/test/java/org/wigeongrade/platform/soak/StandinVm.java
+++ b/src/test/java/org/wigeongrade/platform/soak/StandinVm.java
@@ -25,6 +25,7 @@
     private static final int MISDIRECTED = 421;
     private static final int EVENTS = 12;
     private static final long EVENT_PAUSE_MS = 15;
+    private static final int LONGEST_WORK_MS = 25;
 
     private final String name;
     private final String service;
@@ -186,6 +187,7 @@
         if (engine.isPresent()) {
             stream(exchange, engine.get());
         } else {
+            Await.sleepMs(ThreadLocalRandom.current().nextInt(LONGEST_WORK_MS));
             answer(exchange, 200, "ran " + attempt + " " + path + " " + body);
         }
     }
