--- a/src/test/java/org/wigeongrade/platform/soak/SoakFaults.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakFaults.java
@@ -50,7 +50,7 @@
     private void inject() {
         final int node = random.nextInt(nodes.count());
         final int control = random.nextInt(nodes.addresses().controls());
-        final StandinVm vm = standins.vms().get(random.nextInt(standins.vms().size()));
+        final StandinVm vm = standins.any(random);
         final long forMs = 200L + random.nextInt(LONGEST_FAULT_MS);
         switch (random.nextInt(13)) {
             case 0 -> start("kill " + nodes.name(node), () -> nodes.killAndRestart(node, forMs, false));
--- a/src/test/java/org/wigeongrade/platform/soak/StandinFleet.java
+++ b/src/test/java/org/wigeongrade/platform/soak/StandinFleet.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -46,6 +47,14 @@
         return vms;
     }
 
+    /** Returns an engine VM or, as often, a replica of a plain service. */
+    StandinVm any(Random random) {
+        final boolean engine = random.nextBoolean();
+        final List<StandinVm> fitting =
+                vms.stream().filter(vm -> vm.engine().isPresent() == engine).toList();
+        return fitting.get(random.nextInt(fitting.size()));
+    }
+
     Promises promises() {
         return promises;
     }
