Move a request that stands still only to an endpoint that takes it for sure

Streams at a slow group gave no byte for 450 ms, were cancelled to move, and only then was it found that every other endpoint was full: the stream was broken off though its endpoint would have gone on. The check before the cancel asked only whether another endpoint existed.

Now the same choice that sends a request decides whether it can move, keys and quarantine included. A request that is quarantined after it ran is no longer answered with a refusal, which would say that it had not run.

ExchangeMoveTest failed before (the request was answered with an error when the other endpoint was full) and passes now.

--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.BalancedRequest;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
-import org.wigeongrade.decisions.balancing.EngineModel;
 import org.wigeongrade.decisions.balancing.Placement;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
@@ -132,19 +131,40 @@
             return;
         }
         if (isQuarantined()) {
-            refuse(
+            giveUp(
                     ErrorKind.SUSPECT_WAITING,
                     "this request has crashed endpoints",
                     ErrorKind.SUSPECT_WAITING.retryAfterMs());
             return;
         }
-        if (organisation.isPresent() && !services.keysAreFresh(nowNanos)) {
+        if (!hasUsableKey(nowNanos)) {
             giveUp(ErrorKind.NO_VIEW_LEASE, "the keys known here are too old", ErrorKind.STOPPING.retryAfterMs());
             return;
         }
+        final Placement placement = place(mayHaveRun > 0, remainingMs, nowNanos);
+        if (placement.endpoint().isEmpty()) {
+            final boolean busy = placement.refusal().equals(Optional.of(Placement.Refusal.ALL_BUSY));
+            giveUp(
+                    busy ? ErrorKind.NO_FREE_SLOT : ErrorKind.NO_WHOLE_GROUP,
+                    (busy ? "busy: " : "none: ") + placement.candidates() + " endpoints of "
+                            + service.orElseThrow().name() + " for "
+                            + model().map(ModelVersionName::value).orElse("any request"),
+                    placement.retryAfterMs());
+            return;
+        }
+        sendTo(placement, remainingMs, nowNanos);
+    }
+
+    /** Returns whether the request needs no key, or its key is known by a view that is young enough. */
+    private boolean hasUsableKey(long nowNanos) {
+        return organisation.isEmpty() || services.keysAreFresh(nowNanos);
+    }
+
+    /** Chooses where the request goes; {@code begun} tells whether giving it up would waste work. */
+    private Placement place(boolean begun, long remainingMs, long nowNanos) {
+        final PublishedService target = service.orElseThrow();
         final Optional<ModelVersionName> model = model();
-        final Optional<EngineModel> engine = services.fleet().engine(model);
-        final Placement placement = services.balancer()
+        return services.balancer()
                 .place(
                         new BalancedRequest(
                                 request.promptTokens(),
@@ -152,25 +172,13 @@
                                 route.get().targetPauseMs(),
                                 remainingMs,
                                 ImmutableSet.copyOf(tried),
-                                mayHaveRun > 0,
+                                begun,
                                 services.zone()),
-                        services.fleet().candidates(service.orElseThrow().name(), model, nowNanos),
-                        engine,
+                        services.fleet().candidates(target.name(), model, nowNanos),
+                        services.fleet().engine(model),
                         services.coldLimits()
-                                .limitsFor(
-                                        service.get(), services.fleet().view().entryNodes()),
+                                .limitsFor(target, services.fleet().view().entryNodes()),
                         nowNanos);
-        if (placement.endpoint().isEmpty()) {
-            final boolean busy = placement.refusal().equals(Optional.of(Placement.Refusal.ALL_BUSY));
-            giveUp(
-                    busy ? ErrorKind.NO_FREE_SLOT : ErrorKind.NO_WHOLE_GROUP,
-                    (busy ? "busy: " : "none: ") + placement.candidates() + " endpoints of "
-                            + service.get().name() + " for "
-                            + model.map(ModelVersionName::value).orElse("any request"),
-                    placement.retryAfterMs());
-            return;
-        }
-        sendTo(placement, remainingMs, nowNanos);
     }
 
     private void sendTo(Placement placement, long remainingMs, long nowNanos) {
@@ -292,14 +300,21 @@
         retry(send, reason, cause);
     }
 
+    /** A request that stands still moves only if another endpoint takes it for sure; it may yet go on where it is. */
     private boolean canMove() {
+        final long nowNanos = services.nowNanos();
+        final long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
         return route.orElseThrow().mayRepeat()
                 && mayHaveRun + 1 < route.get().maxAttempts()
                 && sends < MAX_SENDS
+                && remainingMs >= SHORTEST_SEND_MS
                 && stream.isResumable()
-                && services.fleet().candidates(service.orElseThrow().name(), model(), services.nowNanos()).stream()
-                        .anyMatch(endpoint ->
-                                !tried.contains(endpoint.vm().vm()) && !endpoint.isAvoided(services.nowNanos()));
+                && hasUsableKey(nowNanos)
+                && !isQuarantined()
+                && place(true, remainingMs, nowNanos)
+                        .endpoint()
+                        .filter(endpoint -> !endpoint.isAvoided(nowNanos))
+                        .isPresent();
     }
 
     private boolean mayRepeatNow() {
--- /dev/null
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeMoveTest.java
@@ -0,0 +1,211 @@
+package org.wigeongrade.fleet.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.balancing.Balancer;
+import org.wigeongrade.decisions.balancing.RetryAllowance;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.decisions.published.CallerLimits;
+import org.wigeongrade.decisions.published.PublishedConfiguration;
+import org.wigeongrade.decisions.published.PublishedService;
+import org.wigeongrade.decisions.published.Route;
+import org.wigeongrade.decisions.published.RouteKind;
+import org.wigeongrade.decisions.published.WeightedTarget;
+import org.wigeongrade.fleet.net.EventLoop;
+import org.wigeongrade.fleet.net.HttpReply;
+import org.wigeongrade.fleet.thrift.RoutableRecord;
+import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.RouteName;
+import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmName;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.platform.CallerMessages;
+
+/** A request at an endpoint that stands still, while another endpoint has room or is full. */
+final class ExchangeMoveTest {
+    private static final ServiceName SERVICE = ServiceName.of("app");
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
+    private static final int SLOTS = 4;
+    /** Longer than the patience with an endpoint that was expected to answer at once; a view counts as new for longer. */
+    private static final long STANDSTILL_MS = 700;
+
+    private final EventLoop loop = new EventLoop();
+    private final List<String> answers = new CopyOnWriteArrayList<>();
+    private final List<ServerSocket> endpoints = new ArrayList<>();
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+    @AfterEach
+    void close() throws IOException {
+        for (final ServerSocket endpoint : endpoints) {
+            endpoint.close();
+        }
+        loop.close();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 2", "40, 1"})
+    void requestMovesOnlyToAnEndpointThatHasRoom(int requestsAtTheOther, int endpointsTried)
+            throws IOException, InterruptedException, ExecutionException {
+        final RoutableRecord silent = endpoint("silent");
+        final RoutableRecord other = endpoint("other");
+        final EndpointFleet fleet = new EndpointFleet(new EventLog(), System.nanoTime());
+        fleet.apply(view(silent, other, Map.of("other", SLOTS - 1)), System.nanoTime());
+        loop.loop()
+                .submit(() -> new Exchange(services(fleet), request(), new Caller(), () -> {}).start())
+                .get();
+        loop.loop()
+                .submit(() -> fleet.apply(view(silent, other, Map.of("other", requestsAtTheOther)), System.nanoTime()))
+                .get();
+        TimeUnit.MILLISECONDS.sleep(STANDSTILL_MS);
+
+        assertThat(connections).hasSize(endpointsTried);
+        assertThat(answers).isEmpty();
+    }
+
+    private RoutableRecord endpoint(String name) throws IOException {
+        final ServerSocket endpoint = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        endpoints.add(endpoint);
+        final Thread accepting = new Thread(() -> acceptAll(endpoint), name);
+        accepting.setDaemon(true);
+        accepting.start();
+        return new RoutableRecord()
+                .setVm(name)
+                .setIncarnation(1)
+                .setServiceName(SERVICE.value())
+                .setAddress("127.0.0.1:" + endpoint.getLocalPort())
+                .setAvailabilityZone(ZONE.value())
+                .setModel("")
+                .setSlots(SLOTS)
+                .setPaceFactor(1);
+    }
+
+    private void acceptAll(ServerSocket endpoint) {
+        try {
+            while (true) {
+                connections.add(endpoint.accept());
+            }
+        } catch (IOException e) {
+            // The test has ended.
+            assertThat(endpoint.isClosed()).isTrue();
+        }
+    }
+
+    private static EntryView view(RoutableRecord silent, RoutableRecord other, Map<String, Integer> elsewhere) {
+        return new EntryView(
+                Optional.of(configuration()),
+                Set.of(),
+                ImmutableMap.of(VmName.of(silent.getVm()), silent, VmName.of(other.getVm()), other),
+                elsewhere,
+                Map.of(),
+                Set.of(),
+                1,
+                1,
+                1,
+                System.nanoTime());
+    }
+
+    private static PublishedConfiguration configuration() {
+        final Route route = new Route(
+                RouteName.of("read"),
+                "host",
+                "/",
+                RouteKind.IDEMPOTENT,
+                5_000,
+                100,
+                0,
+                1,
+                List.of(new WeightedTarget(SERVICE, 1)),
+                2,
+                true,
+                false);
+        final PublishedService service = new PublishedService(SERVICE, 100, 0, Optional.empty());
+        return new PublishedConfiguration(1, List.of(route), List.of(service), CallerLimits.DEFAULT, List.of());
+    }
+
+    private EntryServices services(EndpointFleet fleet) {
+        final CallerMessages codec = new CallerMessages();
+        return new EntryServices(
+                ZONE,
+                loop,
+                codec,
+                fleet,
+                new EndpointConnections(loop, codec, System::nanoTime),
+                new Balancer(new SplittableRandom(1)),
+                new RetryAllowance(0.2, 100, TimeUnit.SECONDS.toNanos(10)),
+                new ColdLimits(1.5, 5),
+                new SplittableRandom(1),
+                new EventLog(),
+                new Metrics(),
+                System::nanoTime,
+                TimeUnit.SECONDS.toNanos(5));
+    }
+
+    private static CallerRequest request() {
+        return new CallerRequest(
+                Optional.of("attempt"),
+                "GET",
+                "host",
+                "/a",
+                "/a",
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                OptionalLong.empty(),
+                new DefaultHttpHeaders(),
+                Bytes.wrap(new byte[0]));
+    }
+
+    private final class Caller implements CallerLink {
+        @Override
+        public void answer(HttpReply reply) {
+            answers.add(reply.toString());
+        }
+
+        @Override
+        public void answer(int status, HttpHeaders headers, byte[] body) {
+            answers.add("status " + status);
+        }
+
+        @Override
+        public void beginStream(int status, HttpHeaders headers) {
+            answers.add("stream");
+        }
+
+        @Override
+        public void writeStream(byte[] bytes) {
+            answers.add("event");
+        }
+
+        @Override
+        public void endStream() {
+            answers.add("end");
+        }
+
+        @Override
+        public void breakOff() {
+            answers.add("broken off");
+        }
+    }
+}
