--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -9,7 +9,7 @@
  * @param stallNanos time after which a head that lost a member counts as broken, by the engines' contract
  */
 public record GroupTimings(long heartbeatNanos, long stallNanos) {
-    /** A VM that missed two heartbeats and half a third counts as lost, unless its group makes progress. */
+    /** A VM that missed two heartbeats and half a third is taken for no new group; only probes end the one it is in. */
     private static final double SILENT_HEARTBEATS = 2.5;
     /** A VM that is late by half a heartbeat is asked whether it is there. */
     private static final double LATE_HEARTBEATS = 1.5;
@@ -27,7 +27,7 @@
     static final long JOIN_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     /** Longer than a pass that reads full pieces of prompts, about 280 ms; a probe costs little, so it may be sent in vain. */
     static final long STALLED_MS = 300;
-    /** A probe without an answer is sent once more after this time, on a connection that other packets serve. */
+    /** A probe without an answer is sent once more after this time, on a new connection, in case a packet was lost. */
     static final long PROBE_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Probes in a row without an answer after which a VM counts as lost. */
     static final int LOST_PROBES = 2;
