Keep a control VM up while its disk is full

Ruled out: retrying other errors. After a failed sync the kernel may drop what was written, so only 'no space left' and 'quota exceeded' are repeated, from the last durable byte of the log file.

Change: the log's writer thread waits and repeats the write. Meanwhile the replica votes on nothing, acknowledges nothing and is seen not to lead. Tests: LogStoreTest#aWriteToAFullDiskIsRepeatedUntilThereIsSpace (a partial write among them) and RaftReplicatedLogFailureTest#aLeaderWhoseDiskIsFull... do not compile before the change; the default policy still fails, as afterAFailedCallEveryWriteFails... shows.

--- a/src/main/java/org/wigeongrade/disk/DiskFailures.java
+++ b/src/main/java/org/wigeongrade/disk/DiskFailures.java
@@ -19,7 +19,8 @@
                 ErrorKind.DISK_FAILED, path + " failed: " + cause.getMessage() + "; " + remedy, cause);
     }
 
-    private static boolean isFull(IOException cause) {
+    /** Returns whether the call failed because no space is left; it may succeed once space has been freed. */
+    static boolean isFull(IOException cause) {
         String message = String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT);
         return message.contains("no space left") || message.contains("quota exceeded");
     }
--- a/src/main/java/org/wigeongrade/disk/LogFile.java
+++ b/src/main/java/org/wigeongrade/disk/LogFile.java
@@ -16,7 +16,7 @@
  * The log file. It starts with a header frame, which holds the folder's incarnation, the base position and the entries
  * at the last rewrite; one frame for each batch synced since then follows.
  *
- * <p>Invariants: an entry replaces all entries before it in the file that have the same or a larger index; a torn last
+ * <p>Invariants: a failed append leaves nothing in the file once it is repeated; an entry replaces all entries before it in the file that have the same or a larger index; a torn last
  * frame is not part of the log. Not thread safe.
  */
 final class LogFile implements AutoCloseable {
@@ -27,6 +27,7 @@
     private final FileOperations files;
     private Optional<FileChannel> channel = Optional.empty();
     private long nextSequence;
+    private long durableBytes;
 
     LogFile(Path path, FileOperations files) {
         this.path = path;
@@ -109,14 +110,19 @@
         }
         close();
         channel = Optional.of(newChannel);
+        durableBytes = newChannel.position();
     }
 
     /** Appends the entries as one frame. They are durable on return. */
     void append(List<LogEntry> entries) throws IOException {
         FileChannel openChannel = channel.orElseThrow();
+        if (openChannel.position() != durableBytes) {
+            openChannel.truncate(durableBytes).position(durableBytes);
+        }
         files.write(openChannel, Frame.encode(nextSequence, RecordCodec.encodeEntries(entries)));
         files.sync(openChannel);
         nextSequence++;
+        durableBytes = openChannel.position();
     }
 
     /**
--- a/src/main/java/org/wigeongrade/disk/LogStore.java
+++ b/src/main/java/org/wigeongrade/disk/LogStore.java
@@ -19,8 +19,9 @@
 /**
  * The data folder of one replica.
  *
- * <p>Invariants: each method returns only once its change is durable; after a failed write every later write fails too,
- * until the folder is opened and read again; only one process at a time has the folder open. Not thread safe.
+ * <p>Invariants: each method returns only once its change is durable; a write to a full disk is repeated for as long as
+ * the {@link FullDiskPolicy} asks for it; after any other failed write every later write fails too, until the folder is
+ * opened and read again; only one process at a time has the folder open. Not thread safe.
  */
 public final class LogStore implements AutoCloseable {
     private static final String STATE_FILE = "state";
@@ -39,15 +40,17 @@
     private final AtomicFile stateFile;
     private final AtomicFile snapshotFile;
     private final LogFile logFile;
+    private final FullDiskPolicy fullDiskPolicy;
     private RecoveredState recovered;
     private boolean failed;
 
-    private LogStore(Path folder, FolderLock lock, FileOperations files) {
+    private LogStore(Path folder, FolderLock lock, FileOperations files, FullDiskPolicy fullDiskPolicy) {
         this.folder = folder;
         this.lock = lock;
         this.stateFile = new AtomicFile(folder.resolve(STATE_FILE), STATE_MAGIC, files);
         this.snapshotFile = new AtomicFile(folder.resolve(SNAPSHOT_FILE), SNAPSHOT_MAGIC, files);
         this.logFile = new LogFile(folder.resolve(LOG_FILE), files);
+        this.fullDiskPolicy = fullDiskPolicy;
         this.recovered = RecoveredState.fresh(0, false);
     }
 
@@ -56,15 +59,21 @@
      * or damaged, and fails with DISK_FAILED if the folder cannot be used.
      */
     public static LogStore open(Path folder, FileOperations files, LongSupplier newIncarnation) {
+        return open(folder, files, newIncarnation, FullDiskPolicy.FAIL);
+    }
+
+    /** Opens a folder as above; {@code fullDiskPolicy} decides on writes for which no space is left. */
+    public static LogStore open(
+            Path folder, FileOperations files, LongSupplier newIncarnation, FullDiskPolicy fullDiskPolicy) {
         try {
             Files.createDirectories(folder);
         } catch (IOException e) {
             throw DiskFailures.toException(folder, e);
         }
         FolderLock lock = FolderLock.acquire(folder);
-        LogStore store = new LogStore(folder, lock, files);
+        LogStore store = new LogStore(folder, lock, files, fullDiskPolicy);
         try {
-            store.recover(newIncarnation);
+            store.repeatWhileFull(() -> store.recover(newIncarnation));
             return store;
         } catch (IOException e) {
             lock.close();
@@ -180,13 +189,30 @@
                     "data folder " + folder + " failed on an earlier write; start this VM again");
         }
         try {
-            operation.run();
+            repeatWhileFull(operation);
         } catch (IOException e) {
             failed = true;
             throw DiskFailures.toException(folder, e);
         }
     }
 
+    /** Runs an operation that can be repeated from its start after a failure. */
+    private void repeatWhileFull(WriteOperation operation) throws IOException {
+        while (true) {
+            try {
+                operation.run();
+                return;
+            } catch (IOException e) {
+                final boolean repeat = DiskFailures.isFull(e)
+                        && fullDiskPolicy.shouldRepeat(
+                                DiskFailures.toException(folder, e).getMessage());
+                if (!repeat) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     private static Path nextLostFolder(Path folder) {
         int number = 1;
         while (Files.exists(folder.resolve(LOST_PREFIX + number))) {
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -28,8 +28,8 @@
  * Runs one replica. A single writer thread owns the Raft core, the files and the state machine, and takes its inputs
  * from a bounded queue.
  *
- * <p>Invariants: inputs that wait in the queue together share one sync; after a disk failure or a digest mismatch,
- * nothing more is sent, stored or applied. Thread safe; no lock is held while waiting for the queue or a peer, so there
+ * <p>Invariants: inputs that wait in the queue together share one sync; while the disk is full, and for good after any
+ * other disk failure or a digest mismatch, nothing more is sent, stored or applied. Thread safe; no lock is held while waiting for the queue or a peer, so there
  * is no lock order to follow.
  */
 public final class RaftReplicatedLog implements ReplicatedLog {
@@ -40,6 +40,8 @@
     private static final int MAX_COMMAND_BYTES = 1024 * 1024;
     private static final long STOP_TIMEOUT_MS = 5_000;
     private static final int TICKS_PER_HEARTBEAT = 5;
+    /** Time between two attempts to write to a full disk; a fraction of an election timeout. */
+    private static final long DISK_SPACE_CHECK_INTERVAL_MS = 100;
 
     /** The state visible to other threads. The writer thread replaces it as a whole after each batch of inputs. */
     private record Status(
@@ -223,8 +225,11 @@
             Thread.currentThread().interrupt();
         } catch (RuntimeException e) {
             LOGGER.log(Level.ERROR, "the replicated log on this VM stops: " + e.getMessage(), e);
+            final boolean failedWhileStopping = stopping;
             stopping = true;
-            onFailure.accept(e);
+            if (!failedWhileStopping) {
+                onFailure.accept(e);
+            }
         } catch (Error e) {
             stopping = true;
             onFailure.accept(
@@ -255,6 +260,30 @@
         publishStatus();
     }
 
+    /**
+     * Waits after a write for which the disk has no space; returns whether to repeat it. Until it succeeds, this replica
+     * neither votes nor acknowledges anything, and other threads see that it does not lead.
+     */
+    boolean waitForDiskSpace() {
+        final Status before = status;
+        final boolean leads = before.leader().equals(Optional.of(settings.self()));
+        status = new Status(
+                before.term(),
+                leads ? Optional.empty() : before.leader(),
+                before.leaderSinceNanos(),
+                OptionalLong.empty(),
+                before.appliedIndex(),
+                before.membership(),
+                before.voter());
+        try {
+            Thread.sleep(DISK_SPACE_CHECK_INTERVAL_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+        return !stopping;
+    }
+
     private void process(Input input) {
         if (input instanceof Received received) {
             core.receive(received.from(), received.message(), clock.getAsLong());
--- a/src/main/java/org/wigeongrade/nodes/log/ReplicatedLogOpener.java
+++ b/src/main/java/org/wigeongrade/nodes/log/ReplicatedLogOpener.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import org.wigeongrade.disk.DataLossException;
 import org.wigeongrade.disk.FileOperations;
+import org.wigeongrade.disk.FullDiskPolicy;
 import org.wigeongrade.disk.LogStore;
 
 /** Opens the data folder, starts listening and starts a replica. Stateless. */
@@ -20,7 +21,8 @@
             LongSupplier clock,
             Consumer<RuntimeException> onFailure) {
         SecureRandom random = new SecureRandom();
-        LogStore store = openStore(settings, random);
+        FullDiskWaiter fullDiskWaiter = new FullDiskWaiter();
+        LogStore store = openStore(settings, random, fullDiskWaiter);
         DeferredReceiver receiver = new DeferredReceiver();
         LogTransport transport = listen(settings, store, receiver);
         RaftReplicatedLog log = new RaftReplicatedLog(
@@ -33,6 +35,7 @@
                 settings.compactAfterEntries(),
                 onFailure);
         receiver.connect(log);
+        fullDiskWaiter.connect(log);
         log.start();
         return log;
     }
@@ -47,15 +50,15 @@
         }
     }
 
-    private static LogStore openStore(LogSettings settings, SecureRandom random) {
+    private static LogStore openStore(LogSettings settings, SecureRandom random, FullDiskPolicy fullDiskPolicy) {
         try {
-            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong);
+            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong, fullDiskPolicy);
         } catch (DataLossException e) {
             LOGGER.log(
                     Level.ERROR,
                     "the data folder has lost data; a new incarnation starts as a learner: " + e.getMessage());
             LogStore.moveToLostFolder(settings.folder(), FileOperations.SYSTEM);
-            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong);
+            return LogStore.open(settings.folder(), FileOperations.SYSTEM, random::nextLong, fullDiskPolicy);
         }
     }
 }
--- a/src/test/java/org/wigeongrade/disk/FaultyFileOperations.java
+++ b/src/test/java/org/wigeongrade/disk/FaultyFileOperations.java
@@ -11,6 +11,8 @@
     /** The kinds of calls that can fail. */
     public enum Call {
         WRITE,
+        /** Writes half of the bytes before it fails. */
+        PARTIAL_WRITE,
         SYNC,
         RENAME_STATE,
         RENAME_LOG
@@ -32,6 +34,10 @@
     @Override
     public void write(FileChannel channel, ByteBuffer bytes) throws IOException {
         throwIfFailing(Call.WRITE);
+        if (failingCall.equals(Optional.of(Call.PARTIAL_WRITE))) {
+            FileOperations.super.write(channel, bytes.duplicate().limit(bytes.position() + bytes.remaining() / 2));
+            throwIfFailing(Call.PARTIAL_WRITE);
+        }
         FileOperations.super.write(channel, bytes);
     }
 
--- a/src/test/java/org/wigeongrade/disk/LogStoreTest.java
+++ b/src/test/java/org/wigeongrade/disk/LogStoreTest.java
@@ -198,6 +198,50 @@
         assertThat(recoveredAfterReopen().hardState()).isEqualTo(VOTED);
     }
 
+    @ParameterizedTest
+    @EnumSource(FaultyFileOperations.Call.class)
+    void aWriteToAFullDiskIsRepeatedUntilThereIsSpace(FaultyFileOperations.Call call) {
+        List<LogEntry> entries = entries(Position.START, 4);
+        List<String> refused = new ArrayList<>();
+        FullDiskPolicy policy = message -> {
+            refused.add(message);
+            if (refused.size() % 3 == 0) {
+                files.stopFailing();
+            }
+            return true;
+        };
+        try (LogStore store = LogStore.open(folder, files, () -> INCARNATION, policy)) {
+            store.append(entries.subList(0, 2));
+            files.failEvery(call, "No space left on device");
+            store.append(entries.subList(2, 3));
+            store.saveHardState(VOTED);
+            Position first = entries.get(0).position();
+            store.saveSnapshot(new Snapshot(first, Membership.NONE, Bytes.EMPTY), first, entries.subList(1, 3));
+            store.append(entries.subList(3, 4));
+        }
+
+        assertThat(refused).hasSize(3);
+        RecoveredState state = recoveredAfterReopen();
+        assertThat(state.hardState()).isEqualTo(VOTED);
+        assertThat(state.entries())
+                .containsExactlyElementsIn(entries.subList(1, 4))
+                .inOrder();
+    }
+
+    @Test
+    void aFolderIsOpenedOnceItsDiskHasSpace() {
+        files.failEvery(FaultyFileOperations.Call.WRITE, "No space left on device");
+        FullDiskPolicy policy = message -> {
+            files.stopFailing();
+            return true;
+        };
+
+        try (LogStore store = LogStore.open(folder, files, () -> INCARNATION, policy)) {
+            store.append(entries(Position.START, 1));
+        }
+        assertThat(recoveredAfterReopen().entries()).hasSize(1);
+    }
+
     @ParameterizedTest
     @CsvSource({"No space left on device,the disk is full", "Input/output error,check the disk"})
     void theErrorNamesTheRemedy(String systemMessage, String remedy) {
--- a/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogFailureTest.java
+++ b/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogFailureTest.java
@@ -27,6 +27,7 @@
 import org.wigeongrade.decisions.log.CoreSettings;
 import org.wigeongrade.decisions.log.LogTimings;
 import org.wigeongrade.disk.FaultyFileOperations;
+import org.wigeongrade.disk.FullDiskPolicy;
 import org.wigeongrade.disk.LogStore;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
@@ -48,6 +49,7 @@
     private final Map<NodeName, RaftReplicatedLog> logs = new TreeMap<>();
     private final Map<NodeName, RecordingStateMachine> stateMachines = new TreeMap<>();
     private final Map<NodeName, FaultyFileOperations> fileOperationsOf = new TreeMap<>();
+    private final Map<NodeName, FullDiskPolicy> fullDiskPolicies = new ConcurrentHashMap<>();
     private final Map<NodeName, RuntimeException> failures = new ConcurrentHashMap<>();
 
     @BeforeEach
@@ -77,6 +79,30 @@
         assertThat(commands).containsAtLeast("before", "after").inOrder();
     }
 
+    @Test
+    void aLeaderWhoseDiskIsFullStepsBackAndGoesOnOnceThereIsSpace() throws Exception {
+        NodeName leader = awaitLeaderOtherThan(Optional.empty());
+        submit(leader, "before").get(5, TimeUnit.SECONDS);
+        fullDiskPolicies.put(leader, message -> logs.get(leader).waitForDiskSpace());
+        fileOperationsOf.get(leader).failEvery(FaultyFileOperations.Call.WRITE, "No space left on device");
+        CompletableFuture<byte[]> pending = submit(leader, "open");
+        NodeName next = awaitLeaderOtherThan(Optional.of(leader));
+        assertThat(logs.get(leader).isLeaderWithLease()).isFalse();
+        assertThat(logs.get(leader).leader()).isEmpty();
+        submit(next, "after").get(5, TimeUnit.SECONDS);
+        fileOperationsOf.get(leader).stopFailing();
+
+        await(
+                "the replica whose disk was full catches up",
+                () -> stateMachines.get(leader).commands().contains("after"));
+        await("the open command has an outcome", pending::isDone);
+        // The followers may have received the command before the leader's own write was refused.
+        if (!pending.isCompletedExceptionally()) {
+            assertThat(stateMachines.get(next).commands()).contains("open");
+        }
+        assertThat(failures).isEmpty();
+    }
+
     @Test
     void aLeaderThatIsCutOffLosesItsLeaseBeforeAnotherLeadsAndCatchesUpAfterwards() throws Exception {
         NodeName leader = awaitLeaderOtherThan(Optional.empty());
@@ -109,7 +135,12 @@
 
     private void start(NodeName name) {
         FaultyFileOperations fileOperations = new FaultyFileOperations();
-        LogStore store = LogStore.open(folder.resolve(name.value()), fileOperations, name::hashCode);
+        LogStore store = LogStore.open(
+                folder.resolve(name.value()),
+                fileOperations,
+                name::hashCode,
+                message ->
+                        fullDiskPolicies.getOrDefault(name, FullDiskPolicy.FAIL).shouldRepeat(message));
         RecordingStateMachine stateMachine = new RecordingStateMachine();
         RaftReplicatedLog log = new RaftReplicatedLog(
                 CoreSettings.configured(name, VOTERS, FAST),
