Keep the leader's work per pull and per step from growing with all nodes

Change: sums are kept up to date as reports arrive, names are decoded once, groups are indexed by member, ready VMs are counted once a step, removals are dropped after 20 s, and a step is followed by a pause of three times its duration (50 ms at most).

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -33,7 +32,7 @@
     private final long term;
     private final GroupTimings timings;
     private final Consumer<GroupPhaseChange> changes;
-    private final List<ManagedGroup> groups = new ArrayList<>();
+    private final ManagedGroups groups = new ManagedGroups();
     private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
     private final InheritedGroups inherited = new InheritedGroups();
     private final WeightLoadLimiter loadLimiter = new WeightLoadLimiter();
@@ -73,7 +72,7 @@
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
         final PlanningContext context = new PlanningContext(nowNanos, term, timings, byName, observations, orders::add);
         adopt(engine, vms, timings.silentNanos(), nowNanos);
-        groups.forEach(group -> step(group, context));
+        groups.all().forEach(group -> step(group, context));
         removeEnded(nowNanos);
         engine.models()
                 .forEach(model ->
@@ -82,7 +81,7 @@
         scaleUp(engine, context);
         keepSpares(engine, context);
         stageSecondModels(engine, context);
-        CrossDomainGroups.findReplaceable(groups, freeVms(context, true), context)
+        CrossDomainGroups.findReplaceable(groups.all(), freeVms(context, true), context)
                 .ifPresent(group -> group.drain("a group within one fabric domain can replace it", context));
         return orders.build();
     }
@@ -100,8 +99,7 @@
         if (!response.isFromLiveVm()) {
             unresponsiveSinceNanos.put(order.vm(), nowNanos);
         }
-        groups.stream()
-                .filter(group -> group.name.equals(order.group()) && group.epoch == order.epoch())
+        groups.find(order.group(), order.epoch()).stream()
                 .flatMap(group -> group.members.stream())
                 .filter(member -> member.vm.equals(order.vm()))
                 .forEach(member -> member.recordResponse(order.kind(), response, nowNanos));
@@ -157,13 +155,14 @@
      */
     private void scaleUp(EngineProfile engine, PlanningContext context) {
         for (final GroupedModel model : engine.models()) {
-            final Optional<MemberSelection> selection = scaleUpPolicy.shouldAddGroup(engine, model, groups, context)
-                    ? MemberSelection.withinDomain(
-                                    freeVms(context, true),
-                                    model,
-                                    domain -> countGroupsInDomain(domain, model, context))
-                            .filter(found -> found.storeLoads() == 0)
-                    : Optional.empty();
+            final Optional<MemberSelection> selection =
+                    scaleUpPolicy.shouldAddGroup(engine, model, groups.all(), context)
+                            ? MemberSelection.withinDomain(
+                                            freeVms(context, true),
+                                            model,
+                                            domain -> countGroupsInDomain(domain, model, context))
+                                    .filter(found -> found.storeLoads() == 0)
+                            : Optional.empty();
             selection.ifPresent(found -> {
                 scaleUpPolicy.recordAddedGroup(context.nowNanos());
                 form(model, found, context);
@@ -197,9 +196,8 @@
     private void form(GroupedModel model, MemberSelection selection, PlanningContext context) {
         selection
                 .members()
-                .forEach(member -> groups.stream()
-                        .filter(group ->
-                                group.isSpare() && group.hasMember(member.vm().vm()))
+                .forEach(member -> groups.withMember(member.vm().vm()).stream()
+                        .filter(ManagedGroup::isSpare)
                         .forEach(group -> group.endSpare(context.nowNanos())));
         removeEnded(context.nowNanos());
         start(GroupPhase.FORMING, model, selection.members(), context);
@@ -215,7 +213,7 @@
                 ? crossDomainGroups.selectMembers(
                         model,
                         free,
-                        groups,
+                        groups.all(),
                         countGroups(model, context),
                         targetCount(model, context),
                         context.nowNanos())
@@ -232,19 +230,24 @@
 
     private void keepSpares(EngineProfile engine, PlanningContext context) {
         final boolean groupsHavePriority = groupsWaitForLoads(engine, context);
+        int runningLoads = runningLoads(context);
         for (final VmHeartbeat vm : freeVms(context, false)) {
-            final Optional<GroupedModel> model = SpareModelSelector.selectModel(vm, engine, groups, context)
+            final Optional<GroupedModel> model = SpareModelSelector.selectModel(vm, engine, groups.all(), context)
                     .filter(wanted -> !groupsHavePriority || Readiness.of(vm, wanted) != Readiness.NEEDS_LOAD);
-            final boolean allowed = model.filter(wanted -> loadLimiter.allows(
-                            Readiness.of(vm, wanted) == Readiness.NEEDS_LOAD ? 1 : 0,
-                            runningLoads(context),
+            final int loads = model.filter(wanted -> Readiness.of(vm, wanted) == Readiness.NEEDS_LOAD)
+                            .isPresent()
+                    ? 1
+                    : 0;
+            final boolean allowed = model.isPresent()
+                    && loadLimiter.allows(
+                            loads,
+                            runningLoads,
                             engine.loadsPerSecond(),
                             engine.maxConcurrentLoads(),
-                            context.nowNanos()))
-                    .isPresent();
+                            context.nowNanos());
             if (allowed) {
-                loadLimiter.recordStarted(
-                        Readiness.of(vm, model.get()) == Readiness.NEEDS_LOAD ? 1 : 0, context.nowNanos());
+                loadLimiter.recordStarted(loads, context.nowNanos());
+                runningLoads += loads;
                 start(GroupPhase.SPARE, model.get(), ImmutableList.of(vm), context);
             }
         }
@@ -301,10 +304,7 @@
     }
 
     private void removeEnded(long nowNanos) {
-        groups.stream()
-                .filter(group -> group.phase() == GroupPhase.ENDED)
-                .forEach(group -> inherited.recordEnded(group.name, group.epoch, nowNanos));
-        groups.removeIf(group -> group.phase() == GroupPhase.ENDED);
+        groups.removeEnded().forEach(group -> inherited.recordEnded(group.name, group.epoch, nowNanos));
     }
 
     private int countGroups(GroupedModel model, PlanningContext context) {
@@ -358,9 +358,7 @@
 
     private List<VmHeartbeat> freeVms(PlanningContext context, boolean withSpares) {
         return usableVms(context).stream()
-                .filter(vm -> groups.stream()
-                        .noneMatch(group -> !(withSpares && group.isSpare())
-                                && (group.hasMember(vm.vm().vm()) || isReportedBy(vm, group))))
+                .filter(vm -> !groups.isInUse(vm, !withSpares))
                 .filter(vm -> vm.receivedNanos() - startedNanos > 0
                         && sentHeartbeatSinceUnresponsive(vm)
                         && !inherited.isInUnadoptedGroup(vm))
@@ -368,17 +366,6 @@
                 .toList();
     }
 
-    /**
-     * Returns whether the VM reports that it is in the group, which may have been adopted before this VM's first
-     * heartbeat.
-     */
-    private static boolean isReportedBy(VmRecord vm, ManagedGroup group) {
-        return vm.heartbeat()
-                .group()
-                .filter(report -> report.group().equals(group.name) && report.epoch() == group.epoch)
-                .isPresent();
-    }
-
     private boolean sentHeartbeatSinceUnresponsive(VmRecord vm) {
         final Long sinceNanos = unresponsiveSinceNanos.get(vm.vm());
         return sinceNanos == null || vm.receivedNanos() - sinceNanos > 0;
--- a/src/main/java/org/wigeongrade/decisions/grouping/SecondModelStaging.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/SecondModelStaging.java
@@ -1,6 +1,8 @@
 package org.wigeongrade.decisions.grouping;
 
+import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +12,7 @@
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.GroupedModel;
 import org.wigeongrade.ids.FabricDomain;
+import org.wigeongrade.ids.ModelVersionName;
 
 /**
  * Selects spares to load the weights of a second model onto their hosts. Such a spare joins a group of its own model at
@@ -35,16 +38,19 @@
         }
     }
 
+    private record ReadyFor(Optional<FabricDomain> domain, ModelVersionName model) {}
+
     private SecondModelStaging() {}
 
     /**
      * Returns the spares that could load a model for which few VMs of their domain are ready; models with the fewest
      * ready VMs come first.
      */
-    static List<Candidate> candidates(EngineProfile engine, List<ManagedGroup> groups, PlanningContext context) {
+    static List<Candidate> candidates(EngineProfile engine, ManagedGroups groups, PlanningContext context) {
+        final Multiset<ReadyFor> ready = countReady(engine, groups, context);
         return groups.stream()
                 .filter(group -> group.isSpare() && isReady(group, context))
-                .flatMap(spare -> candidateFor(spare, engine, groups, context).stream())
+                .flatMap(spare -> candidateFor(spare, engine, ready, context).stream())
                 .filter(candidate -> candidate.readyInDomain() <= MAX_READY_IN_DOMAIN)
                 .sorted(Comparator.comparingInt(Candidate::readyInDomain)
                         .thenComparingInt(candidate -> -candidate.model().groupSize()))
@@ -58,14 +64,14 @@
     }
 
     private static Optional<Candidate> candidateFor(
-            ManagedGroup spare, EngineProfile engine, List<ManagedGroup> groups, PlanningContext context) {
+            ManagedGroup spare, EngineProfile engine, Multiset<ReadyFor> ready, PlanningContext context) {
         final Optional<VmHeartbeat> vm = context.record(spare.head()).map(VmRecord::heartbeat);
         if (vm.isEmpty() || hasSecondModel(vm.get(), spare)) {
             return Optional.empty();
         }
         return engine.models().stream()
                 .filter(model -> Readiness.of(vm.get(), model) == Readiness.NEEDS_LOAD)
-                .map(model -> new Candidate(spare, model, countReady(spare.head().domain, model, groups, context)))
+                .map(model -> new Candidate(spare, model, ready.count(new ReadyFor(spare.head().domain, model.name()))))
                 .min(Comparator.comparingInt(Candidate::readyInDomain));
     }
 
@@ -74,16 +80,17 @@
     }
 
     /**
-     * Returns the number of VMs of a domain that are free or spares and need not load the model from the weight store.
+     * Counts, for each domain and model, the VMs that are free or spares and need not load the model from the weight
+     * store.
      */
-    private static int countReady(
-            Optional<FabricDomain> domain, GroupedModel model, List<ManagedGroup> groups, PlanningContext context) {
-        return (int) context.vms().values().stream()
-                .filter(vm -> vm.isStaying() && vm.heartbeat().domain().equals(domain))
-                .filter(vm -> Readiness.of(vm.heartbeat(), model) != Readiness.NEEDS_LOAD)
-                .filter(vm -> groups.stream()
-                        .noneMatch(group ->
-                                !group.isSpare() && group.hasMember(vm.vm().vm())))
-                .count();
+    private static Multiset<ReadyFor> countReady(EngineProfile engine, ManagedGroups groups, PlanningContext context) {
+        final Multiset<ReadyFor> ready = HashMultiset.create();
+        context.vms().values().stream()
+                .filter(vm -> vm.isStaying()
+                        && groups.withMember(vm.vm().vm()).stream().allMatch(ManagedGroup::isSpare))
+                .forEach(vm -> engine.models().stream()
+                        .filter(model -> Readiness.of(vm.heartbeat(), model) != Readiness.NEEDS_LOAD)
+                        .forEach(model -> ready.add(new ReadyFor(vm.heartbeat().domain(), model.name()))));
+        return ready;
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -26,6 +26,8 @@
 final class LeaderLoop implements AutoCloseable {
     /** Heartbeat intervals that this node waits after its start before it treats VMs without a heartbeat as lost. */
     private static final double DISCOVERY_HEARTBEATS = 2;
+    /** Multiple of a step's duration for which the next one waits, so that planning leaves time for heartbeats and pulls. */
+    private static final long PAUSE_PER_STEP_TIME = 3;
 
     private final NodeName self;
     private final RaftReplicatedLog log;
@@ -81,8 +83,9 @@
     private void run() {
         try {
             while (true) {
+                final long begunNanos = nanoClock.getAsLong();
                 step();
-                Thread.sleep(FleetTimings.MIN_PLAN_INTERVAL_MS);
+                Thread.sleep(pauseMs(nanoClock.getAsLong() - begunNanos));
                 final boolean unused = wakeUps.tryAcquire(
                         FleetTimings.PLAN_INTERVAL_MS - FleetTimings.MIN_PLAN_INTERVAL_MS, TimeUnit.MILLISECONDS);
                 wakeUps.drainPermits();
@@ -92,6 +95,14 @@
         }
     }
 
+    /** Returns the pause after a step of the given duration. */
+    private static long pauseMs(long stepNanos) {
+        return Math.max(
+                FleetTimings.MIN_PLAN_INTERVAL_MS,
+                Math.min(
+                        FleetTimings.PLAN_INTERVAL_MS, PAUSE_PER_STEP_TIME * TimeUnit.NANOSECONDS.toMillis(stepNanos)));
+    }
+
     private void step() {
         if (!log.isLeaderWithLease()) {
             endTerm("the lease ended");
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.discovery.VmRecord;
+import org.wigeongrade.decisions.grouping.EndpointObservation;
 import org.wigeongrade.decisions.grouping.GroupOrder;
 import org.wigeongrade.decisions.grouping.GroupPhaseChange;
 import org.wigeongrade.decisions.grouping.GroupPlanner;
@@ -27,7 +28,6 @@
 import org.wigeongrade.fleet.thrift.CrashRecord;
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
-import org.wigeongrade.fleet.thrift.UsageRecord;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.ids.ServiceName;
@@ -83,17 +83,18 @@
         settled = settled || vmsKnown;
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
         final Map<VmName, RoutableEndpointTable.RoutableEndpoint> routableByVm = new HashMap<>();
+        final Map<VmName, EndpointObservation> evidence = entryReports.evidenceByVm(nowNanos);
         for (final PublishedService service : configuration.services()) {
             final ImmutableList<VmRecord> serviceVms = vms.stream()
                     .filter(vm -> vm.heartbeat().service().equals(service.name()))
                     .collect(ImmutableList.toImmutableList());
             if (service.engine().isPresent()) {
-                orders.addAll(planGroups(service, serviceVms, routableByVm, nowNanos));
+                orders.addAll(planGroups(service, serviceVms, evidence, routableByVm, nowNanos));
             } else {
-                addPlainEndpoints(serviceVms, routableByVm, nowNanos);
+                addPlainEndpoints(serviceVms, evidence, routableByVm, nowNanos);
             }
         }
-        routableEndpoints.replace(routableByVm);
+        routableEndpoints.replace(routableByVm, nowNanos);
         return orders.build();
     }
 
@@ -112,14 +113,14 @@
         reply.setTerm(term)
                 .setSettled(settled)
                 .setEntryVms(entryReports.countEntryNodes(nowNanos))
-                .setInFlightElsewhere(entryReports.sumOverOtherNodes(node, UsageRecord::getInFlight))
-                .setUnreadTokensElsewhere(entryReports.sumOverOtherNodes(node, UsageRecord::getUnreadTokens))
                 .setQuarantined(quarantined(nowNanos));
+        entryReports.writeLoadOfOtherNodes(node, reply);
     }
 
     private ImmutableList<GroupOrder> planGroups(
             PublishedService service,
             ImmutableList<VmRecord> serviceVms,
+            Map<VmName, EndpointObservation> evidence,
             Map<VmName, RoutableEndpointTable.RoutableEndpoint> routableByVm,
             long nowNanos) {
         final GroupPlanner planner = planners.computeIfAbsent(
@@ -128,9 +129,8 @@
         if (!settled) {
             planner.adoptCompleteGroups(engine, serviceVms, nowNanos);
         }
-        final ImmutableList<GroupOrder> orders = settled
-                ? planner.plan(engine, serviceVms, entryReports.evidenceByVm(nowNanos), nowNanos)
-                : ImmutableList.of();
+        final ImmutableList<GroupOrder> orders =
+                settled ? planner.plan(engine, serviceVms, evidence, nowNanos) : ImmutableList.of();
         final ImmutableMap<VmIncarnation, VmRecord> byIncarnation =
                 serviceVms.stream().collect(ImmutableMap.toImmutableMap(VmRecord::vm, vm -> vm));
         for (final ServingGroup group : planner.serving(engine)) {
@@ -145,10 +145,10 @@
 
     private void addPlainEndpoints(
             ImmutableList<VmRecord> serviceVms,
+            Map<VmName, EndpointObservation> evidence,
             Map<VmName, RoutableEndpointTable.RoutableEndpoint> routableByVm,
             long nowNanos) {
         final long maxSilentNanos = PLAIN_MAX_MISSED_HEARTBEATS * timings.heartbeatNanos();
-        final var evidence = entryReports.evidenceByVm(nowNanos);
         serviceVms.stream()
                 .filter(VmRecord::isStaying)
                 .filter(vm -> vm.sinceHeartbeatNanos(nowNanos) <= maxSilentNanos
--- a/src/main/java/org/wigeongrade/fleet/control/RoutableEndpointTable.java
+++ b/src/main/java/org/wigeongrade/fleet/control/RoutableEndpointTable.java
@@ -1,6 +1,5 @@
 package org.wigeongrade.fleet.control;
 
-import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -15,8 +14,9 @@
  * The endpoints that requests may be sent to. Each change has a number, so that entry nodes need only the changes since
  * their last pull.
  *
- * <p>Invariant: the change number grows with each change, and a removed endpoint keeps an entry, so that its removal is
- * sent as a change. Not thread safe; {@link LeaderTerm} guards it.
+ * <p>Invariant: the change number grows with each change. A removed endpoint keeps an entry for a while, so that its
+ * removal is sent as a change; an entry node that may have missed a removal that was dropped gets all entries. Not thread
+ * safe; {@link LeaderTerm} guards it.
  */
 final class RoutableEndpointTable {
     /** Largest change of the expected end of a cold start at which an endpoint still counts as unchanged. */
@@ -25,31 +25,46 @@
     /** A routable endpoint and the model that it serves; only the head of a group has a model. */
     record RoutableEndpoint(VmRecord vm, Optional<ModelVersionName> model, double paceFactor, boolean suspect) {}
 
-    private record Entry(Optional<RoutableEndpoint> endpoint, long changeNumber) {}
+    /** Time for which a removal is kept; several times the longest time between two pulls of a working entry node. */
+    private static final long KEEP_REMOVAL_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    /** @param changedNanos time of the change */
+    private record Entry(Optional<RoutableEndpoint> endpoint, long changeNumber, long changedNanos) {}
 
     private final Map<VmName, Entry> entries = new HashMap<>();
     private long changeNumber;
+    private long lastDroppedNumber;
 
     /** Replaces the endpoints and returns the number of changes. */
-    int replace(Map<VmName, RoutableEndpoint> endpoints) {
+    int replace(Map<VmName, RoutableEndpoint> endpoints, long nowNanos) {
         final long changeNumberBefore = changeNumber;
         endpoints.forEach((vm, endpoint) -> {
             final Optional<RoutableEndpoint> previous =
                     Optional.ofNullable(entries.get(vm)).flatMap(Entry::endpoint);
             if (previous.filter(old -> isUnchanged(old, endpoint)).isEmpty()) {
-                entries.put(vm, new Entry(Optional.of(endpoint), ++changeNumber));
+                entries.put(vm, new Entry(Optional.of(endpoint), ++changeNumber, nowNanos));
             }
         });
-        for (final Map.Entry<VmName, Entry> entry : ImmutableMap.copyOf(entries).entrySet()) {
-            if (entry.getValue().endpoint().isPresent() && !endpoints.containsKey(entry.getKey())) {
-                entries.put(entry.getKey(), new Entry(Optional.empty(), ++changeNumber));
-            }
-        }
+        entries.replaceAll((vm, entry) -> entry.endpoint().isPresent() && !endpoints.containsKey(vm)
+                ? new Entry(Optional.empty(), ++changeNumber, nowNanos)
+                : entry);
+        dropOldRemovals(nowNanos);
         return (int) (changeNumber - changeNumberBefore);
     }
 
-    /** Writes the changes after {@code sinceNumber}, or all entries if {@code complete}. */
-    void writeChanges(PullReply reply, long sinceNumber, boolean complete, long nowNanos) {
+    private void dropOldRemovals(long nowNanos) {
+        entries.values().removeIf(entry -> {
+            final boolean old = entry.endpoint().isEmpty() && nowNanos - entry.changedNanos() > KEEP_REMOVAL_NANOS;
+            if (old) {
+                lastDroppedNumber = Math.max(lastDroppedNumber, entry.changeNumber());
+            }
+            return old;
+        });
+    }
+
+    /** Writes the changes after {@code sinceNumber}, or all entries if {@code completeWanted} or a change was dropped. */
+    void writeChanges(PullReply reply, long sinceNumber, boolean completeWanted, long nowNanos) {
+        final boolean complete = completeWanted || sinceNumber < lastDroppedNumber;
         reply.setComplete(complete).setChangeNumber(changeNumber);
         entries.forEach((vm, entry) -> {
             if (!complete && entry.changeNumber() <= sinceNumber) {
