Heed endpoints that say they leave or ask for a pause

Change: both are decoded once in platform/. A restriction belongs to the incarnation, outlives views and failovers, and applies to every choice of an endpoint. Leaving goes to the leader with each pull, which counts the VM as leaving, so that its group is replaced. If all endpoints ask for a pause, the caller is refused at once (endpoints_paused) with the end of the first pause, if it waits that long.

--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -99,13 +99,20 @@
         if (untried.isEmpty()) {
             return Placement.refused(Placement.Refusal.NONE_SERVES, 0, retryAfterMs(request));
         }
+        final List<EndpointLoad> allowed = untried.stream()
+                .filter(endpoint -> endpoint.restriction().pausedForNanos(nowNanos) == 0)
+                .toList();
+        if (allowed.isEmpty()) {
+            return Placement.refused(
+                    Placement.Refusal.ALL_PAUSED, untried.size(), retryAfterPauseMs(request, untried, nowNanos));
+        }
         final double medianSlowness = medianSlowness(endpoints);
-        final List<EndpointLoad> available = untried.stream()
+        final List<EndpointLoad> available = allowed.stream()
                 .filter(endpoint -> hasCapacity(endpoint, engine, limits, nowNanos)
                         && isInTime(endpoint, request, engine, medianSlowness))
                 .toList();
         if (available.isEmpty()) {
-            return Placement.refused(Placement.Refusal.ALL_BUSY, untried.size(), retryAfterMs(request));
+            return Placement.refused(Placement.Refusal.ALL_BUSY, allowed.size(), retryAfterMs(request));
         }
         final List<EndpointLoad> healthy = available.stream()
                 .filter(endpoint -> isHealthy(endpoint, nowNanos))
@@ -223,6 +230,21 @@
         return idealMs * slowness(endpoint, medianSlowness);
     }
 
+    /**
+     * Returns after how many milliseconds the first paused endpoint may get requests again, or the usual time if its
+     * caller would not wait for that long.
+     */
+    private long retryAfterPauseMs(PlacementRequest request, List<EndpointLoad> paused, long nowNanos) {
+        final long firstEndNanos = paused.stream()
+                .mapToLong(endpoint -> endpoint.restriction().pausedForNanos(nowNanos))
+                .min()
+                .orElseThrow();
+        final long firstEndMs = TimeUnit.NANOSECONDS.toMillis(firstEndNanos) + 1;
+        return firstEndMs <= MAX_RETRY_FRACTION_OF_REMAINING * request.remainingMs()
+                ? firstEndMs
+                : retryAfterMs(request);
+    }
+
     /**
      * Returns after how many milliseconds a refused caller should retry. Its response will be late in any case and
      * callers retry only once, so the delay is as long as they are willing to wait: by then, lost groups may have been
--- a/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
@@ -30,6 +30,7 @@
     private final Optional<ModelVersionName> model;
     private final int slots;
     private final double paceFactor;
+    private final SendRestriction restriction;
     private long coldUntilNanos;
     private boolean suspect;
     private int inFlight;
@@ -55,6 +56,7 @@
             Optional<ModelVersionName> model,
             int slots,
             double paceFactor,
+            SendRestriction restriction,
             long coldUntilNanos,
             long nowNanos) {
         this.vm = vm;
@@ -64,6 +66,7 @@
         this.model = model;
         this.slots = slots;
         this.paceFactor = paceFactor;
+        this.restriction = restriction;
         this.coldUntilNanos = coldUntilNanos;
         this.lastProgressNanos = nowNanos;
         this.lastActiveNanos = nowNanos;
@@ -90,6 +93,11 @@
         return model;
     }
 
+    /** Returns what the endpoint asked this node not to send to it. */
+    public SendRestriction restriction() {
+        return restriction;
+    }
+
     public int slots() {
         return slots;
     }
--- a/src/main/java/org/wigeongrade/decisions/balancing/Placement.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Placement.java
@@ -22,6 +22,8 @@
     public enum Refusal {
         /** No endpoint serves the request's target, or it has already been sent to all that do. */
         NONE_SERVES,
+        /** Every endpoint that serves the request's target asked this node for a pause. */
+        ALL_PAUSED,
         /** Every endpoint that serves the request's target is full or would respond too late. */
         ALL_BUSY
     }
--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/balancing/SendRestriction.java
@@ -0,0 +1,43 @@
+package org.wigeongrade.decisions.balancing;
+
+/**
+ * What one incarnation of an endpoint asked this node not to send to it.
+ *
+ * <p>Invariants: an incarnation that leaves never stops leaving; a pause is only ever extended. Time is a parameter, on
+ * the monotonic clock. Not thread safe.
+ */
+public final class SendRestriction {
+    private boolean leaving;
+    private boolean paused;
+    private long pausedUntilNanos;
+
+    /** Records that the endpoint leaves; returns whether this was not known. */
+    public boolean recordLeaving() {
+        final boolean news = !leaving;
+        leaving = true;
+        return news;
+    }
+
+    /** Returns whether the endpoint stated that it leaves, so that it must not get new requests. */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Records that the endpoint wants no requests until a deadline; an earlier deadline than the known one is ignored. */
+    public void pauseUntil(long deadlineNanos) {
+        if (!paused || deadlineNanos - pausedUntilNanos > 0) {
+            paused = true;
+            pausedUntilNanos = deadlineNanos;
+        }
+    }
+
+    /** Returns the time until the endpoint may get requests again; 0 if it may get them now. */
+    public long pausedForNanos(long nowNanos) {
+        return paused ? Math.max(0, pausedUntilNanos - nowNanos) : 0;
+    }
+
+    /** Returns whether the restriction no longer has an effect and never will. */
+    public boolean hasEnded(long nowNanos) {
+        return !leaving && pausedForNanos(nowNanos) == 0;
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/discovery/VmRecord.java
+++ b/src/main/java/org/wigeongrade/decisions/discovery/VmRecord.java
@@ -9,16 +9,22 @@
  * @param coldUntilNanos end of the cold start on the same clock; in the past if warm
  * @param departed whether the VM has announced that it leaves permanently
  * @param ended whether the incarnation is known to have ended
+ * @param leaving whether the incarnation stated in a response that it leaves, which its heartbeat may not show yet
  */
 public record VmRecord(
-        VmHeartbeat heartbeat, long receivedNanos, long coldUntilNanos, boolean departed, boolean ended) {
+        VmHeartbeat heartbeat,
+        long receivedNanos,
+        long coldUntilNanos,
+        boolean departed,
+        boolean ended,
+        boolean leaving) {
     public VmIncarnation vm() {
         return heartbeat.vm();
     }
 
     /** Returns whether the VM is neither leaving nor gone. */
     public boolean isStaying() {
-        return !heartbeat.draining() && !departed && !ended;
+        return !heartbeat.draining() && !leaving && !departed && !ended;
     }
 
     /** Returns the time since the latest heartbeat. */
@@ -27,10 +33,14 @@
     }
 
     VmRecord asDeparted() {
-        return new VmRecord(heartbeat, receivedNanos, coldUntilNanos, true, ended);
+        return new VmRecord(heartbeat, receivedNanos, coldUntilNanos, true, ended, leaving);
     }
 
     VmRecord asEnded() {
-        return new VmRecord(heartbeat, receivedNanos, coldUntilNanos, departed, true);
+        return new VmRecord(heartbeat, receivedNanos, coldUntilNanos, departed, true, leaving);
+    }
+
+    VmRecord asLeaving() {
+        return new VmRecord(heartbeat, receivedNanos, coldUntilNanos, departed, ended, true);
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/discovery/VmRegistry.java
+++ b/src/main/java/org/wigeongrade/decisions/discovery/VmRegistry.java
@@ -38,7 +38,8 @@
         }
         markOlderAtAddressEnded(heartbeat);
         final long coldUntilNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(heartbeat.coldForMs());
-        byName.put(heartbeat.vm().vm(), new VmRecord(heartbeat, receivedNanos, coldUntilNanos, false, false));
+        final boolean leaving = known != null && known.vm().equals(heartbeat.vm()) && known.leaving();
+        byName.put(heartbeat.vm().vm(), new VmRecord(heartbeat, receivedNanos, coldUntilNanos, false, false, leaving));
         byAddress.put(heartbeat.address(), heartbeat.vm().vm());
         return true;
     }
@@ -51,6 +52,19 @@
         return Optional.ofNullable(byName.computeIfPresent(vm, (name, known) -> known.asDeparted()));
     }
 
+    /**
+     * Records that an incarnation stated in a response that it leaves; returns whether this was not known. Later
+     * heartbeats of the incarnation do not revoke it.
+     */
+    public synchronized boolean markLeaving(VmIncarnation vm) {
+        final VmRecord known = byName.get(vm.vm());
+        if (known == null || !known.vm().equals(vm) || !known.isStaying()) {
+            return false;
+        }
+        byName.put(vm.vm(), known.asLeaving());
+        return true;
+    }
+
     /** Records that an incarnation has ended. */
     public synchronized void markEnded(VmIncarnation vm) {
         byName.computeIfPresent(vm.vm(), (name, known) -> known.vm().equals(vm) ? known.asEnded() : known);
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -125,6 +125,7 @@
                 leaderLoop::currentTerm,
                 this::addControlVms,
                 leaderLoop::wake,
+                events,
                 clock);
         this.nodeServer = new NodeServer(
                 new InetSocketAddress(settings.bindIp(), settings.fleetPort()),
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -18,9 +18,13 @@
 import org.wigeongrade.fleet.thrift.HeartbeatRecord;
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
+import org.wigeongrade.fleet.thrift.UsageRecord;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.nodes.log.RaftReplicatedLog;
 
 /**
@@ -39,6 +43,7 @@
     private final Supplier<Optional<LeaderTerm>> leaderTerm;
     private final Consumer<List<String>> onControlVmsLearned;
     private final Runnable requestPlanning;
+    private final EventLog events;
     private final LongSupplier nanoClock;
 
     ControlService(
@@ -49,6 +54,7 @@
             Supplier<Optional<LeaderTerm>> leaderTerm,
             Consumer<List<String>> onControlVmsLearned,
             Runnable requestPlanning,
+            EventLog events,
             LongSupplier nanoClock) {
         this.log = log;
         this.stateMachine = stateMachine;
@@ -57,6 +63,7 @@
         this.leaderTerm = leaderTerm;
         this.onControlVmsLearned = onControlVmsLearned;
         this.requestPlanning = requestPlanning;
+        this.events = events;
         this.nanoClock = nanoClock;
     }
 
@@ -74,10 +81,24 @@
         final boolean ledBefore = log.isLeaderWithLease();
         final PublishedState state = stateMachine.state();
         writeState(state, request.getConfigurationVersion(), reply);
+        recordLeaving(request.getUsage());
         term.get().handlePull(request, reply, nanoClock.getAsLong());
         return reply.setLeads(ledBefore && log.isLeaderWithLease());
     }
 
+    private void recordLeaving(List<UsageRecord> usage) {
+        final boolean news = usage.stream()
+                        .filter(UsageRecord::isLeaving)
+                        .map(record -> new VmIncarnation(VmName.of(record.getVm()), record.getIncarnation()))
+                        .filter(registry::markLeaving)
+                        .peek(vm -> events.write(LogEvent.ENDPOINT_LEAVING, vm))
+                        .count()
+                > 0;
+        if (news) {
+            requestPlanning.run();
+        }
+    }
+
     @Override
     public ExchangeReply exchange(ExchangeRequest request) {
         onControlVmsLearned.accept(List.of(request.getSender()));
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -80,12 +80,20 @@
     public void onHead(ResponseHead received) {
         recordProgress();
         head = Optional.of(received);
+        recordRestrictions(received);
         final boolean unusable = received.isSuccess() && (!received.signed() || received.contentEncoded());
         if (unusable) {
             rejectResponse("the response is not signed by the endpoint or its body was encoded in transit");
         }
     }
 
+    private void recordRestrictions(ResponseHead received) {
+        if (received.leaving()) {
+            services.registry().recordLeaving(endpoint);
+        }
+        received.pauseMs().ifPresent(ms -> services.registry().recordPause(endpoint, ms, services.nowNanos()));
+    }
+
     @Override
     public void onBody(byte[] bytes) {
         recordProgress();
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -11,6 +11,7 @@
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.EngineLatencyModel;
 import org.wigeongrade.decisions.balancing.LearnedOverhead;
+import org.wigeongrade.decisions.balancing.SendRestriction;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
 import org.wigeongrade.fleet.thrift.CrashRecord;
@@ -37,6 +38,8 @@
     private static final long STALE_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
     private final EventLog events;
+    private final long maxPauseMs;
+    private final SendRestrictions restrictions = new SendRestrictions();
     private final Map<VmName, EndpointLoad> routable = new HashMap<>();
     private final List<EndpointLoad> retired = new ArrayList<>();
     private final List<CrashRecord> crashes = new ArrayList<>();
@@ -44,8 +47,10 @@
     private ImmutableMap<ModelVersionName, EngineLatencyModel> engines = ImmutableMap.of();
     private EntryView view;
 
-    EndpointRegistry(EventLog events, long nowNanos) {
+    /** @param maxPauseMs longest pause that an endpoint may ask for; longer ones are shortened to it */
+    EndpointRegistry(EventLog events, long maxPauseMs, long nowNanos) {
         this.events = events;
+        this.maxPauseMs = maxPauseMs;
         this.view = EntryView.empty(nowNanos);
     }
 
@@ -69,7 +74,10 @@
         view = next;
     }
 
-    /** Returns the endpoints of a service, or of one of its models, except those in zones that are out of service. */
+    /**
+     * Returns the endpoints of a service, or of one of its models, except those that are leaving and those in zones
+     * that are out of service.
+     */
     List<EndpointLoad> candidates(ServiceName service, Optional<ModelVersionName> model, long nowNanos) {
         if (nowNanos - view.pullSentNanos() > STALE_REPORT_NANOS) {
             routable.values().forEach(this::estimateLoadOfOtherEntries);
@@ -78,6 +86,7 @@
                 .filter(load -> load.service().equals(service))
                 .filter(load -> load.model().equals(model))
                 .filter(load -> !view.zonesOut().contains(load.zone()))
+                .filter(load -> !load.restriction().isLeaving())
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -103,19 +112,34 @@
                 new CrashRecord(requestDigest, load.vm().vm().value(), load.vm().incarnation()));
     }
 
+    /** Records that an endpoint stated that it leaves; it gets no new requests from now on. */
+    void recordLeaving(EndpointLoad load) {
+        if (load.restriction().recordLeaving()) {
+            events.write(LogEvent.ENDPOINT_LEAVING, load.vm());
+        }
+    }
+
+    /** Records that an endpoint wants no requests from this node for a time. */
+    void recordPause(EndpointLoad load, long requestedMs, long nowNanos) {
+        final long pauseMs = Math.min(maxPauseMs, requestedMs);
+        load.restriction().pauseUntil(nowNanos + TimeUnit.MILLISECONDS.toNanos(pauseMs));
+        events.write(LogEvent.ENDPOINT_PAUSED, load.vm(), pauseMs, requestedMs);
+    }
+
     /** Records the VM that an endpoint named as the cause of its refusal. */
     void recordFaultyVm(EndpointLoad load, VmName faulty) {
         faultyVms.put(load.vm().vm(), faulty.value());
     }
 
     /**
-     * Returns the usage of recently active and of retired endpoints for the leader, and resets what is counted per
-     * report.
+     * Returns the usage of recently active, leaving and retired endpoints for the leader, and resets what is counted
+     * per report.
      */
     ImmutableList<UsageRecord> drainUsage(long nowNanos) {
         final ImmutableList.Builder<UsageRecord> usage = ImmutableList.builder();
         routable.values().stream()
-                .filter(load -> load.wasActiveWithin(ACTIVE_WINDOW_NANOS, nowNanos))
+                .filter(load -> load.wasActiveWithin(ACTIVE_WINDOW_NANOS, nowNanos)
+                        || load.restriction().isLeaving())
                 .forEach(load -> usage.add(usageOf(load, nowNanos)));
         retired.forEach(load -> usage.add(usageOf(load, nowNanos)));
         return usage.build();
@@ -134,7 +158,7 @@
     }
 
     private UsageRecord usageOf(EndpointLoad load, long nowNanos) {
-        return new UsageRecord(
+        final UsageRecord usage = new UsageRecord(
                 load.vm().vm().value(),
                 load.vm().incarnation(),
                 load.inFlight(),
@@ -143,6 +167,7 @@
                 load.takeProgressed(),
                 Optional.ofNullable(faultyVms.remove(load.vm().vm())).orElse(""),
                 load.ownPendingPromptTokens());
+        return load.restriction().isLeaving() ? usage.setLeaving(true) : usage;
     }
 
     private void addOrUpdate(VmName vm, RoutableRecord record, long nowNanos) {
@@ -156,7 +181,8 @@
         if (known != null) {
             retire(known);
         }
-        final EndpointLoad added = EndpointLoadDecoder.decode(record, coldUntilNanos, nowNanos);
+        final SendRestriction restriction = restrictions.of(EndpointLoadDecoder.incarnation(record), nowNanos);
+        final EndpointLoad added = EndpointLoadDecoder.decode(record, restriction, coldUntilNanos, nowNanos);
         added.setSuspect(record.isSuspect());
         routable.put(vm, added);
         events.write(
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -148,10 +148,10 @@
         }
         final Placement placement = place(attemptsThatMayHaveRun > 0, remainingMs, nowNanos);
         if (placement.endpoint().isEmpty()) {
-            final boolean busy = placement.refusal().equals(Optional.of(Placement.Refusal.ALL_BUSY));
+            final Placement.Refusal refusal = placement.refusal().orElseThrow();
             failOrRefuse(
-                    busy ? ErrorKind.NO_FREE_SLOT : ErrorKind.NO_WHOLE_GROUP,
-                    (busy ? "no free slot at any of " : "no usable endpoint among ") + placement.candidates()
+                    kindOf(refusal),
+                    describe(refusal) + " " + placement.candidates()
                             + " endpoints of "
                             + service.orElseThrow().name() + " for "
                             + model().map(ModelVersionName::value).orElse("requests without a model"),
@@ -161,6 +161,22 @@
         sendTo(placement, remainingMs, nowNanos);
     }
 
+    private static ErrorKind kindOf(Placement.Refusal refusal) {
+        return switch (refusal) {
+            case NONE_SERVES -> ErrorKind.NO_WHOLE_GROUP;
+            case ALL_PAUSED -> ErrorKind.ENDPOINTS_PAUSED;
+            case ALL_BUSY -> ErrorKind.NO_FREE_SLOT;
+        };
+    }
+
+    private static String describe(Placement.Refusal refusal) {
+        return switch (refusal) {
+            case NONE_SERVES -> "no usable endpoint among";
+            case ALL_PAUSED -> "a pause asked for by each of";
+            case ALL_BUSY -> "no free slot at any of";
+        };
+    }
+
     /** Returns whether the request has no organisation, or the view that confirmed its API key is recent enough. */
     private boolean isKeyFresh(long nowNanos) {
         return organisation.isEmpty() || services.keysAreFresh(nowNanos);
--- a/src/main/java/org/wigeongrade/fleet/entry/ResponseHead.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ResponseHead.java
@@ -13,6 +13,8 @@
  * @param signed whether the endpoint signed the response
  * @param contentEncoded whether the body has a content encoding, so that it is not the body that the endpoint sent
  * @param faultyVm VM that the endpoint named as the cause of its refusal
+ * @param leaving whether the endpoint stated that it leaves and must get no new requests
+ * @param pauseMs for how long the endpoint wants no requests from this node; absent if it does not mind
  * @param reusableForMs how long the connection may stay idle before it is reused; absent if it must not be reused
  * @param headers headers that may be forwarded to the caller
  */
@@ -23,6 +25,8 @@
         boolean signed,
         boolean contentEncoded,
         Optional<VmName> faultyVm,
+        boolean leaving,
+        OptionalLong pauseMs,
         OptionalLong reusableForMs,
         HttpHeaders headers) {
     private static final int FIRST_SUCCESS = 200;
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -60,6 +60,8 @@
 
     ENDPOINT_ROUTABLE(1506, Level.INFO, "endpoint {endpoint} at {address} in {zone} may be sent requests for {model}"),
     ENDPOINT_NOT_ROUTABLE(1507, Level.INFO, "endpoint {endpoint} gets no new requests; {in_flight} are in flight"),
+    ENDPOINT_PAUSED(
+            1508, Level.INFO, "endpoint {endpoint} gets no requests for {pause_ms} ms; it asked for {asked_ms}"),
 
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
     REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
--- a/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
+++ b/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
@@ -30,12 +31,14 @@
 import org.wigeongrade.fleet.entry.ForwardingMetadata;
 import org.wigeongrade.fleet.entry.ResponseHead;
 import org.wigeongrade.fleet.net.HttpReply;
+import org.wigeongrade.fleet.net.RetryAfterHeader;
 import org.wigeongrade.ids.VmName;
 
 /** Encodes and decodes the platform's messages with callers and endpoints. Stateless; safe for use from any thread. */
 public final class PlatformCallerCodec implements CallerCodec {
     private static final String READINESS_PATH = "/-/readyz";
     private static final int MS_PER_S = 1_000;
+    private static final String LEAVING_VALUE = "1";
     /** Idle timeout if the response states none: such endpoints close idle connections in less than a second. */
     private static final long DEFAULT_IDLE_MS = 250;
     /** Subtracted from a stated idle timeout, so that no request is sent while the endpoint closes the connection. */
@@ -116,6 +119,8 @@
                 headers.contains(WireHeaders.SIGNATURE),
                 headers.contains(HttpHeaderNames.CONTENT_ENCODING),
                 faultyVm(headers),
+                text(headers, WireHeaders.LEAVING).filter(LEAVING_VALUE::equals).isPresent(),
+                pauseMs(response),
                 reusableForMs(response),
                 endToEndHeaders(headers, ImmutableSet.of()));
     }
@@ -165,6 +170,13 @@
         }
     }
 
+    /** Returns for how long an endpoint that is overloaded wants no requests from the node that it answered. */
+    private static OptionalLong pauseMs(HttpResponse response) {
+        return response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                ? RetryAfterHeader.parseMs(response.headers(), System.currentTimeMillis())
+                : OptionalLong.empty();
+    }
+
     private static OptionalLong reusableForMs(HttpResponse response) {
         if (!HttpUtil.isKeepAlive(response)) {
             return OptionalLong.empty();
--- a/src/main/java/org/wigeongrade/platform/WireHeaders.java
+++ b/src/main/java/org/wigeongrade/platform/WireHeaders.java
@@ -26,6 +26,9 @@
     /** VM that an endpoint names as the cause of its refusal. */
     static final String FAULTY_VM = "at-server";
 
+    /** Present with the value 1 if the endpoint is about to leave. */
+    static final String LEAVING = "server-leaving";
+
     static final String MODEL = "x-model";
 
     /** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -34,6 +34,8 @@
   7: string faultyVm
   // Prompt tokens of requests at the endpoint that have not had their first event.
   8: i32 unreadTokens
+  // The endpoint said in a response that it is leaving.
+  9: optional bool leaving
 }
 
 // A request digest that was in flight at an endpoint whose connection broke.
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -215,6 +215,39 @@
         assertThat(accepted).isEqualTo(4);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // pause of a, of b, time, and the chosen endpoint, or - if the request is refused
+        "1000, 0, 500, b",
+        "1000, 1000, 999, -",
+        "1000, 3000, 1000, a",
+    })
+    void pausedEndpointGetsNothingUntilItsPauseEnds(long pauseAMs, long pauseBMs, long nowMs, String chosen) {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        groups.get(0).restriction().pauseUntil(TimeUnit.MILLISECONDS.toNanos(pauseAMs));
+        groups.get(1).restriction().pauseUntil(TimeUnit.MILLISECONDS.toNanos(pauseBMs));
+        send(groups.get(1), 12);
+
+        assertThat(place(groups, Set.of(), TimeUnit.MILLISECONDS.toNanos(nowMs))
+                        .endpoint()
+                        .map(endpoint -> endpoint.vm().vm().value())
+                        .orElse("-"))
+                .isEqualTo(chosen);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"900, 901, 901", "60000, 1000, 2000"})
+    void refusalNamesEndOfFirstPauseIfTheCallerWaitsForIt(long pauseMs, long fromMs, long toMs) {
+        final List<EndpointLoad> groups = List.of(group("a", HERE), group("b", HERE));
+        groups.get(0).restriction().pauseUntil(TimeUnit.MILLISECONDS.toNanos(pauseMs));
+        groups.get(1).restriction().pauseUntil(TimeUnit.MILLISECONDS.toNanos(pauseMs + 70_000));
+        final Placement placement = place(groups, Set.of(), 0);
+
+        assertThat(placement.refusal()).hasValue(Placement.Refusal.ALL_PAUSED);
+        assertThat(placement.retryAfterMs()).isAtLeast(fromMs);
+        assertThat(placement.retryAfterMs()).isAtMost(toMs);
+    }
+
     private Placement place(List<EndpointLoad> groups, Set<VmName> tried, long nowNanos) {
         return balancer.place(request(tried), groups, engine, UNBOUNDED, nowNanos);
     }
@@ -246,6 +279,7 @@
                 Optional.of(MODEL.name()),
                 18,
                 paceFactor,
+                new SendRestriction(),
                 0,
                 0);
     }
--- a/src/test/java/org/wigeongrade/decisions/discovery/VmRegistryTest.java
+++ b/src/test/java/org/wigeongrade/decisions/discovery/VmRegistryTest.java
@@ -62,6 +62,23 @@
         assertThat(registry.records(61_000_000_000L)).isEmpty();
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // incarnation and sequence of the next heartbeat, whether the VM then stays
+        "10, 6, false",
+        "11, 1, true",
+    })
+    void incarnationThatLeavesStaysLeaving(long incarnation, long sequence, boolean staying) {
+        registry.recordHeartbeat(heartbeat("a", 10, 5, "10.0.0.1:80"), 0);
+
+        assertThat(registry.markLeaving(new VmIncarnation(VmName.of("a"), 9))).isFalse();
+        assertThat(registry.markLeaving(new VmIncarnation(VmName.of("a"), 10))).isTrue();
+        assertThat(registry.markLeaving(new VmIncarnation(VmName.of("a"), 10))).isFalse();
+        assertThat(registry.recordHeartbeat(heartbeat("a", incarnation, sequence, "10.0.0.1:80"), 1))
+                .isTrue();
+        assertThat(registry.find(VmName.of("a")).orElseThrow().isStaying()).isEqualTo(staying);
+    }
+
     private static VmHeartbeat heartbeat(String vm, long incarnation, long sequence, String address) {
         return new VmHeartbeat(
                 new VmIncarnation(VmName.of(vm), incarnation),
--- a/src/test/java/org/wigeongrade/decisions/grouping/InheritedGroupsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/InheritedGroupsTest.java
@@ -29,7 +29,7 @@
     void onlyVmsWithRecentHeartbeatsKeepGroupPending(long silentMs, int pending) {
         final long nowNanos = TimeUnit.SECONDS.toNanos(100);
         final VmRecord lost =
-                new VmRecord(heartbeat(), nowNanos - TimeUnit.MILLISECONDS.toNanos(silentMs), 0, false, false);
+                new VmRecord(heartbeat(), nowNanos - TimeUnit.MILLISECONDS.toNanos(silentMs), 0, false, false, false);
 
         assertThat(new InheritedGroups().countPending(MODEL, List.of(lost), MAX_SILENCE_NANOS, nowNanos))
                 .isEqualTo(pending);
--- /dev/null
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
@@ -0,0 +1,116 @@
+package org.wigeongrade.fleet.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.balancing.EndpointLoad;
+import org.wigeongrade.fleet.thrift.RoutableRecord;
+import org.wigeongrade.fleet.thrift.UsageRecord;
+import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmName;
+import org.wigeongrade.logging.EventLog;
+
+/** Tests that a view neither brings back an endpoint that leaves nor ends the pause that an endpoint asked for. */
+final class EndpointRegistryTest {
+    private static final ServiceName SERVICE = ServiceName.of("app");
+    private static final long MAX_PAUSE_MS = 5_000;
+
+    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), MAX_PAUSE_MS, 0);
+    private long changeNumber;
+
+    @ParameterizedTest
+    @CsvSource({
+        // incarnation that the later view lists, whether it gets requests
+        "1, false",
+        "2, true",
+    })
+    void leavingEndpointIsNotBroughtBackByAView(long listedIncarnation, boolean routable) {
+        show(endpoint("a", 1), endpoint("b", 1));
+        registry.recordLeaving(find("a").orElseThrow());
+        assertThat(find("a")).isEmpty();
+
+        show(endpoint("b", 1));
+        show(endpoint("a", listedIncarnation), endpoint("b", 1));
+
+        assertThat(find("a").isPresent()).isEqualTo(routable);
+        assertThat(find("b")).isPresent();
+    }
+
+    @Test
+    void leaderIsToldOfALeavingEndpointInEveryReport() {
+        show(endpoint("a", 1));
+        registry.recordLeaving(find("a").orElseThrow());
+        final long longAfterNanos = TimeUnit.SECONDS.toNanos(30);
+
+        for (int report = 0; report < 2; report++) {
+            assertThat(registry.drainUsage(longAfterNanos).stream()
+                            .filter(UsageRecord::isLeaving)
+                            .map(UsageRecord::getVm))
+                    .containsExactly("a");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // requested pause, time at which it is read, remaining pause
+        "2000, 500, 1500",
+        "2000, 2000, 0",
+        "600000, 1000, 4000",
+    })
+    void pauseOutlivesAViewWithoutTheEndpoint(long requestedMs, long atMs, long leftMs) {
+        show(endpoint("a", 1));
+        registry.recordPause(find("a").orElseThrow(), requestedMs, 0);
+        registry.recordPause(find("a").orElseThrow(), 1, 0);
+        show(endpoint("b", 1));
+        show(endpoint("a", 1));
+
+        assertThat(TimeUnit.NANOSECONDS.toMillis(
+                        find("a").orElseThrow().restriction().pausedForNanos(TimeUnit.MILLISECONDS.toNanos(atMs))))
+                .isEqualTo(leftMs);
+    }
+
+    private Optional<EndpointLoad> find(String vm) {
+        return registry.candidates(SERVICE, Optional.empty(), 0).stream()
+                .filter(load -> load.vm().vm().equals(VmName.of(vm)))
+                .findFirst();
+    }
+
+    private void show(RoutableRecord... endpoints) {
+        changeNumber++;
+        registry.apply(
+                new EntryView(
+                        Optional.empty(),
+                        Set.of(),
+                        Arrays.stream(endpoints)
+                                .collect(ImmutableMap.toImmutableMap(
+                                        endpoint -> VmName.of(endpoint.getVm()), endpoint -> endpoint)),
+                        Map.of(),
+                        Map.of(),
+                        Set.of(),
+                        1,
+                        1,
+                        changeNumber,
+                        0),
+                0);
+    }
+
+    private static RoutableRecord endpoint(String vm, long incarnation) {
+        return new RoutableRecord()
+                .setVm(vm)
+                .setIncarnation(incarnation)
+                .setServiceName(SERVICE.value())
+                .setAddress("127.0.0.1:1")
+                .setAvailabilityZone("zone-a")
+                .setModel("")
+                .setSlots(4)
+                .setPaceFactor(1);
+    }
+}
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
@@ -72,7 +72,7 @@
             throws IOException, InterruptedException, ExecutionException {
         final RoutableRecord silent = endpoint("silent");
         final RoutableRecord other = endpoint("other");
-        final EndpointRegistry registry = new EndpointRegistry(new EventLog(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, System.nanoTime());
         registry.apply(view(silent, other, Map.of("other", SLOTS - 1)), System.nanoTime());
         loop.eventLoop()
                 .submit(() -> new Exchange(services(registry), request(), new RecordingWriter(), () -> {}).start())
--- a/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
+++ b/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
@@ -69,6 +69,27 @@
         assertThat(forwarded.headers().contains("X-Tenant")).isFalse();
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            nullValues = "-",
+            value = {
+                // status, header, value, leaving, pause (ms)
+                "200, Server-Leaving, 1, true, -",
+                "500, Server-Leaving, 1, true, -",
+                "200, Server-Leaving, 0, false, -",
+                "503, Retry-After, 1.5, false, 1500",
+                "503, Retry-After, never, false, -",
+                "500, Retry-After, 3, false, -",
+            })
+    void decodesWhatTheEndpointAsksFor(int status, String header, String value, boolean leaving, Long pauseMs) {
+        final HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        response.headers().set(header, value);
+        final ResponseHead head = codec.decode(response);
+
+        assertThat(head.leaving()).isEqualTo(leaving);
+        assertThat(head.pauseMs()).isEqualTo(pauseMs == null ? OptionalLong.empty() : OptionalLong.of(pauseMs));
+    }
+
     @ParameterizedTest
     @CsvSource({
         // status, header, value, not run, signed, encoded, reusable for (ms)
