Do not take a leader's own delay for silence of the VMs it asks

A call's timeout ran on the event loop: an answer that arrived while the loop was busy was read only after the timeout had fired. Late heartbeats led to the probes: VMs look for a new leader for up to three seconds.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -70,7 +70,8 @@
         final ImmutableMap<VmName, VmRecord> byName =
                 vms.stream().collect(ImmutableMap.toImmutableMap(vm -> vm.vm().vm(), vm -> vm));
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
-        final PlanningContext context = new PlanningContext(nowNanos, term, timings, byName, observations, orders::add);
+        final PlanningContext context = new PlanningContext(
+                nowNanos, term, timings, lateHeartbeatsCount(vms, nowNanos), byName, observations, orders::add);
         adopt(engine, vms, timings.silentNanos(), nowNanos);
         groups.all().forEach(group -> step(group, context));
         removeEnded(nowNanos);
@@ -86,6 +87,18 @@
         return orders.build();
     }
 
+    /**
+     * Returns whether a late heartbeat is a sign that its VM failed. After a change of leader VMs first have to find the
+     * new one, and if most heartbeats are late, it is this node that does not receive them.
+     */
+    private boolean lateHeartbeatsCount(List<VmRecord> vms, long nowNanos) {
+        final long late = vms.stream()
+                .filter(vm -> vm.isStaying() && vm.sinceHeartbeatNanos(nowNanos) > timings.lateNanos())
+                .count();
+        return nowNanos - startedNanos > GroupTimings.LEADER_SEARCH_NANOS
+                && late <= GroupTimings.MAX_LATE_FRACTION * vms.size();
+    }
+
     /**
      * Adopts the complete, open groups of earlier leaders and leaves the others alone, because heartbeats of some of
      * their VMs may not have arrived yet.
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -15,6 +15,10 @@
      * group that it serves in until probes fail.
      */
     private static final double SILENT_HEARTBEATS = 2.5;
+    /** Time for which VMs may look for a new leader after its election. */
+    static final long LEADER_SEARCH_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+    /** If more than this fraction of the heartbeats is late, the cause is the leader and not the VMs. */
+    static final double MAX_LATE_FRACTION = 0.5;
     /** A VM whose heartbeat is late by half an interval is probed. */
     private static final double LATE_HEARTBEATS = 1.5;
     /**
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -335,7 +335,7 @@
             return false;
         }
         final boolean stalled = observation.inFlight() > 0 && observation.shortestStallMs() >= GroupTimings.STALLED_MS;
-        return stalled || members.stream().anyMatch(context::isHeartbeatLate);
+        return stalled || (context.lateHeartbeatsCount() && members.stream().anyMatch(context::isHeartbeatLate));
     }
 
     private boolean isProgressing(PlanningContext context) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/PlanningContext.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/PlanningContext.java
@@ -11,11 +11,14 @@
  * The input of one planning step and the consumer of the orders that the step sends. Not thread safe.
  *
  * @param fencingTerm term of this leader
+ * @param lateHeartbeatsCount whether a late heartbeat is a sign that its VM failed, and not that this leader is new or
+ * slow
  */
 record PlanningContext(
         long nowNanos,
         long fencingTerm,
         GroupTimings timings,
+        boolean lateHeartbeatsCount,
         Map<VmName, VmRecord> vms,
         Map<VmName, EndpointObservation> observations,
         Consumer<GroupOrder> orders) {
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSortedSet;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -48,6 +49,11 @@
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private static final int MAX_HEADER_BYTES = 16 * 1024;
+    /**
+     * Time without a byte, in seconds, after which a connection of an endpoint VM or operator is closed: several
+     * heartbeat intervals, as the VM may have ended or found another leader without closing it.
+     */
+    private static final int IDLE_TIMEOUT_S = 10;
     /**
      * Heartbeat interval 120 ms, election timeout 600 to 1,100 ms, lease 500 ms. Callers wait this long when all
      * control VMs restart.
@@ -175,7 +181,9 @@
 
     private static void addHandlers(
             ChannelPipeline pipeline, Function<HttpRequestHandler.Request, CompletableFuture<HttpReply>> httpHandler) {
-        pipeline.addLast(new HttpObjectAggregator(MAX_BODY_BYTES)).addLast(new HttpRequestHandler(httpHandler));
+        pipeline.addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_S))
+                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                .addLast(new HttpRequestHandler(httpHandler));
     }
 
     private RaftReplicatedLog openLog() {
--- a/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
+++ b/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
@@ -18,11 +18,19 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.wigeongrade.decisions.log.Bytes;
 
 /** Sends single HTTP requests, each on its own connection. Thread safe. */
 public final class OneShotHttpClient {
-    private static final int MAX_RESPONSE_BYTES = 1024 * 1024;
+    private static final int MAX_RESPONSE_BYTES = 64 * 1024;
+    /**
+     * Time for which a call goes on after its timeout, in milliseconds. The event loop then reads what arrived while it
+     * was busy, so that its own delay does not look like silence of the other side.
+     */
+    private static final int READ_AGAIN_MS = 20;
+    /** Limit for opening a connection, in milliseconds, in case the timeout of a call is not reached. */
+    private static final int MAX_CONNECT_MS = 5_000;
 
     private final SharedEventLoop loop;
 
@@ -42,7 +50,7 @@
         final Bootstrap bootstrap = new Bootstrap()
                 .group(loop.group())
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, MAX_CONNECT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -54,6 +62,7 @@
                     }
                 });
         final ChannelFuture connecting = bootstrap.connect(address);
+        expireAfter(connecting.channel(), timeoutMs, result, "no connection to " + address, connecting::isDone);
         final var unused = connecting.addListener(done -> {
             if (done.isSuccess()) {
                 write(connecting.channel(), request, timeoutMs, result);
@@ -68,13 +77,26 @@
     private static void write(
             Channel channel, FullHttpRequest request, int timeoutMs, CompletableFuture<Response> result) {
         NettyFutures.logFailure(channel.writeAndFlush(request));
+        expireAfter(
+                channel, timeoutMs, result, "no response from " + channel.remoteAddress(), () -> !channel.isActive());
+    }
+
+    private static void expireAfter(
+            Channel channel,
+            int timeoutMs,
+            CompletableFuture<Response> result,
+            String failure,
+            BooleanSupplier isDone) {
+        final Runnable expire = () -> {
+            if (!isDone.getAsBoolean()) {
+                result.completeExceptionally(new TimeoutException(failure));
+                NettyFutures.logFailure(channel.close());
+            }
+        };
         NettyFutures.logFailure(channel.eventLoop()
                 .schedule(
-                        () -> {
-                            result.completeExceptionally(
-                                    new TimeoutException("no response from " + channel.remoteAddress()));
-                            NettyFutures.logFailure(channel.close());
-                        },
+                        () -> NettyFutures.logFailure(
+                                channel.eventLoop().schedule(expire, READ_AGAIN_MS, TimeUnit.MILLISECONDS)),
                         timeoutMs,
                         TimeUnit.MILLISECONDS));
     }
--- a/src/test/java/org/wigeongrade/fleet/control/PullsOfManyEntryNodesTest.java
+++ b/src/test/java/org/wigeongrade/fleet/control/PullsOfManyEntryNodesTest.java
@@ -35,6 +35,7 @@
     private static final int STEPS = 150;
     /** Comparing a node with the full copy costs more than its pull. */
     private static final int CHECK_ONE_IN = 100;
+
     private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(FleetTimings.PULL_INTERVAL_MS);
     /** Longer than a removal is kept, in steps. */
     private static final int LONGEST_PAUSE_STEPS = 100;
