Bound what callers and endpoints may make an entry node hold, and drop requests of callers that left

Cause, from reading and tests: a response body could grow to 64 MiB and an event of a stream without limit in a heap of 96 MB; responses to other requests were skipped without limit; 1xx responses without end and 101 were accepted; a response without an id on a kept connection was taken for the next one; any byte counted as progress, so a trickle never failed over; headerTimeoutMs was read and not used; a planned stop cut requests that were being received.

Change: one budget for bodies held for callers (large bodies are read one after the other while it is scarce, then the largest is given up), one for bodies of requests (503 no_memory), limits for events, skipped and interim responses, timeouts for head and body of a request; progress is a completed event or a kilobyte; a connection is read until nothing more has arrived before its request is sent on; a stop waits for requests that are being received.

--- a/src/main/java/org/wigeongrade/errors/ErrorKind.java
+++ b/src/main/java/org/wigeongrade/errors/ErrorKind.java
@@ -27,6 +27,7 @@
     NO_WHOLE_GROUP(503, RunStatus.NOT_RUN, 2_000, "No complete group or service replica can serve this now."),
     NO_FREE_SLOT(503, RunStatus.NOT_RUN, 500, "Every endpoint that can serve this is at its capacity."),
     ENDPOINTS_PAUSED(503, RunStatus.NOT_RUN, 1_000, "Every endpoint that can serve this asked for a pause."),
+    NO_MEMORY(503, RunStatus.NOT_RUN, 500, "This VM holds as many request bytes as it may; retry on another one."),
     SUSPECT_WAITING(
             503,
             RunStatus.NOT_RUN,
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -20,6 +20,7 @@
 import org.wigeongrade.decisions.log.LogTimings;
 import org.wigeongrade.decisions.log.VoterPolicy;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
@@ -27,7 +28,9 @@
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.HttpRequestHandler;
+import org.wigeongrade.fleet.net.MemoryBudget;
 import org.wigeongrade.fleet.net.OneShotHttpClient;
+import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.FleetService;
 import org.wigeongrade.ids.NodeName;
@@ -49,6 +52,12 @@
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private static final int MAX_HEADER_BYTES = 16 * 1024;
+    /** Time for the head of a call, in milliseconds; heads of endpoint VMs and operators fit into one packet. */
+    private static final long HEAD_TIMEOUT_MS = 3_000;
+    /** Time for the body of a call, in milliseconds; the largest configuration takes a small part of it. */
+    private static final long BODY_TIMEOUT_MS = 9_000;
+    /** Memory for the bodies of calls that are not answered, in bytes; several configurations and all heartbeats. */
+    private static final long MAX_HELD_BYTES = 24 * 1024 * 1024;
     /**
      * Time without a byte, in seconds, after which a connection of an endpoint VM or operator is closed: several
      * heartbeat intervals, as the VM may have ended or found another leader without closing it.
@@ -76,6 +85,7 @@
     private final HeartbeatRelay heartbeatRelay = new HeartbeatRelay();
     private final PublishedStateMachine stateMachine = new PublishedStateMachine();
     private final SharedEventLoop loop = new SharedEventLoop();
+    private final MemoryBudget requestMemory = new MemoryBudget(MAX_HELD_BYTES);
     private final Map<String, PeerExchange> exchanges = new HashMap<>();
     private final long startedNanos = System.nanoTime();
     private final RaftReplicatedLog log;
@@ -179,11 +189,18 @@
         return settings.controlListen().orElseThrow().toString();
     }
 
-    private static void addHandlers(
+    private void recordRefusal(ErrorKind kind, String cause) {
+        metrics.countRefusal(kind);
+        events.write(LogEvent.REQUEST_REFUSED, "-", "-", kind.code(), cause);
+    }
+
+    private void addHandlers(
             ChannelPipeline pipeline, Function<HttpRequestHandler.Request, CompletableFuture<HttpReply>> httpHandler) {
-        pipeline.addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_S))
-                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                .addLast(new HttpRequestHandler(httpHandler));
+        pipeline.addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_S));
+        final RequestIntake intake =
+                new RequestIntake(requestMemory, () -> HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, this::recordRefusal);
+        intake.addTo(pipeline);
+        pipeline.addLast(new HttpObjectAggregator(MAX_BODY_BYTES)).addLast(new HttpRequestHandler(httpHandler));
     }
 
     private RaftReplicatedLog openLog() {
--- a/src/main/java/org/wigeongrade/fleet/entry/BufferedResponse.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/BufferedResponse.java
@@ -3,5 +3,4 @@
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** An endpoint's complete response that is not streamed. Never modified; used on the event loop only. */
-@SuppressWarnings("ArrayRecordComponent")
-record BufferedResponse(int status, HttpHeaders headers, byte[] body) {}
+record BufferedResponse(int status, HttpHeaders headers, BufferedBody body) {}
--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.fleet.entry;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -26,12 +27,14 @@
 import org.wigeongrade.errors.WigeongradeException;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.NettyFutures;
+import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.logging.LogEvent;
 
 /**
  * A connection from a caller. Used on the event loop only.
  *
- * <p>Invariants: requests are processed one at a time, in the order of arrival; while the node stops, each response
+ * <p>Invariants: requests are processed one at a time, in the order of arrival, and only once everything that had
+ * arrived was read, so that a request whose caller has already left is not sent on; while the node stops, each response
  * closes its connection.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> implements ResponseWriter {
@@ -41,44 +44,64 @@
      */
     private static final int MAX_PIPELINED = 4;
 
+    /** Time in which a caller sends its first request on a new connection. */
+    private static final long FIRST_REQUEST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final EntryServices services;
     private final CallerConnections connections;
+    private final RequestIntake intake;
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private Optional<Exchange> currentExchange = Optional.empty();
     private boolean keepAlive = true;
     private boolean willClose;
+    private boolean hasServed;
+    private long openedNanos;
     private long idleSinceNanos;
 
-    CallerConnection(EntryServices services, CallerConnections connections) {
+    CallerConnection(EntryServices services, CallerConnections connections, RequestIntake intake) {
         this.services = services;
         this.connections = connections;
+        this.intake = intake;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         idleSinceNanos = services.nowNanos();
+        openedNanos = idleSinceNanos;
         connections.add(this);
         scheduleIdleCheck(idleTimeoutMs());
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext reading, FullHttpRequest message) {
-        if (currentExchange.isPresent()) {
-            pipelined.addLast(message.retain());
-            reading.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
+        pipelined.addLast(message.retain());
+        reading.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
+        if (currentExchange.isEmpty()) {
+            reading.executor().execute(this::serveNext);
+        }
+    }
+
+    private void serveNext() {
+        if (currentExchange.isPresent() || willClose || !context.channel().isActive()) {
             return;
         }
-        serve(message);
+        final FullHttpRequest next = pipelined.pollFirst();
+        if (next != null) {
+            context.channel().config().setAutoRead(true);
+            serve(next);
+            next.release();
+        }
     }
 
-    /** Returns whether no request is being served. */
+    /** Returns whether no request is being received or served, and none is about to arrive on a new connection. */
     boolean isIdle() {
-        return currentExchange.isEmpty();
+        final boolean expectsFirstRequest = !hasServed && services.nowNanos() - openedNanos < FIRST_REQUEST_WAIT_NANOS;
+        return currentExchange.isEmpty() && pipelined.isEmpty() && !intake.isReceiving() && !expectsFirstRequest;
     }
 
-    /** Closes the connection if no request is being served. */
+    /** Closes the connection if it is idle. */
     void closeIfIdle() {
         if (isIdle()) {
             NettyFutures.logFailure(context.close());
@@ -86,6 +109,7 @@
     }
 
     private void serve(FullHttpRequest message) {
+        hasServed = true;
         keepAlive = HttpUtil.isKeepAlive(message);
         final CallerRequest request;
         try {
@@ -104,39 +128,31 @@
     private void onExchangeEnd() {
         currentExchange = Optional.empty();
         idleSinceNanos = services.nowNanos();
-        if (willClose || !context.channel().isActive()) {
-            return;
-        }
-        final FullHttpRequest next = pipelined.pollFirst();
-        context.channel().config().setAutoRead(true);
-        if (next != null) {
-            context.executor().execute(() -> {
-                serve(next);
-                next.release();
-            });
-        }
+        context.executor().execute(this::serveNext);
     }
 
     @Override
     public void writeResponse(HttpReply reply) {
-        write(reply.toMessage());
+        final var unused = write(reply.toMessage());
     }
 
     @Override
-    public void writeResponse(int status, HttpHeaders headers, byte[] body) {
+    public void writeResponse(BufferedResponse response) {
+        final BufferedBody body = response.body();
         final DefaultFullHttpResponse message = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-        message.headers().set(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        write(message);
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), body.toBuffer());
+        message.headers().set(response.headers()).set(HttpHeaderNames.CONTENT_LENGTH, body.sizeBytes());
+        final var unused = write(message).addListener(written -> body.release());
     }
 
-    private void write(FullHttpResponse message) {
-        if (closesAfterResponse()) {
+    private ChannelFuture write(FullHttpResponse message) {
+        final boolean closes = closesAfterResponse();
+        if (closes) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            NettyFutures.logFailure(context.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE));
-            return;
         }
-        NettyFutures.logFailure(context.writeAndFlush(message));
+        final ChannelFuture written = context.writeAndFlush(message);
+        NettyFutures.logFailure(written);
+        return closes ? written.addListener(ChannelFutureListener.CLOSE) : written;
     }
 
     @Override
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
@@ -16,7 +15,10 @@
  * <p>Invariant: reports its outcome to the exchange exactly once, unless it was cancelled.
  */
 final class EndpointAttempt implements EndpointListener {
-    private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+    /** Bytes of a body that is not streamed that count as progress; fewer may be a trickle without end. */
+    private static final int PROGRESS_BYTES = 1_024;
+    /** An event holds a few tokens, so that a longer one never ends. */
+    private static final int MAX_EVENT_BYTES = 64 * 1024;
     /** A stall check that runs this late shows that this process was paused, not that the endpoint stalled. */
     private static final long LOCAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
     /** Fraction of the stall timeout for which the endpoint must not have responded to any request of this node. */
@@ -31,12 +33,13 @@
     private final double predictedMs;
     private final long startedNanos;
     private final ServerSentEventSplitter eventSplitter = new ServerSentEventSplitter();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BufferedBody body;
     private Optional<ResponseHead> head = Optional.empty();
     private Optional<ScheduledFuture<?>> stallCheck = Optional.empty();
     private long stallCheckDueNanos;
     private long lastProgressNanos;
     private long lastEventNanos;
+    private int receivedBodyBytes;
     private int unreadTokens;
     private int events;
     EndpointCall call;
@@ -54,6 +57,17 @@
         this.predictedMs = predictedMs;
         this.startedNanos = nowNanos;
         this.lastProgressNanos = nowNanos;
+        this.body = services.bufferedBodies().open(new BufferedBody.Source() {
+            @Override
+            public void setReading(boolean enabled) {
+                call.setReading(enabled);
+            }
+
+            @Override
+            public void giveUp(String cause) {
+                rejectResponse(cause);
+            }
+        });
     }
 
     EndpointLoad endpoint() {
@@ -73,12 +87,14 @@
     /** Ends the attempt without reporting to the exchange. */
     void cancel() {
         stopTracking();
+        body.release();
         call.cancel();
     }
 
     @Override
     public void onHead(ResponseHead received) {
         recordProgress();
+        receivedBodyBytes = 0;
         head = Optional.of(received);
         recordRestrictions(received);
         final boolean unusable = received.isSuccess() && (!received.signed() || received.contentEncoded());
@@ -96,20 +112,25 @@
 
     @Override
     public void onBody(byte[] bytes) {
-        recordProgress();
         if (!isStream()) {
-            body.writeBytes(bytes);
-            if (body.size() > MAX_RESPONSE_BYTES) {
-                rejectResponse("the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
+            receivedBodyBytes += bytes.length;
+            if (receivedBodyBytes >= PROGRESS_BYTES) {
+                receivedBodyBytes = 0;
+                recordProgress();
             }
+            body.append(bytes);
             return;
         }
         for (final ServerSentEventSplitter.Event event : eventSplitter.accept(bytes)) {
+            recordProgress();
             recordEvent();
             exchange.log().firstBytesSent();
             exchange.stream().begin(head.orElseThrow(), exchange.responseWriter());
             exchange.stream().relay(event, exchange.responseWriter());
         }
+        if (eventSplitter.partialBytes() > MAX_EVENT_BYTES) {
+            rejectResponse("an event of the stream exceeds " + MAX_EVENT_BYTES + " bytes");
+        }
     }
 
     @Override
@@ -117,6 +138,7 @@
         stopTracking();
         final ResponseHead finishedHead = head.orElseThrow();
         if (finishedHead.notRun()) {
+            body.release();
             endpoint.recordFailure(services.nowNanos());
             finishedHead.faultyVm().ifPresent(vm -> services.registry().recordFaultyVm(endpoint, vm));
             exchange.onNotRun(
@@ -142,6 +164,7 @@
     @Override
     public void onFailedAfterSend(String cause) {
         stopTracking();
+        body.release();
         endpoint.recordFailure(services.nowNanos());
         services.registry().recordCrash(exchange.digest(), endpoint);
         exchange.onMayHaveRun(
@@ -163,8 +186,9 @@
     }
 
     private void finishResponse(ResponseHead finishedHead) {
-        final BufferedResponse response =
-                new BufferedResponse(finishedHead.status(), finishedHead.headers(), body.toByteArray());
+        recordProgress();
+        body.markComplete();
+        final BufferedResponse response = new BufferedResponse(finishedHead.status(), finishedHead.headers(), body);
         if (finishedHead.isServerError()) {
             endpoint.recordFailure(services.nowNanos());
             exchange.onErrorResponse(this, response);
@@ -241,7 +265,7 @@
 
     private void checkForStall() {
         final long nowNanos = services.nowNanos();
-        if (nowNanos - stallCheckDueNanos > LOCAL_PAUSE_NANOS) {
+        if (nowNanos - stallCheckDueNanos > LOCAL_PAUSE_NANOS || body.isPaused()) {
             lastProgressNanos = nowNanos;
         }
         final long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(stallTimeoutMs());
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -29,7 +29,8 @@
  *
  * <p>Invariants: a connection carries one request at a time; a connection with a failure, a cancelled request, a
  * response without a length or unsolicited bytes is closed and never reused; a request that must not run twice gets a
- * new connection, so that the request is never written to a connection that the endpoint has already closed.
+ * new connection, so that the request is never written to a connection that the endpoint has already closed; so does a
+ * request without an id, whose response could not be told from a late one.
  */
 final class EndpointConnectionPool {
     /** Timeout for opening a connection, in milliseconds; the network delay to endpoints is a few milliseconds. */
@@ -54,7 +55,8 @@
 
     /** Sends a request; {@code mayReuse} states whether an idle connection of an earlier request may be used. */
     void send(EndpointLoad endpoint, EndpointCall call, boolean mayReuse) {
-        final Optional<Channel> reused = mayReuse ? takeIdle(endpoint.vm()) : Optional.empty();
+        final Optional<Channel> reused =
+                mayReuse && call.attemptId().isPresent() ? takeIdle(endpoint.vm()) : Optional.empty();
         if (reused.isPresent()) {
             write(reused.get(), call);
             return;
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -16,10 +16,16 @@
  * Reads the responses on one connection to an endpoint. Used on the event loop only.
  *
  * <p>Invariant: a response that names another request is skipped; any unexpected data that cannot be told apart from
- * the awaited response closes the connection.
+ * the awaited response closes the connection. On a connection that carried an earlier request, that includes a response
+ * that names none.
  */
 final class EndpointResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int SWITCHING_PROTOCOLS = 101;
+    /** Interim responses to one request; endpoints send one at most. */
+    private static final int MAX_INTERIM_RESPONSES = 8;
+    /** Bytes of responses to other requests that are skipped on a connection; more are cheaper to avoid by closing it. */
+    private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
 
     /** Receives a connection that may be reused. */
     @FunctionalInterface
@@ -31,6 +37,9 @@
     private final ConnectionReleaser releaser;
     private Optional<EndpointCall> currentCall = Optional.empty();
     private Optional<ResponseHead> head = Optional.empty();
+    private boolean reused;
+    private int interimResponses;
+    private long skippedBytes;
     private boolean skipping;
     private boolean selfDelimited;
 
@@ -43,6 +52,7 @@
     void awaitResponse(EndpointCall call) {
         currentCall = Optional.of(call);
         head = Optional.empty();
+        interimResponses = 0;
         skipping = false;
     }
 
@@ -68,6 +78,10 @@
 
     private void readHead(ChannelHandlerContext context, HttpResponse response) {
         if (response.status().code() < FIRST_FINAL_STATUS) {
+            interimResponses++;
+            if (response.status().code() == SWITCHING_PROTOCOLS || interimResponses > MAX_INTERIM_RESPONSES) {
+                fail(context, "unexpected interim response " + response.status().code());
+            }
             return;
         }
         final ResponseHead decoded = codec.decode(response);
@@ -76,6 +90,10 @@
         if (skipping) {
             return;
         }
+        if (reused && decoded.attemptId().isEmpty()) {
+            fail(context, "the response on a kept connection does not name its request");
+            return;
+        }
         if (head.isPresent()) {
             fail(context, "a second response arrived");
             return;
@@ -89,6 +107,10 @@
         final boolean last = content instanceof LastHttpContent;
         if (skipping) {
             skipping = !last;
+            skippedBytes += content.content().readableBytes();
+            if (skippedBytes > MAX_SKIPPED_BYTES) {
+                fail(context, "responses to other requests exceed " + MAX_SKIPPED_BYTES + " bytes");
+            }
             return;
         }
         final EndpointCall call = currentCall.orElseThrow();
@@ -107,6 +129,7 @@
         final ResponseHead finishedHead = head.orElseThrow();
         currentCall = Optional.empty();
         head = Optional.empty();
+        reused = true;
         if (selfDelimited && finishedHead.reusableForMs().isPresent()) {
             context.channel().config().setAutoRead(true);
             releaser.release(context.channel(), finishedHead.reusableForMs().getAsLong());
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -11,6 +11,8 @@
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
 import org.wigeongrade.decisions.published.CallerLimits;
+import org.wigeongrade.decisions.published.PublishedConfiguration;
+import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
@@ -19,6 +21,8 @@
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.HttpRequestHandler;
+import org.wigeongrade.fleet.net.MemoryBudget;
+import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
@@ -55,6 +59,8 @@
     private static final long BALANCER_REACTION_MS = 3_000;
     /** Idle connections are closed this long after the stop began, once the load balancer has reacted. */
     private static final long CLOSE_IDLE_AFTER_MS = 2_300;
+    /** Longest time for the body of a request, in milliseconds; callers' links carry the largest one in far less. */
+    private static final long BODY_TIMEOUT_MS = 30_000;
     /** Fraction of the time before the process is killed in which requests may finish. */
     private static final double GRACE_FRACTION = 0.9;
 
@@ -67,6 +73,7 @@
     private final SuspendAwareClock clock = new SuspendAwareClock();
     private final SharedEventLoop loop = new SharedEventLoop();
     private final CallerConnections connections = new CallerConnections();
+    private final MemoryBudget requestMemory;
     private final ControlDirectory directory;
     private final EndpointRegistry registry;
     private final ViewPuller viewPuller;
@@ -81,6 +88,7 @@
         this.codec = codec;
         this.events = events;
         this.metrics = metrics;
+        this.requestMemory = new MemoryBudget((long) settings.number(FleetKey.MAX_HELD_BYTES));
         this.directory = new ControlDirectory(
                 settings.logPort(),
                 settings.fleetPort(),
@@ -103,6 +111,8 @@
                 codec,
                 registry,
                 new EndpointConnectionPool(loop, codec, clock),
+                new BufferedBodies((long) settings.number(FleetKey.MAX_HELD_BYTES), (int)
+                        settings.number(FleetKey.MAX_RESPONSE_BYTES)),
                 new Balancer(random),
                 new RetryBudgetShare(
                         settings.number(FleetKey.RETRY_RATIO),
@@ -122,7 +132,7 @@
         callerListener = HttpListener.open(
                 loop,
                 settings.callerListen().orElseThrow().toSocketAddress(),
-                CallerLimits.DEFAULT.maxHeaderBytes(),
+                () -> callerLimits().maxHeaderBytes(),
                 this::addCallerHandlers);
         HttpListener.open(
                 loop,
@@ -157,8 +167,23 @@
     }
 
     private void addCallerHandlers(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpObjectAggregator(CallerLimits.DEFAULT.maxBodyBytes()))
-                .addLast(new CallerConnection(services, connections));
+        final RequestIntake intake = new RequestIntake(
+                requestMemory, () -> callerLimits().headerTimeoutMs(), BODY_TIMEOUT_MS, this::recordRefusal);
+        intake.addTo(pipeline);
+        pipeline.addLast(new HttpObjectAggregator(callerLimits().maxBodyBytes()))
+                .addLast(new CallerConnection(services, connections, intake));
+    }
+
+    private CallerLimits callerLimits() {
+        return registry.view()
+                .configuration()
+                .map(PublishedConfiguration::limits)
+                .orElse(CallerLimits.DEFAULT);
+    }
+
+    private void recordRefusal(ErrorKind kind, String cause) {
+        metrics.countRefusal(kind);
+        events.write(LogEvent.REQUEST_REFUSED, "-", "-", kind.code(), cause);
     }
 
     private HttpReply respondToReadinessCheck(HttpRequestHandler.Request call) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
@@ -20,6 +20,7 @@
         CallerCodec codec,
         EndpointRegistry registry,
         EndpointConnectionPool connectionPool,
+        BufferedBodies bufferedBodies,
         Balancer balancer,
         RetryBudgetShare retryBudget,
         ColdStartLimits coldStartLimits,
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -308,6 +308,7 @@
 
     /** Handles a complete error response of an endpoint; it is forwarded to the caller if no retry succeeds. */
     void onErrorResponse(EndpointAttempt attempt, BufferedResponse response) {
+        releaseErrorResponse();
         errorResponse = Optional.of(response);
         onMayHaveRun(attempt, RetryReason.ENDPOINT_FAILED, "the endpoint responded with status " + response.status());
     }
@@ -360,7 +361,7 @@
     void onResponse(EndpointAttempt attempt, BufferedResponse response) {
         currentAttempt = Optional.empty();
         log.firstBytesSent();
-        responseWriter.writeResponse(response.status(), response.headers(), response.body());
+        responseWriter.writeResponse(response);
         log.responded(attempt.endpoint(), response.status(), attempts, 0);
         end();
     }
@@ -409,7 +410,8 @@
         } else if (errorResponse.isPresent()) {
             final BufferedResponse response = errorResponse.get();
             log.failedAtEndpoint(response.status(), cause);
-            responseWriter.writeResponse(response.status(), response.headers(), response.body());
+            responseWriter.writeResponse(response);
+            errorResponse = Optional.empty();
         } else {
             log.failed(kind, cause);
             responseWriter.writeResponse(services.codec().error(request, kind, cause, retryAfterMs));
@@ -428,8 +430,13 @@
         end();
     }
 
+    private void releaseErrorResponse() {
+        errorResponse.ifPresent(response -> response.body().release());
+    }
+
     private void end() {
         ended = true;
+        releaseErrorResponse();
         deadlineTimer.ifPresent(timer -> timer.cancel(false));
         onEnd.run();
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/ResponseWriter.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ResponseWriter.java
@@ -8,8 +8,8 @@
     /** Writes a complete response of this system. */
     void writeResponse(HttpReply reply);
 
-    /** Writes an endpoint's complete response with the headers of the endpoint. */
-    void writeResponse(int status, HttpHeaders headers, byte[] body);
+    /** Writes an endpoint's complete response with the headers of the endpoint, and then releases its body. */
+    void writeResponse(BufferedResponse response);
 
     /** Writes the status and headers of a streamed response. */
     void beginStream(int status, HttpHeaders headers);
--- a/src/main/java/org/wigeongrade/fleet/entry/ServerSentEventSplitter.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ServerSentEventSplitter.java
@@ -37,6 +37,11 @@
         return events.build();
     }
 
+    /** Returns the number of bytes of the event that has not ended. */
+    int partialBytes() {
+        return event.size();
+    }
+
     /** Returns whether an event has started but not ended. */
     boolean hasPartialEvent() {
         return event.size() > 0;
--- a/src/main/java/org/wigeongrade/fleet/net/HttpListener.java
+++ b/src/main/java/org/wigeongrade/fleet/net/HttpListener.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.fleet.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
 
@@ -18,6 +20,9 @@
     /** Maximum of connections that wait to be accepted; many clients reconnect at once after an outage. */
     private static final int BACKLOG = 1_024;
 
+    /** Reads of one connection before other connections get their turn; Netty's default for sockets. */
+    private static final int MAX_READS_AT_ONCE = 16;
+
     private static final int MAX_INITIAL_LINE_BYTES = 16 * 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
@@ -34,17 +39,33 @@
      */
     public static HttpListener open(
             SharedEventLoop loop, InetSocketAddress address, int maxHeaderBytes, Consumer<ChannelPipeline> handlers) {
+        return open(loop, address, () -> maxHeaderBytes, handlers);
+    }
+
+    /** Starts listening as above; the limit for heads is read once for each connection. */
+    public static HttpListener open(
+            SharedEventLoop loop,
+            InetSocketAddress address,
+            IntSupplier maxHeaderBytes,
+            Consumer<ChannelPipeline> handlers) {
         final ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop.group())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads on after a short read, so that a close that has already arrived is seen with the last request.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MAX_READS_AT_ONCE))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
                         child.pipeline()
-                                .addLast(new HttpServerCodec(MAX_INITIAL_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES));
+                                .addLast(new HttpServerCodec(
+                                        MAX_INITIAL_LINE_BYTES, maxHeaderBytes.getAsInt(), MAX_CHUNK_BYTES));
                         handlers.accept(child.pipeline());
                     }
                 });
--- a/src/main/java/org/wigeongrade/fleet/net/RetryAfterHeader.java
+++ b/src/main/java/org/wigeongrade/fleet/net/RetryAfterHeader.java
@@ -11,7 +11,7 @@
 import java.util.OptionalLong;
 import java.util.regex.Pattern;
 
-/** Parses the {@code Retry-After} header of a response. Stateless; safe for use from any thread. */
+/** Parses and formats the {@code Retry-After} header of a response. Stateless; safe for use from any thread. */
 public final class RetryAfterHeader {
     private static final System.Logger LOGGER = System.getLogger(RetryAfterHeader.class.getName());
     private static final Pattern SECONDS = Pattern.compile("\\d{1,30}(\\.\\d{1,30})?");
@@ -38,6 +38,11 @@
         return waitMs.orElse(0) > 0 ? waitMs : OptionalLong.empty();
     }
 
+    /** Returns a header value for a time to wait, in seconds with three decimals. */
+    public static String format(long waitMs) {
+        return BigDecimal.valueOf(waitMs, 3).toPlainString();
+    }
+
     private static long secondsToMs(String seconds) {
         return new BigDecimal(seconds)
                 .multiply(MS_PER_SECOND)
--- a/src/main/java/org/wigeongrade/nodes/NodeServer.java
+++ b/src/main/java/org/wigeongrade/nodes/NodeServer.java
@@ -16,6 +16,9 @@
     /** The largest Thrift message between processes of the fleet, in bytes. */
     public static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
+    /** Frames that are being received may take this much memory together; further ones wait. */
+    private static final long MAX_READ_BYTES = 2L * MAX_FRAME_BYTES;
+
     private static final int SELECTOR_THREADS = 1;
     private static final int STOP_TIMEOUT_SECONDS = 1;
 
@@ -25,7 +28,9 @@
     public NodeServer(InetSocketAddress listenAddress, TProcessor processor, int workerThreads) {
         try {
             final TNonblockingServerSocket socket = new TNonblockingServerSocket(listenAddress);
-            server = new TThreadedSelectorServer(new TThreadedSelectorServer.Args(socket)
+            final TThreadedSelectorServer.Args arguments = new TThreadedSelectorServer.Args(socket);
+            arguments.maxReadBufferBytes = MAX_READ_BYTES;
+            server = new TThreadedSelectorServer(arguments
                     .processor(processor)
                     .protocolFactory(new TCompactProtocol.Factory())
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
--- a/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
+++ b/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
@@ -131,9 +131,7 @@
         if (request.attemptId().isPresent()) {
             reply = reply.withHeader(WireHeaders.ATTEMPT_ID, request.attemptId().get());
         }
-        return retryAfterMs > 0
-                ? reply.withHeader("retry-after", String.format(Locale.ROOT, "%.3f", (double) retryAfterMs / MS_PER_S))
-                : reply;
+        return retryAfterMs > 0 ? reply.withHeader("retry-after", RetryAfterHeader.format(retryAfterMs)) : reply;
     }
 
     /** Statuses that have a fixed meaning on the platform, whatever else the response contains. */
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.platform.PlatformCallerCodec;
 
@@ -27,6 +28,9 @@
     private static final String OTHER =
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\nContent-Length: 5\r\n\r\nother";
 
+    /** Several times every limit on what is neither a body nor an event. */
+    private static final int MAX_ENDLESS_BYTES = 4 * 1024 * 1024;
+
     private final List<String> reported = new ArrayList<>();
     private final List<Long> keptIdleMs = new ArrayList<>();
     private final EmbeddedChannel channel = new EmbeddedChannel(
@@ -73,6 +77,69 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /** A late second copy arrives where the response to the next request on the kept connection is due. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                // the extra response | whether the next request still gets its own
+                "X-Attempt-Id: other\\r\\nContent-Length: 5\\r\\n\\r\\nother | true",
+                "X-Attempt-Id: other\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n5\\r\\nother\\r\\n0\\r\\n\\r\\n | true",
+                "X-Server-Seal: s\\r\\nContent-Length: 5\\r\\n\\r\\nother | false",
+                "Content-Length: 5\\r\\n\\r\\nother | false",
+            })
+    void extraResponseOnAKeptConnectionIsNotTakenForTheNext(String extra, boolean servesNext) {
+        sendRequest("first");
+        receive(EXPECTED.replace("mine", "first"));
+        reported.clear();
+        sendRequest();
+        receive("HTTP/1.1 200 OK\r\n" + extra.translateEscapes());
+        if (channel.isActive()) {
+            receive(EXPECTED);
+        }
+
+        if (servesNext) {
+            assertThat(reported).containsExactly("head 200", "abc", "end").inOrder();
+        } else {
+            assertThat(reported).hasSize(1);
+            assertThat(reported.get(0)).startsWith("failed after send");
+            assertThat(channel.isActive()).isFalse();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                // what is sent again and again, without end
+                "'' | X-Pad: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\\r\\n",
+                "HTTP/1.1  | a",
+                "'' | HTTP/1.1 100 Continue\\r\\n\\r\\n",
+                "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n | 0",
+                "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n | X-Trailer: aaaaaaaaaaaaaaaaaaaa\\r\\n",
+                "HTTP/1.1 200 OK\\r\\nX-Attempt-Id: other\\r\\n\\r\\n | aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+            })
+    void bytesWithoutEndCloseTheConnection(String begin, String repeated) {
+        sendRequest();
+        receive(begin.strip().translateEscapes() + (begin.startsWith("HTTP/1.1  ") ? " " : ""));
+        final String block = repeated.translateEscapes().repeat(1_000);
+        for (int sentBytes = 0; sentBytes < MAX_ENDLESS_BYTES && channel.isActive(); sentBytes += block.length()) {
+            receive(block);
+        }
+
+        assertThat(channel.isActive()).isFalse();
+        assertThat(reported.get(reported.size() - 1)).startsWith("failed after send");
+    }
+
+    @Test
+    void switchOfProtocolsFails() {
+        sendRequest();
+        receive("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n");
+
+        assertThat(channel.isActive()).isFalse();
+        assertThat(reported.get(0)).startsWith("failed after send");
+    }
+
     @Test
     void truncatedResponseFails() {
         sendRequest();
@@ -113,8 +180,12 @@
     }
 
     private void sendRequest() {
+        sendRequest("mine");
+    }
+
+    private void sendRequest(String attemptId) {
         final EndpointCall call = new EndpointCall(
-                Optional.of("mine"),
+                Optional.of(attemptId),
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
                 new Recorder());
         call.markSent(channel);
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
@@ -15,37 +15,21 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wigeongrade.decisions.balancing.Balancer;
-import org.wigeongrade.decisions.balancing.RetryBudgetShare;
 import org.wigeongrade.decisions.log.Bytes;
-import org.wigeongrade.decisions.published.CallerLimits;
-import org.wigeongrade.decisions.published.PublishedConfiguration;
-import org.wigeongrade.decisions.published.PublishedService;
-import org.wigeongrade.decisions.published.Route;
-import org.wigeongrade.decisions.published.RouteKind;
-import org.wigeongrade.decisions.published.WeightedTarget;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
-import org.wigeongrade.ids.AvailabilityZone;
-import org.wigeongrade.ids.RouteName;
-import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
-import org.wigeongrade.metrics.Metrics;
-import org.wigeongrade.platform.PlatformCallerCodec;
 
 /** Tests a request at a stalled endpoint while another endpoint has free slots or is full. */
 final class ExchangeFailoverTest {
-    private static final ServiceName SERVICE = ServiceName.of("app");
-    private static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
     private static final int SLOTS = 4;
     /**
      * Longer than the stall timeout of an endpoint that was expected to respond at once; a view counts as recent for
@@ -75,7 +59,9 @@
         final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, System.nanoTime());
         registry.apply(view(silent, other, Map.of("other", SLOTS - 1)), System.nanoTime());
         loop.eventLoop()
-                .submit(() -> new Exchange(services(registry), request(), new RecordingWriter(), () -> {}).start())
+                .submit(() -> new Exchange(
+                                EntryFixture.services(loop, registry), request(), new RecordingWriter(), () -> {})
+                        .start())
                 .get();
         loop.eventLoop()
                 .submit(() -> registry.apply(view(silent, other, Map.of("other", requestsAtOther)), System.nanoTime()))
@@ -95,9 +81,9 @@
         return new RoutableRecord()
                 .setVm(name)
                 .setIncarnation(1)
-                .setServiceName(SERVICE.value())
+                .setServiceName(EntryFixture.SERVICE.value())
                 .setAddress("127.0.0.1:" + endpoint.getLocalPort())
-                .setAvailabilityZone(ZONE.value())
+                .setAvailabilityZone(EntryFixture.ZONE.value())
                 .setModel("")
                 .setSlots(SLOTS)
                 .setPaceFactor(1);
@@ -116,7 +102,7 @@
 
     private static EntryView view(RoutableRecord silent, RoutableRecord other, Map<String, Integer> elsewhere) {
         return new EntryView(
-                Optional.of(configuration()),
+                Optional.of(EntryFixture.configuration()),
                 Set.of(),
                 ImmutableMap.of(VmName.of(silent.getVm()), silent, VmName.of(other.getVm()), other),
                 elsewhere,
@@ -128,42 +114,6 @@
                 System.nanoTime());
     }
 
-    private static PublishedConfiguration configuration() {
-        final Route route = new Route(
-                RouteName.of("read"),
-                "host",
-                "/",
-                RouteKind.IDEMPOTENT,
-                5_000,
-                100,
-                0,
-                1,
-                List.of(new WeightedTarget(SERVICE, 1)),
-                2,
-                true,
-                false);
-        final PublishedService service = new PublishedService(SERVICE, 100, 0, Optional.empty());
-        return new PublishedConfiguration(1, List.of(route), List.of(service), CallerLimits.DEFAULT, List.of());
-    }
-
-    private EntryServices services(EndpointRegistry registry) {
-        final PlatformCallerCodec codec = new PlatformCallerCodec();
-        return new EntryServices(
-                ZONE,
-                loop,
-                codec,
-                registry,
-                new EndpointConnectionPool(loop, codec, System::nanoTime),
-                new Balancer(new SplittableRandom(1)),
-                new RetryBudgetShare(0.2, 100, TimeUnit.SECONDS.toNanos(10)),
-                new ColdStartLimits(1.5, 5),
-                new SplittableRandom(1),
-                new EventLog(),
-                new Metrics(),
-                System::nanoTime,
-                TimeUnit.SECONDS.toNanos(5));
-    }
-
     private static CallerRequest request() {
         return new CallerRequest(
                 Optional.of("attempt"),
@@ -187,8 +137,8 @@
         }
 
         @Override
-        public void writeResponse(int status, HttpHeaders headers, byte[] body) {
-            written.add("status " + status);
+        public void writeResponse(BufferedResponse response) {
+            written.add("status " + response.status());
         }
 
         @Override
