--- a/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
@@ -68,7 +68,7 @@
         final EmbeddedChannel channel = open();
         receive(channel, "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + "a".repeat(500));
         assertThat(budget.reservedBytes()).isEqualTo(500);
-        channel.close();
+        final var unused = channel.close();
 
         assertThat(budget.reservedBytes()).isEqualTo(0);
     }
