Say in the stand-ins that endpoints leave or want a pause, check both in the soak; give a change time for its response

The soak's endpoints say both in their responses, also while entry nodes are killed, stopped and paused; attempt ids name the entry node, so that SendRestrictionChecker can tell what each one was told.

Traced: a response got 100 ms at least, less than the first call of a busy JVM takes, and the outcome of a change was then unknown. Brought about by an entry VM that answers after 300 ms (shortTimeoutDoesNotCutOffTheResponseToAChange, OUTCOME_UNKNOWN before). A response now gets 2 s at least; the check and its deadline stand.

--- a/src/main/java/org/wigeongrade/command/EntryClient.java
+++ b/src/main/java/org/wigeongrade/command/EntryClient.java
@@ -18,6 +18,11 @@
  */
 final class EntryClient {
     private static final long MIN_RETRY_DELAY_MS = 100;
+    /**
+     * Minimum time for the response to a call that was sent, in milliseconds. Giving up earlier would leave the outcome
+     * of a change unknown, only because this JVM or the VM has just started.
+     */
+    private static final long MIN_RESPONSE_TIMEOUT_MS = 2_000;
 
     /** Entry VMs in the order in which they are tried, starting with the one that returned the last result. */
     private final List<NodeAddress> entries;
@@ -86,7 +91,7 @@
 
     private static Duration remainingTimeout(long deadlineNanos) {
         return Duration.ofNanos(
-                Math.max(Duration.ofMillis(MIN_RETRY_DELAY_MS).toNanos(), deadlineNanos - System.nanoTime()));
+                Math.max(Duration.ofMillis(MIN_RESPONSE_TIMEOUT_MS).toNanos(), deadlineNanos - System.nanoTime()));
     }
 
     private static void sleepUntilRetry(long retryDelayMs, long deadlineNanos) {
--- a/src/main/java/org/wigeongrade/disk/DiskFailures.java
+++ b/src/main/java/org/wigeongrade/disk/DiskFailures.java
@@ -22,6 +22,8 @@
     /** Returns whether the call failed because no space is left; it may succeed once space has been freed. */
     static boolean isFull(IOException cause) {
         String message = String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT);
-        return message.contains("no space left") || message.contains("quota exceeded");
+        return message.contains("no space left")
+                || message.contains("quota exceeded")
+                || message.contains("file too large");
     }
 }
--- a/src/test/java/org/wigeongrade/command/ChangeCommandsTest.java
+++ b/src/test/java/org/wigeongrade/command/ChangeCommandsTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -100,6 +101,18 @@
         assertThat(errors()).contains(text);
     }
 
+    /** Pattern: the first call of a JVM on a busy machine takes longer than the time to wait. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 300})
+    void shortTimeoutDoesNotCutOffTheResponseToAChange(long responseDelayMs) throws IOException {
+        try (FakeEntryVm entry = new FakeEntryVm(responseDelayMs, "200 {\"stopping\":true}")) {
+            final List<String> arguments =
+                    List.of("stop", "--timeout-ms", "50", "--entry", entry.address().toString());
+
+            assertThat(run(Map.of(), arguments)).isEqualTo(ExitCode.OK);
+        }
+    }
+
     @Test
     void stopWaitsUntilNodeIsUnreachable() throws IOException {
         try (FakeEntryVm entry = new FakeEntryVm("200 {\"stopping\":true}", "503 stopping")) {
--- a/src/test/java/org/wigeongrade/command/FakeEntryVm.java
+++ b/src/test/java/org/wigeongrade/command/FakeEntryVm.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.command;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -12,6 +13,7 @@
 import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.wigeongrade.settings.NodeAddress;
 
 /**
@@ -23,10 +25,17 @@
     static final String CONNECTION_CLOSED = "lost";
 
     private final HttpServer server;
+    private final long delayMs;
     private final Deque<String> responses;
     private final List<String> receivedRequests = Collections.synchronizedList(new ArrayList<>());
 
     FakeEntryVm(String... responses) throws IOException {
+        this(0, responses);
+    }
+
+    /** @param delayMs time until each response is sent */
+    FakeEntryVm(long delayMs, String... responses) throws IOException {
+        this.delayMs = delayMs;
         this.responses = new ArrayDeque<>(List.of(responses));
         this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.createContext("/", this::respond);
@@ -52,6 +61,7 @@
     private void respond(HttpExchange exchange) throws IOException {
         final String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         receivedRequests.add(exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + body);
+        Uninterruptibles.sleepUninterruptibly(delayMs, TimeUnit.MILLISECONDS);
         final String response = responses.size() > 1 ? responses.remove() : responses.peek();
         if (response.equals(CONNECTION_CLOSED)) {
             exchange.close();
--- a/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
@@ -4,6 +4,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.math.BigDecimal;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -40,6 +41,10 @@
     private volatile boolean running;
     private volatile boolean draining;
     private volatile boolean unresponsive;
+    /** Whether responses say that this VM leaves. */
+    private volatile boolean saysLeaving;
+    /** End of the time for which this VM wants no requests; in the past if it takes them. */
+    private volatile long wantsPauseUntilNanos = System.nanoTime();
     private volatile boolean closed;
     /** Fraction of requests whose response is dropped after they ran. */
     private volatile double lostResponseRatio;
@@ -93,6 +98,8 @@
         startedMs = System.currentTimeMillis();
         sequence.set(0);
         draining = false;
+        saysLeaving = false;
+        wantsPauseUntilNanos = System.nanoTime();
         engine.ifPresent(FakeEngine::reset);
         running = true;
         server.start();
@@ -117,12 +124,26 @@
     /** Leaves gracefully: reports that it drains, serves for another {@code serveOnMs}, deregisters and stops. */
     void leave(long serveOnMs) {
         draining = true;
+        saysLeaving = true;
         sendHeartbeat();
         Await.sleepMs(serveOnMs);
         final var unused = fleet.control().call("POST", "/-/instances/" + name + "/deregister", "");
         crash();
     }
 
+    /** Says in responses only that it leaves, for {@code forMs}, and then leaves as above. */
+    void sayLeavingThenLeave(long forMs) {
+        saysLeaving = true;
+        Await.sleepMs(forMs);
+        leave(forMs);
+    }
+
+    /** Turns requests away for {@code forMs}, and asks their senders for a pause until then. */
+    void askForPause(long forMs) {
+        wantsPauseUntilNanos = System.nanoTime() + forMs * 1_000_000;
+        Await.sleepMs(forMs);
+    }
+
     private void sendHeartbeats() {
         while (!closed) {
             if (running && !unresponsive) {
@@ -155,6 +176,9 @@
         while (unresponsive) {
             Await.sleepMs(20);
         }
+        if (saysLeaving) {
+            exchange.getResponseHeaders().set("Server-Leaving", "1");
+        }
         final String expected = exchange.getRequestHeaders().getFirst("X-Expect-Instance");
         if (expected != null && !expected.equals(name)) {
             respond(exchange, MISDIRECTED, "");
@@ -173,6 +197,11 @@
         final String path = exchange.getRequestURI().getPath();
         final String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("X-Attempt-Id", attemptId);
+        fleet.guarantees().sendRestrictions().recordArrival(attemptId, name, startedMs);
+        final boolean toldOfLeaving = exchange.getResponseHeaders().containsKey("Server-Leaving");
+        if (turnAway(exchange, attemptId)) {
+            return;
+        }
         if (engine.isPresent() && !engine.get().awaitAdmission()) {
             exchange.getResponseHeaders().set("X-Not-Executed", "1");
             respond(exchange, engine.get().isHead() ? NOT_RUN_STATUS : MISDIRECTED, "");
@@ -190,6 +219,23 @@
             Await.sleepMs(ThreadLocalRandom.current().nextInt(MAX_WORK_MS));
             respond(exchange, 200, "ran " + attemptId + " " + path + " " + body);
         }
+        if (toldOfLeaving) {
+            fleet.guarantees().sendRestrictions().recordLeaving(attemptId, name, startedMs);
+        }
+    }
+
+    /** Refuses the request if this VM wants a pause. */
+    private boolean turnAway(HttpExchange exchange, String attemptId) throws IOException {
+        final long pauseMs = (wantsPauseUntilNanos - System.nanoTime()) / 1_000_000;
+        if (pauseMs <= 0) {
+            return false;
+        }
+        exchange.getResponseHeaders().set("X-Not-Executed", "1");
+        exchange.getResponseHeaders()
+                .set("Retry-After", BigDecimal.valueOf(pauseMs, 3).toPlainString());
+        fleet.guarantees().sendRestrictions().recordPause(attemptId, name, startedMs, pauseMs);
+        respond(exchange, NOT_RUN_STATUS, "");
+        return true;
     }
 
     private void stream(HttpExchange exchange, FakeEngine groupMember) throws IOException {
--- a/src/test/java/org/wigeongrade/platform/soak/FaultInjector.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FaultInjector.java
@@ -14,6 +14,8 @@
  */
 final class FaultInjector {
     private static final int MAX_FAULT_MS = 2_500;
+    /** Longer than the time in which requests to a leaving endpoint must end. */
+    private static final long LEAVING_MS = 2_500;
 
     private final SoakNodes nodes;
     private final FakeEndpointFleet endpoints;
@@ -53,10 +55,10 @@
         final int control = random.nextInt(nodes.addresses().controls());
         final FakeEndpointVm vm = endpoints.pick(random);
         final long forMs = 200L + random.nextInt(MAX_FAULT_MS);
-        switch (random.nextInt(13)) {
-            case 0 -> start("kill " + nodes.name(node), () -> nodes.killAndRestart(node, forMs, false));
-            case 1 -> start("stop " + nodes.name(node), () -> nodes.stopAndRestart(node, forMs));
-            case 2 -> start("pause " + nodes.name(node), () -> nodes.pause(node, forMs));
+        switch (random.nextInt(15)) {
+            case 0 -> startAtNode("kill ", node, () -> nodes.killAndRestart(node, forMs, false));
+            case 1 -> startAtNode("stop ", node, () -> nodes.stopAndRestart(node, forMs));
+            case 2 -> startAtNode("pause ", node, () -> nodes.pause(node, forMs));
             case 3 ->
                 start(
                         "drop all traffic to control " + control,
@@ -75,6 +77,13 @@
             case 9 -> start("make unresponsive " + vm.name(), () -> makeUnresponsive(vm, forMs));
             case 10 -> start("leave " + vm.name(), () -> leave(vm, forMs));
             case 11 -> start("fill the disk of control " + control, () -> nodes.fillDisk(control, forMs));
+            case 12 ->
+                start("say in responses that " + vm.name() + " leaves", () -> {
+                    vm.sayLeavingThenLeave(LEAVING_MS);
+                    Await.sleepMs(forMs);
+                    vm.restart();
+                });
+            case 13 -> start("ask for a pause at " + vm.name(), () -> vm.askForPause(forMs));
             default -> start("lose responses of " + vm.name(), () -> loseResponses(vm, forMs));
         }
     }
@@ -116,6 +125,16 @@
         vm.loseResponses(0);
     }
 
+    /** Starts a fault of a process, which is excused from what endpoints told it before and meanwhile. */
+    private void startAtNode(String fault, int node, Runnable action) {
+        final int entry = node - nodes.addresses().controls();
+        start(fault + nodes.name(node), () -> {
+            endpoints.guarantees().sendRestrictions().excuse(entry);
+            action.run();
+            endpoints.guarantees().sendRestrictions().excuse(entry);
+        });
+    }
+
     private void start(String description, Runnable fault) {
         injected.add(description);
         final Thread thread = new Thread(fault, description);
--- a/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
+++ b/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
@@ -20,6 +20,12 @@
     private final Map<Integer, AtomicInteger> responsesByStatus = new ConcurrentHashMap<>();
     private final AtomicInteger incompleteResponses = new AtomicInteger();
 
+    private final SendRestrictionChecker sendRestrictions = new SendRestrictionChecker(this);
+
+    SendRestrictionChecker sendRestrictions() {
+        return sendRestrictions;
+    }
+
     void reportViolation(String guarantee, String details) {
         violations.add(guarantee + ": " + details);
     }
--- a/src/test/java/org/wigeongrade/platform/soak/SoakClient.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakClient.java
@@ -42,11 +42,12 @@
     @Override
     public void run() {
         while (!stopped.get()) {
-            final String entry = addresses.entryIp(random.nextInt(addresses.entries()));
+            final int entryIndex = random.nextInt(addresses.entries());
+            final String entry = addresses.entryIp(entryIndex);
             try (HttpConnection connection =
                     new HttpConnection(SoakAddresses.address(entry, addresses.callerPort()), READ_TIMEOUT_MS)) {
                 while (connection.isOpen() && !stopped.get()) {
-                    call(connection);
+                    call(connection, entryIndex);
                     Await.sleepMs(random.nextInt(30));
                 }
             } catch (IOException e) {
@@ -56,7 +57,7 @@
         }
     }
 
-    private void call(HttpConnection connection) throws IOException {
+    private void call(HttpConnection connection, int entry) throws IOException {
         final String kind = switch (random.nextInt(6)) {
             case 0, 1 -> "gen";
             case 2, 3 -> "charge";
@@ -64,7 +65,7 @@
             default -> "move";
         };
         final boolean asGuest = random.nextInt(5) == 0;
-        final String attempt = "c" + index + "-" + ++requests;
+        final String attempt = SendRestrictionChecker.attemptPrefix(entry) + "c" + index + "-" + ++requests;
         final Map<String, String> headers = new HashMap<>(Map.of(
                 "Host",
                 "soak.example",
