--- a/src/test/java/org/wigeongrade/command/ChangeCommandsTest.java
+++ b/src/test/java/org/wigeongrade/command/ChangeCommandsTest.java
@@ -12,10 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.provider.ValueSource;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Runs complete commands against a fake entry VM. */
 final class ChangeCommandsTest {
@@ -106,8 +106,8 @@
     @ValueSource(longs = {0, 300})
     void shortTimeoutDoesNotCutOffTheResponseToAChange(long responseDelayMs) throws IOException {
         try (FakeEntryVm entry = new FakeEntryVm(responseDelayMs, "200 {\"stopping\":true}")) {
-            final List<String> arguments =
-                    List.of("stop", "--timeout-ms", "50", "--entry", entry.address().toString());
+            final List<String> arguments = List.of(
+                    "stop", "--timeout-ms", "50", "--entry", entry.address().toString());
 
             assertThat(run(Map.of(), arguments)).isEqualTo(ExitCode.OK);
         }
--- a/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
@@ -45,6 +45,7 @@
     private volatile boolean saysLeaving;
     /** End of the time for which this VM wants no requests; in the past if it takes them. */
     private volatile long wantsPauseUntilNanos = System.nanoTime();
+
     private volatile boolean closed;
     /** Fraction of requests whose response is dropped after they ran. */
     private volatile double lostResponseRatio;
--- a/src/test/java/org/wigeongrade/platform/soak/SendRestrictionChecker.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SendRestrictionChecker.java
@@ -44,9 +44,8 @@
             guarantees.reportViolation("a leaving endpoint gets no new requests", attempt + " reached " + pair);
         }
         final Pause pause = pauses.get(pair);
-        final boolean paused = pause != null
-                && nowNanos - pause.startNanos() > IN_TRANSIT_NANOS
-                && nowNanos - pause.endNanos() < 0;
+        final boolean paused =
+                pause != null && nowNanos - pause.startNanos() > IN_TRANSIT_NANOS && nowNanos - pause.endNanos() < 0;
         if (paused && pause.requests().incrementAndGet() > MAX_REQUESTS_IN_PAUSE) {
             guarantees.reportViolation("an endpoint's pause is kept", attempt + " reached " + pair);
         }
