--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -107,9 +107,10 @@
                     Placement.Refusal.ALL_PAUSED, untried.size(), retryAfterPauseMs(request, untried, nowNanos));
         }
         final double medianSlowness = medianSlowness(endpoints);
+        final int entryNodes = limits.entryNodes();
         final List<EndpointLoad> available = allowed.stream()
                 .filter(endpoint -> hasCapacity(endpoint, engine, limits, nowNanos)
-                        && isInTime(endpoint, request, engine, medianSlowness))
+                        && isInTime(endpoint, request, engine, medianSlowness, entryNodes))
                 .toList();
         if (available.isEmpty()) {
             return Placement.refused(Placement.Refusal.ALL_BUSY, allowed.size(), retryAfterMs(request));
@@ -117,12 +118,13 @@
         final List<EndpointLoad> healthy = available.stream()
                 .filter(endpoint -> isHealthy(endpoint, nowNanos))
                 .toList();
-        final EndpointLoad chosen = sample(healthy.isEmpty() ? available : healthy, limits.entryNodes()).stream()
-                .map(endpoint -> new EndpointCost(endpoint, cost(endpoint, request, engine, medianSlowness, nowNanos)))
+        final EndpointLoad chosen = sample(healthy.isEmpty() ? available : healthy, entryNodes).stream()
+                .map(endpoint -> new EndpointCost(
+                        endpoint, cost(endpoint, request, engine, medianSlowness, entryNodes, nowNanos)))
                 .min(Comparator.comparingDouble(EndpointCost::cost))
                 .orElseThrow()
                 .endpoint();
-        return Placement.at(chosen, predictedMs(chosen, request, engine, medianSlowness), available.size());
+        return Placement.at(chosen, predictedMs(chosen, request, engine, medianSlowness, entryNodes), available.size());
     }
 
     private static boolean isHealthy(EndpointLoad endpoint, long nowNanos) {
@@ -151,7 +153,7 @@
     private static boolean hasCapacity(
             EndpointLoad endpoint, Optional<EngineLatencyModel> engine, BalancingLimits limits, long nowNanos) {
         if (endpoint.isCold(nowNanos)
-                && endpoint.sendsInLastSecond(nowNanos) + 1 > Math.max(1, limits.coldSendsPerSecond())) {
+                && endpoint.sendsInLastSecond(nowNanos) + 1 > limits.maxColdSends(endpoint.vm())) {
             return false;
         }
         final int slots = engine.map(EngineLatencyModel::slots).orElse(endpoint.slots());
@@ -166,12 +168,13 @@
             EndpointLoad endpoint,
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
-            double medianSlowness) {
+            double medianSlowness,
+            int entryNodes) {
         if (engine.isEmpty() || request.mayHaveStarted()) {
             return true;
         }
         final boolean slow = slowness(endpoint, medianSlowness) >= SLOW_ENDPOINT_FACTOR;
-        return predictedMs(endpoint, request, engine, medianSlowness)
+        return predictedMs(endpoint, request, engine, medianSlowness, entryNodes)
                 <= (slow ? MAX_LATENCY_FACTOR_AT_SLOW : MAX_LATENCY_FACTOR) * request.targetLatencyMs();
     }
 
@@ -191,8 +194,9 @@
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
             double medianSlowness,
+            int entryNodes,
             long nowNanos) {
-        final double firstEventMs = predictedMs(endpoint, request, engine, medianSlowness);
+        final double firstEventMs = predictedMs(endpoint, request, engine, medianSlowness, entryNodes);
         final double pauseMs =
                 engine.map(model -> model.passMs(endpoint.totalInFlight() + 1)).orElse(0.0)
                         * slowness(endpoint, medianSlowness);
@@ -222,9 +226,12 @@
             EndpointLoad endpoint,
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
-            double medianSlowness) {
+            double medianSlowness,
+            int entryNodes) {
         final double idealMs = engine.map(model -> model.firstEventMs(
-                        endpoint.totalInFlight(), endpoint.pendingPromptTokens(), request.promptTokens()))
+                        endpoint.totalInFlight() + endpoint.unreportedElsewhere(entryNodes),
+                        endpoint.pendingPromptTokens() + endpoint.unreportedPromptTokensElsewhere(entryNodes),
+                        request.promptTokens()))
                 .orElseGet(() ->
                         PLAIN_ANSWER_MS * (1 + (double) endpoint.totalInFlight() / Math.max(1, endpoint.slots())));
         return idealMs * slowness(endpoint, medianSlowness);
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -118,7 +118,10 @@
                         settings.number(FleetKey.RETRY_RATIO),
                         settings.number(FleetKey.RETRY_SLACK),
                         TimeUnit.MILLISECONDS.toNanos(settings.ms(FleetKey.RETRY_WINDOW_S))),
-                new ColdStartLimits(settings.number(FleetKey.COLD_BURST_FACTOR), settings.number(FleetKey.COLD_MARGIN)),
+                new ColdStartLimits(
+                        settings.number(FleetKey.COLD_BURST_FACTOR),
+                        settings.number(FleetKey.COLD_MARGIN),
+                        settings.name().value().hashCode()),
                 random,
                 events,
                 metrics,
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -79,7 +79,9 @@
         try {
             while (true) {
                 final boolean pulledFromLeader = pullOrLog();
-                Thread.sleep(pulledFromLeader ? FleetTimings.PULL_INTERVAL_MS : FleetTimings.PULL_INTERVAL_MS / 4);
+                final int intervalMs =
+                        FleetTimings.pullIntervalMs(registry.view().entryNodes());
+                Thread.sleep(pulledFromLeader ? intervalMs : FleetTimings.PULL_INTERVAL_MS / 4);
             }
         } catch (InterruptedException e) {
             client.ifPresent(FleetClient::close);
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -29,7 +29,7 @@
             new EngineProfile(18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final AvailabilityZone HERE = AvailabilityZone.of("here");
     private static final AvailabilityZone THERE = AvailabilityZone.of("there");
-    private static final BalancingLimits UNBOUNDED = new BalancingLimits(Double.MAX_VALUE, 7);
+    private static final BalancingLimits UNBOUNDED = new BalancingLimits(Double.MAX_VALUE, 7, 0);
 
     private final Balancer balancer = new Balancer(new Random(1));
     private final Optional<EngineLatencyModel> engine =
@@ -186,13 +186,40 @@
         final Set<VmName> chosen = new HashSet<>();
         for (int node = 0; node < entryNodes; node++) {
             final Placement placement = new Balancer(new Random(node))
-                    .place(request(Set.of()), groups, engine, new BalancingLimits(Double.MAX_VALUE, entryNodes), 0);
+                    .place(request(Set.of()), groups, engine, new BalancingLimits(Double.MAX_VALUE, entryNodes, 0), 0);
             chosen.add(placement.endpoint().orElseThrow().vm().vm());
         }
 
         assertThat(chosen.size()).isAtLeast(chosenAtLeast);
     }
 
+    /**
+     * Pattern: too few groups are left, and all nodes send to the one whose load looked lowest until the next report.
+     * The node expects the others to have sent as many requests as it did.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // entry nodes, own requests since the report, whether one more is accepted by a group with four slots left
+        "1, 3, true",
+        "7, 0, true",
+        "7, 1, false",
+        "7, 3, false",
+    })
+    void groupIsNotFilledByAllNodesBetweenTwoReports(int entryNodes, int sent, boolean accepted) {
+        final List<EndpointLoad> groups = List.of(group("a", HERE));
+        send(groups.get(0), 14);
+        sendUnreported(groups.get(0), sent);
+        groups.get(0).recordPromptSent(sent * 1_000);
+        final Placement placement = balancer.place(
+                new PlacementRequest(1_000, 350, 300, 8_000, Set.of(), false, HERE),
+                groups,
+                engine,
+                new BalancingLimits(Double.MAX_VALUE, entryNodes, 0),
+                0);
+
+        assertThat(placement.endpoint().isPresent()).isEqualTo(accepted);
+    }
+
     @Test
     void triedGroupIsNotRetried() {
         final List<EndpointLoad> groups = List.of(group("a", HERE));
@@ -207,7 +234,7 @@
         int accepted = 0;
         for (int i = 0; i < 20; i++) {
             final Placement placement =
-                    balancer.place(request(Set.of()), groups, engine, new BalancingLimits(4.5, 7), 1);
+                    balancer.place(request(Set.of()), groups, engine, new BalancingLimits(4.5, 7, 0), 1);
             accepted += placement.endpoint().isPresent() ? 1 : 0;
             placement.endpoint().ifPresent(endpoint -> send(endpoint, 1));
         }
@@ -256,7 +283,14 @@
         return new PlacementRequest(1_000, 500, 300, 8_000, ImmutableSet.copyOf(tried), !tried.isEmpty(), HERE);
     }
 
+    /** Sends requests, after which the load of the other nodes is reported unchanged. */
     private static void send(EndpointLoad group, int requests) {
+        sendUnreported(group, requests);
+        group.setLoadFromOtherNodes(
+                group.totalInFlight() - group.inFlight(), group.pendingPromptTokens() - group.ownPendingPromptTokens());
+    }
+
+    private static void sendUnreported(EndpointLoad group, int requests) {
         for (int i = 0; i < requests; i++) {
             group.recordSent(0);
         }
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -56,7 +56,7 @@
                 new BufferedBodies(1_000_000, 100_000),
                 new Balancer(new SplittableRandom(1)),
                 new RetryBudgetShare(0.2, 100, TimeUnit.SECONDS.toNanos(10)),
-                new ColdStartLimits(1.5, 5),
+                new ColdStartLimits(1.5, 5, 0),
                 new SplittableRandom(1),
                 new EventLog(),
                 new Metrics(),
