--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -107,10 +107,9 @@
                     Placement.Refusal.ALL_PAUSED, untried.size(), retryAfterPauseMs(request, untried, nowNanos));
         }
         final double medianSlowness = medianSlowness(endpoints);
-        final int entryNodes = limits.entryNodes();
         final List<EndpointLoad> available = allowed.stream()
                 .filter(endpoint -> hasCapacity(endpoint, engine, limits, nowNanos)
-                        && isInTime(endpoint, request, engine, medianSlowness, entryNodes))
+                        && isInTime(endpoint, request, engine, medianSlowness))
                 .toList();
         if (available.isEmpty()) {
             return Placement.refused(Placement.Refusal.ALL_BUSY, allowed.size(), retryAfterMs(request));
@@ -118,13 +117,12 @@
         final List<EndpointLoad> healthy = available.stream()
                 .filter(endpoint -> isHealthy(endpoint, nowNanos))
                 .toList();
-        final EndpointLoad chosen = sample(healthy.isEmpty() ? available : healthy, entryNodes).stream()
-                .map(endpoint -> new EndpointCost(
-                        endpoint, cost(endpoint, request, engine, medianSlowness, entryNodes, nowNanos)))
+        final EndpointLoad chosen = sample(healthy.isEmpty() ? available : healthy, limits.entryNodes()).stream()
+                .map(endpoint -> new EndpointCost(endpoint, cost(endpoint, request, engine, medianSlowness, nowNanos)))
                 .min(Comparator.comparingDouble(EndpointCost::cost))
                 .orElseThrow()
                 .endpoint();
-        return Placement.at(chosen, predictedMs(chosen, request, engine, medianSlowness, entryNodes), available.size());
+        return Placement.at(chosen, predictedMs(chosen, request, engine, medianSlowness), available.size());
     }
 
     private static boolean isHealthy(EndpointLoad endpoint, long nowNanos) {
@@ -168,13 +166,12 @@
             EndpointLoad endpoint,
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
-            double medianSlowness,
-            int entryNodes) {
+            double medianSlowness) {
         if (engine.isEmpty() || request.mayHaveStarted()) {
             return true;
         }
         final boolean slow = slowness(endpoint, medianSlowness) >= SLOW_ENDPOINT_FACTOR;
-        return predictedMs(endpoint, request, engine, medianSlowness, entryNodes)
+        return predictedMs(endpoint, request, engine, medianSlowness)
                 <= (slow ? MAX_LATENCY_FACTOR_AT_SLOW : MAX_LATENCY_FACTOR) * request.targetLatencyMs();
     }
 
@@ -194,9 +191,8 @@
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
             double medianSlowness,
-            int entryNodes,
             long nowNanos) {
-        final double firstEventMs = predictedMs(endpoint, request, engine, medianSlowness, entryNodes);
+        final double firstEventMs = predictedMs(endpoint, request, engine, medianSlowness);
         final double pauseMs =
                 engine.map(model -> model.passMs(endpoint.totalInFlight() + 1)).orElse(0.0)
                         * slowness(endpoint, medianSlowness);
@@ -226,12 +222,9 @@
             EndpointLoad endpoint,
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
-            double medianSlowness,
-            int entryNodes) {
+            double medianSlowness) {
         final double idealMs = engine.map(model -> model.firstEventMs(
-                        endpoint.totalInFlight() + endpoint.unreportedElsewhere(entryNodes),
-                        endpoint.pendingPromptTokens() + endpoint.unreportedPromptTokensElsewhere(entryNodes),
-                        request.promptTokens()))
+                        endpoint.totalInFlight(), endpoint.pendingPromptTokens(), request.promptTokens()))
                 .orElseGet(() ->
                         PLAIN_ANSWER_MS * (1 + (double) endpoint.totalInFlight() / Math.max(1, endpoint.slots())));
         return idealMs * slowness(endpoint, medianSlowness);
--- a/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
@@ -20,9 +20,6 @@
     /** Time for which a failed endpoint is avoided; doubled for each further consecutive failure. */
     private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Maximum of requests that other nodes are expected to have sent since their last report. */
-    private static final int MAX_UNREPORTED = 4;
-
     private static final int MAX_AVOID_DOUBLINGS = 4;
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -41,8 +38,6 @@
     private int inFlightElsewhere;
     private int pendingPromptTokens;
     private int pendingPromptTokensElsewhere;
-    private int sentSinceReport;
-    private int promptTokensSinceReport;
     private long lastProgressNanos;
     private long lastActiveNanos;
     private boolean progressedSinceReport;
@@ -136,21 +131,6 @@
     public void setLoadFromOtherNodes(int requests, int promptTokens) {
         inFlightElsewhere = requests;
         pendingPromptTokensElsewhere = promptTokens;
-        sentSinceReport = 0;
-        promptTokensSinceReport = 0;
-    }
-
-    /**
-     * Returns the requests that other entry nodes are expected to have sent since their load was last reported: as many
-     * each as this node, up to a limit.
-     */
-    public int unreportedElsewhere(int entryNodes) {
-        return Math.min(MAX_UNREPORTED, (entryNodes - 1) * sentSinceReport);
-    }
-
-    /** Returns the prompt tokens of the requests that {@link #unreportedElsewhere} counts. */
-    public int unreportedPromptTokensElsewhere(int entryNodes) {
-        return sentSinceReport == 0 ? 0 : unreportedElsewhere(entryNodes) * (promptTokensSinceReport / sentSinceReport);
     }
 
     /**
@@ -173,7 +153,6 @@
     /** Records that a prompt is sent now. */
     public void recordPromptSent(int promptTokens) {
         pendingPromptTokens += promptTokens;
-        promptTokensSinceReport += promptTokens;
     }
 
     /** Records that the prefill of a prompt has finished, or that its request ended before that. */
@@ -196,7 +175,6 @@
             lastProgressNanos = nowNanos;
         }
         inFlight++;
-        sentSinceReport++;
         lastActiveNanos = nowNanos;
         sendsNanos.addLast(nowNanos);
         removeOldSends(nowNanos);
--- a/src/main/java/org/wigeongrade/fleet/FleetTimings.java
+++ b/src/main/java/org/wigeongrade/fleet/FleetTimings.java
@@ -3,17 +3,11 @@
 /** Intervals and timeouts of the communication between the processes of a fleet. Stateless. */
 public final class FleetTimings {
     /**
-     * Longest time between two pulls of an entry node, in milliseconds; an eighth of the shortest time limit for
-     * applying changes.
+     * Time between two pulls of an entry node, in milliseconds; an eighth of the shortest time limit for applying
+     * changes.
      */
     public static final int PULL_INTERVAL_MS = 250;
 
-    /** Shortest time between two pulls of an entry node, in milliseconds; several round trips. */
-    private static final int MIN_PULL_INTERVAL_MS = 100;
-
-    /** Time between the pulls of all entry nodes together, in milliseconds, unless that makes them too frequent. */
-    private static final int TIME_BETWEEN_PULLS_OF_ALL_MS = 4;
-
     /** Timeout for the reply to a pull, in milliseconds; several times what a busy leader needs. */
     public static final int PULL_TIMEOUT_MS = 700;
 
@@ -40,9 +34,4 @@
     public static final long ENTRY_EXPIRY_MS = 3_000;
 
     private FleetTimings() {}
-
-    /** Returns the time between two pulls of one entry node, in milliseconds: few nodes can pull more often. */
-    public static int pullIntervalMs(int entryNodes) {
-        return Math.max(MIN_PULL_INTERVAL_MS, Math.min(PULL_INTERVAL_MS, TIME_BETWEEN_PULLS_OF_ALL_MS * entryNodes));
-    }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -79,9 +79,7 @@
         try {
             while (true) {
                 final boolean pulledFromLeader = pullOrLog();
-                final int intervalMs =
-                        FleetTimings.pullIntervalMs(registry.view().entryNodes());
-                Thread.sleep(pulledFromLeader ? intervalMs : FleetTimings.PULL_INTERVAL_MS / 4);
+                Thread.sleep(pulledFromLeader ? FleetTimings.PULL_INTERVAL_MS : FleetTimings.PULL_INTERVAL_MS / 4);
             }
         } catch (InterruptedException e) {
             client.ifPresent(FleetClient::close);
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -193,33 +193,6 @@
         assertThat(chosen.size()).isAtLeast(chosenAtLeast);
     }
 
-    /**
-     * Pattern: too few groups are left, and all nodes send to the one whose load looked lowest until the next report.
-     * The node expects the others to have sent as many requests as it did.
-     */
-    @ParameterizedTest
-    @CsvSource({
-        // entry nodes, own requests since the report, whether one more is accepted by a group with four slots left
-        "1, 3, true",
-        "7, 0, true",
-        "7, 1, false",
-        "7, 3, false",
-    })
-    void groupIsNotFilledByAllNodesBetweenTwoReports(int entryNodes, int sent, boolean accepted) {
-        final List<EndpointLoad> groups = List.of(group("a", HERE));
-        send(groups.get(0), 14);
-        sendUnreported(groups.get(0), sent);
-        groups.get(0).recordPromptSent(sent * 1_000);
-        final Placement placement = balancer.place(
-                new PlacementRequest(1_000, 350, 300, 8_000, Set.of(), false, HERE),
-                groups,
-                engine,
-                new BalancingLimits(Double.MAX_VALUE, entryNodes, 0),
-                0);
-
-        assertThat(placement.endpoint().isPresent()).isEqualTo(accepted);
-    }
-
     @Test
     void triedGroupIsNotRetried() {
         final List<EndpointLoad> groups = List.of(group("a", HERE));
@@ -283,14 +256,7 @@
         return new PlacementRequest(1_000, 500, 300, 8_000, ImmutableSet.copyOf(tried), !tried.isEmpty(), HERE);
     }
 
-    /** Sends requests, after which the load of the other nodes is reported unchanged. */
     private static void send(EndpointLoad group, int requests) {
-        sendUnreported(group, requests);
-        group.setLoadFromOtherNodes(
-                group.totalInFlight() - group.inFlight(), group.pendingPromptTokens() - group.ownPendingPromptTokens());
-    }
-
-    private static void sendUnreported(EndpointLoad group, int requests) {
         for (int i = 0; i < requests; i++) {
             group.recordSent(0);
         }
