--- a/src/main/java/org/wigeongrade/disk/LogFile.java
+++ b/src/main/java/org/wigeongrade/disk/LogFile.java
@@ -16,8 +16,8 @@
  * The log file. It starts with a header frame, which holds the folder's incarnation, the base position and the entries
  * at the last rewrite; one frame for each batch synced since then follows.
  *
- * <p>Invariants: a failed append leaves nothing in the file once it is repeated; an entry replaces all entries before it in the file that have the same or a larger index; a torn last
- * frame is not part of the log. Not thread safe.
+ * <p>Invariants: an entry replaces all entries before it in the file that have the same or a larger index; a torn last
+ * frame is not part of the log; what a failed append wrote is removed when the append is repeated. Not thread safe.
  */
 final class LogFile implements AutoCloseable {
     /** The decoded content of the file. */
