--- a/src/main/java/org/wigeongrade/decisions/balancing/SendRestriction.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/SendRestriction.java
@@ -23,7 +23,7 @@
         return leaving;
     }
 
-    /** Records that the endpoint wants no requests until a deadline; an earlier deadline than the known one is ignored. */
+    /** Records that the endpoint wants no requests until a deadline; an earlier one than the known is ignored. */
     public void pauseUntil(long deadlineNanos) {
         if (!paused || deadlineNanos - pausedUntilNanos > 0) {
             paused = true;
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -86,14 +86,16 @@
         return reply.setLeads(ledBefore && log.isLeaderWithLease());
     }
 
+    /** Notes the endpoints that told an entry node that they leave, so that the next step replaces them. */
     private void recordLeaving(List<UsageRecord> usage) {
-        final boolean news = usage.stream()
-                        .filter(UsageRecord::isLeaving)
-                        .map(record -> new VmIncarnation(VmName.of(record.getVm()), record.getIncarnation()))
-                        .filter(registry::markLeaving)
-                        .peek(vm -> events.write(LogEvent.ENDPOINT_LEAVING, vm))
-                        .count()
-                > 0;
+        boolean news = false;
+        for (final UsageRecord record : usage) {
+            final VmIncarnation vm = new VmIncarnation(VmName.of(record.getVm()), record.getIncarnation());
+            if (record.isLeaving() && registry.markLeaving(vm)) {
+                events.write(LogEvent.ENDPOINT_LEAVING, vm);
+                news = true;
+            }
+        }
         if (news) {
             requestPlanning.run();
         }
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -26,7 +26,7 @@
 final class LeaderLoop implements AutoCloseable {
     /** Heartbeat intervals that this node waits after its start before it treats VMs without a heartbeat as lost. */
     private static final double DISCOVERY_HEARTBEATS = 2;
-    /** Multiple of a step's duration for which the next one waits, so that planning leaves time for heartbeats and pulls. */
+    /** Multiple of a step's duration for which the next one waits, to leave time for heartbeats and pulls. */
     private static final long PAUSE_PER_STEP_TIME = 3;
 
     private final NodeName self;
--- a/src/main/java/org/wigeongrade/fleet/control/RoutableEndpointTable.java
+++ b/src/main/java/org/wigeongrade/fleet/control/RoutableEndpointTable.java
@@ -62,7 +62,7 @@
         });
     }
 
-    /** Writes the changes after {@code sinceNumber}, or all entries if {@code completeWanted} or a change was dropped. */
+    /** Writes the changes after {@code sinceNumber}, or all entries if {@code completeWanted} or one was dropped. */
     void writeChanges(PullReply reply, long sinceNumber, boolean completeWanted, long nowNanos) {
         final boolean complete = completeWanted || sinceNumber < lastDroppedNumber;
         reply.setComplete(complete).setChangeNumber(changeNumber);
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -24,7 +24,7 @@
     private static final int SWITCHING_PROTOCOLS = 101;
     /** Interim responses to one request; endpoints send one at most. */
     private static final int MAX_INTERIM_RESPONSES = 8;
-    /** Bytes of responses to other requests that are skipped on a connection; more are cheaper to avoid by closing it. */
+    /** Maximum of bytes of responses to other requests that are skipped; beyond it a new connection is cheaper. */
     private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
 
     /** Receives a connection that may be reused. */
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -29,8 +29,8 @@
  * from a bounded queue.
  *
  * <p>Invariants: inputs that wait in the queue together share one sync; while the disk is full, and for good after any
- * other disk failure or a digest mismatch, nothing more is sent, stored or applied. Thread safe; no lock is held while waiting for the queue or a peer, so there
- * is no lock order to follow.
+ * other disk failure or a digest mismatch, nothing more is sent, stored or applied. Thread safe; no lock is held while
+ * waiting for the queue or a peer, so there is no lock order to follow.
  */
 public final class RaftReplicatedLog implements ReplicatedLog {
     private static final System.Logger LOGGER = System.getLogger(RaftReplicatedLog.class.getName());
