Log which request and prompt parts were in flight when an endpoint's connection failed

Event 1613 and the counter wigeongrade_requests_lost_total add this. No decision is changed; the parts are decoded once, in the adapter.

--- a/src/main/java/org/wigeongrade/fleet/entry/CallerRequest.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerRequest.java
@@ -1,9 +1,11 @@
 package org.wigeongrade.fleet.entry;
 
+import com.google.common.collect.ImmutableSet;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.ids.PromptPartId;
 
 /**
  * A caller's decoded request. The headers are not modified after decoding; safe for use from any thread.
@@ -14,6 +16,7 @@
  * @param timeoutMs time that the caller waits for the response; absent if it did not state one
  * @param apiKey API key of an organisation
  * @param model requested model; absent for services without models
+ * @param sharedPromptParts parts of the prompt that other requests may contain as well
  * @param lastEventId id of the last event of a stream that the caller received
  * @param headers headers that may be forwarded to the endpoint
  */
@@ -27,6 +30,7 @@
         Optional<String> apiKey,
         Optional<String> model,
         int promptTokens,
+        ImmutableSet<PromptPartId> sharedPromptParts,
         OptionalLong lastEventId,
         HttpHeaders headers,
         Bytes body) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -166,6 +166,7 @@
         stopTracking();
         body.release();
         endpoint.recordFailure(services.nowNanos());
+        exchange.log().lost(endpoint, exchange.request(), exchange.digest(), elapsedMs(), events, cause);
         services.registry().recordCrash(exchange.digest(), endpoint);
         exchange.onMayHaveRun(
                 this,
--- a/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -52,6 +52,22 @@
                         remainingMs);
     }
 
+    /** Logs that the endpoint may have crashed while it ran the request. */
+    void lost(
+            EndpointLoad endpoint, CallerRequest request, String digest, double sinceSendMs, int events, String cause) {
+        services.metrics().countLostInFlight();
+        services.events()
+                .write(
+                        LogEvent.REQUEST_LOST,
+                        requestLogId,
+                        digest,
+                        request.sharedPromptParts(),
+                        endpoint.vm(),
+                        Math.round(sinceSendMs),
+                        events,
+                        cause);
+    }
+
     void retried(EndpointLoad endpoint, RetryReason reason, String cause, boolean resumed) {
         services.metrics().countRetry(reason);
         services.events()
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -86,6 +86,11 @@
                     + " {elapsed_ms} ms, {sends} sends, {events} events"),
     REQUEST_FAILED(1611, Level.WARNING, "request {request} failed with {code} after {elapsed_ms} ms: {cause}"),
     REQUEST_CANCELLED(1612, Level.INFO, "request {request} cancelled by its caller after {elapsed_ms} ms"),
+    REQUEST_LOST(
+            1613,
+            Level.WARNING,
+            "request {request} with digest {digest} and prompt parts {parts} was in flight at {endpoint} when its"
+                    + " connection failed, {elapsed_ms} ms after the send, {events} events: {cause}"),
 
     PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
--- a/src/main/java/org/wigeongrade/metrics/MetricName.java
+++ b/src/main/java/org/wigeongrade/metrics/MetricName.java
@@ -4,6 +4,9 @@
 public enum MetricName {
     REFUSALS("wigeongrade_refusals_total", "Error responses by reason, which is a code of docs/ERRORS.md."),
     RETRIES("wigeongrade_retries_total", "Requests retried or resumed, by reason."),
+    LOST_IN_FLIGHT(
+            "wigeongrade_requests_lost_total",
+            "Requests in flight at an endpoint when its connection failed, which a crash of the endpoint may explain."),
     REQUESTS("wigeongrade_requests_total", "Requests that ended, by availability zone of the endpoint and by outcome."),
     GROUP_DOWNTIME("wigeongrade_group_downtime_seconds_total", "Seconds that declared groups did not serve, by pool."),
     STRANDED_ACCELERATORS(
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -39,6 +39,7 @@
     private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
     private final Counter refusals = counter(MetricName.REFUSALS, "reason");
     private final Counter retries = counter(MetricName.RETRIES, "reason");
+    private final Counter lostInFlight = counter(MetricName.LOST_IN_FLIGHT);
     private final Counter requestsByZone = counter(MetricName.REQUESTS, "zone", "outcome");
     private final Counter groupDowntime = counter(MetricName.GROUP_DOWNTIME, "pool");
     private final Counter strandedAccelerators = counter(MetricName.STRANDED_ACCELERATORS, "pool");
@@ -79,6 +80,11 @@
         retries.labelValues(reason.code()).inc();
     }
 
+    /** Counts one request that was in flight at an endpoint when its connection failed. */
+    public void countLostInFlight() {
+        lostInFlight.inc();
+    }
+
     /** Records the end of one request; {@code zone} is the endpoint's, or this VM's own if no endpoint was chosen. */
     public void recordRequest(AvailabilityZone zone, RequestOutcome outcome, long durationNanos) {
         requestsByZone.labelValues(zone.value(), outcome.code()).inc();
--- a/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
+++ b/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
@@ -32,6 +32,7 @@
 import org.wigeongrade.fleet.entry.ResponseHead;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.RetryAfterHeader;
+import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.ids.VmName;
 
 /** Encodes and decodes the platform's messages with callers and endpoints. Stateless; safe for use from any thread. */
@@ -39,6 +40,8 @@
     private static final String READINESS_PATH = "/-/readyz";
     private static final int MS_PER_S = 1_000;
     private static final String LEAVING_VALUE = "1";
+    /** Maximum number of parts of a prompt that are decoded; prompts have a few. */
+    private static final int MAX_PROMPT_PARTS = 32;
     /** Idle timeout if the response states none: such endpoints close idle connections in less than a second. */
     private static final long DEFAULT_IDLE_MS = 250;
     /** Subtracted from a stated idle timeout, so that no request is sent while the endpoint closes the connection. */
@@ -85,6 +88,7 @@
                 text(headers, WireHeaders.API_KEY),
                 text(headers, WireHeaders.MODEL),
                 promptTokens(headers),
+                sharedPromptParts(headers),
                 number(headers, WireHeaders.LAST_EVENT_ID),
                 endToEndHeaders(headers, SYSTEM_HEADERS),
                 Bytes.wrap(body));
@@ -160,6 +164,29 @@
         return tokens == null ? 0 : Math.max(0, tokens);
     }
 
+    /** Returns the parts without their sizes, except the last one, which belongs to the request itself. */
+    private static ImmutableSet<PromptPartId> sharedPromptParts(HttpHeaders headers) {
+        final List<String> parts = Splitter.on(',')
+                .trimResults()
+                .omitEmptyStrings()
+                .limit(MAX_PROMPT_PARTS + 1)
+                .splitToList(headers.get(WireHeaders.PROMPT_PARTS, ""));
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .map(part -> part.substring(0, part.indexOf(':') < 0 ? part.length() : part.indexOf(':')))
+                .flatMap(id -> promptPart(id).stream())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    /** Returns the part with this id; a malformed id identifies nothing, and its header is forwarded unchanged. */
+    private static Optional<PromptPartId> promptPart(String id) {
+        try {
+            return Optional.of(PromptPartId.of(id.toLowerCase(Locale.ROOT)));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     private static Optional<VmName> faultyVm(HttpHeaders headers) {
         try {
             return text(headers, WireHeaders.FAULTY_VM).map(VmName::of);
--- a/src/main/java/org/wigeongrade/platform/WireHeaders.java
+++ b/src/main/java/org/wigeongrade/platform/WireHeaders.java
@@ -34,6 +34,9 @@
     /** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
     static final String TOKENS = "x-token-count";
 
+    /** Parts of the prompt in order, as a list of {@code id:tokens}; the last one is the request's own. */
+    static final String PROMPT_PARTS = "x-prompt-prefix";
+
     /** Estimated number of output tokens. */
     static final String OUTPUT_TOKEN_ESTIMATE = "x-length-hint";
 
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
@@ -125,6 +126,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 0,
+                ImmutableSet.of(),
                 OptionalLong.empty(),
                 new DefaultHttpHeaders(),
                 Bytes.wrap(new byte[0]));
--- a/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
+++ b/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +23,7 @@
 import org.wigeongrade.fleet.entry.ResponseHead;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.ids.OrganisationName;
+import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.ids.VmName;
 
 final class PlatformCallerCodecTest {
@@ -48,6 +50,26 @@
         assertThat(forwarded.headers().get("Content-Length")).isEqualTo("4");
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "5c1e07a2:800,91bd3f06:410,e4402b7d:250 | 5c1e07a2 91bd3f06",
+                "5C1E07A2:800, 91bd3f06:410 | 5c1e07a2",
+                "5c1e07a2:800 | ''",
+                "5c1e07a2,!:1,e4402b7d | 5c1e07a2",
+                "'' | ''",
+            })
+    void decodesPromptPartsThatOtherRequestsMayShare(String header, String shared) {
+        final FullHttpRequest message = message();
+        message.headers().set("X-Prompt-Prefix", header);
+
+        assertThat(codec.decode(message).sharedPromptParts().stream()
+                        .map(PromptPartId::value)
+                        .collect(Collectors.joining(" ")))
+                .isEqualTo(shared);
+    }
+
     @Test
     void decodesRequestFields() {
         final CallerRequest request = codec.decode(message());
