Count a stream that ends inside an event as a loss of its endpoint

A response may have neither a length nor chunks and end with its connection. Where a crash ended such a stream inside an event, the caller got an aborted stream, but the crash was not reported, so that the requests in flight never became suspects. UnframedStreamTest failed before: no loss was reported.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -165,19 +165,25 @@
     public void onFailedAfterSend(String cause) {
         stopTracking();
         body.release();
-        endpoint.recordFailure(services.nowNanos());
-        exchange.log().lost(endpoint, exchange.request(), exchange.digest(), elapsedMs(), events, cause);
-        services.registry().recordCrash(exchange.digest(), exchange.request().sharedPromptParts(), endpoint);
+        recordLoss(cause);
         exchange.onMayHaveRun(
                 this,
                 exchange.stream().hasBegun() ? RetryReason.STREAM_CUT_SHORT : RetryReason.ANSWER_CUT_SHORT,
                 cause);
     }
 
+    /** Records a failure that a crash of the endpoint would explain. */
+    private void recordLoss(String cause) {
+        endpoint.recordFailure(services.nowNanos());
+        exchange.log().lost(endpoint, exchange.request(), exchange.digest(), elapsedMs(), events, cause);
+        services.registry().recordCrash(exchange.digest(), exchange.request().sharedPromptParts(), endpoint);
+    }
+
     private void finishStream() {
         if (eventSplitter.hasPartialEvent()) {
-            endpoint.recordFailure(services.nowNanos());
-            exchange.onMayHaveRun(this, RetryReason.STREAM_CUT_SHORT, "the stream ended within an event");
+            final String cause = "the stream ended within an event";
+            recordLoss(cause);
+            exchange.onMayHaveRun(this, RetryReason.STREAM_CUT_SHORT, cause);
             return;
         }
         recordCompletedParts();
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -20,7 +20,7 @@
 import org.wigeongrade.metrics.Metrics;
 import org.wigeongrade.platform.PlatformCallerCodec;
 
-/** The parts of an entry node that has one idempotent route to plain endpoints. */
+/** The parts of an entry node that has one route to plain endpoints, idempotent unless a test states another kind. */
 final class EntryFixture {
     static final ServiceName SERVICE = ServiceName.of("app");
     static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
@@ -28,11 +28,15 @@
     private EntryFixture() {}
 
     static PublishedConfiguration configuration() {
+        return configuration(RouteKind.IDEMPOTENT);
+    }
+
+    static PublishedConfiguration configuration(RouteKind kind) {
         final Route route = new Route(
                 RouteName.of("read"),
                 "host",
                 "/",
-                RouteKind.IDEMPOTENT,
+                kind,
                 5_000,
                 100,
                 0,
--- /dev/null
+++ b/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
@@ -0,0 +1,166 @@
+package org.wigeongrade.fleet.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.decisions.published.RouteKind;
+import org.wigeongrade.fleet.net.HttpReply;
+import org.wigeongrade.fleet.net.SharedEventLoop;
+import org.wigeongrade.fleet.thrift.CrashRecord;
+import org.wigeongrade.fleet.thrift.RoutableRecord;
+import org.wigeongrade.ids.PromptPartId;
+import org.wigeongrade.ids.VmName;
+import org.wigeongrade.logging.EventLog;
+
+/** Tests a stream with neither a length nor chunks, which ends with its connection. */
+final class UnframedStreamTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt\r\nX-Server-Seal: s\r\n\r\n";
+    private static final long TIMEOUT_S = 10;
+    private static final PromptPartId PART = PromptPartId.of("5c1e07a2");
+
+    private final SharedEventLoop loop = new SharedEventLoop();
+    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, System.nanoTime());
+    private final List<String> written = new CopyOnWriteArrayList<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    /** A crash in the middle of an event counts as a loss, or requests that crash endpoints so are never found. */
+    @ParameterizedTest
+    @CsvSource({
+        // what the endpoint sends before it closes the connection, what the caller gets, losses reported
+        "'id: 1\ndata: a\n\n', 'stream event end', 0",
+        "'id: 1\ndata: a\n\nid: 2\nda', 'stream event aborted', 1",
+    })
+    void streamThatEndsInsideAnEventIsALossOfItsEndpoint(String body, String expected, int losses) throws Exception {
+        try (ServerSocket endpoint = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            final Thread responding = new Thread(() -> respond(endpoint, HEAD + body), "endpoint");
+            responding.setDaemon(true);
+            responding.start();
+            registry.apply(view(endpoint.getLocalPort()), System.nanoTime());
+            loop.eventLoop()
+                    .submit(() -> new Exchange(
+                                    EntryFixture.services(loop, registry),
+                                    request(),
+                                    new RecordingWriter(),
+                                    ended::countDown)
+                            .start())
+                    .get();
+
+            assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+            assertThat(String.join(" ", written)).isEqualTo(expected);
+            final List<CrashRecord> crashes =
+                    loop.eventLoop().submit(registry::drainCrashes).get();
+            assertThat(crashes).hasSize(losses);
+            assertThat(crashes.stream().flatMap(crash -> crash.getPromptParts().stream()))
+                    .containsExactlyElementsIn(losses == 0 ? List.of() : List.of(PART.value()));
+        }
+    }
+
+    private static void respond(ServerSocket endpoint, String response) {
+        try (Socket connection = endpoint.accept()) {
+            final byte[] request = new byte[4_096];
+            assertThat(connection.getInputStream().read(request)).isGreaterThan(0);
+            connection.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static EntryView view(int port) {
+        final RoutableRecord record = new RoutableRecord()
+                .setVm("vm-1")
+                .setIncarnation(1)
+                .setServiceName(EntryFixture.SERVICE.value())
+                .setAddress("127.0.0.1:" + port)
+                .setAvailabilityZone(EntryFixture.ZONE.value())
+                .setModel("")
+                .setSlots(4)
+                .setPaceFactor(1);
+        return new EntryView(
+                Optional.of(EntryFixture.configuration(RouteKind.STREAMING)),
+                Set.of(),
+                ImmutableMap.of(VmName.of("vm-1"), record),
+                Map.of(),
+                Map.of(),
+                Set.of(),
+                List.of(),
+                Set.of(),
+                1,
+                1,
+                1,
+                System.nanoTime());
+    }
+
+    private static CallerRequest request() {
+        return new CallerRequest(
+                Optional.of("attempt"),
+                "GET",
+                "host",
+                "/a",
+                "/a",
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                ImmutableSet.of(PART),
+                OptionalLong.empty(),
+                new DefaultHttpHeaders(),
+                Bytes.wrap(new byte[0]));
+    }
+
+    private final class RecordingWriter implements ResponseWriter {
+        @Override
+        public void writeResponse(HttpReply reply) {
+            written.add("reply");
+        }
+
+        @Override
+        public void writeResponse(BufferedResponse response) {
+            written.add("status " + response.status());
+        }
+
+        @Override
+        public void beginStream(int status, HttpHeaders headers) {
+            written.add("stream");
+        }
+
+        @Override
+        public void writeStream(byte[] bytes) {
+            written.add("event");
+        }
+
+        @Override
+        public void endStream() {
+            written.add("end");
+        }
+
+        @Override
+        public void abort() {
+            written.add("aborted");
+        }
+    }
+}
