--- a/src/main/java/org/wigeongrade/decisions/balancing/SendRestriction.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/SendRestriction.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.balancing;
 
+import java.util.OptionalDouble;
+
 /**
  * What one incarnation of an endpoint asked this node not to send to it.
  *
@@ -10,6 +12,7 @@
     private boolean leaving;
     private boolean paused;
     private long pausedUntilNanos;
+    private OptionalDouble requestsPerSecond = OptionalDouble.empty();
 
     /** Records that the endpoint leaves; returns whether this was not known. */
     public boolean recordLeaving() {
@@ -36,8 +39,18 @@
         return paused ? Math.max(0, pausedUntilNanos - nowNanos) : 0;
     }
 
+    /** Records the requests a second that the endpoint takes from all entry nodes together; empty if any number. */
+    public void limitTo(OptionalDouble requests) {
+        requestsPerSecond = requests;
+    }
+
+    /** Returns the requests a second that the endpoint takes from all entry nodes together; empty if any number. */
+    public OptionalDouble requestsPerSecond() {
+        return requestsPerSecond;
+    }
+
     /** Returns whether the restriction no longer has an effect and never will. */
     public boolean hasEnded(long nowNanos) {
-        return !leaving && pausedForNanos(nowNanos) == 0;
+        return !leaving && pausedForNanos(nowNanos) == 0 && requestsPerSecond.isEmpty();
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -107,6 +107,7 @@
         if (received.leaving()) {
             services.registry().recordLeaving(endpoint);
         }
+        services.registry().recordLimit(endpoint, received.requestsPerSecond());
         received.pauseMs().ifPresent(ms -> services.registry().recordPause(endpoint, ms, services.nowNanos()));
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
@@ -132,6 +133,22 @@
         events.write(LogEvent.ENDPOINT_PAUSED, load.vm(), pauseMs, requestedMs);
     }
 
+    /** Records the limit on requests that a response of an endpoint stated, or that it stated none. */
+    void recordLimit(EndpointLoad load, OptionalDouble requestsPerSecond) {
+        if (!load.restriction().requestsPerSecond().equals(requestsPerSecond)) {
+            load.restriction().limitTo(requestsPerSecond);
+            logLimit(load);
+        }
+    }
+
+    private void logLimit(EndpointLoad load) {
+        load.restriction()
+                .requestsPerSecond()
+                .ifPresentOrElse(
+                        limit -> events.write(LogEvent.ENDPOINT_LIMITED, load.vm(), limit),
+                        () -> events.write(LogEvent.ENDPOINT_UNLIMITED, load.vm()));
+    }
+
     /** Records the VM that an endpoint named as the cause of its refusal. */
     void recordFaultyVm(EndpointLoad load, VmName faulty) {
         faultyVms.put(load.vm().vm(), faulty.value());
--- a/src/main/java/org/wigeongrade/fleet/entry/ResponseHead.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.wigeongrade.ids.VmName;
 
@@ -17,6 +18,7 @@
  * @param faultyVm VM that the endpoint named as the cause of its refusal
  * @param leaving whether the endpoint stated that it leaves and must get no new requests
  * @param pauseMs for how long the endpoint wants no requests from this node; absent if it does not mind
+ * @param requestsPerSecond requests a second that the endpoint takes from all nodes together; absent if it states no limit
  * @param reusableForMs how long the connection may stay idle before it is reused; absent if it must not be reused
  * @param headers headers that may be forwarded to the caller
  */
@@ -30,6 +32,7 @@
         Optional<VmName> faultyVm,
         boolean leaving,
         OptionalLong pauseMs,
+        OptionalDouble requestsPerSecond,
         OptionalLong reusableForMs,
         HttpHeaders headers) {
     private static final int FIRST_SUCCESS = 200;
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -63,6 +63,12 @@
     ENDPOINT_PAUSED(
             1508, Level.INFO, "endpoint {endpoint} gets no requests for {pause_ms} ms; it asked for {asked_ms}"),
 
+    ENDPOINT_LIMITED(
+            1509,
+            Level.INFO,
+            "endpoint {endpoint} takes {requests_per_second} requests a second from all nodes together"),
+    ENDPOINT_UNLIMITED(1510, Level.INFO, "endpoint {endpoint} states no limit any more"),
+
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
     REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
     STREAM_RESUMED(1603, Level.INFO, "stream of request {request} resumed on endpoint {endpoint}: {cause}"),
--- a/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
+++ b/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Doubles;
 import com.google.common.primitives.Ints;
 import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
@@ -20,6 +21,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
@@ -126,6 +128,7 @@
                 faultyVm(headers),
                 text(headers, WireHeaders.LEAVING).filter(LEAVING_VALUE::equals).isPresent(),
                 pauseMs(response),
+                requestsPerSecond(headers),
                 reusableForMs(response),
                 endToEndHeaders(headers, ImmutableSet.of()));
     }
@@ -203,6 +206,15 @@
                 : OptionalLong.empty();
     }
 
+    private static OptionalDouble requestsPerSecond(HttpHeaders headers) {
+        final Double limit = text(headers, WireHeaders.REQUESTS_PER_SECOND)
+                .map(Doubles::tryParse)
+                .orElse(null);
+        return limit == null || !Double.isFinite(limit) || limit < 0
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(limit);
+    }
+
     private static OptionalLong reusableForMs(HttpResponse response) {
         if (!HttpUtil.isKeepAlive(response)) {
             return OptionalLong.empty();
--- a/src/main/java/org/wigeongrade/platform/WireHeaders.java
+++ b/src/main/java/org/wigeongrade/platform/WireHeaders.java
@@ -29,6 +29,9 @@
     /** Present with the value 1 if the endpoint is about to leave. */
     static final String LEAVING = "server-leaving";
 
+    /** Requests a second, as a decimal number, that an endpoint takes from all nodes together while it sends this. */
+    static final String REQUESTS_PER_SECOND = "server-limit";
+
     static final String MODEL = "x-model";
 
     /** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
--- a/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
+++ b/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
@@ -70,6 +71,16 @@
                 .isEqualTo(shared);
     }
 
+    @ParameterizedTest
+    @CsvSource({"2.7, 2.7", "36, 36", "0, 0", "-1, ", "NaN, ", "many, "})
+    void decodesTheRateLimitOfAnEndpoint(String value, Double requestsPerSecond) {
+        final HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        response.headers().set("Server-Limit", value);
+
+        assertThat(codec.decode(response).requestsPerSecond())
+                .isEqualTo(requestsPerSecond == null ? OptionalDouble.empty() : OptionalDouble.of(requestsPerSecond));
+    }
+
     @Test
     void decodesRequestFields() {
         final CallerRequest request = codec.decode(message());
