Keep to the limit on requests that an endpoint states, over all entry nodes

Cause: the limit that an endpoint states in its responses was not read, so that requests were placed by predicted latency only. Class of fault: a bound that holds for all nodes together needs one owner; what an endpoint asks of one node (a pause, that it leaves) was heeded, and nothing was shared out. Ruled out: a limit applied by each node alone, or late; there was none.

Entry nodes report what endpoints state to the leader, which divides each limit among the nodes and sends every node its share, also those that have not heard the endpoint. A low limit is divided among few nodes, since each may be one request ahead of its share; they are chosen by a hash, and again only if nodes or limits change. Until the leader's share arrives, a node uses an equal one. The later of two statements counts, whoever heard it, so that a limit that is lifted is lifted everywhere. A new leader gets all limits with the second pull of each node.

--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -154,6 +154,9 @@
                 && endpoint.sendsInLastSecond(nowNanos) + 1 > limits.maxColdSends(endpoint.vm())) {
             return false;
         }
+        if (!endpoint.restriction().allowsSend(nowNanos)) {
+            return false;
+        }
         final int slots = engine.map(EngineLatencyModel::slots).orElse(endpoint.slots());
         return endpoint.totalInFlight() < slots + MAX_QUEUED_PER_ENDPOINT;
     }
--- a/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
@@ -176,6 +176,7 @@
         }
         inFlight++;
         lastActiveNanos = nowNanos;
+        restriction.recordSent(nowNanos);
         sendsNanos.addLast(nowNanos);
         removeOldSends(nowNanos);
     }
--- a/src/main/java/org/wigeongrade/fleet/control/EntryNodeReports.java
+++ b/src/main/java/org/wigeongrade/fleet/control/EntryNodeReports.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.fleet.control;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +68,12 @@
         return reports.size();
     }
 
+    /** Returns the entry nodes whose last report has not expired. */
+    ImmutableSet<NodeName> entryNodes(long nowNanos) {
+        removeExpired(nowNanos);
+        return ImmutableSet.copyOf(reports.keySet());
+    }
+
     /** Writes the load of each endpoint, summed over all entry nodes except one. */
     void writeLoadOfOtherNodes(NodeName excludedNode, PullReply reply) {
         final Map<VmName, UsageRecord> own = new HashMap<>();
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -46,6 +46,7 @@
     private final Map<ServiceName, GroupPlanner> planners = new HashMap<>();
     private final RoutableEndpointTable routableEndpoints = new RoutableEndpointTable();
     private final EntryNodeReports entryReports = new EntryNodeReports();
+    private final EndpointLimitTable limits = new EndpointLimitTable();
     private final CrashQuarantine quarantine;
     /** Whether heartbeats have come in for long enough to plan; until then, existing groups are only taken over. */
     private boolean settled;
@@ -96,6 +97,8 @@
         routableEndpoints.writeChanges(reply, request.getChangeNumber(), complete, nowNanos);
         reply.setTerm(term).setSettled(settled).setEntryVms(entryReports.countEntryNodes(nowNanos));
         quarantine.handlePull(node, request, complete, reply, nowNanos);
+        limits.record(request.getLimits(), nowNanos);
+        limits.write(node, entryReports.entryNodes(nowNanos), complete, reply, nowNanos);
         entryReports.writeLoadOfOtherNodes(node, reply);
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -107,7 +107,9 @@
         if (received.leaving()) {
             services.registry().recordLeaving(endpoint);
         }
-        services.registry().recordLimit(endpoint, received.requestsPerSecond());
+        if (received.requestsPerSecond().isPresent() || received.signed()) {
+            services.registry().recordLimit(endpoint, received.requestsPerSecond(), services.nowNanos());
+        }
         received.pauseMs().ifPresent(ms -> services.registry().recordPause(endpoint, ms, services.nowNanos()));
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -44,6 +44,7 @@
     private final EventLog events;
     private final long maxPauseMs;
     private final SendRestrictions restrictions = new SendRestrictions();
+    private final EndpointLimits limits;
     private final Map<VmName, EndpointLoad> routable = new HashMap<>();
     private final List<EndpointLoad> retired = new ArrayList<>();
     private final QuarantinedParts quarantinedParts = new QuarantinedParts();
@@ -55,6 +56,7 @@
     /** @param maxPauseMs longest pause that an endpoint may ask for; longer ones are shortened to it */
     EndpointRegistry(EventLog events, long maxPauseMs, long nowNanos) {
         this.events = events;
+        this.limits = new EndpointLimits(restrictions, events);
         this.maxPauseMs = maxPauseMs;
         this.view = EntryView.empty(nowNanos);
     }
@@ -134,19 +136,13 @@
     }
 
     /** Records the limit on requests that a response of an endpoint stated, or that it stated none. */
-    void recordLimit(EndpointLoad load, OptionalDouble requestsPerSecond) {
-        if (!load.restriction().requestsPerSecond().equals(requestsPerSecond)) {
-            load.restriction().limitTo(requestsPerSecond);
-            logLimit(load);
-        }
+    void recordLimit(EndpointLoad load, OptionalDouble requestsPerSecond, long nowNanos) {
+        limits.recordStated(load.vm(), requestsPerSecond, view.entryNodes(), nowNanos);
     }
 
-    private void logLimit(EndpointLoad load) {
-        load.restriction()
-                .requestsPerSecond()
-                .ifPresentOrElse(
-                        limit -> events.write(LogEvent.ENDPOINT_LIMITED, load.vm(), limit),
-                        () -> events.write(LogEvent.ENDPOINT_UNLIMITED, load.vm()));
+    /** Returns the limits that endpoints stated, with what each report to the leader contains of them. */
+    EndpointLimits limits() {
+        return limits;
     }
 
     /** Records the VM that an endpoint named as the cause of its refusal. */
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -144,6 +144,7 @@
         final PullRequest request = new PullRequest(
                 self.value(), zone.value(), view.version(), view.term(), view.changeNumber(), usage, crashes);
         PromptPartRecords.addTo(request, registry.quarantinedParts(), nanoClock.getAsLong());
+        registry.limits().drainReports(nanoClock.getAsLong()).forEach(request::addToLimits);
         return request;
     }
 
@@ -172,6 +173,7 @@
         newConfiguration.ifPresent(configuration -> events.write(LogEvent.VIEW_CHANGED, configuration.version()));
         callOnEventLoop(() -> {
             registry.apply(next, nanoClock.getAsLong());
+            registry.limits().apply(reply, nanoClock.getAsLong());
             return ImmutableMap.of();
         });
     }
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -66,7 +66,8 @@
     ENDPOINT_LIMITED(
             1509,
             Level.INFO,
-            "endpoint {endpoint} takes {requests_per_second} requests a second from all nodes together"),
+            "endpoint {endpoint} takes {requests_per_second} requests a second from all nodes together, {share} of this"
+                    + " node"),
     ENDPOINT_UNLIMITED(1510, Level.INFO, "endpoint {endpoint} states no limit any more"),
 
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -64,6 +64,17 @@
   3: i64 sinceLastMs
 }
 
+// What an endpoint last stated of the requests that it takes from all entry VMs together.
+struct EndpointLimitRecord {
+  1: string vm
+  2: i64 incarnation
+  // Absent if it takes any number.
+  3: optional double requestsPerSecond
+  4: i64 sinceStatedMs
+  // Requests a second that the entry VM that gets this record may send.
+  5: optional double share
+}
+
 struct PullRequest {
   1: string node
   2: string availabilityZone
@@ -79,6 +90,7 @@
   9: optional list<string> refusedParts
   // What the entry VM holds of an earlier leader's quarantine.
   10: optional list<QuarantinedPartRecord> quarantinedParts
+  11: optional list<EndpointLimitRecord> limits
 }
 
 struct PullReply {
@@ -109,6 +121,8 @@
   17: optional list<QuarantinedPartRecord> quarantinedParts
   // Prompt parts for which the leader wants to know the complete responses.
   18: optional list<string> partsInQuestion
+  // Limits that changed in the last seconds, or all of them if the reply is complete.
+  19: optional list<EndpointLimitRecord> limits
 }
 
 // What an endpoint VM last said of itself, as one control VM heard it.
