Attribute crashes to common prefixes on the own interface as well

The digests of the prompt's leading blocks, which engines and the prefix index use already, now take the place of prompt parts in the same CrashAttribution; the leader's side, CrashQuarantine, and the conversion of its records are shared by both paths. A request with a quarantined prefix is refused with request_quarantined. The digest of a request and its trial alone work as before.

Evidence: CrashPrefixProcessTest passes (at most 8 crashes, the other requests are served), and so do CrashRequestProcessTest, SuspectsTest and the three cases of CrashingPromptPartTest. Limit: requests that share a part of the prompt but not the text before it have no digest in common here, so that only the digest of the whole request protects engines from them.

The architecture test now also keeps three further names of the platform's headers in the adapter.

--- a/src/main/java/org/wigeongrade/callers/Attempts.java
+++ b/src/main/java/org/wigeongrade/callers/Attempts.java
@@ -204,7 +204,14 @@
             dependencies.requestViewPull().run();
             return;
         }
-        dependencies.entry().suspects().end(requestDigest, attempt.dispatch().incarnation(), outcome.event());
+        dependencies
+                .entry()
+                .suspects()
+                .end(
+                        requestDigest,
+                        attempt.dispatch().incarnation(),
+                        outcome.event(),
+                        dependencies.entry().nowNanos());
     }
 
     private void recordRetry(String endpoint, AttemptEvent event, String detail, boolean resumed) {
--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.callers;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -25,6 +26,7 @@
 import org.wigeongrade.decisions.routing.SlotTable;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.nodes.entry.EntryRole;
 import org.wigeongrade.nodes.entry.FleetView;
 
@@ -61,7 +63,9 @@
         if (!view.hasLease(nowNanos)) {
             return refused(ErrorKind.NO_VIEW_LEASE, "this entry VM holds no valid view lease");
         }
-        final SuspectDecision suspectDecision = entry.suspects().check(requestDigest, nowNanos);
+        final ImmutableSet<PromptPartId> promptParts =
+                originalRequest.prefixDigests().stream().map(PromptPartId::of).collect(ImmutableSet.toImmutableSet());
+        final SuspectDecision suspectDecision = entry.suspects().check(requestDigest, promptParts, nowNanos);
         final Optional<DispatchResult> refusal = refusalFor(suspectDecision, requestDigest);
         if (refusal.isPresent()) {
             return refusal.get();
@@ -81,7 +85,10 @@
             if (slot.isPresent()) {
                 decisions.add(endpoint.id().value(), "routed", decision.explanation());
                 return checkBeforeSend(
-                        new DispatchResult.Ready(endpoint, slot.get()), view, claimDeadlineNanos, attemptDeadlineNanos);
+                        new DispatchResult.Ready(endpoint, slot.get(), promptParts),
+                        view,
+                        claimDeadlineNanos,
+                        attemptDeadlineNanos);
             }
             request = request.excluding(endpoint.id());
         }
@@ -126,7 +133,7 @@
 
     /** Records that an attempt is sent now, in case it crashes its endpoint. */
     void recordStart(String requestDigest, DispatchResult.Ready ready) {
-        entry.suspects().begin(requestDigest, ready.incarnation());
+        entry.suspects().begin(requestDigest, ready.promptParts(), ready.incarnation());
     }
 
     /** Records a complete response; completed requests show how much load a cold or warm endpoint can take. */
@@ -167,6 +174,11 @@
             return Optional.of(refused(
                     ErrorKind.REQUEST_QUARANTINED, "request digest " + requestDigest + " crashed two endpoints"));
         }
+        if (suspectDecision instanceof SuspectDecision.PartQuarantined found) {
+            return Optional.of(refused(
+                    ErrorKind.REQUEST_QUARANTINED,
+                    "requests that begin with the prompt part " + found.part() + " crashed endpoints"));
+        }
         if (suspectDecision instanceof SuspectDecision.RetryLater retryLater) {
             return Optional.of(new DispatchResult.Refused(new WigeongradeException(
                     ErrorKind.SUSPECT_WAITING,
--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
@@ -40,10 +40,8 @@
     private static final long LOSS_NANOS = TimeUnit.SECONDS.toNanos(60);
     /** Losses that are remembered; several times those of a minute in which a zone fails. */
     private static final int MAX_LOSSES = 512;
-    /** Time until every entry node has reported what it had in flight at a lost endpoint: one pull and its delay. */
-    private static final long REPORTING_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** Time until every entry node has answered for a part in question: two pulls and their delay. */
-    private static final long ANSWERING_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    /** Delay of a pull, on the network and at a busy leader. */
+    private static final long PULL_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     /** Time until the first trial of a part; doubled after each trial that crashed an endpoint. */
     private static final long QUARANTINE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
@@ -95,11 +93,22 @@
         }
     }
 
+    /** Time until every entry node has reported what it had in flight at a lost endpoint. */
+    private final long reportingNanos;
+    /** Time until every entry node has answered for a part in question. */
+    private final long answeringNanos;
+
     private final Map<EndpointIncarnation, Loss> losses = new LinkedHashMap<>();
     private final Map<PromptPartId, Map<NodeName, PartCompletions>> completions = new HashMap<>();
     private final Map<PromptPartId, Long> inQuestionSinceNanos = new HashMap<>();
     private final Map<PromptPartId, Quarantined> quarantined = new HashMap<>();
 
+    /** @param pullIntervalNanos time between two pulls of an entry node */
+    public CrashAttribution(long pullIntervalNanos) {
+        reportingNanos = pullIntervalNanos + PULL_DELAY_NANOS;
+        answeringNanos = 2 * reportingNanos;
+    }
+
     /** Records that a request was in flight at an endpoint that was lost. */
     public void recordLoss(EndpointIncarnation endpoint, String requestDigest, Set<PromptPartId> parts, long nowNanos) {
         final Loss loss = losses.computeIfAbsent(endpoint, unused -> new Loss(nowNanos, new HashMap<>()));
@@ -236,7 +245,7 @@
     private List<PromptPartId> nextToQuarantine(long nowNanos) {
         final List<Evidence> candidates = evidence(nowNanos).stream()
                 .filter(Evidence::suffices)
-                .filter(found -> nowNanos - inQuestionSinceNanos.get(found.part()) >= ANSWERING_NANOS)
+                .filter(found -> nowNanos - inQuestionSinceNanos.get(found.part()) >= answeringNanos)
                 .toList();
         final int most = candidates.stream().mapToInt(Evidence::losses).max().orElse(0);
         final int fewestCompletions = candidates.stream()
@@ -255,7 +264,7 @@
     private List<Evidence> evidence(long nowNanos) {
         final Map<PromptPartId, List<Loss>> lossesByPart = new HashMap<>();
         for (final Loss loss : unexplained()) {
-            if (nowNanos - loss.lostNanos() >= REPORTING_NANOS) {
+            if (nowNanos - loss.lostNanos() >= reportingNanos) {
                 loss.requests().values().stream()
                         .flatMap(Collection::stream)
                         .distinct()
--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashReport.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashReport.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.util.Set;
+import org.wigeongrade.ids.PromptPartId;
 
 /**
  * What an entry VM tells the leader in each exchange: which requests were in flight at endpoints that were lost, and
@@ -14,8 +15,12 @@
         completions = ImmutableSet.copyOf(completions);
     }
 
-    /** The digest of a request that was in flight at an endpoint when the endpoint was lost. */
-    public record Loss(String requestDigest, EndpointIncarnation incarnation) {}
+    /** A request that was in flight at an endpoint when the endpoint was lost, with the parts that others may share. */
+    public record Loss(String requestDigest, EndpointIncarnation incarnation, Set<PromptPartId> promptParts) {
+        public Loss {
+            promptParts = ImmutableSet.copyOf(promptParts);
+        }
+    }
 
     /**
      * The digest of a suspect request for which an endpoint returned a complete response, which shows that it does not
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SuspectTable.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SuspectTable.java
@@ -1,16 +1,20 @@
 package org.wigeongrade.decisions.outcomes;
 
 import com.google.common.collect.HashMultiset;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Multiset;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.ids.PromptPartId;
 
 /**
  * An entry VM's view of the suspect requests (requests that may crash endpoints).
@@ -26,6 +30,8 @@
     private final NodeName self;
     private final long exchangeIntervalMs;
     private final Map<EndpointIncarnation, Multiset<String>> inFlight = new HashMap<>();
+    private final Map<String, ImmutableSet<PromptPartId>> partsInFlight = new HashMap<>();
+    private final QuarantinedParts quarantinedParts = new QuarantinedParts();
     private final Map<String, EndpointId> trials = new HashMap<>();
     private final Map<String, Long> trialDeadlinesNanos = new HashMap<>();
     private final Map<String, Long> wantedUntilNanos = new HashMap<>();
@@ -44,11 +50,18 @@
     /**
      * Returns whether the request may be sent. Checking a suspect also requests its trial in the next exchanges with
      * the leader.
+     *
+     * @param promptParts parts of the request's prompt that other requests may share
      */
-    public synchronized SuspectDecision check(String requestDigest, long nowNanos) {
+    public synchronized SuspectDecision check(String requestDigest, Set<PromptPartId> promptParts, long nowNanos) {
         if (quarantined.contains(requestDigest)) {
             return new SuspectDecision.Quarantined();
         }
+        final Optional<PromptPartId> quarantinedPart = quarantinedParts.findQuarantined(promptParts);
+        if (quarantinedPart.isPresent() && !quarantinedParts.tryStartTrial(promptParts)) {
+            quarantinedParts.recordRefused(quarantinedPart.get());
+            return new SuspectDecision.PartQuarantined(quarantinedPart.get());
+        }
         if (!isSuspect(requestDigest)) {
             return new SuspectDecision.Clear();
         }
@@ -61,7 +74,9 @@
     }
 
     /** Counts a request that is about to be sent. */
-    public synchronized void begin(String requestDigest, EndpointIncarnation incarnation) {
+    public synchronized void begin(
+            String requestDigest, Set<PromptPartId> promptParts, EndpointIncarnation incarnation) {
+        partsInFlight.put(requestDigest, ImmutableSet.copyOf(promptParts));
         inFlight.computeIfAbsent(incarnation, key -> HashMultiset.create()).add(requestDigest);
         if (isSuspect(requestDigest)) {
             trials.put(requestDigest, incarnation.endpoint());
@@ -69,7 +84,11 @@
     }
 
     /** Counts the end of a request whose endpoint was not lost; {@code event} tells how it ended. */
-    public synchronized void end(String requestDigest, EndpointIncarnation incarnation, AttemptEvent event) {
+    public synchronized void end(
+            String requestDigest, EndpointIncarnation incarnation, AttemptEvent event, long nowNanos) {
+        if (event == AttemptEvent.ANSWERED) {
+            quarantinedParts.recordCompleted(partsOf(requestDigest), nowNanos);
+        }
         boolean wasSuspect = isSuspect(requestDigest);
         removeInFlight(requestDigest, incarnation);
         if (wasSuspect && event == AttemptEvent.ANSWERED) {
@@ -86,11 +105,12 @@
             return;
         }
         for (String digest : digests.elementSet()) {
-            losses.add(new CrashReport.Loss(digest, incarnation));
+            losses.add(new CrashReport.Loss(digest, incarnation, partsOf(digest)));
             completions.removeIf(completion -> completion.requestDigest().equals(digest));
             trials.remove(digest);
             trialDeadlinesNanos.remove(digest);
         }
+        forgetPartsOf(digests.elementSet());
         sequence++;
     }
 
@@ -98,8 +118,8 @@
      * Marks one request as a suspect because its connection failed in a way that a crash of the endpoint would explain.
      */
     public synchronized void connectionLost(String requestDigest, EndpointIncarnation incarnation) {
+        losses.add(new CrashReport.Loss(requestDigest, incarnation, partsOf(requestDigest)));
         removeInFlight(requestDigest, incarnation);
-        losses.add(new CrashReport.Loss(requestDigest, incarnation));
         trialDeadlinesNanos.remove(requestDigest);
         sequence++;
     }
@@ -118,6 +138,26 @@
                 .build();
     }
 
+    /** Returns the complete responses to requests with the prompt parts that the leader asked about. */
+    public synchronized ImmutableMap<PromptPartId, PartCompletions> partCompletions(long nowNanos) {
+        return quarantinedParts.completionsInQuestion(nowNanos);
+    }
+
+    /** Returns and forgets the quarantined parts because of which requests were refused since the last call. */
+    public synchronized ImmutableSet<PromptPartId> drainRefusedParts() {
+        return quarantinedParts.drainRefused();
+    }
+
+    /** Returns the quarantined prompt parts, for a new leader. */
+    public synchronized ImmutableList<PartQuarantine> quarantinedParts() {
+        return quarantinedParts.all();
+    }
+
+    /** Applies what the leader decided on prompt parts. */
+    public synchronized void applyParts(List<PartQuarantine> parts, Set<PromptPartId> partsInQuestion) {
+        quarantinedParts.apply(parts, partsInQuestion);
+    }
+
     /** Applies the leader's reply to a report sent at {@code reportSentNanos}. */
     public synchronized void apply(SuspectList list, long reportSentNanos) {
         if (list.acknowledgedSequence() >= sequence) {
@@ -150,6 +190,15 @@
         if (digests.isEmpty()) {
             inFlight.remove(incarnation);
         }
+        forgetPartsOf(ImmutableSet.of(requestDigest));
+    }
+
+    private void forgetPartsOf(Set<String> requestDigests) {
+        requestDigests.stream().filter(digest -> !isInFlight(digest)).forEach(partsInFlight::remove);
+    }
+
+    private ImmutableSet<PromptPartId> partsOf(String requestDigest) {
+        return partsInFlight.getOrDefault(requestDigest, ImmutableSet.of());
     }
 
     private boolean isInFlight(String requestDigest) {
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.grouping.EndpointObservation;
 import org.wigeongrade.decisions.grouping.GroupOrder;
@@ -14,17 +15,21 @@
 import org.wigeongrade.decisions.grouping.GroupTimings;
 import org.wigeongrade.decisions.grouping.OrderResponse;
 import org.wigeongrade.decisions.grouping.ServingGroup;
+import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
+import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
+import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.nodes.CrashQuarantine;
 
 /**
  * The in-memory state of a leader for one term: groups, routable endpoints, reports of entry nodes and quarantine.
@@ -56,7 +61,7 @@
         this.timings = timings;
         this.events = events;
         this.startedNanos = nowNanos;
-        this.quarantine = new CrashQuarantine(events);
+        this.quarantine = new CrashQuarantine(TimeUnit.MILLISECONDS.toNanos(FleetTimings.PULL_INTERVAL_MS), events);
     }
 
     long term() {
@@ -96,7 +101,7 @@
         final boolean complete = request.getTerm() != term;
         routableEndpoints.writeChanges(reply, request.getChangeNumber(), complete, nowNanos);
         reply.setTerm(term).setSettled(settled).setEntryVms(entryReports.countEntryNodes(nowNanos));
-        quarantine.handlePull(node, request, complete, reply, nowNanos);
+        handleCrashes(node, request, complete, reply, nowNanos);
         limits.record(request.getLimits(), nowNanos);
         limits.write(node, entryReports.entryNodes(nowNanos), complete, reply, nowNanos);
         entryReports.writeLoadOfOtherNodes(node, reply);
@@ -144,6 +149,26 @@
                         vm.vm().vm(), new RoutableEndpointTable.RoutableEndpoint(vm, Optional.empty(), 1, false)));
     }
 
+    private void handleCrashes(
+            NodeName node, PullRequest request, boolean firstOfTerm, PullReply reply, long nowNanos) {
+        request.getCrashes()
+                .forEach(crash -> quarantine.recordLoss(
+                        new EndpointIncarnation(EndpointId.of(crash.getVm()), crash.getIncarnation()),
+                        crash.getRequestDigest(),
+                        crash.getPromptParts(),
+                        nowNanos));
+        quarantine.recordReport(
+                node,
+                request.getPartCompletions(),
+                request.getRefusedParts(),
+                request.getQuarantinedParts(),
+                firstOfTerm,
+                nowNanos);
+        reply.setQuarantined(quarantine.quarantinedRequests())
+                .setQuarantinedParts(quarantine.quarantinedParts(node, nowNanos))
+                .setPartsInQuestion(quarantine.partsInQuestion());
+    }
+
     private void logGroupChange(GroupPhaseChange change) {
         events.write(
                 LogEvent.GROUP_PHASE_CHANGED,
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.thrift.TException;
+import org.wigeongrade.decisions.outcomes.QuarantinedParts;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
@@ -26,6 +27,7 @@
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.nodes.PromptPartRecords;
 
 /**
  * Pulls the view from the leader at a fixed interval, on its own thread, and applies it on the event loop.
@@ -143,8 +145,13 @@
         final ImmutableList<CrashRecord> crashes = registry.drainCrashes();
         final PullRequest request = new PullRequest(
                 self.value(), zone.value(), view.version(), view.term(), view.changeNumber(), usage, crashes);
-        PromptPartRecords.addTo(request, registry.quarantinedParts(), nanoClock.getAsLong());
-        registry.limits().drainReports(nanoClock.getAsLong()).forEach(request::addToLimits);
+        final long nowNanos = nanoClock.getAsLong();
+        final QuarantinedParts parts = registry.quarantinedParts();
+        request.setPartCompletions(
+                PromptPartRecords.completionsToThrift(parts.completionsInQuestion(nowNanos), nowNanos));
+        request.setRefusedParts(PromptPartRecords.partsToThrift(parts.drainRefused()));
+        request.setQuarantinedParts(PromptPartRecords.quarantineToThrift(parts.all(), nowNanos));
+        registry.limits().drainReports(nowNanos).forEach(request::addToLimits);
         return request;
     }
 
@@ -163,8 +170,8 @@
                 Optional.ofNullable(reply.getInFlightElsewhere()).orElse(Map.of()),
                 Optional.ofNullable(reply.getUnreadTokensElsewhere()).orElse(Map.of()),
                 ImmutableSet.copyOf(reply.getQuarantined()),
-                PromptPartRecords.quarantinedParts(reply, sentNanos),
-                PromptPartRecords.partsInQuestion(reply),
+                PromptPartRecords.quarantineFromThrift(reply.getQuarantinedParts(), sentNanos),
+                PromptPartRecords.partsFromThrift(reply.getPartsInQuestion()),
                 reply.getEntryVms(),
                 // With term 0, the next pull asks a leader that is not settled yet for its complete state again.
                 reply.isSettled() ? reply.getTerm() : 0,
--- /dev/null
+++ b/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
@@ -0,0 +1,95 @@
+package org.wigeongrade.nodes;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.List;
+import java.util.Optional;
+import org.wigeongrade.decisions.outcomes.CrashAttribution;
+import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.fleet.thrift.PartCompletionRecord;
+import org.wigeongrade.fleet.thrift.QuarantinedPartRecord;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.ids.PromptPartId;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+
+/**
+ * Feeds what entry nodes report with their pulls to {@link CrashAttribution}, and tells them what must not be sent.
+ *
+ * <p>Invariant: the reply to a node's first pull from a new leader contains what that node knew of an earlier leader's
+ * quarantine, so that a change of leader releases nothing. Thread safe: every method locks this object and acquires no
+ * other lock while holding it.
+ */
+public final class CrashQuarantine {
+    private final CrashAttribution attribution;
+    private final EventLog events;
+    private ImmutableSet<String> loggedRequests = ImmutableSet.of();
+    private ImmutableSet<PromptPartId> loggedParts = ImmutableSet.of();
+
+    /** @param pullIntervalNanos time between two pulls of an entry node */
+    public CrashQuarantine(long pullIntervalNanos, EventLog events) {
+        this.attribution = new CrashAttribution(pullIntervalNanos);
+        this.events = events;
+    }
+
+    /** Records that a request was in flight at an endpoint that was lost; {@code promptParts} may be null. */
+    public synchronized void recordLoss(
+            EndpointIncarnation endpoint, String requestDigest, List<String> promptParts, long nowNanos) {
+        attribution.recordLoss(endpoint, requestDigest, PromptPartRecords.partsFromThrift(promptParts), nowNanos);
+    }
+
+    /**
+     * Applies what an entry node reports of prompt parts, any of which may be null.
+     *
+     * @param firstOfTerm whether the node had another leader before
+     */
+    public synchronized void recordReport(
+            NodeName entryNode,
+            List<PartCompletionRecord> completions,
+            List<String> refused,
+            List<QuarantinedPartRecord> quarantined,
+            boolean firstOfTerm,
+            long nowNanos) {
+        Optional.ofNullable(completions)
+                .orElse(List.of())
+                .forEach(seen -> attribution.recordCompletions(
+                        entryNode, PromptPartId.of(seen.getPart()), PromptPartRecords.fromThrift(seen, nowNanos)));
+        PromptPartRecords.partsFromThrift(refused)
+                .forEach(part -> attribution.recordRefused(entryNode, part, nowNanos));
+        if (firstOfTerm) {
+            PromptPartRecords.quarantineFromThrift(quarantined, nowNanos)
+                    .forEach(known -> attribution.adopt(known, nowNanos));
+        }
+        attribution.update(nowNanos);
+        logChanges();
+    }
+
+    /** Returns the digests of requests that are not sent again. */
+    public synchronized ImmutableList<String> quarantinedRequests() {
+        return loggedRequests.asList();
+    }
+
+    /** Returns the quarantined parts, with the trials of one entry node. */
+    public synchronized ImmutableList<QuarantinedPartRecord> quarantinedParts(NodeName entryNode, long nowNanos) {
+        return PromptPartRecords.quarantineToThrift(attribution.quarantinedParts(entryNode), nowNanos);
+    }
+
+    /** Returns the parts for which entry nodes are to report their complete responses. */
+    public synchronized ImmutableList<String> partsInQuestion() {
+        return PromptPartRecords.partsToThrift(attribution.partsInQuestion());
+    }
+
+    private void logChanges() {
+        final ImmutableSet<String> requests = attribution.quarantinedRequests();
+        Sets.difference(requests, loggedRequests)
+                .forEach(digest ->
+                        events.write(LogEvent.REQUEST_QUARANTINED, digest, attribution.lossesOfRequest(digest)));
+        loggedRequests = requests;
+        final ImmutableSet<PromptPartId> parts = attribution.quarantinedParts();
+        Sets.difference(parts, loggedParts)
+                .forEach(part -> events.write(LogEvent.PROMPT_PART_QUARANTINED, part, attribution.lossesOfPart(part)));
+        Sets.difference(loggedParts, parts).forEach(part -> events.write(LogEvent.PROMPT_PART_RELEASED, part));
+        loggedParts = parts;
+    }
+}
--- a/src/main/java/org/wigeongrade/nodes/CrashRecords.java
+++ b/src/main/java/org/wigeongrade/nodes/CrashRecords.java
@@ -23,7 +23,8 @@
         final CrashReportRecord record = new CrashReportRecord();
         record.setSequence(report.sequence());
         record.setLosses(report.losses().stream()
-                .map(loss -> runRecord(loss.requestDigest(), loss.incarnation()))
+                .map(loss -> runRecord(loss.requestDigest(), loss.incarnation())
+                        .setPromptParts(PromptPartRecords.partsToThrift(loss.promptParts())))
                 .toList());
         record.setCompletions(report.completions().stream()
                 .map(completion -> runRecord(completion.requestDigest(), completion.incarnation()))
@@ -36,7 +37,10 @@
         return new CrashReport(
                 record.getSequence(),
                 record.getLosses().stream()
-                        .map(run -> new CrashReport.Loss(run.getRequestDigest(), incarnationOf(run)))
+                        .map(run -> new CrashReport.Loss(
+                                run.getRequestDigest(),
+                                incarnationOf(run),
+                                PromptPartRecords.partsFromThrift(run.getPromptParts())))
                         .collect(ImmutableSet.toImmutableSet()),
                 record.getCompletions().stream()
                         .map(run -> new CrashReport.Completion(run.getRequestDigest(), incarnationOf(run)))
--- a/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
@@ -121,7 +121,7 @@
         }
         final long term = log.term();
         if (leaderState.filter(known -> known.term() == term).isEmpty()) {
-            leaderState = Optional.of(new LeaderState(term, log.leaderSinceNanos(), timings));
+            leaderState = Optional.of(new LeaderState(term, log.leaderSinceNanos(), timings, events));
             events.write(LogEvent.LEADER_ELECTED, self, term);
         }
         return leaderState;
--- a/src/main/java/org/wigeongrade/nodes/control/LeaderState.java
+++ b/src/main/java/org/wigeongrade/nodes/control/LeaderState.java
@@ -13,6 +13,8 @@
 import org.wigeongrade.decisions.placement.PlacementReason;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.nodes.CrashQuarantine;
 import org.wigeongrade.nodes.NodeTimings;
 
 /**
@@ -33,15 +35,17 @@
     private final AnnouncementTable announcements = new AnnouncementTable();
     private final ShareAllocator shares;
     private final CrashSuspects suspects = new CrashSuspects(SUSPECT_RETENTION_NANOS, TRIAL_LEASE_NANOS);
+    private final CrashQuarantine crashQuarantine;
     private final CacheEventRing cacheEvents = new CacheEventRing();
     private final Map<NodeName, EntryStatus> entryStatuses = new TreeMap<>();
     private Optional<FleetSnapshot> snapshot = Optional.empty();
     private ImmutableMap<GroupName, PlacementReason> holds = ImmutableMap.of();
 
-    LeaderState(long term, long sinceNanos, NodeTimings timings) {
+    LeaderState(long term, long sinceNanos, NodeTimings timings, EventLog events) {
         this.term = term;
         this.sinceNanos = sinceNanos;
         this.timings = timings;
+        this.crashQuarantine = new CrashQuarantine(timings.pullIntervalNanos(), events);
         this.shares = new ShareAllocator(timings.viewLeaseNanos(), sinceNanos + timings.viewLeaseNanos());
     }
 
@@ -61,6 +65,10 @@
         return suspects;
     }
 
+    CrashQuarantine crashQuarantine() {
+        return crashQuarantine;
+    }
+
     CacheEventRing cacheEvents() {
         return cacheEvents;
     }
--- a/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
@@ -14,6 +14,7 @@
 import org.wigeongrade.decisions.limits.ShareReport;
 import org.wigeongrade.decisions.membership.Announcement;
 import org.wigeongrade.decisions.membership.EndpointKind;
+import org.wigeongrade.decisions.outcomes.CrashReport;
 import org.wigeongrade.decisions.outcomes.Quarantine;
 import org.wigeongrade.decisions.outcomes.QuarantineProposal;
 import org.wigeongrade.decisions.outcomes.SuspectList;
@@ -23,8 +24,10 @@
 import org.wigeongrade.ids.Revision;
 import org.wigeongrade.nodes.AnnouncementRecords;
 import org.wigeongrade.nodes.ConfigurationView;
+import org.wigeongrade.nodes.CrashQuarantine;
 import org.wigeongrade.nodes.CrashRecords;
 import org.wigeongrade.nodes.NodeTimings;
+import org.wigeongrade.nodes.PromptPartRecords;
 import org.wigeongrade.nodes.ShareRecords;
 import org.wigeongrade.nodes.thrift.AnnouncementRecord;
 import org.wigeongrade.nodes.thrift.CacheEventRecord;
@@ -64,7 +67,25 @@
                 request.getCallerAddress(),
                 nowNanos,
                 nowNanos + timings.viewLeaseNanos()));
-        return leaderState.suspects().report(node, CrashRecords.fromThrift(request.getCrashReport()), nowNanos);
+        final CrashReport crashes = CrashRecords.fromThrift(request.getCrashReport());
+        crashes.losses()
+                .forEach(loss -> leaderState
+                        .crashQuarantine()
+                        .recordLoss(
+                                loss.incarnation(),
+                                loss.requestDigest(),
+                                PromptPartRecords.partsToThrift(loss.promptParts()),
+                                nowNanos));
+        leaderState
+                .crashQuarantine()
+                .recordReport(
+                        node,
+                        request.getCrashReport().getPartCompletions(),
+                        request.getCrashReport().getRefusedParts(),
+                        request.getCrashReport().getQuarantinedParts(),
+                        request.getCacheCursorTerm() != leaderState.term(),
+                        nowNanos);
+        return leaderState.suspects().report(node, crashes, nowNanos);
     }
 
     /** Builds the reply. Its lease counts from the time at which the entry VM sent the pull. */
@@ -82,6 +103,9 @@
         putQuarantine(reply, request);
         putSuspects(reply, request, leaderState, nowNanos);
         putCacheEvents(reply, request, leaderState);
+        final CrashQuarantine quarantine = leaderState.crashQuarantine();
+        reply.setQuarantinedParts(quarantine.quarantinedParts(new NodeName(request.getNode()), nowNanos));
+        reply.setPartsInQuestion(quarantine.partsInQuestion());
         return reply;
     }
 
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -12,6 +12,7 @@
 import org.wigeongrade.decisions.limits.ShareGrant;
 import org.wigeongrade.decisions.limits.ShareKey;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.decisions.outcomes.SuspectTable;
 import org.wigeongrade.decisions.routing.EndpointView;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.logging.EventLog;
@@ -19,6 +20,7 @@
 import org.wigeongrade.metrics.Metrics;
 import org.wigeongrade.nodes.CrashRecords;
 import org.wigeongrade.nodes.LeaderClient;
+import org.wigeongrade.nodes.PromptPartRecords;
 import org.wigeongrade.nodes.ShareRecords;
 import org.wigeongrade.nodes.thrift.AnnouncementRecord;
 import org.wigeongrade.nodes.thrift.PullReply;
@@ -131,8 +133,11 @@
         request.setLeaseHeld(view.hasLease(nowNanos));
         request.setCacheCursorTerm(cacheCursorTerm);
         request.setCacheCursor(cacheCursor);
-        request.setCrashReport(CrashRecords.toThrift(
-                entry.suspects().report(), entry.suspects().wantedTrials(nowNanos)));
+        final SuspectTable suspects = entry.suspects();
+        request.setCrashReport(CrashRecords.toThrift(suspects.report(), suspects.wantedTrials(nowNanos))
+                .setPartCompletions(PromptPartRecords.completionsToThrift(suspects.partCompletions(nowNanos), nowNanos))
+                .setRefusedParts(PromptPartRecords.partsToThrift(suspects.drainRefusedParts()))
+                .setQuarantinedParts(PromptPartRecords.quarantineToThrift(suspects.quarantinedParts(), nowNanos)));
         request.setShares(keysToReport(view).stream()
                 .map(key -> entry.shares().report(key, nowNanos))
                 .map(ShareRecords::toThrift)
@@ -186,6 +191,10 @@
                                 ImmutableSet.copyOf(
                                         next.get().quarantinedUntilEpochMs().keySet())),
                         sentNanos);
+        entry.suspects()
+                .applyParts(
+                        PromptPartRecords.quarantineFromThrift(reply.getQuarantinedParts(), sentNanos),
+                        PromptPartRecords.partsFromThrift(reply.getPartsInQuestion()));
         applyCacheEvents(reply);
         if (!earlier.revision().equals(next.get().revision())) {
             metrics.setRevision(next.get().revision().value());
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -1,6 +1,8 @@
 // What processes of this system say to each other beside the replicated log.
 namespace java org.wigeongrade.nodes.thrift
 
+include "fleet.thrift"
+
 // What one endpoint VM last announced, as an entry VM heard it.
 struct AnnouncementRecord {
   1: string vm
@@ -58,6 +60,8 @@
   1: string requestDigest
   2: string endpoint
   3: i64 incarnation
+  // Parts of the request's prompt that other requests may contain as well.
+  4: optional list<string> promptParts
 }
 
 // Requests that were in flight at lost endpoints, and suspects that completed since.
@@ -66,6 +70,12 @@
   2: list<RunRecord> losses
   3: list<RunRecord> completions
   4: list<string> wantedTrials
+  // For the prompt parts that the last reply asked about.
+  5: optional list<fleet.PartCompletionRecord> partCompletions
+  // Quarantined prompt parts because of which requests were refused since the last pull.
+  6: optional list<string> refusedParts
+  // What the entry VM holds of an earlier leader's quarantine.
+  7: optional list<fleet.QuarantinedPartRecord> quarantinedParts
 }
 
 // A request that was in flight at one lost endpoint; only the trial holder may run it.
@@ -156,6 +166,9 @@
   19: i64 acknowledgedCrashSequence
   // False while a new leader has not had the time to hear of every endpoint; a missing one is not lost for that.
   20: bool membersKnown
+  21: optional list<fleet.QuarantinedPartRecord> quarantinedParts
+  // Prompt parts for which the leader wants to know the complete responses.
+  22: optional list<string> partsInQuestion
 }
 
 // A refusal or failure with a code from the closed list of error kinds.
--- a/src/test/java/org/wigeongrade/ArchitectureTest.java
+++ b/src/test/java/org/wigeongrade/ArchitectureTest.java
@@ -76,7 +76,7 @@
     /** Names of the platform's wire protocol, as they would appear in a string literal. */
     private static final Pattern PLATFORM_WIRE_NAME =
             Pattern.compile("\"[^\"]*(?i:x-attempt-id|x-credential|x-tenant|x-server-seal"
-                    + "|x-not-executed|x-expect-instance|x-deadline-ms|x-token-count|x-model|at-server|/-/|heartbeatAddress"
+                    + "|x-not-executed|x-expect-instance|x-deadline-ms|x-token-count|x-model|x-prompt-prefix|at-server|server-leaving|server-limit|/-/|heartbeatAddress"
                     + "|trafficSplit|targetItlMs|apiKeys|coldRemainingMs)[^\"]*\"");
 
     static Stream<ArchRule> rules() {
--- a/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
@@ -107,7 +107,7 @@
     private final List<Long> crashesMs = new ArrayList<>();
     private final List<Long> crashingSendsMs = new ArrayList<>();
     private final Set<PromptPartId> soundPartsQuarantined = new HashSet<>();
-    private CrashAttribution leader = new CrashAttribution();
+    private CrashAttribution leader = new CrashAttribution(TimeUnit.MILLISECONDS.toNanos(PULL_MS));
     private long nowMs;
     private int requests;
     private int soundOffered;
@@ -135,7 +135,7 @@
         final Random random = new Random(seed);
         run(random, WARM_UP_MS, 0, 2);
         run(random, 10_000, 4, 2);
-        final CrashAttribution successor = new CrashAttribution();
+        final CrashAttribution successor = new CrashAttribution(TimeUnit.MILLISECONDS.toNanos(PULL_MS));
         entries.forEach(entry -> entry.parts.all().forEach(known -> successor.adopt(known, nanos())));
         leader = successor;
         final int crashesBefore = crashesMs.size();
--- a/src/test/java/org/wigeongrade/decisions/outcomes/SuspectsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/SuspectsTest.java
@@ -36,78 +36,78 @@
 
     @Test
     void twoLostEndpointsQuarantineTheDigestFleetWide() {
-        a.begin(BAD, E1);
-        a.begin(INNOCENT, E1);
+        a.begin(BAD, ImmutableSet.of(), E1);
+        a.begin(INNOCENT, ImmutableSet.of(), E1);
         a.endpointLost(E1);
         assertThat(exchange(A, a, 1)).isEmpty();
         exchange(B, b, 2);
-        assertThat(b.check(BAD, 3)).isInstanceOf(SuspectDecision.RetryLater.class);
+        assertThat(b.check(BAD, ImmutableSet.of(), 3)).isInstanceOf(SuspectDecision.RetryLater.class);
         exchange(B, b, 4);
-        assertThat(b.check(BAD, 5)).isInstanceOf(SuspectDecision.RunAlone.class);
-        b.begin(BAD, E2);
+        assertThat(b.check(BAD, ImmutableSet.of(), 5)).isInstanceOf(SuspectDecision.RunAlone.class);
+        b.begin(BAD, ImmutableSet.of(), E2);
         assertThat(b.isReservedForSuspect(E2.endpoint())).isTrue();
-        assertThat(b.check(BAD, 6)).isInstanceOf(SuspectDecision.RetryLater.class);
+        assertThat(b.check(BAD, ImmutableSet.of(), 6)).isInstanceOf(SuspectDecision.RetryLater.class);
         b.endpointLost(E2);
         assertThat(exchange(B, b, 7)).hasSize(1);
         exchange(A, a, 8);
-        assertThat(a.check(BAD, 9)).isInstanceOf(SuspectDecision.Quarantined.class);
-        assertThat(a.check(INNOCENT, 9)).isNotInstanceOf(SuspectDecision.Quarantined.class);
+        assertThat(a.check(BAD, ImmutableSet.of(), 9)).isInstanceOf(SuspectDecision.Quarantined.class);
+        assertThat(a.check(INNOCENT, ImmutableSet.of(), 9)).isNotInstanceOf(SuspectDecision.Quarantined.class);
     }
 
     @Test
     void suspectThatCompletesIsCleared() {
-        a.begin(INNOCENT, E1);
+        a.begin(INNOCENT, ImmutableSet.of(), E1);
         a.endpointLost(E1);
         exchange(A, a, 1);
-        a.check(INNOCENT, 2);
+        a.check(INNOCENT, ImmutableSet.of(), 2);
         exchange(A, a, 3);
-        assertThat(a.check(INNOCENT, 4)).isInstanceOf(SuspectDecision.RunAlone.class);
-        a.begin(INNOCENT, E2);
-        a.end(INNOCENT, E2, AttemptEvent.ANSWERED);
+        assertThat(a.check(INNOCENT, ImmutableSet.of(), 4)).isInstanceOf(SuspectDecision.RunAlone.class);
+        a.begin(INNOCENT, ImmutableSet.of(), E2);
+        a.end(INNOCENT, E2, AttemptEvent.ANSWERED, 4);
         exchange(A, a, 5);
         exchange(B, b, 6);
-        assertThat(a.check(INNOCENT, 7)).isInstanceOf(SuspectDecision.Clear.class);
-        assertThat(b.check(INNOCENT, 7)).isInstanceOf(SuspectDecision.Clear.class);
+        assertThat(a.check(INNOCENT, ImmutableSet.of(), 7)).isInstanceOf(SuspectDecision.Clear.class);
+        assertThat(b.check(INNOCENT, ImmutableSet.of(), 7)).isInstanceOf(SuspectDecision.Clear.class);
     }
 
     @Test
     void onlyOneEntryVmHoldsTheTrialUntilItsDeadline() {
-        a.begin(BAD, E1);
+        a.begin(BAD, ImmutableSet.of(), E1);
         a.endpointLost(E1);
         exchange(A, a, 1);
-        a.check(BAD, 2);
+        a.check(BAD, ImmutableSet.of(), 2);
         exchange(A, a, 3);
         exchange(B, b, 3);
-        b.check(BAD, 4);
+        b.check(BAD, ImmutableSet.of(), 4);
         exchange(B, b, 5);
-        assertThat(a.check(BAD, 6)).isInstanceOf(SuspectDecision.RunAlone.class);
-        assertThat(b.check(BAD, 6)).isInstanceOf(SuspectDecision.RetryLater.class);
+        assertThat(a.check(BAD, ImmutableSet.of(), 6)).isInstanceOf(SuspectDecision.RunAlone.class);
+        assertThat(b.check(BAD, ImmutableSet.of(), 6)).isInstanceOf(SuspectDecision.RetryLater.class);
         long later = 2 * MINUTE;
-        assertThat(a.check(BAD, later)).isInstanceOf(SuspectDecision.RetryLater.class);
-        b.check(BAD, later);
+        assertThat(a.check(BAD, ImmutableSet.of(), later)).isInstanceOf(SuspectDecision.RetryLater.class);
+        b.check(BAD, ImmutableSet.of(), later);
         exchange(B, b, later + 1);
-        assertThat(b.check(BAD, later + 2)).isInstanceOf(SuspectDecision.RunAlone.class);
+        assertThat(b.check(BAD, ImmutableSet.of(), later + 2)).isInstanceOf(SuspectDecision.RunAlone.class);
     }
 
     @Test
     void unwantedTrialIsReleased() {
-        a.begin(BAD, E1);
+        a.begin(BAD, ImmutableSet.of(), E1);
         a.endpointLost(E1);
-        assertThat(a.check(BAD, 0)).isInstanceOf(SuspectDecision.RetryLater.class);
+        assertThat(a.check(BAD, ImmutableSet.of(), 0)).isInstanceOf(SuspectDecision.RetryLater.class);
         exchange(A, a, 1);
         long later = TimeUnit.SECONDS.toNanos(5);
         exchange(A, a, later);
         exchange(B, b, later);
-        b.check(BAD, later);
+        b.check(BAD, ImmutableSet.of(), later);
         exchange(B, b, later);
-        assertThat(b.check(BAD, later + 1)).isInstanceOf(SuspectDecision.RunAlone.class);
-        assertThat(a.check(BAD, later + 1)).isInstanceOf(SuspectDecision.RetryLater.class);
+        assertThat(b.check(BAD, ImmutableSet.of(), later + 1)).isInstanceOf(SuspectDecision.RunAlone.class);
+        assertThat(a.check(BAD, ImmutableSet.of(), later + 1)).isInstanceOf(SuspectDecision.RetryLater.class);
     }
 
     @Test
     void lossOfOneEndpointCountsOnce() {
-        a.begin(BAD, E1);
-        b.begin(BAD, E1);
+        a.begin(BAD, ImmutableSet.of(), E1);
+        b.begin(BAD, ImmutableSet.of(), E1);
         a.endpointLost(E1);
         b.endpointLost(E1);
         CrashReport report = a.report();
