--- a/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.io.IOException;
@@ -12,10 +11,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,8 +20,6 @@
 import org.wigeongrade.fleet.net.MemoryBudget;
 import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
-import org.wigeongrade.fleet.thrift.RoutableRecord;
-import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 
 /** Pattern: an overloaded entry node reads a request only after its caller gave up and closed the connection. */
@@ -78,29 +72,9 @@
 
     private InetSocketAddress openListener(int endpointPort) throws Exception {
         final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 1_000, System.nanoTime());
-        final RoutableRecord record = new RoutableRecord()
-                .setVm("vm-1")
-                .setIncarnation(1)
-                .setServiceName(EntryFixture.SERVICE.value())
-                .setAddress("127.0.0.1:" + endpointPort)
-                .setAvailabilityZone(EntryFixture.ZONE.value())
-                .setModel("")
-                .setSlots(4)
-                .setPaceFactor(1);
         registry.apply(
-                new EntryView(
-                        Optional.of(EntryFixture.configuration()),
-                        Set.of(),
-                        ImmutableMap.of(VmName.of("vm-1"), record),
-                        Map.of(),
-                        Map.of(),
-                        Set.of(),
-                        List.of(),
-                        Set.of(),
-                        1,
-                        1,
-                        1,
-                        System.nanoTime()),
+                EntryFixture.view(
+                        EntryFixture.configuration(), Map.of(), EntryFixture.endpoint("vm-1", endpointPort, 4)),
                 System.nanoTime());
         final EntryServices services = EntryFixture.services(loop, registry);
         final CallerConnections connections = new CallerConnections();
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -1,11 +1,19 @@
 package org.wigeongrade.fleet.entry;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
+import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.published.CallerLimits;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
@@ -13,9 +21,12 @@
 import org.wigeongrade.decisions.published.RouteKind;
 import org.wigeongrade.decisions.published.WeightedTarget;
 import org.wigeongrade.fleet.net.SharedEventLoop;
+import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.ids.AvailabilityZone;
+import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.ids.RouteName;
 import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.metrics.Metrics;
 import org.wigeongrade.platform.PlatformCallerCodec;
@@ -49,6 +60,55 @@
         return new PublishedConfiguration(1, List.of(route), List.of(service), CallerLimits.DEFAULT, List.of());
     }
 
+    /** Returns the leader's record of an endpoint of {@link #SERVICE} on the loopback interface. */
+    static RoutableRecord endpoint(String vm, int port, int slots) {
+        return new RoutableRecord()
+                .setVm(vm)
+                .setIncarnation(1)
+                .setServiceName(SERVICE.value())
+                .setAddress("127.0.0.1:" + port)
+                .setAvailabilityZone(ZONE.value())
+                .setModel("")
+                .setSlots(slots)
+                .setPaceFactor(1);
+    }
+
+    static EntryView view(
+            PublishedConfiguration configuration, Map<String, Integer> inFlightElsewhere, RoutableRecord... endpoints) {
+        return new EntryView(
+                Optional.of(configuration),
+                Set.of(),
+                Arrays.stream(endpoints)
+                        .collect(ImmutableMap.toImmutableMap(
+                                endpoint -> VmName.of(endpoint.getVm()), endpoint -> endpoint)),
+                inFlightElsewhere,
+                Map.of(),
+                Set.of(),
+                List.of(),
+                Set.of(),
+                1,
+                1,
+                1,
+                System.nanoTime());
+    }
+
+    static CallerRequest request(ImmutableSet<PromptPartId> sharedPromptParts) {
+        return new CallerRequest(
+                Optional.of("attempt"),
+                "GET",
+                "host",
+                "/a",
+                "/a",
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                sharedPromptParts,
+                OptionalLong.empty(),
+                new DefaultHttpHeaders(),
+                Bytes.wrap(new byte[0]));
+    }
+
     static EntryServices services(SharedEventLoop loop, EndpointRegistry registry) {
         final PlatformCallerCodec codec = new PlatformCallerCodec();
         return new EntryServices(
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
@@ -2,10 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -13,20 +10,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wigeongrade.decisions.log.Bytes;
-import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
-import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 
 /** Tests a request at a stalled endpoint while another endpoint has free slots or is full. */
@@ -39,7 +30,7 @@
     private static final long STALL_MS = 700;
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final List<String> written = new CopyOnWriteArrayList<>();
+    private final RecordingWriter writer = new RecordingWriter();
     private final List<ServerSocket> endpoints = new ArrayList<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
@@ -58,19 +49,27 @@
         final RoutableRecord silent = endpoint("silent");
         final RoutableRecord other = endpoint("other");
         final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, System.nanoTime());
-        registry.apply(view(silent, other, Map.of("other", SLOTS - 1)), System.nanoTime());
+        registry.apply(
+                EntryFixture.view(EntryFixture.configuration(), Map.of("other", SLOTS - 1), silent, other),
+                System.nanoTime());
         loop.eventLoop()
                 .submit(() -> new Exchange(
-                                EntryFixture.services(loop, registry), request(), new RecordingWriter(), () -> {})
+                                EntryFixture.services(loop, registry),
+                                EntryFixture.request(ImmutableSet.of()),
+                                writer,
+                                () -> {})
                         .start())
                 .get();
         loop.eventLoop()
-                .submit(() -> registry.apply(view(silent, other, Map.of("other", requestsAtOther)), System.nanoTime()))
+                .submit(() -> registry.apply(
+                        EntryFixture.view(
+                                EntryFixture.configuration(), Map.of("other", requestsAtOther), silent, other),
+                        System.nanoTime()))
                 .get();
         TimeUnit.MILLISECONDS.sleep(STALL_MS);
 
         assertThat(connections).hasSize(expectedConnections);
-        assertThat(written).isEmpty();
+        assertThat(writer.written()).isEmpty();
     }
 
     private RoutableRecord endpoint(String name) throws IOException {
@@ -79,15 +78,7 @@
         final Thread accepting = new Thread(() -> acceptAll(endpoint), name);
         accepting.setDaemon(true);
         accepting.start();
-        return new RoutableRecord()
-                .setVm(name)
-                .setIncarnation(1)
-                .setServiceName(EntryFixture.SERVICE.value())
-                .setAddress("127.0.0.1:" + endpoint.getLocalPort())
-                .setAvailabilityZone(EntryFixture.ZONE.value())
-                .setModel("")
-                .setSlots(SLOTS)
-                .setPaceFactor(1);
+        return EntryFixture.endpoint(name, endpoint.getLocalPort(), SLOTS);
     }
 
     private void acceptAll(ServerSocket endpoint) {
@@ -100,69 +91,4 @@
             assertThat(endpoint.isClosed()).isTrue();
         }
     }
-
-    private static EntryView view(RoutableRecord silent, RoutableRecord other, Map<String, Integer> elsewhere) {
-        return new EntryView(
-                Optional.of(EntryFixture.configuration()),
-                Set.of(),
-                ImmutableMap.of(VmName.of(silent.getVm()), silent, VmName.of(other.getVm()), other),
-                elsewhere,
-                Map.of(),
-                Set.of(),
-                List.of(),
-                Set.of(),
-                1,
-                1,
-                1,
-                System.nanoTime());
-    }
-
-    private static CallerRequest request() {
-        return new CallerRequest(
-                Optional.of("attempt"),
-                "GET",
-                "host",
-                "/a",
-                "/a",
-                OptionalLong.empty(),
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                ImmutableSet.of(),
-                OptionalLong.empty(),
-                new DefaultHttpHeaders(),
-                Bytes.wrap(new byte[0]));
-    }
-
-    private final class RecordingWriter implements ResponseWriter {
-        @Override
-        public void writeResponse(HttpReply reply) {
-            written.add(reply.toString());
-        }
-
-        @Override
-        public void writeResponse(BufferedResponse response) {
-            written.add("status " + response.status());
-        }
-
-        @Override
-        public void beginStream(int status, HttpHeaders headers) {
-            written.add("stream");
-        }
-
-        @Override
-        public void writeStream(byte[] bytes) {
-            written.add("event");
-        }
-
-        @Override
-        public void endStream() {
-            written.add("end");
-        }
-
-        @Override
-        public void abort() {
-            written.add("aborted");
-        }
-    }
 }
--- a/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
@@ -2,10 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -13,23 +10,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.published.RouteKind;
-import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.CrashRecord;
-import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.ids.PromptPartId;
-import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 
 /** Tests a stream with neither a length nor chunks, which ends with its connection. */
@@ -40,7 +29,7 @@
 
     private final SharedEventLoop loop = new SharedEventLoop();
     private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, System.nanoTime());
-    private final List<String> written = new CopyOnWriteArrayList<>();
+    private final RecordingWriter writer = new RecordingWriter();
     private final CountDownLatch ended = new CountDownLatch(1);
 
     @AfterEach
@@ -60,18 +49,23 @@
             final Thread responding = new Thread(() -> respond(endpoint, HEAD + body), "endpoint");
             responding.setDaemon(true);
             responding.start();
-            registry.apply(view(endpoint.getLocalPort()), System.nanoTime());
+            registry.apply(
+                    EntryFixture.view(
+                            EntryFixture.configuration(RouteKind.STREAMING),
+                            Map.of(),
+                            EntryFixture.endpoint("vm-1", endpoint.getLocalPort(), 4)),
+                    System.nanoTime());
             loop.eventLoop()
                     .submit(() -> new Exchange(
                                     EntryFixture.services(loop, registry),
-                                    request(),
-                                    new RecordingWriter(),
+                                    EntryFixture.request(ImmutableSet.of(PART)),
+                                    writer,
                                     ended::countDown)
                             .start())
                     .get();
 
             assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
-            assertThat(String.join(" ", written)).isEqualTo(expected);
+            assertThat(String.join(" ", writer.written())).isEqualTo(expected);
             final List<CrashRecord> crashes =
                     loop.eventLoop().submit(registry::drainCrashes).get();
             assertThat(crashes).hasSize(losses);
@@ -89,78 +83,4 @@
             throw new IllegalStateException(e);
         }
     }
-
-    private static EntryView view(int port) {
-        final RoutableRecord record = new RoutableRecord()
-                .setVm("vm-1")
-                .setIncarnation(1)
-                .setServiceName(EntryFixture.SERVICE.value())
-                .setAddress("127.0.0.1:" + port)
-                .setAvailabilityZone(EntryFixture.ZONE.value())
-                .setModel("")
-                .setSlots(4)
-                .setPaceFactor(1);
-        return new EntryView(
-                Optional.of(EntryFixture.configuration(RouteKind.STREAMING)),
-                Set.of(),
-                ImmutableMap.of(VmName.of("vm-1"), record),
-                Map.of(),
-                Map.of(),
-                Set.of(),
-                List.of(),
-                Set.of(),
-                1,
-                1,
-                1,
-                System.nanoTime());
-    }
-
-    private static CallerRequest request() {
-        return new CallerRequest(
-                Optional.of("attempt"),
-                "GET",
-                "host",
-                "/a",
-                "/a",
-                OptionalLong.empty(),
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                ImmutableSet.of(PART),
-                OptionalLong.empty(),
-                new DefaultHttpHeaders(),
-                Bytes.wrap(new byte[0]));
-    }
-
-    private final class RecordingWriter implements ResponseWriter {
-        @Override
-        public void writeResponse(HttpReply reply) {
-            written.add("reply");
-        }
-
-        @Override
-        public void writeResponse(BufferedResponse response) {
-            written.add("status " + response.status());
-        }
-
-        @Override
-        public void beginStream(int status, HttpHeaders headers) {
-            written.add("stream");
-        }
-
-        @Override
-        public void writeStream(byte[] bytes) {
-            written.add("event");
-        }
-
-        @Override
-        public void endStream() {
-            written.add("end");
-        }
-
-        @Override
-        public void abort() {
-            written.add("aborted");
-        }
-    }
 }
