--- a/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
@@ -115,11 +115,22 @@
 
     /** Requests are attributed by what they share, since no two of those that crash endpoints are alike. */
     @ParameterizedTest
-    @CsvSource({"1, 3, 2", "2, 3, 2", "3, 6, 2", "4, 6, 3", "5, 1, 2", "6, 3, 1", "7, 10, 2", "8, 3, 4"})
+    @CsvSource({
+        "1, 3, 2",
+        "2, 3, 2",
+        "3, 6, 2",
+        "4, 6, 3",
+        "5, 1, 2",
+        "6, 3, 1",
+        "7, 10, 2",
+        "8, 3, 4",
+        "9, 0.3, 2",
+        "10, 0.15, 1"
+    })
     void partThatCrashesEndpointsIsQuarantinedAndPartsBesideItAreNot(long seed, double perSecond, int subjectsBeside) {
         final Random random = new Random(seed);
         run(random, WARM_UP_MS, 0, subjectsBeside);
-        run(random, 40_000, perSecond, subjectsBeside);
+        run(random, 60_000, perSecond, subjectsBeside);
 
         assertThat(crashesMs.size()).isAtLeast(3);
         assertThat(sendsAfterLearning()).isAtMost(MAX_SENDS_AFTERWARDS);
