--- a/src/main/java/org/wigeongrade/decisions/balancing/SendRestriction.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/SendRestriction.java
@@ -7,8 +7,8 @@
  * What one incarnation of an endpoint asked this node not to send to it.
  *
  * <p>Invariants: an incarnation that leaves never stops leaving; a pause is only ever extended; of two statements of a
- * limit, the later one counts; a share that was not used is kept for a short time only, and for one request at least. Time is a parameter, on
- * the monotonic clock. Not thread safe.
+ * limit, the later one counts; a share that was not used is kept for a short time only, and for one request at least.
+ * Time is a parameter, on the monotonic clock. Not thread safe.
  */
 public final class SendRestriction {
     /** Time for which a share that was not used may be used later. */
