Remember complete responses for longer than the losses that they clear

A part that was in flight at five lost endpoints and was completed afterwards was quarantined 31 s later, without any further loss: complete responses were remembered for 30 s and losses for 60 s. Found by reading; the new case of CrashAttributionTest failed before (quarantined at 31.1 s). Both windows are tied now.

--- a/src/main/java/org/wigeongrade/decisions/outcomes/CompletedParts.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CompletedParts.java
@@ -20,8 +20,8 @@
 public final class CompletedParts {
     /** Responses that are counted for each part. */
     public static final int MAX_COUNT = 5;
-    /** Time for which a response counts. */
-    public static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(30);
+    /** Time for which a response counts; longer than a loss does, so that it clears a part of the losses before it. */
+    public static final long WINDOW_NANOS = CrashAttribution.LOSS_NANOS + TimeUnit.SECONDS.toNanos(10);
     /** Several times the parts in the requests of one node within the window. */
     static final int MAX_PARTS = 8_192;
 
--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
@@ -37,7 +37,7 @@
     /** Losses after which entry nodes are asked for complete responses to requests with a part. */
     private static final int LOSSES_OF_PART_IN_QUESTION = 2;
     /** Time for which a loss counts. */
-    private static final long LOSS_NANOS = TimeUnit.SECONDS.toNanos(60);
+    static final long LOSS_NANOS = TimeUnit.SECONDS.toNanos(60);
     /** Losses that are remembered; several times those of a minute in which a zone fails. */
     private static final int MAX_LOSSES = 512;
     /** Delay of a pull, on the network and at a busy leader. */
--- a/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
@@ -214,6 +214,25 @@
         assertThat(entry.admits(new Request("a"))).isFalse();
     }
 
+    /** A complete response clears a part for as long as the losses before it are remembered. */
+    @Test
+    void partThatWasCompletedAfterItsLossesIsNotQuarantinedLater() {
+        final Entry entry = entries.get(0);
+        for (int endpoint = 0; endpoint < 5; endpoint++) {
+            lose(entry, endpoint, new Request("a"));
+        }
+        entry.pull();
+        nowMs += 100;
+        entry.parts.recordCompleted(new Request("a").parts, nanos());
+        for (int pull = 0; pull < 240; pull++) {
+            nowMs += PULL_MS;
+            entry.pull();
+            assertWithMessage("after %s ms", nowMs)
+                    .that(leader.quarantinedParts())
+                    .isEmpty();
+        }
+    }
+
     /** Loses five endpoints, each with another request that has these parts. */
     private void quarantineByLosses(String... parts) {
         final Entry entry = entries.get(0);
