Keep the set of entry nodes between pulls, hash a lost request once, and name what was a number

From reading the whole change: each pull copied the names of all entry nodes, and a lost request's body was hashed twice.

--- a/src/main/java/org/wigeongrade/decisions/balancing/Placement.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Placement.java
@@ -24,7 +24,7 @@
         NONE_SERVES,
         /** Every endpoint that serves the request's target asked this node for a pause. */
         ALL_PAUSED,
-        /** Every endpoint that serves the request's target is full or would respond too late. */
+        /** Every endpoint that serves the request's target is full, at its stated limit, or would respond too late. */
         ALL_BUSY
     }
 
--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
@@ -32,6 +32,8 @@
     private static final int LOSSES_OF_REQUEST = 2;
     /** Endpoints lost with a part in flight after which it may be quarantined. */
     private static final int LOSSES_OF_PART = 3;
+    /** Different requests that were lost with a part; a single one may be at fault itself. */
+    private static final int REQUESTS_WITH_PART = 2;
     /** Losses after which parts that are always in flight together are all quarantined. */
     private static final int LOSSES_OF_INSEPARABLE_PARTS = 5;
     /** Losses after which entry nodes are asked for complete responses to requests with a part. */
@@ -50,8 +52,11 @@
     private static final long QUARANTINE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private static final int MAX_QUARANTINE_DOUBLINGS = 5;
-    /** Time until the first trial of parts that were always in flight together; only one of them may be at fault. */
-    private static final long INSEPARABLE_QUARANTINE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /**
+     * Time until the first trial of parts that were always in flight together, of which only one may be at fault, and
+     * until a trial without a result is repeated.
+     */
+    private static final long EARLY_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** Time within which a trial is expected to end. */
     private static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(6);
     /** A quarantine ends if nobody has sent a request with the part for this long after its time. */
@@ -69,7 +74,7 @@
     /** Losses since the last completion of a part, and what is known of its completions. */
     private record Evidence(PromptPartId part, int losses, int requests, int completions) {
         boolean suffices() {
-            return losses >= LOSSES_OF_PART + completions && requests > 1;
+            return losses >= LOSSES_OF_PART + completions && requests >= REQUESTS_WITH_PART;
         }
     }
 
@@ -165,7 +170,7 @@
         releaseSoundParts(nowNanos);
         grantTrials(nowNanos);
         for (List<PromptPartId> next = nextToQuarantine(nowNanos); !next.isEmpty(); next = nextToQuarantine(nowNanos)) {
-            final long forNanos = next.size() == 1 ? QUARANTINE_NANOS : INSEPARABLE_QUARANTINE_NANOS;
+            final long forNanos = next.size() == 1 ? QUARANTINE_NANOS : EARLY_TRIAL_NANOS;
             next.forEach(part -> quarantined.put(part, new Quarantined(nowNanos, nowNanos + forNanos, 0)));
         }
         return true;
@@ -246,7 +251,7 @@
         for (final Quarantined part : quarantined.values()) {
             if (part.trialHolder.isPresent() && nowNanos - part.trialStartedNanos > TRIAL_NANOS) {
                 part.trialHolder = Optional.empty();
-                part.untilNanos = nowNanos + INSEPARABLE_QUARANTINE_NANOS;
+                part.untilNanos = nowNanos + EARLY_TRIAL_NANOS;
             }
             final boolean wanted = part.wantedBy.isPresent() && nowNanos - part.wantedNanos <= WANTED_NANOS;
             if (part.trialHolder.isEmpty() && wanted && nowNanos - part.untilNanos >= 0) {
--- a/src/main/java/org/wigeongrade/fleet/control/EntryNodeReports.java
+++ b/src/main/java/org/wigeongrade/fleet/control/EntryNodeReports.java
@@ -41,6 +41,7 @@
     }
 
     private final Map<NodeName, Report> reports = new HashMap<>();
+    private ImmutableSet<NodeName> entryNodes = ImmutableSet.of();
     private final Map<VmName, Total> totals = new HashMap<>();
     private final Map<VmIncarnation, Long> lastProgressNanos = new HashMap<>();
 
@@ -51,6 +52,9 @@
                 .collect(ImmutableList.toImmutableList());
         Optional.ofNullable(reports.put(entryNode, new Report(nowNanos, observed)))
                 .ifPresent(replaced -> addToTotals(replaced, -1));
+        if (!entryNodes.contains(entryNode)) {
+            entryNodes = ImmutableSet.copyOf(reports.keySet());
+        }
         observed.forEach(seen -> {
             totals.computeIfAbsent(seen.vm().vm(), vm -> new Total()).add(seen.usage(), 1);
             if (seen.usage().isProgressed()) {
@@ -68,10 +72,10 @@
         return reports.size();
     }
 
-    /** Returns the entry nodes whose last report has not expired. */
+    /** Returns the entry nodes whose last report has not expired; the same set until that changes. */
     ImmutableSet<NodeName> entryNodes(long nowNanos) {
         removeExpired(nowNanos);
-        return ImmutableSet.copyOf(reports.keySet());
+        return entryNodes;
     }
 
     /** Writes the load of each endpoint, summed over all entry nodes except one. */
@@ -154,13 +158,16 @@
 
     private void removeExpired(long nowNanos) {
         final long maxAgeNanos = TimeUnit.MILLISECONDS.toNanos(FleetTimings.ENTRY_EXPIRY_MS);
-        reports.values().removeIf(report -> {
+        final boolean anyExpired = reports.values().removeIf(report -> {
             final boolean expired = nowNanos - report.receivedNanos() > maxAgeNanos;
             if (expired) {
                 addToTotals(report, -1);
             }
             return expired;
         });
+        if (anyExpired) {
+            entryNodes = ImmutableSet.copyOf(reports.keySet());
+        }
         lastProgressNanos.values().removeIf(nanos -> nowNanos - nanos > maxAgeNanos);
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -178,8 +178,9 @@
     /** Records a failure that a crash of the endpoint would explain. */
     private void recordLoss(String cause) {
         endpoint.recordFailure(services.nowNanos());
-        exchange.log().lost(endpoint, exchange.request(), exchange.digest(), elapsedMs(), events, cause);
-        services.registry().recordCrash(exchange.digest(), exchange.request().sharedPromptParts(), endpoint);
+        final String digest = exchange.digest();
+        exchange.log().lost(endpoint, exchange.request(), digest, elapsedMs(), events, cause);
+        services.registry().recordCrash(digest, exchange.request().sharedPromptParts(), endpoint);
     }
 
     private void finishStream() {
