--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -84,6 +84,12 @@
         services.connectionPool().send(endpoint, call, retryable);
     }
 
+    /** Describes for the log where the request is and for how long nothing has arrived. */
+    String describe() {
+        final long silentMs = TimeUnit.NANOSECONDS.toMillis(services.nowNanos() - lastProgressNanos);
+        return call.describe() + " to " + endpoint.vm() + ", " + events + " events, no bytes for " + silentMs + " ms";
+    }
+
     /** Ends the attempt without reporting to the exchange. */
     void cancel() {
         stopTracking();
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
@@ -11,6 +11,7 @@
     private final FullHttpRequest message;
     private final EndpointListener listener;
     private Optional<Channel> channel = Optional.empty();
+    private boolean reused;
     private boolean finished;
 
     EndpointCall(Optional<String> attemptId, FullHttpRequest message, EndpointListener listener) {
@@ -36,6 +37,19 @@
         return channel.isPresent();
     }
 
+    /** Notes that the request is written to a connection that was kept open after an earlier one. */
+    void markReused() {
+        reused = true;
+    }
+
+    /** Describes for the log how far the request got. */
+    String describe() {
+        if (!isSent()) {
+            return "no connection was open yet";
+        }
+        return reused ? "sent on a kept connection" : "sent on a new connection";
+    }
+
     void markSent(Channel connection) {
         channel = Optional.of(connection);
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -7,9 +7,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.concurrent.Future;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -23,6 +25,10 @@
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.ConnectionOutcome;
+import org.wigeongrade.metrics.Metrics;
 
 /**
  * Pool of connections to endpoints that are kept open between requests. Used on the event loop only.
@@ -44,12 +50,17 @@
 
     private final SharedEventLoop loop;
     private final CallerCodec codec;
+    private final EventLog events;
+    private final Metrics metrics;
     private final LongSupplier nanoClock;
     private final Map<VmIncarnation, Deque<IdleConnection>> idleByVm = new HashMap<>();
 
-    EndpointConnectionPool(SharedEventLoop loop, CallerCodec codec, LongSupplier nanoClock) {
+    EndpointConnectionPool(
+            SharedEventLoop loop, CallerCodec codec, EventLog events, Metrics metrics, LongSupplier nanoClock) {
         this.loop = loop;
         this.codec = codec;
+        this.events = events;
+        this.metrics = metrics;
         this.nanoClock = nanoClock;
     }
 
@@ -58,23 +69,41 @@
         final Optional<Channel> reused =
                 mayReuse && call.attemptId().isPresent() ? takeIdle(endpoint.vm()) : Optional.empty();
         if (reused.isPresent()) {
+            call.markReused();
             write(reused.get(), call);
             return;
         }
+        final long startedNanos = nanoClock.getAsLong();
         final ChannelFuture connecting = connect(endpoint);
         final var unused = connecting.addListener(done -> {
-            if (done.isSuccess()) {
+            final ConnectionOutcome outcome = outcomeOf(done);
+            metrics.countEndpointConnection(outcome);
+            if (outcome == ConnectionOutcome.OPENED) {
                 writeOrClose(connecting.channel(), call);
                 return;
             }
+            events.write(
+                    LogEvent.ENDPOINT_CONNECT_FAILED,
+                    endpoint.vm(),
+                    endpoint.address(),
+                    call.attemptId().orElse("-"),
+                    TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong() - startedNanos),
+                    done.cause());
             call.message().release();
-            call.reportNotSent(String.valueOf(done.cause()), isConnectionRefused(done.cause()));
+            call.reportNotSent(String.valueOf(done.cause()), outcome == ConnectionOutcome.REFUSED);
         });
     }
 
-    private static boolean isConnectionRefused(Throwable cause) {
-        return cause instanceof ConnectException
-                && String.valueOf(cause.getMessage()).contains("refused");
+    private static ConnectionOutcome outcomeOf(Future<?> connecting) {
+        if (connecting.isSuccess()) {
+            return ConnectionOutcome.OPENED;
+        }
+        if (connecting.cause() instanceof ConnectTimeoutException) {
+            return ConnectionOutcome.TIMED_OUT;
+        }
+        final boolean refused = connecting.cause() instanceof ConnectException
+                && String.valueOf(connecting.cause().getMessage()).contains("refused");
+        return refused ? ConnectionOutcome.REFUSED : ConnectionOutcome.FAILED;
     }
 
     private ChannelFuture connect(EndpointLoad endpoint) {
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -397,9 +397,11 @@
         }
         currentAttempt.ifPresent(EndpointAttempt::cancel);
         final boolean sent = attemptsThatMayHaveRun > 0 || currentAttempt.isPresent();
+        final String cause = "the deadline passed; "
+                + currentAttempt.map(EndpointAttempt::describe).orElse("no attempt was running");
         currentAttempt = Optional.empty();
         if (sent) {
-            fail(ErrorKind.ENDPOINT_TIMEOUT, "the deadline passed", 0);
+            fail(ErrorKind.ENDPOINT_TIMEOUT, cause, 0);
         } else {
             refuse(ErrorKind.NO_FREE_SLOT, "the deadline passed before the request was sent", 0);
         }
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -69,6 +69,11 @@
             "endpoint {endpoint} takes {requests_per_second} requests a second from all nodes together, {share} of this"
                     + " node"),
     ENDPOINT_UNLIMITED(1510, Level.INFO, "endpoint {endpoint} states no limit any more"),
+    ENDPOINT_CONNECT_FAILED(
+            1511,
+            Level.WARNING,
+            "no connection to endpoint {endpoint} at {address} could be opened for request {request} after"
+                    + " {elapsed_ms} ms: {cause}"),
 
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
     REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
--- a/src/main/java/org/wigeongrade/metrics/MetricName.java
+++ b/src/main/java/org/wigeongrade/metrics/MetricName.java
@@ -7,6 +7,8 @@
     LOST_IN_FLIGHT(
             "wigeongrade_requests_lost_total",
             "Requests in flight at an endpoint when its connection failed, which a crash of the endpoint may explain."),
+    ENDPOINT_CONNECTIONS(
+            "wigeongrade_endpoint_connections_total", "Attempts to open a connection to an endpoint, by outcome."),
     REQUESTS("wigeongrade_requests_total", "Requests that ended, by availability zone of the endpoint and by outcome."),
     GROUP_DOWNTIME("wigeongrade_group_downtime_seconds_total", "Seconds that declared groups did not serve, by pool."),
     STRANDED_ACCELERATORS(
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -20,7 +20,7 @@
 /**
  * The metrics of one process.
  *
- * <p>Invariant: each refusal and retry reason has a time series from the start, at zero. Times are given in nanoseconds
+ * <p>Invariant: each refusal reason, retry reason and connection outcome has a time series from the start, at zero. Times are given in nanoseconds
  * or milliseconds and exposed in seconds. Safe for use from any thread.
  */
 public final class Metrics {
@@ -40,6 +40,7 @@
     private final Counter refusals = counter(MetricName.REFUSALS, "reason");
     private final Counter retries = counter(MetricName.RETRIES, "reason");
     private final Counter lostInFlight = counter(MetricName.LOST_IN_FLIGHT);
+    private final Counter endpointConnections = counter(MetricName.ENDPOINT_CONNECTIONS, "outcome");
     private final Counter requestsByZone = counter(MetricName.REQUESTS, "zone", "outcome");
     private final Counter groupDowntime = counter(MetricName.GROUP_DOWNTIME, "pool");
     private final Counter strandedAccelerators = counter(MetricName.STRANDED_ACCELERATORS, "pool");
@@ -59,6 +60,9 @@
         for (final RetryReason reason : RetryReason.values()) {
             retries.labelValues(reason.code());
         }
+        for (final ConnectionOutcome outcome : ConnectionOutcome.values()) {
+            endpointConnections.labelValues(outcome.code());
+        }
     }
 
     /** Adds the memory, garbage collector, thread and process metrics of the JVM. Call it at most once. */
@@ -85,6 +89,11 @@
         lostInFlight.inc();
     }
 
+    /** Counts one attempt to open a connection to an endpoint. */
+    public void countEndpointConnection(ConnectionOutcome outcome) {
+        endpointConnections.labelValues(outcome.code()).inc();
+    }
+
     /** Records the end of one request; {@code zone} is the endpoint's, or this VM's own if no endpoint was chosen. */
     public void recordRequest(AvailabilityZone zone, RequestOutcome outcome, long durationNanos) {
         requestsByZone.labelValues(zone.value(), outcome.code()).inc();
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -111,19 +111,21 @@
 
     static EntryServices services(SharedEventLoop loop, EndpointRegistry registry) {
         final PlatformCallerCodec codec = new PlatformCallerCodec();
+        final EventLog events = new EventLog();
+        final Metrics metrics = new Metrics();
         return new EntryServices(
                 ZONE,
                 loop,
                 codec,
                 registry,
-                new EndpointConnectionPool(loop, codec, System::nanoTime),
+                new EndpointConnectionPool(loop, codec, events, metrics, System::nanoTime),
                 new BufferedBodies(1_000_000, 100_000),
                 new Balancer(new SplittableRandom(1)),
                 new RetryBudgetShare(0.2, 100, TimeUnit.SECONDS.toNanos(10)),
                 new ColdStartLimits(1.5, 5, 0),
                 new SplittableRandom(1),
-                new EventLog(),
-                new Metrics(),
+                events,
+                metrics,
                 System::nanoTime,
                 TimeUnit.SECONDS.toNanos(5));
     }
--- a/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
+++ b/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
@@ -71,6 +71,18 @@
         assertThat(metrics.render()).contains(series + "1.0\n");
     }
 
+    @ParameterizedTest
+    @EnumSource(ConnectionOutcome.class)
+    void connectionCounterStartsAtZeroAndCounts(ConnectionOutcome outcome) {
+        final Metrics metrics = new Metrics();
+        final String series = "wigeongrade_endpoint_connections_total{outcome=\"" + outcome.code() + "\"} ";
+
+        assertThat(metrics.render()).contains(series + "0.0\n");
+        metrics.countEndpointConnection(outcome);
+
+        assertThat(metrics.render()).contains(series + "1.0\n");
+    }
+
     @ParameterizedTest
     @EnumSource(MetricName.class)
     void everySeriesIsExposed(MetricName name) {
