--- a/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
+++ b/src/main/java/org/wigeongrade/command/FleetTrialCommand.java
@@ -88,6 +88,7 @@
                 AvailabilityZone.of("trial"),
                 isControl ? CONTROL_IP : ENTRY_IP,
                 isControl ? CONTROL_IP : ENTRY_IP,
+                Optional.empty(),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ENTRY_IP, controlPort + 1)),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ENTRY_IP, controlPort + 2)),
                 isControl ? Optional.of(new NodeAddress(CONTROL_IP, controlPort)) : Optional.empty(),
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -53,12 +53,20 @@
     private final EventLog events;
     private final Metrics metrics;
     private final LongSupplier nanoClock;
+    private final Optional<String> gatewayIp;
     private final Map<VmIncarnation, Deque<IdleConnection>> idleByVm = new HashMap<>();
 
+    /** @param gatewayIp address through which every endpoint is reached, at its own port; absent if there is none */
     EndpointConnectionPool(
-            SharedEventLoop loop, CallerCodec codec, EventLog events, Metrics metrics, LongSupplier nanoClock) {
+            SharedEventLoop loop,
+            CallerCodec codec,
+            Optional<String> gatewayIp,
+            EventLog events,
+            Metrics metrics,
+            LongSupplier nanoClock) {
         this.loop = loop;
         this.codec = codec;
+        this.gatewayIp = gatewayIp;
         this.events = events;
         this.metrics = metrics;
         this.nanoClock = nanoClock;
@@ -122,7 +130,8 @@
                                         codec, (channel, idleMs) -> release(endpoint.vm(), channel, idleMs)));
                     }
                 })
-                .connect(new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort()));
+                .connect(new InetSocketAddress(
+                        InetAddresses.forString(gatewayIp.orElse(target.getHost())), target.getPort()));
     }
 
     private static void writeOrClose(Channel channel, EndpointCall call) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -110,7 +110,7 @@
                 loop,
                 codec,
                 registry,
-                new EndpointConnectionPool(loop, codec, events, metrics, clock),
+                new EndpointConnectionPool(loop, codec, settings.endpointGatewayIp(), events, metrics, clock),
                 new BufferedBodies((long) settings.number(FleetKey.MAX_HELD_BYTES), (int)
                         settings.number(FleetKey.MAX_RESPONSE_BYTES)),
                 new Balancer(random),
--- a/src/main/java/org/wigeongrade/settings/FleetSettings.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettings.java
@@ -18,6 +18,8 @@
  *
  * @param ip the address at which other nodes reach the VM, which also identifies it among the control VMs
  * @param bindIp the address that the internal ports are bound to; differs from {@code ip} behind a port forwarder
+ * @param endpointGatewayIp the address through which an entry node reaches every endpoint, at the endpoint's port; absent
+ *     if it reaches their own addresses
  * @param firstInternalPort the first of two ports: the replicated log, then calls between nodes
  * @param metricsPort the port that serves the metrics of this process
  * @param seeds addresses of some control VMs, for finding the others; they may be out of date
@@ -29,6 +31,7 @@
         AvailabilityZone availabilityZone,
         String ip,
         String bindIp,
+        Optional<String> endpointGatewayIp,
         Optional<NodeAddress> callerListen,
         Optional<NodeAddress> readinessListen,
         Optional<NodeAddress> controlListen,
--- a/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
@@ -73,6 +73,7 @@
                 table.requiredConverted("availability_zone", "the availability zone of this VM", AvailabilityZone::of);
         final Optional<String> ip = table.requiredConverted("ip", "the IP address of this VM", text -> text);
         final Optional<String> bindIp = table.optionalConverted("bind_ip", text -> text);
+        final Optional<String> endpointGatewayIp = table.optionalConverted("endpoint_gateway_ip", text -> text);
         final Optional<NodeAddress> callerListen = table.optionalConverted("caller_listen", NodeAddress::of);
         final Optional<NodeAddress> readinessListen = table.optionalConverted("readiness_listen", NodeAddress::of);
         final Optional<NodeAddress> controlListen = table.optionalConverted("control_listen", NodeAddress::of);
@@ -98,6 +99,7 @@
                 zone.get(),
                 ip.get(),
                 bindIp.orElse(ip.get()),
+                endpointGatewayIp,
                 callerListen,
                 readinessListen,
                 controlListen,
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -118,7 +118,7 @@
                 loop,
                 codec,
                 registry,
-                new EndpointConnectionPool(loop, codec, events, metrics, System::nanoTime),
+                new EndpointConnectionPool(loop, codec, Optional.empty(), events, metrics, System::nanoTime),
                 new BufferedBodies(1_000_000, 100_000),
                 new Balancer(new SplittableRandom(1)),
                 new RetryBudgetShare(0.2, 100, TimeUnit.SECONDS.toNanos(10)),
--- a/src/test/java/org/wigeongrade/platform/FleetOnLoopbackTest.java
+++ b/src/test/java/org/wigeongrade/platform/FleetOnLoopbackTest.java
@@ -238,6 +238,7 @@
                 AvailabilityZone.of("zone-a"),
                 isControl ? CONTROL_IP : ENTRY_IP,
                 isControl ? CONTROL_IP : ENTRY_IP,
+                Optional.empty(),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ENTRY_IP, firstPort + 4)),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ENTRY_IP, firstPort + 5)),
                 isControl ? Optional.of(controlListen) : Optional.empty(),
--- a/src/test/java/org/wigeongrade/platform/LoopbackFleet.java
+++ b/src/test/java/org/wigeongrade/platform/LoopbackFleet.java
@@ -4,12 +4,16 @@
 
 import com.google.common.util.concurrent.Uninterruptibles;
 import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +24,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.wigeongrade.fleet.control.ControlNode;
 import org.wigeongrade.fleet.entry.EntryNode;
@@ -27,6 +32,7 @@
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.proof.FaultInjectionProxy;
 import org.wigeongrade.proof.LoopbackPorts;
 import org.wigeongrade.settings.FleetKey;
 import org.wigeongrade.settings.FleetRole;
@@ -34,14 +40,19 @@
 import org.wigeongrade.settings.NodeAddress;
 
 /**
- * A control node and two entry nodes over loopback, with one idempotent route to endpoints that use the platform's wire
- * format. Thread safe.
+ * A control node and entry nodes over loopback, with an idempotent and a non-idempotent route to endpoints that use the
+ * platform's wire format. Thread safe.
  */
 final class LoopbackFleet implements AutoCloseable {
+    /** Entry nodes of a fleet whose test does not state their zones. */
     static final int ENTRIES = 2;
+
     static final long AWAIT_TIMEOUT_MS = 20_000;
     private static final String CONTROL_IP = "127.0.0.1";
-    private static final List<String> ENTRY_IPS = List.of("127.0.0.2", "127.0.0.3");
+    private static final int PORTS_OF_NODES = 6;
+    static final String IDEMPOTENT_PATH = "/app/";
+    static final String NON_IDEMPOTENT_PATH = "/order/";
+    private static final String ZONE = "zone-a";
     private static final long HEARTBEAT_MS = 150;
 
     private final Path folder;
@@ -50,6 +61,10 @@
     private final AtomicLong requests = new AtomicLong();
     private final List<CrashableEndpoint> endpoints = new ArrayList<>();
     private final List<EntryNode> entries = new ArrayList<>();
+    private final List<FaultInjectionProxy> proxies = new ArrayList<>();
+    private final boolean proxied;
+    private final int entryCount;
+    private final int endpointCount;
     private final int firstPort;
     private final ControlNode control;
 
@@ -60,49 +75,121 @@
      * @param crashes whether the endpoint crashes as it begins to write the response
      */
     LoopbackFleet(Path folder, int endpointCount, EndpointResponder responder, Predicate<HttpExchange> crashes) {
+        this(folder, Collections.nCopies(ENTRIES, ZONE), endpointCount, responder, crashes, false);
+    }
+
+    /**
+     * Starts the nodes and endpoints, with one entry node for each of {@code entryZones}. Each entry node reaches the
+     * endpoints through proxies of its own.
+     *
+     * @param responder called for each request that arrives at an endpoint, before it is served
+     */
+    static LoopbackFleet withProxies(
+            Path folder, List<String> entryZones, int endpointCount, EndpointResponder responder) {
+        return new LoopbackFleet(folder, entryZones, endpointCount, responder, exchange -> false, true);
+    }
+
+    private LoopbackFleet(
+            Path folder,
+            List<String> entryZones,
+            int endpointCount,
+            EndpointResponder responder,
+            Predicate<HttpExchange> crashes,
+            boolean proxied) {
         this.folder = folder;
-        firstPort = LoopbackPorts.allocateRange(6 + endpointCount);
+        this.proxied = proxied;
+        this.entryCount = entryZones.size();
+        this.endpointCount = endpointCount;
+        firstPort = LoopbackPorts.allocateRange(PORTS_OF_NODES + endpointCount);
         final EventLog events = new EventLog();
         control = new ControlNode(
-                settings("control-1", FleetRole.CONTROL, CONTROL_IP),
+                settings("control-1", FleetRole.CONTROL, CONTROL_IP, ZONE),
                 new ConfigurationReader(),
                 new PlatformOrderCodec(),
                 events,
                 new Metrics());
         control.start(ControlApi::new);
-        for (final String ip : ENTRY_IPS) {
-            final EntryNode entry = new EntryNode(
-                    settings("entry-" + ip.substring(ip.lastIndexOf('.') + 1), FleetRole.ENTRY, ip),
+        for (int entry = 0; entry < entryCount; entry++) {
+            if (proxied) {
+                startProxies(entry);
+            }
+            final EntryNode node = new EntryNode(
+                    settings("entry-" + entry, FleetRole.ENTRY, entryIp(entry), entryZones.get(entry)),
                     new ConfigurationReader(),
                     new PlatformCallerCodec(),
                     events,
                     new Metrics());
-            entry.start();
-            entries.add(entry);
+            node.start();
+            entries.add(node);
         }
-        await("configuration accepted", () -> post("/-/configuration/replace", """
-                {"version":7,"routes":[{"name":"app-2","hostname":"127.0.0.2","pathPrefix":"/app/","kind":"idempotent",
-                "timeoutMs":4000,"maxAttempts":2,"service":"app"},
-                {"name":"app-3","hostname":"127.0.0.3","pathPrefix":"/app/","kind":"idempotent",
-                "timeoutMs":4000,"maxAttempts":2,"service":"app"}],
-                "services":[{"name":"app","maxConnections":400}],
-                "tenants":[{"name":"shop","apiKeys":["key-1"]}]}""") == 200);
+        await("configuration accepted", () -> post("/-/configuration/replace", configuration()) == 200);
         for (int number = 0; number < endpointCount; number++) {
             final int endpoint = number;
             endpoints.add(new CrashableEndpoint(
                     "i-" + number,
-                    firstPort + 6 + number,
+                    endpointPort(number),
                     crashes,
                     exchange -> responder.onRequest(endpoint, exchange),
                     () -> responder.onCrash(endpoint)));
         }
         repeat(this::sendHeartbeats, HEARTBEAT_MS);
         await(
-                "requests served by both entry nodes",
-                () -> IntStream.range(0, ENTRIES)
+                "requests served by all entry nodes",
+                () -> IntStream.range(0, entryCount)
                         .allMatch(entry -> send(entry, "5a5a:40,1:300").join() == 200));
     }
 
+    private static String entryIp(int entry) {
+        return "127.0.0." + (2 + entry);
+    }
+
+    private static String gatewayIp(int entry) {
+        return "127.0.1." + (2 + entry);
+    }
+
+    private int endpointPort(int endpoint) {
+        return firstPort + PORTS_OF_NODES + endpoint;
+    }
+
+    private void startProxies(int entry) {
+        for (int endpoint = 0; endpoint < endpointCount; endpoint++) {
+            try {
+                proxies.add(new FaultInjectionProxy(
+                        new InetSocketAddress(gatewayIp(entry), endpointPort(endpoint)),
+                        new InetSocketAddress(CONTROL_IP, endpointPort(endpoint))));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Sets how the connections of an entry node to every endpoint are treated. */
+    void setEndpointLinks(int entry, FaultInjectionProxy.Mode mode) {
+        proxies.subList(entry * endpointCount, (entry + 1) * endpointCount).forEach(proxy -> proxy.setMode(mode));
+    }
+
+    /** Sets how the connections of every entry node to an endpoint are treated. */
+    void setLinksOfEndpoint(int endpoint, FaultInjectionProxy.Mode mode) {
+        IntStream.range(0, entryCount)
+                .forEach(entry -> proxies.get(entry * endpointCount + endpoint).setMode(mode));
+    }
+
+    private String configuration() {
+        final String routes = IntStream.range(0, entryCount)
+                .mapToObj(entry -> route(entry, IDEMPOTENT_PATH, "idempotent") + ","
+                        + route(entry, NON_IDEMPOTENT_PATH, "non_idempotent"))
+                .collect(Collectors.joining(","));
+        return """
+                {"version":7,"routes":[%s],"services":[{"name":"app","maxConnections":400}],
+                "tenants":[{"name":"shop","apiKeys":["key-1"]}]}""".formatted(routes);
+    }
+
+    private static String route(int entry, String path, String kind) {
+        return """
+                {"name":"%s-%d","hostname":"%s","pathPrefix":"%s","kind":"%s","timeoutMs":4000,"maxAttempts":2,
+                "service":"app"}""".formatted(kind, entry, entryIp(entry), path, kind);
+    }
+
     /** What a test does when a request arrives at an endpoint or the endpoint crashes. */
     interface EndpointResponder {
         void onRequest(int endpoint, HttpExchange exchange);
@@ -112,10 +199,14 @@
 
     /** Sends a request with these prompt parts to an entry node; returns the status, or 0 if there was no response. */
     CompletableFuture<Integer> send(int entry, String promptParts) {
-        final long number = requests.incrementAndGet();
-        final URI uri = URI.create("http://" + ENTRY_IPS.get(entry) + ":" + (firstPort + 4) + "/app/" + number);
+        return send(entry, IDEMPOTENT_PATH, "attempt-" + requests.incrementAndGet(), promptParts);
+    }
+
+    /** Sends a request as above, with the path prefix of a route and the id of the attempt. */
+    CompletableFuture<Integer> send(int entry, String path, String attempt, String promptParts) {
+        final URI uri = URI.create("http://" + entryIp(entry) + ":" + (firstPort + 4) + path + attempt);
         final HttpRequest request = HttpRequest.newBuilder(uri)
-                .header("X-Attempt-Id", "attempt-" + number)
+                .header("X-Attempt-Id", attempt)
                 .header("X-Credential", "key-1")
                 .header("X-Deadline-Ms", "4000")
                 .header("X-Prompt-Prefix", promptParts)
@@ -163,15 +254,16 @@
                 .statusCode();
     }
 
-    private FleetSettings settings(String name, FleetRole role, String ip) {
+    private FleetSettings settings(String name, FleetRole role, String ip, String zone) {
         final boolean isControl = role == FleetRole.CONTROL;
         final NodeAddress controlListen = new NodeAddress(CONTROL_IP, firstPort + 3);
         return new FleetSettings(
                 NodeName.of(name),
                 role,
-                AvailabilityZone.of("zone-a"),
+                AvailabilityZone.of(zone),
                 ip,
                 ip,
+                proxied && !isControl ? Optional.of(gatewayIp(entries.size())) : Optional.empty(),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ip, firstPort + 4)),
                 isControl ? Optional.empty() : Optional.of(new NodeAddress(ip, firstPort + 5)),
                 isControl ? Optional.of(controlListen) : Optional.empty(),
@@ -189,5 +281,12 @@
         entries.forEach(EntryNode::stop);
         control.stop();
         endpoints.forEach(CrashableEndpoint::close);
+        for (final FaultInjectionProxy proxy : proxies) {
+            try {
+                proxy.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
     }
 }
--- a/src/test/java/org/wigeongrade/proof/FaultInjectionProxyTest.java
+++ b/src/test/java/org/wigeongrade/proof/FaultInjectionProxyTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -52,6 +54,33 @@
         }
     }
 
+    @Test
+    void partitionHoldsUpBytesAndConnectionsUntilItEnds() throws IOException {
+        try (Socket openBefore = connect()) {
+            assertThat(sendAndReadEcho(openBefore, 7)).isEqualTo(7);
+            proxy.setMode(FaultInjectionProxy.Mode.PARTITION);
+
+            assertThrows(SocketTimeoutException.class, () -> sendAndReadEcho(openBefore, 8));
+            assertThrows(SocketTimeoutException.class, this::connect);
+            proxy.setMode(FaultInjectionProxy.Mode.FORWARD);
+            assertThat(openBefore.getInputStream().read()).isEqualTo(8);
+            try (Socket openedAfter = connect()) {
+                assertThat(sendAndReadEcho(openedAfter, 9)).isEqualTo(9);
+            }
+        }
+    }
+
+    @Test
+    void refusesNewConnectionsAndForwardsOpenOnes() throws IOException {
+        try (Socket openBefore = connect()) {
+            assertThat(sendAndReadEcho(openBefore, 7)).isEqualTo(7);
+            proxy.setMode(FaultInjectionProxy.Mode.REFUSE_NEW);
+
+            assertThat(sendAndReadEcho(openBefore, 8)).isEqualTo(8);
+            assertThrows(ConnectException.class, this::connect);
+        }
+    }
+
     @Test
     void resetsConnections() throws IOException {
         try (Socket socket = connect()) {
@@ -69,7 +98,8 @@
     private Socket connect() throws IOException {
         String address = proxy.address();
         int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 300);
         socket.setSoTimeout(300);
         return socket;
     }
