--- a/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
@@ -235,6 +235,14 @@
         recordFailure(nowNanos);
     }
 
+    /** Forgets all failures, because they were not the endpoint's. */
+    public void forgetFailures() {
+        failureRate = 0;
+        consecutiveFailures = 0;
+        avoidUntilNanos = Long.MIN_VALUE;
+        refusedSinceReport = false;
+    }
+
     /** Returns whether the endpoint should get no requests now because it recently failed. */
     public boolean isAvoided(long nowNanos) {
         return avoidUntilNanos != Long.MIN_VALUE && nowNanos - avoidUntilNanos < 0;
--- a/src/main/java/org/wigeongrade/errors/ErrorKind.java
+++ b/src/main/java/org/wigeongrade/errors/ErrorKind.java
@@ -25,6 +25,7 @@
             503, RunStatus.NOT_RUN, 1_000, "This entry VM is cut off from the control VMs; retry on another one."),
     CONTROL_UNAVAILABLE(503, RunStatus.NOT_RUN, 1_000, "No leader of the control VMs answered in time."),
     NO_WHOLE_GROUP(503, RunStatus.NOT_RUN, 2_000, "No complete group or service replica can serve this now."),
+    NO_ENDPOINT_REACHABLE(503, RunStatus.NOT_RUN, 100, "This entry VM reaches no endpoint; retry on another one."),
     NO_FREE_SLOT(503, RunStatus.NOT_RUN, 500, "Every endpoint that can serve this is at its capacity."),
     ENDPOINTS_PAUSED(503, RunStatus.NOT_RUN, 1_000, "Every endpoint that can serve this asked for a pause."),
     NO_MEMORY(503, RunStatus.NOT_RUN, 500, "This VM holds as many request bytes as it may; retry on another one."),
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -22,6 +22,7 @@
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
+import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.ids.ServiceName;
@@ -52,6 +53,7 @@
     private final RoutableEndpointTable routableEndpoints = new RoutableEndpointTable();
     private final EntryNodeReports entryReports = new EntryNodeReports();
     private final EndpointLimitTable limits = new EndpointLimitTable();
+    private final RelayDirectory relays = new RelayDirectory();
     private final CrashQuarantine quarantine;
     /** Whether heartbeats have come in for long enough to plan; until then, existing groups are only taken over. */
     private boolean settled;
@@ -105,6 +107,9 @@
         limits.record(request.getLimits(), nowNanos);
         limits.write(node, entryReports.entryNodes(nowNanos), complete, reply, nowNanos);
         entryReports.writeLoadOfOtherNodes(node, reply);
+        final AvailabilityZone zone = AvailabilityZone.of(request.getAvailabilityZone());
+        relays.record(node, zone, Optional.ofNullable(request.getRelayAddress()), nowNanos);
+        reply.setRelayAddresses(relays.addressesFor(node, zone, nowNanos));
     }
 
     private ImmutableList<GroupOrder> planGroups(
--- a/src/main/java/org/wigeongrade/fleet/entry/CallerCodec.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerCodec.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.OptionalLong;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.net.HttpReply;
 
@@ -19,6 +20,12 @@
     /** Returns the request to send to an endpoint. */
     FullHttpRequest encode(CallerRequest request, ForwardingMetadata metadata, String address);
 
+    /**
+     * Returns the request to send to another entry node, which sees it as the caller sent it but for the time that is
+     * left and the event after which a stream has to continue.
+     */
+    FullHttpRequest encodeForEntryNode(CallerRequest request, long remainingMs, OptionalLong resumeAfter);
+
     /** Decodes the status and headers of an endpoint's response. */
     ResponseHead decode(HttpResponse response);
 
--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -50,6 +50,7 @@
     private final EntryServices services;
     private final CallerConnections connections;
     private final RequestIntake intake;
+    private final boolean fromEntryNode;
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private Optional<Exchange> currentExchange = Optional.empty();
@@ -59,7 +60,10 @@
     private long openedNanos;
     private long idleSinceNanos;
 
-    CallerConnection(EntryServices services, CallerConnections connections, RequestIntake intake) {
+    /** @param fromEntryNode whether the other side is an entry node that relays its callers' requests */
+    CallerConnection(
+            EntryServices services, CallerConnections connections, RequestIntake intake, boolean fromEntryNode) {
+        this.fromEntryNode = fromEntryNode;
         this.services = services;
         this.connections = connections;
         this.intake = intake;
@@ -111,6 +115,7 @@
     private void serve(FullHttpRequest message) {
         hasServed = true;
         keepAlive = HttpUtil.isKeepAlive(message);
+        final Optional<Integer> earlierAttempts = RelayHeaders.takeEarlierAttempts(message.headers());
         final CallerRequest request;
         try {
             request = services.codec().decode(message);
@@ -120,7 +125,12 @@
             writeResponse(HttpReply.text(BAD_REQUEST, e.getMessage() + "\n"));
             return;
         }
-        final Exchange exchange = new Exchange(services, request, this, this::onExchangeEnd);
+        final Exchange exchange = new Exchange(
+                services,
+                request,
+                fromEntryNode ? Optional.of(earlierAttempts.orElse(0)) : Optional.empty(),
+                this,
+                this::onExchangeEnd);
         currentExchange = Optional.of(exchange);
         exchange.start();
     }
@@ -187,11 +197,17 @@
     }
 
     private boolean closesAfterResponse() {
-        final boolean closes = !keepAlive || connections.isClosing();
+        final boolean closes = !keepAlive || connections.isClosing() || servesNobody();
         willClose = willClose || closes;
         return closes;
     }
 
+    /** Returns whether callers have to go to another node, because this one neither reaches endpoints nor relays. */
+    private boolean servesNobody() {
+        return services.endpointLinks().areCut()
+                && services.registry().view().relayAddresses().isEmpty();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
         currentExchange.ifPresent(exchange ->
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -14,11 +14,11 @@
  *
  * <p>Invariant: reports its outcome to the exchange exactly once, unless it was cancelled.
  */
-final class EndpointAttempt implements EndpointListener {
+final class EndpointAttempt implements Attempt, EndpointListener {
     /** Bytes of a body that is not streamed that count as progress; fewer may be a trickle without end. */
     private static final int PROGRESS_BYTES = 1_024;
     /** An event holds a few tokens, so that a longer one never ends. */
-    private static final int MAX_EVENT_BYTES = 64 * 1024;
+    static final int MAX_EVENT_BYTES = 64 * 1024;
     /** A stall check that runs this late shows that this process was paused, not that the endpoint stalled. */
     private static final long LOCAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
     /** Fraction of the stall timeout for which the endpoint must not have responded to any request of this node. */
@@ -42,7 +42,7 @@
     private int receivedBodyBytes;
     private int unreadTokens;
     private int events;
-    EndpointCall call;
+    private EndpointCall call;
 
     EndpointAttempt(
             Exchange exchange,
@@ -84,14 +84,24 @@
         services.connectionPool().send(endpoint, call, retryable);
     }
 
-    /** Describes for the log where the request is and for how long nothing has arrived. */
-    String describe() {
+    @Override
+    public void setReading(boolean enabled) {
+        call.setReading(enabled);
+    }
+
+    @Override
+    public String target() {
+        return endpoint.vm().toString();
+    }
+
+    @Override
+    public String describe() {
         final long silentMs = TimeUnit.NANOSECONDS.toMillis(services.nowNanos() - lastProgressNanos);
         return call.describe() + " to " + endpoint.vm() + ", " + events + " events, no bytes for " + silentMs + " ms";
     }
 
-    /** Ends the attempt without reporting to the exchange. */
-    void cancel() {
+    @Override
+    public void cancel() {
         stopTracking();
         body.release();
         call.cancel();
@@ -133,9 +143,7 @@
         for (final ServerSentEventSplitter.Event event : eventSplitter.accept(bytes)) {
             recordProgress();
             recordEvent();
-            exchange.log().firstBytesSent();
-            exchange.stream().begin(head.orElseThrow(), exchange.responseWriter());
-            exchange.stream().relay(event, exchange.responseWriter());
+            exchange.relayEvent(head.orElseThrow(), event);
         }
         if (eventSplitter.partialBytes() > MAX_EVENT_BYTES) {
             rejectResponse("an event of the stream exceeds " + MAX_EVENT_BYTES + " bytes");
@@ -159,9 +167,15 @@
         }
     }
 
+    @Override
+    public void onConnectionOpened() {
+        services.endpointLinks().recordOpened();
+    }
+
     @Override
     public void onNotSent(String cause, boolean connectionRefused) {
         stopTracking();
+        services.endpointLinks().recordFailure(endpoint);
         if (connectionRefused) {
             endpoint.recordRefusedConnection(services.nowNanos());
         } else {
@@ -184,6 +198,7 @@
     /** Records a failure that a crash of the endpoint would explain. */
     private void recordLoss(String cause) {
         endpoint.recordFailure(services.nowNanos());
+        services.endpointLinks().recordFailure(endpoint);
         final String digest = exchange.digest();
         exchange.log().lost(endpoint, exchange.request(), digest, elapsedMs(), events, cause);
         services.registry().recordCrash(digest, exchange.request().sharedPromptParts(), endpoint);
@@ -313,6 +328,7 @@
         final boolean sent = call.isSent();
         cancel();
         endpoint.recordFailure(services.nowNanos());
+        services.endpointLinks().recordFailure(endpoint);
         final String cause = "no bytes received for " + sinceProgressMs + " ms";
         if (sent) {
             exchange.failOver(this, RetryReason.STREAM_STALLED, cause);
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
@@ -54,10 +54,13 @@
         channel = Optional.of(connection);
     }
 
-    /** Closes the connection, so that the endpoint drops the request; the listener is not called again. */
+    /**
+     * Resets the connection, so that the endpoint drops the request, and also one that the network has held up until
+     * now; the listener is not called again.
+     */
     void cancel() {
         finished = true;
-        channel.ifPresent(open -> NettyFutures.logFailure(open.close()));
+        channel.ifPresent(NettyFutures::reset);
     }
 
     /** Resumes reading from the endpoint, or pauses it while the caller does not read (back pressure). */
@@ -67,6 +70,12 @@
         }
     }
 
+    void reportConnectionOpened() {
+        if (!finished) {
+            listener.onConnectionOpened();
+        }
+    }
+
     void reportHead(ResponseHead head) {
         if (!finished) {
             listener.onHead(head);
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.fleet.entry;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import io.netty.bootstrap.Bootstrap;
@@ -17,9 +18,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.fleet.net.NettyFutures;
@@ -41,6 +45,8 @@
 final class EndpointConnectionPool {
     /** Timeout for opening a connection, in milliseconds; the network delay to endpoints is a few milliseconds. */
     private static final int CONNECT_TIMEOUT_MS = 350;
+    /** Timeout for a probe, in milliseconds; several round trips, so that a cut is known well within a second. */
+    private static final int PROBE_TIMEOUT_MS = 300;
     /** A connection that was idle for longer is not reused, even if the endpoint would keep it open. */
     private static final long MAX_IDLE_MS = 4_000;
     /** Maximum of idle connections to one endpoint; a node seldom has more requests in flight at one endpoint. */
@@ -55,6 +61,7 @@
     private final LongSupplier nanoClock;
     private final Optional<String> gatewayIp;
     private final Map<VmIncarnation, Deque<IdleConnection>> idleByVm = new HashMap<>();
+    private final Set<ChannelFuture> connecting = new HashSet<>();
 
     /** @param gatewayIp address through which every endpoint is reached, at its own port; absent if there is none */
     EndpointConnectionPool(
@@ -82,12 +89,15 @@
             return;
         }
         final long startedNanos = nanoClock.getAsLong();
-        final ChannelFuture connecting = connect(endpoint);
-        final var unused = connecting.addListener(done -> {
+        final ChannelFuture opening = connect(endpoint, CONNECT_TIMEOUT_MS);
+        connecting.add(opening);
+        final var unused = opening.addListener(done -> {
+            connecting.remove(opening);
             final ConnectionOutcome outcome = outcomeOf(done);
             metrics.countEndpointConnection(outcome);
             if (outcome == ConnectionOutcome.OPENED) {
-                writeOrClose(connecting.channel(), call);
+                call.reportConnectionOpened();
+                writeOrClose(opening.channel(), call);
                 return;
             }
             events.write(
@@ -102,6 +112,43 @@
         });
     }
 
+    /** Sends a request that is relayed to another entry node, on a connection of its own. */
+    void sendToEntryNode(String address, EndpointCall call) {
+        final ChannelFuture opening = open(
+                HostAndPort.fromString(address), CONNECT_TIMEOUT_MS, (channel, idleMs) -> NettyFutures.reset(channel));
+        final var unused = opening.addListener(done -> {
+            if (done.isSuccess()) {
+                writeOrClose(opening.channel(), call);
+                return;
+            }
+            call.message().release();
+            call.reportNotSent(String.valueOf(done.cause()), outcomeOf(done) == ConnectionOutcome.REFUSED);
+        });
+    }
+
+    /** Opens a connection to an endpoint and closes it at once; {@code result} is told whether it could be opened. */
+    void probe(EndpointLoad endpoint, Consumer<Boolean> result) {
+        final ChannelFuture probing = connect(endpoint, PROBE_TIMEOUT_MS);
+        final var unused = probing.addListener(done -> {
+            metrics.countEndpointConnection(outcomeOf(done));
+            if (done.isSuccess()) {
+                NettyFutures.logFailure(probing.channel().close());
+            }
+            result.accept(done.isSuccess());
+        });
+    }
+
+    /**
+     * Resets every idle connection, since their path is lost, and gives up those that are being opened; their requests
+     * are reported as not sent.
+     */
+    void resetIdleAndConnecting() {
+        idleByVm.values().forEach(connections -> connections.forEach(idle -> NettyFutures.reset(idle.channel())));
+        idleByVm.clear();
+        ImmutableList.copyOf(connecting)
+                .forEach(opening -> NettyFutures.logFailure(opening.channel().close()));
+    }
+
     private static ConnectionOutcome outcomeOf(Future<?> connecting) {
         if (connecting.isSuccess()) {
             return ConnectionOutcome.OPENED;
@@ -114,24 +161,28 @@
         return refused ? ConnectionOutcome.REFUSED : ConnectionOutcome.FAILED;
     }
 
-    private ChannelFuture connect(EndpointLoad endpoint) {
-        final HostAndPort target = HostAndPort.fromString(endpoint.address());
+    private ChannelFuture connect(EndpointLoad endpoint, int timeoutMs) {
+        final HostAndPort own = HostAndPort.fromString(endpoint.address());
+        final HostAndPort target =
+                gatewayIp.map(ip -> HostAndPort.fromParts(ip, own.getPort())).orElse(own);
+        return open(target, timeoutMs, (channel, idleMs) -> release(endpoint.vm(), channel, idleMs));
+    }
+
+    private ChannelFuture open(HostAndPort target, int timeoutMs, EndpointResponseHandler.ConnectionReleaser releaser) {
         return new Bootstrap()
                 .group(loop.group())
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
                         child.pipeline()
                                 .addLast(new HttpClientCodec())
-                                .addLast(new EndpointResponseHandler(
-                                        codec, (channel, idleMs) -> release(endpoint.vm(), channel, idleMs)));
+                                .addLast(new EndpointResponseHandler(codec, releaser));
                     }
                 })
-                .connect(new InetSocketAddress(
-                        InetAddresses.forString(gatewayIp.orElse(target.getHost())), target.getPort()));
+                .connect(new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort()));
     }
 
     private static void writeOrClose(Channel channel, EndpointCall call) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointListener.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointListener.java
@@ -5,6 +5,9 @@
  * the response is complete or the request failed.
  */
 interface EndpointListener {
+    /** Called when a new connection was opened for the request, before it is sent. */
+    default void onConnectionOpened() {}
+
     /** Called when the status and headers of the response arrived. */
     void onHead(ResponseHead head);
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
+import org.wigeongrade.decisions.reachability.LinkState;
 import org.wigeongrade.fleet.thrift.CrashRecord;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.fleet.thrift.UsageRecord;
@@ -41,6 +43,9 @@
     /** If the view is older, the load that it reports for other entry nodes is outdated and replaced by an estimate. */
     private static final long STALE_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+    /** An endpoint that sent bytes within this time can be reached on the connections that are open to it. */
+    private static final long MAX_SILENCE_WITH_WORKING_LINK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private final EventLog events;
     private final long maxPauseMs;
     private final SendRestrictions restrictions = new SendRestrictions();
@@ -52,6 +57,7 @@
     private final Map<VmName, String> faultyVms = new HashMap<>();
     private ImmutableMap<ModelVersionName, EngineLatencyModel> engines = ImmutableMap.of();
     private EntryView view;
+    private LinkState linkState = LinkState.WORKING;
 
     /** @param maxPauseMs longest pause that an endpoint may ask for; longer ones are shortened to it */
     EndpointRegistry(EventLog events, long maxPauseMs, long nowNanos) {
@@ -114,8 +120,35 @@
                 Math.min(view.unreadTokensElsewhere().getOrDefault(vm, 0), others * load.ownPendingPromptTokens()));
     }
 
+    /** Returns the endpoints of the latest view. */
+    Collection<EndpointLoad> routableEndpoints() {
+        return routable.values();
+    }
+
+    LinkState linkState() {
+        return linkState;
+    }
+
+    /**
+     * Sets the state of this node's links. What looked like faults of endpoints while the links were cut is forgotten:
+     * lost requests are not reported as crashes, and no endpoint is avoided.
+     */
+    void setLinkState(LinkState next) {
+        if (next == LinkState.CUT) {
+            events.write(LogEvent.CRASH_REPORTS_DROPPED, crashes.size());
+            crashes.clear();
+        }
+        if (linkState == LinkState.CUT) {
+            routable.values().forEach(EndpointLoad::forgetFailures);
+        }
+        linkState = next;
+    }
+
     /** Records that a request was in flight at an endpoint when the connection failed. */
     void recordCrash(String requestDigest, Set<PromptPartId> promptParts, EndpointLoad load) {
+        if (linkState == LinkState.CUT) {
+            return;
+        }
         crashes.add(new CrashRecord(
                         requestDigest, load.vm().vm().value(), load.vm().incarnation())
                 .setPromptParts(promptParts.stream().map(PromptPartId::value).toList()));
@@ -159,18 +192,29 @@
         routable.values().stream()
                 .filter(load -> load.wasActiveWithin(ACTIVE_WINDOW_NANOS, nowNanos)
                         || load.restriction().isLeaving())
+                .filter(load -> isEvidence(load, nowNanos))
                 .forEach(load -> usage.add(usageOf(load, nowNanos)));
-        retired.forEach(load -> usage.add(usageOf(load, nowNanos)));
+        retired.stream().filter(load -> isEvidence(load, nowNanos)).forEach(load -> usage.add(usageOf(load, nowNanos)));
         return usage.build();
     }
 
+    /** Returns whether what this node sees of an endpoint may be due to the endpoint and not to this node's links. */
+    private boolean isEvidence(EndpointLoad load, long nowNanos) {
+        return linkState.showsEndpointFaults()
+                || load.restriction().isLeaving()
+                || (load.inFlight() > 0 && load.stalledNanos(nowNanos) < MAX_SILENCE_WITH_WORKING_LINK_NANOS);
+    }
+
     /** Returns what this node knows of the prompt parts that crash endpoints. */
     QuarantinedParts quarantinedParts() {
         return quarantinedParts;
     }
 
-    /** Returns and removes the crashes since the last call. */
+    /** Returns and removes the crashes since the last call; none while this node's own links may be the cause. */
     ImmutableList<CrashRecord> drainCrashes() {
+        if (!linkState.showsEndpointFaults()) {
+            return ImmutableList.of();
+        }
         final ImmutableList<CrashRecord> drained = ImmutableList.copyOf(crashes);
         crashes.clear();
         return drained;
@@ -187,7 +231,7 @@
                 load.vm().incarnation(),
                 load.inFlight(),
                 TimeUnit.NANOSECONDS.toMillis(load.stalledNanos(nowNanos)),
-                load.takeRefusedConnection(),
+                load.takeRefusedConnection() && linkState.showsEndpointFaults(),
                 load.takeProgressed(),
                 Optional.ofNullable(faultyVms.remove(load.vm().vm())).orElse(""),
                 load.ownPendingPromptTokens());
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -64,6 +65,9 @@
     /** Fraction of the time before the process is killed in which requests may finish. */
     private static final double GRACE_FRACTION = 0.9;
 
+    /** Room for the headers that entry nodes add to relayed requests. */
+    private static final int RELAY_HEADER_BYTES = 1_024;
+
     private static final long STOP_POLL_MS = 50;
 
     private final FleetSettings settings;
@@ -81,6 +85,7 @@
     private final AtomicBoolean stopRequested = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private HttpListener callerListener;
+    private HttpListener relayListener;
 
     public EntryNode(
             FleetSettings settings, DocumentReader reader, CallerCodec codec, EventLog events, Metrics metrics) {
@@ -103,14 +108,19 @@
                 loop,
                 new ConfigurationCache(reader),
                 events,
-                clock);
+                clock,
+                this::relayAddress);
         final SplittableRandom random = new SplittableRandom();
+        final EndpointConnectionPool connectionPool =
+                new EndpointConnectionPool(loop, codec, settings.endpointGatewayIp(), events, metrics, clock);
         this.services = new EntryServices(
                 settings.availabilityZone(),
                 loop,
                 codec,
                 registry,
-                new EndpointConnectionPool(loop, codec, settings.endpointGatewayIp(), events, metrics, clock),
+                connectionPool,
+                new EndpointLinks(loop, connectionPool, registry, events, metrics, clock),
+                new RelayPeers(random),
                 new BufferedBodies((long) settings.number(FleetKey.MAX_HELD_BYTES), (int)
                         settings.number(FleetKey.MAX_RESPONSE_BYTES)),
                 new Balancer(random),
@@ -136,7 +146,12 @@
                 loop,
                 settings.callerListen().orElseThrow().toSocketAddress(),
                 () -> callerLimits().maxHeaderBytes(),
-                this::addCallerHandlers);
+                pipeline -> addCallerHandlers(pipeline, false));
+        relayListener = HttpListener.open(
+                loop,
+                new InetSocketAddress(settings.bindIp(), settings.relayPort()),
+                () -> callerLimits().maxHeaderBytes() + RELAY_HEADER_BYTES,
+                pipeline -> addCallerHandlers(pipeline, true));
         HttpListener.open(
                 loop,
                 settings.readinessListen().orElseThrow().toSocketAddress(),
@@ -169,12 +184,12 @@
         directory.addControlVms(changed.seeds().stream().map(NodeAddress::ip).toList());
     }
 
-    private void addCallerHandlers(ChannelPipeline pipeline) {
+    private void addCallerHandlers(ChannelPipeline pipeline, boolean fromEntryNode) {
         final RequestIntake intake = new RequestIntake(
                 requestMemory, () -> callerLimits().headerTimeoutMs(), BODY_TIMEOUT_MS, this::recordRefusal);
         intake.addTo(pipeline);
         pipeline.addLast(new HttpObjectAggregator(callerLimits().maxBodyBytes()))
-                .addLast(new CallerConnection(services, connections, intake));
+                .addLast(new CallerConnection(services, connections, intake, fromEntryNode));
     }
 
     private CallerLimits callerLimits() {
@@ -195,10 +210,21 @@
         }
         final boolean viewIsFresh = registry.view().configuration().isPresent()
                 && clock.getAsLong() - registry.view().pullSentNanos() < revokeTimeNanos(READY_AGE_FRACTION);
-        final boolean ready = viewIsFresh && !stopRequested.get();
+        final boolean ready = viewIsFresh && !stopRequested.get() && canServe();
         return HttpReply.text(ready ? OK : UNAVAILABLE, ready ? "ready\n" : "not ready\n");
     }
 
+    private boolean canServe() {
+        return registry.linkState().sendsDirectly()
+                || !registry.view().relayAddresses().isEmpty();
+    }
+
+    /** Returns where other entry nodes may relay requests to; empty while this node reaches no endpoint or stops. */
+    private Optional<String> relayAddress() {
+        final boolean takesRequests = registry.linkState().sendsDirectly() && !stopRequested.get();
+        return takesRequests ? Optional.of(settings.ip() + ":" + settings.relayPort()) : Optional.empty();
+    }
+
     private long revokeTimeNanos(double fraction) {
         return TimeUnit.MILLISECONDS.toNanos(Math.round(fraction * settings.ms(FleetKey.REVOKE_MS)));
     }
@@ -211,6 +237,7 @@
         loop.eventLoop().execute(connections::closeIdle);
         sleepUntil(startNanos, BALANCER_REACTION_MS);
         callerListener.close();
+        relayListener.close();
         final long graceMs = Math.round(GRACE_FRACTION * settings.ms(FleetKey.GRACE_S));
         while (requestsInFlight() > 0 && elapsedMs(startNanos) < graceMs) {
             sleepUntil(System.nanoTime(), STOP_POLL_MS);
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
@@ -20,6 +20,8 @@
         CallerCodec codec,
         EndpointRegistry registry,
         EndpointConnectionPool connectionPool,
+        EndpointLinks endpointLinks,
+        RelayPeers relayPeers,
         BufferedBodies bufferedBodies,
         Balancer balancer,
         RetryBudgetShare retryBudget,
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
@@ -20,6 +20,7 @@
  * @param pullSentNanos when the pull was sent; every change that was accepted before is in the view
  * @param endpoints endpoints that may receive requests
  * @param quarantined digests of requests that must not be sent
+ * @param relayAddresses addresses of entry nodes that take requests which this node cannot send to an endpoint
  * @param partsInQuestion prompt parts for which the leader wants to know the complete responses
  */
 record EntryView(
@@ -32,6 +33,7 @@
         List<PartQuarantine> quarantinedParts,
         Set<PromptPartId> partsInQuestion,
         int entryNodes,
+        List<String> relayAddresses,
         long term,
         long changeNumber,
         long pullSentNanos) {
@@ -43,6 +45,7 @@
         quarantined = ImmutableSet.copyOf(quarantined);
         quarantinedParts = ImmutableList.copyOf(quarantinedParts);
         partsInQuestion = ImmutableSet.copyOf(partsInQuestion);
+        relayAddresses = ImmutableList.copyOf(relayAddresses);
     }
 
     static EntryView empty(long nowNanos) {
@@ -56,6 +59,7 @@
                 List.of(),
                 Set.of(),
                 1,
+                List.of(),
                 0,
                 0,
                 nowNanos);
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -2,9 +2,11 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,7 @@
 import org.wigeongrade.decisions.published.PublishedService;
 import org.wigeongrade.decisions.published.Route;
 import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.ids.ModelVersionName;
 import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.ServiceName;
@@ -31,6 +34,8 @@
 final class Exchange {
     /** Maximum of attempts for one request, including those that no endpoint ran. */
     private static final int MAX_ATTEMPTS = 4;
+    /** Maximum of entry nodes that one request is relayed to, one after the other. */
+    private static final int MAX_RELAYS = 3;
     /** Retry-After of a node without a view; covers the longest election and one pull when the whole fleet starts. */
     private static final long STARTUP_RETRY_AFTER_MS = 1_500;
     /** With less time left, in milliseconds, an attempt cannot complete before the deadline. */
@@ -42,10 +47,14 @@
     private final Runnable onEnd;
     private final ExchangeLog log;
     private final Set<VmName> triedVms = new HashSet<>();
+    private final Set<String> triedPeers = new HashSet<>();
+    /** Whether another entry node relayed the request, which must not be relayed again. */
+    private final boolean relayed;
+
     private Optional<Route> route = Optional.empty();
     private Optional<OrganisationName> organisation = Optional.empty();
     private Optional<PublishedService> service = Optional.empty();
-    private Optional<EndpointAttempt> currentAttempt = Optional.empty();
+    private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
     private final RelayedStream stream = new RelayedStream();
     private Optional<BufferedResponse> errorResponse = Optional.empty();
@@ -57,16 +66,34 @@
     private boolean ended;
 
     Exchange(EntryServices services, CallerRequest request, ResponseWriter responseWriter, Runnable onEnd) {
+        this(services, request, Optional.empty(), responseWriter, onEnd);
+    }
+
+    /**
+     * @param earlierAttempts number of attempts that may have run before another entry node relayed the request; empty
+     *     if its caller sent it to this node
+     */
+    Exchange(
+            EntryServices services,
+            CallerRequest request,
+            Optional<Integer> earlierAttempts,
+            ResponseWriter responseWriter,
+            Runnable onEnd) {
         this.services = services;
         this.request = request;
+        this.relayed = earlierAttempts.isPresent();
+        this.attemptsThatMayHaveRun = earlierAttempts.orElse(0);
         this.responseWriter = responseWriter;
         this.onEnd = onEnd;
         this.log = new ExchangeLog(services, request);
+        if (relayed) {
+            log.arrivedRelayed(attemptsThatMayHaveRun);
+        }
     }
 
     /** Routes and sends the request, or responds with an error. */
     void start() {
-        services.retryBudget().recordRequest(log.arrivedNanos());
+        recordInRetryBudget();
         final Optional<PublishedConfiguration> configuration =
                 services.registry().view().configuration();
         if (configuration.isEmpty()) {
@@ -86,10 +113,18 @@
         }
     }
 
+    /** Of the nodes that handle a request, the first that may send it to an endpoint counts it for the budget. */
+    private void recordInRetryBudget() {
+        final boolean sentElsewhere = services.endpointLinks().areCut() || attemptsThatMayHaveRun > 0;
+        if (!sentElsewhere) {
+            services.retryBudget().recordRequest(log.arrivedNanos());
+        }
+    }
+
     /** Cancels the request after the caller disconnected. */
     void onCallerDisconnected() {
         if (!ended) {
-            currentAttempt.ifPresent(EndpointAttempt::cancel);
+            currentAttempt.ifPresent(Attempt::cancel);
             log.cancelled();
             end();
         }
@@ -97,7 +132,7 @@
 
     /** Pauses reading from the endpoint while the caller's connection is not writable. */
     void onCallerWritabilityChanged(boolean writable) {
-        currentAttempt.ifPresent(attempt -> attempt.call.setReading(writable));
+        currentAttempt.ifPresent(attempt -> attempt.setReading(writable));
     }
 
     private void setDeadline(Route matched) {
@@ -145,6 +180,10 @@
                     ErrorKind.STOPPING.retryAfterMs());
             return;
         }
+        if (services.endpointLinks().areCut()) {
+            relay(remainingMs, nowNanos);
+            return;
+        }
         final Placement placement = place(attemptsThatMayHaveRun > 0, remainingMs, nowNanos);
         if (placement.endpoint().isEmpty()) {
             final Placement.Refusal refusal = placement.refusal().orElseThrow();
@@ -160,6 +199,31 @@
         sendTo(placement, remainingMs, nowNanos);
     }
 
+    /** Sends the request to an entry node that reaches endpoints, or refuses it if there is none. */
+    private void relay(long remainingMs, long nowNanos) {
+        final List<String> peers = services.registry().view().relayAddresses();
+        final Optional<String> peer = relayed || triedPeers.size() >= MAX_RELAYS
+                ? Optional.empty()
+                : services.relayPeers().choose(peers, triedPeers, nowNanos);
+        if (peer.isEmpty()) {
+            failOrRefuse(
+                    ErrorKind.NO_ENDPOINT_REACHABLE,
+                    "this node reaches no endpoint; relayed to " + triedPeers.size() + " of " + peers.size()
+                            + " entry nodes",
+                    ErrorKind.NO_ENDPOINT_REACHABLE.retryAfterMs());
+            return;
+        }
+        attempts++;
+        triedPeers.add(peer.get());
+        log.relayed(peer.get(), peers.size(), remainingMs);
+        final RelayAttempt attempt = new RelayAttempt(this, peer.get());
+        currentAttempt = Optional.of(attempt);
+        final FullHttpRequest message =
+                services.codec().encodeForEntryNode(request, remainingMs, stream.resumeAfter(request));
+        RelayHeaders.mark(message.headers(), attemptsThatMayHaveRun);
+        attempt.start(message, route.orElseThrow().mayRetry());
+    }
+
     private static ErrorKind kindOf(Placement.Refusal refusal) {
         return switch (refusal) {
             case NONE_SERVES -> ErrorKind.NO_WHOLE_GROUP;
@@ -250,7 +314,8 @@
     /** Returns whether the leader lets this node try one request with the quarantined prompt part, and this is it. */
     private boolean tryStartTrial() {
         final QuarantinedParts parts = services.registry().quarantinedParts();
-        if (attempts == 0 && parts.tryStartTrial(request.sharedPromptParts())) {
+        final boolean sendsItself = !services.endpointLinks().areCut();
+        if (attempts == 0 && sendsItself && parts.tryStartTrial(request.sharedPromptParts())) {
             log.trialStarted();
             return true;
         }
@@ -295,9 +360,9 @@
     }
 
     /** Handles an attempt whose request the endpoint did not run: retries the request or ends it with an error. */
-    void onNotRun(EndpointAttempt attempt, RetryReason reason, String cause) {
+    void onNotRun(Attempt attempt, RetryReason reason, String cause) {
         currentAttempt = Optional.empty();
-        if (attempts >= MAX_ATTEMPTS) {
+        if (attempts >= MAX_ATTEMPTS && !services.endpointLinks().areCut()) {
             failOrRefuse(ErrorKind.ENDPOINT_REFUSED, cause, ErrorKind.ENDPOINT_REFUSED.retryAfterMs());
             return;
         }
@@ -309,7 +374,7 @@
     }
 
     /** Handles an attempt that ended without a complete response, although the endpoint may have run the request. */
-    void onMayHaveRun(EndpointAttempt attempt, RetryReason reason, String cause) {
+    void onMayHaveRun(Attempt attempt, RetryReason reason, String cause) {
         currentAttempt = Optional.empty();
         attemptsThatMayHaveRun++;
         final boolean retryable = route.orElseThrow().mayRetry()
@@ -323,6 +388,17 @@
         failOrRefuse(route.get().mayRetry() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN, cause, 0);
     }
 
+    /** Handles an error response of another entry node that does not know all attempts of the request. */
+    void onRelayFailed(Attempt attempt, String cause) {
+        currentAttempt = Optional.empty();
+        failOrRefuse(ErrorKind.ENDPOINT_FAILED, attempt.target() + ": " + cause, 0);
+    }
+
+    /** Returns whether an endpoint may have run the request. */
+    boolean mayHaveRun() {
+        return attemptsThatMayHaveRun > 0;
+    }
+
     /** Handles a complete error response of an endpoint; it is forwarded to the caller if no retry succeeds. */
     void onErrorResponse(EndpointAttempt attempt, BufferedResponse response) {
         releaseErrorResponse();
@@ -339,7 +415,7 @@
     }
 
     /** Sends the request to another endpoint after {@link #tryReserveFailover}. */
-    void failOver(EndpointAttempt attempt, RetryReason reason, String cause) {
+    void failOver(Attempt attempt, RetryReason reason, String cause) {
         currentAttempt = Optional.empty();
         attemptsThatMayHaveRun++;
         retry(attempt, reason, cause);
@@ -359,35 +435,51 @@
                 && stream.isResumable()
                 && isKeyFresh(nowNanos)
                 && findQuarantine().isEmpty()
-                && place(true, remainingMs, nowNanos)
-                        .endpoint()
-                        .filter(endpoint -> !endpoint.isAvoided(nowNanos))
-                        .isPresent();
+                && hasAlternative(remainingMs, nowNanos);
+    }
+
+    private boolean hasAlternative(long remainingMs, long nowNanos) {
+        if (services.endpointLinks().areCut()) {
+            return !relayed
+                    && triedPeers.size() < MAX_RELAYS
+                    && !triedPeers.containsAll(services.registry().view().relayAddresses());
+        }
+        return place(true, remainingMs, nowNanos)
+                .endpoint()
+                .filter(endpoint -> !endpoint.isAvoided(nowNanos))
+                .isPresent();
     }
 
     private boolean tryReserveRetry() {
         return services.retryBudget().tryRetry(services.registry().view().entryNodes(), services.nowNanos());
     }
 
-    private void retry(EndpointAttempt attempt, RetryReason reason, String cause) {
-        log.retried(attempt.endpoint(), reason, cause, stream.hasBegun());
+    private void retry(Attempt attempt, RetryReason reason, String cause) {
+        log.retried(attempt.target(), reason, cause, stream.hasBegun());
         send();
     }
 
     /** Forwards a complete response to the caller. */
-    void onResponse(EndpointAttempt attempt, BufferedResponse response) {
+    void onResponse(Attempt attempt, BufferedResponse response) {
         currentAttempt = Optional.empty();
         log.firstBytesSent();
         responseWriter.writeResponse(response);
-        log.responded(attempt.endpoint(), response.status(), attempts, 0);
+        log.responded(attempt.target(), response.status(), attempts, 0);
         end();
     }
 
+    /** Forwards an event of a stream to the caller. */
+    void relayEvent(ResponseHead head, ServerSentEventSplitter.Event event) {
+        log.firstBytesSent();
+        stream.begin(head, responseWriter);
+        stream.relay(event, responseWriter);
+    }
+
     /** Ends a stream whose last event was forwarded. */
-    void onStreamEnd(EndpointAttempt attempt) {
+    void onStreamEnd(Attempt attempt) {
         currentAttempt = Optional.empty();
         responseWriter.endStream();
-        log.responded(attempt.endpoint(), stream.status(), attempts, stream.events());
+        log.responded(attempt.target(), stream.status(), attempts, stream.events());
         end();
     }
 
@@ -395,10 +487,10 @@
         if (ended) {
             return;
         }
-        currentAttempt.ifPresent(EndpointAttempt::cancel);
+        currentAttempt.ifPresent(Attempt::cancel);
         final boolean sent = attemptsThatMayHaveRun > 0 || currentAttempt.isPresent();
-        final String cause = "the deadline passed; "
-                + currentAttempt.map(EndpointAttempt::describe).orElse("no attempt was running");
+        final String cause =
+                "the deadline passed; " + currentAttempt.map(Attempt::describe).orElse("no attempt was running");
         currentAttempt = Optional.empty();
         if (sent) {
             fail(ErrorKind.ENDPOINT_TIMEOUT, cause, 0);
@@ -445,7 +537,9 @@
     /** Responds that the request did not run and when the caller may retry it. */
     private void refuse(ErrorKind kind, String cause, long retryAfterMs) {
         log.refused(organisation, kind, cause, retryAfterMs);
-        responseWriter.writeResponse(services.codec().error(request, kind, cause, retryAfterMs));
+        final HttpReply reply = services.codec().error(request, kind, cause, retryAfterMs);
+        final boolean anotherNodeMayTakeIt = relayed && kind == ErrorKind.NO_ENDPOINT_REACHABLE;
+        responseWriter.writeResponse(anotherNodeMayTakeIt ? reply.withHeader(RelayHeaders.notTaken(), "1") : reply);
         end();
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -68,18 +68,29 @@
                         cause);
     }
 
+    /** Logs that the request is sent to another entry node, which reaches endpoints. */
+    void relayed(String peer, int peers, long remainingMs) {
+        services.metrics().countRelayed();
+        services.events().write(LogEvent.REQUEST_RELAYED, requestLogId, peer, peers, viewAgeMs(), remainingMs);
+    }
+
+    /** Logs that another entry node sent the request to this one. */
+    void arrivedRelayed(int earlierAttempts) {
+        services.events().write(LogEvent.RELAYED_REQUEST_ARRIVED, requestLogId, earlierAttempts);
+    }
+
     /** Logs that the request is sent as the trial of its quarantined prompt part. */
     void trialStarted() {
         services.events().write(LogEvent.PROMPT_PART_TRIAL, requestLogId);
     }
 
-    void retried(EndpointLoad endpoint, RetryReason reason, String cause, boolean resumed) {
+    void retried(String target, RetryReason reason, String cause, boolean resumed) {
         services.metrics().countRetry(reason);
         services.events()
                 .write(
                         resumed ? LogEvent.STREAM_RESUMED : LogEvent.REQUEST_RETRIED,
                         requestLogId,
-                        "after " + endpoint.vm(),
+                        "after " + target,
                         reason.code() + ", " + cause);
     }
 
@@ -90,13 +101,13 @@
         }
     }
 
-    void responded(EndpointLoad endpoint, int status, int attempts, int events) {
+    void responded(String target, int status, int attempts, int events) {
         services.events()
                 .write(
                         LogEvent.REQUEST_ANSWERED,
                         requestLogId,
                         status,
-                        endpoint.vm(),
+                        target,
                         TimeUnit.NANOSECONDS.toMillis(firstBytesNanos - arrivedNanos),
                         elapsedMs(),
                         attempts,
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apache.thrift.TException;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
@@ -44,6 +45,9 @@
     private final ConfigurationCache configurationCache;
     private final EventLog events;
     private final LongSupplier nanoClock;
+    /** Address at which this node takes relayed requests; empty while it takes none. */
+    private final Supplier<Optional<String>> relayAddress;
+
     private final Thread pullThread = new Thread(this::run, "pull");
     private final Deque<String> untriedControlVms = new ArrayDeque<>();
     /** The control VM that is believed to be the leader. */
@@ -61,7 +65,8 @@
             SharedEventLoop loop,
             ConfigurationCache configurationCache,
             EventLog events,
-            LongSupplier nanoClock) {
+            LongSupplier nanoClock,
+            Supplier<Optional<String>> relayAddress) {
         this.self = self;
         this.zone = zone;
         this.directory = directory;
@@ -70,6 +75,7 @@
         this.configurationCache = configurationCache;
         this.events = events;
         this.nanoClock = nanoClock;
+        this.relayAddress = relayAddress;
         pullThread.setDaemon(true);
     }
 
@@ -152,6 +158,7 @@
         request.setRefusedParts(PromptPartRecords.partsToThrift(parts.drainRefused()));
         request.setQuarantinedParts(PromptPartRecords.quarantineToThrift(parts.all(), nowNanos));
         registry.limits().drainReports(nowNanos).forEach(request::addToLimits);
+        relayAddress.get().ifPresent(request::setRelayAddress);
         return request;
     }
 
@@ -173,6 +180,7 @@
                 PromptPartRecords.quarantineFromThrift(reply.getQuarantinedParts(), sentNanos),
                 PromptPartRecords.partsFromThrift(reply.getPartsInQuestion()),
                 reply.getEntryVms(),
+                Optional.ofNullable(reply.getRelayAddresses()).orElse(List.of()),
                 // With term 0, the next pull asks a leader that is not settled yet for its complete state again.
                 reply.isSettled() ? reply.getTerm() : 0,
                 reply.getChangeNumber(),
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -74,6 +74,13 @@
             Level.WARNING,
             "no connection to endpoint {endpoint} at {address} could be opened for request {request} after"
                     + " {elapsed_ms} ms: {cause}"),
+    ENDPOINT_LINKS_CHANGED(
+            1512,
+            Level.WARNING,
+            "links to endpoints are {state}: endpoints {failed} failed since a connection was last opened; {elapsed_ms}"
+                    + " ms in the state before, {peers} entry nodes take requests"),
+    CRASH_REPORTS_DROPPED(
+            1513, Level.INFO, "{count} lost requests are not reported as crashes, as the links to endpoints are cut"),
 
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
     REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
@@ -107,6 +114,15 @@
             1614, Level.WARNING, "prompt part {part} quarantined: requests with it were lost with {losses} endpoints"),
     PROMPT_PART_RELEASED(1615, Level.INFO, "prompt part {part} is no longer quarantined"),
     PROMPT_PART_TRIAL(1616, Level.INFO, "request {request} is sent as the trial of its quarantined prompt part"),
+    REQUEST_RELAYED(
+            1617,
+            Level.INFO,
+            "request {request} relayed to entry node {peer}, as this node reaches no endpoint: {peers} nodes to choose"
+                    + " from, view {view_age_ms} ms old, {remaining_ms} ms left"),
+    RELAYED_REQUEST_ARRIVED(
+            1618,
+            Level.INFO,
+            "request {request} was relayed by another entry node after {attempts} attempts that may have run"),
 
     PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
--- a/src/main/java/org/wigeongrade/metrics/MetricName.java
+++ b/src/main/java/org/wigeongrade/metrics/MetricName.java
@@ -9,6 +9,10 @@
             "Requests in flight at an endpoint when its connection failed, which a crash of the endpoint may explain."),
     ENDPOINT_CONNECTIONS(
             "wigeongrade_endpoint_connections_total", "Attempts to open a connection to an endpoint, by outcome."),
+    RELAYED("wigeongrade_requests_relayed_total", "Requests sent to another entry VM because no endpoint was reached."),
+    ENDPOINT_LINKS_CUT(
+            "wigeongrade_endpoint_links_cut",
+            "1 while this entry VM reaches no endpoint and relays its requests, else 0."),
     REQUESTS("wigeongrade_requests_total", "Requests that ended, by availability zone of the endpoint and by outcome."),
     GROUP_DOWNTIME("wigeongrade_group_downtime_seconds_total", "Seconds that declared groups did not serve, by pool."),
     STRANDED_ACCELERATORS(
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -41,6 +41,8 @@
     private final Counter retries = counter(MetricName.RETRIES, "reason");
     private final Counter lostInFlight = counter(MetricName.LOST_IN_FLIGHT);
     private final Counter endpointConnections = counter(MetricName.ENDPOINT_CONNECTIONS, "outcome");
+    private final Counter relayed = counter(MetricName.RELAYED);
+    private final Gauge endpointLinksCut = gauge(MetricName.ENDPOINT_LINKS_CUT);
     private final Counter requestsByZone = counter(MetricName.REQUESTS, "zone", "outcome");
     private final Counter groupDowntime = counter(MetricName.GROUP_DOWNTIME, "pool");
     private final Counter strandedAccelerators = counter(MetricName.STRANDED_ACCELERATORS, "pool");
@@ -94,6 +96,16 @@
         endpointConnections.labelValues(outcome.code()).inc();
     }
 
+    /** Counts one request that was sent to another entry VM. */
+    public void countRelayed() {
+        relayed.inc();
+    }
+
+    /** Sets whether this entry VM reaches no endpoint. */
+    public void setEndpointLinksCut(boolean cut) {
+        endpointLinksCut.set(cut ? 1 : 0);
+    }
+
     /** Records the end of one request; {@code zone} is the endpoint's, or this VM's own if no endpoint was chosen. */
     public void recordRequest(AvailabilityZone zone, RequestOutcome outcome, long durationNanos) {
         requestsByZone.labelValues(zone.value(), outcome.code()).inc();
--- a/src/main/java/org/wigeongrade/metrics/RetryReason.java
+++ b/src/main/java/org/wigeongrade/metrics/RetryReason.java
@@ -5,6 +5,7 @@
 /** The closed list of reasons for retrying a request. Immutable; safe for use from any thread. */
 public enum RetryReason {
     CONNECT_FAILED("no connection to the endpoint could be opened"),
+    RELAY_REFUSED("the entry VM that the request was relayed to reaches no endpoint either"),
     ENDPOINT_REFUSED("the endpoint refused the request before running it"),
     ENDPOINT_FAILED("the endpoint failed and the request is idempotent"),
     ANSWER_CUT_SHORT("the response ended before it was complete and the request is idempotent"),
--- a/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
+++ b/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -98,16 +99,28 @@
 
     @Override
     public FullHttpRequest encode(CallerRequest request, ForwardingMetadata metadata, String address) {
+        final FullHttpRequest message = copy(request, metadata.remainingMs(), metadata.resumeAfter());
+        message.headers().set(WireHeaders.EXPECTED_VM, metadata.vm().value());
+        metadata.organisation()
+                .ifPresent(organisation -> message.headers().set(WireHeaders.ORGANISATION, organisation.value()));
+        return message;
+    }
+
+    @Override
+    public FullHttpRequest encodeForEntryNode(CallerRequest request, long remainingMs, OptionalLong resumeAfter) {
+        final FullHttpRequest message = copy(request, remainingMs, resumeAfter);
+        message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        request.apiKey().ifPresent(key -> message.headers().set(WireHeaders.API_KEY, key));
+        return message;
+    }
+
+    /** Returns the request without the headers that depend on who gets it. */
+    private static FullHttpRequest copy(CallerRequest request, long remainingMs, OptionalLong resumeAfter) {
         final ByteBuf body = Unpooled.wrappedBuffer(request.body().array());
         final FullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.target(), body);
-        message.headers()
-                .set(request.headers())
-                .set(WireHeaders.DEADLINE_MS, metadata.remainingMs())
-                .set(WireHeaders.EXPECTED_VM, metadata.vm().value());
-        metadata.organisation()
-                .ifPresent(organisation -> message.headers().set(WireHeaders.ORGANISATION, organisation.value()));
-        metadata.resumeAfter().ifPresent(eventId -> message.headers().set(WireHeaders.LAST_EVENT_ID, eventId));
+        message.headers().set(request.headers()).set(WireHeaders.DEADLINE_MS, remainingMs);
+        resumeAfter.ifPresent(eventId -> message.headers().set(WireHeaders.LAST_EVENT_ID, eventId));
         if (request.body().sizeBytes() > 0 || request.method().equals("POST")) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().sizeBytes());
         }
--- a/src/main/java/org/wigeongrade/settings/FleetSettings.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettings.java
@@ -20,7 +20,8 @@
  * @param bindIp the address that the internal ports are bound to; differs from {@code ip} behind a port forwarder
  * @param endpointGatewayIp the address through which an entry node reaches every endpoint, at the endpoint's port; absent
  *     if it reaches their own addresses
- * @param firstInternalPort the first of two ports: the replicated log, then calls between nodes
+ * @param firstInternalPort the first of four ports: the replicated log, calls between nodes, metrics unless they have a
+ *     port of their own, and requests that entry nodes relay
  * @param metricsPort the port that serves the metrics of this process
  * @param seeds addresses of some control VMs, for finding the others; they may be out of date
  * @param bootstrap whether the fleet starts for the first time, with empty disks
@@ -67,6 +68,11 @@
         return firstInternalPort + 1;
     }
 
+    /** Returns the port on which an entry VM takes requests that other entry VMs relay. */
+    public int relayPort() {
+        return firstInternalPort + 3;
+    }
+
     /** Returns the port on which every control VM serves endpoints and operators. */
     public int controlPort() {
         return controlListen.map(NodeAddress::port).orElseGet(() -> seeds.get(0).port());
--- a/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
+++ b/src/main/java/org/wigeongrade/settings/FleetSettingsReader.java
@@ -19,7 +19,7 @@
 
 /** Reads a fleet node's settings file and reports all its faults at once. Stateless; safe for use from any thread. */
 public final class FleetSettingsReader {
-    private static final int MAX_FIRST_PORT = 65_533;
+    private static final int MAX_FIRST_PORT = 65_532;
     private static final int MAX_PORT = 65_535;
     /** Offset of the metrics port from the first internal port, if the settings do not name it. */
     private static final int METRICS_PORT_OFFSET = 2;
@@ -84,7 +84,7 @@
         final boolean bootstrap = table.bool("bootstrap").orElse(false);
         final Map<FleetKey, Double> numbers = readNumbers(table);
         if (firstPort.isEmpty()) {
-            table.report("first_internal_port", "is missing; expected the first of three free ports");
+            table.report("first_internal_port", "is missing; expected the first of four free ports");
         }
         if (seeds.isEmpty()) {
             table.report("seeds", "is empty; expected the control address of at least one control VM");
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -91,6 +91,8 @@
   // What the entry VM holds of an earlier leader's quarantine.
   10: optional list<QuarantinedPartRecord> quarantinedParts
   11: optional list<EndpointLimitRecord> limits
+  // Address, as ip:port, at which the entry VM takes requests that other entry VMs relay; absent while it takes none.
+  12: optional string relayAddress
 }
 
 struct PullReply {
@@ -123,6 +125,8 @@
   18: optional list<string> partsInQuestion
   // Limits that changed in the last seconds, or all of them if the reply is complete.
   19: optional list<EndpointLimitRecord> limits
+  // Addresses of some entry VMs that take requests which this one cannot send to an endpoint.
+  20: optional list<string> relayAddresses
 }
 
 // What an endpoint VM last said of itself, as one control VM heard it.
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
@@ -99,6 +99,7 @@
                         List.of(),
                         Set.of(),
                         1,
+                        List.of(),
                         1,
                         changeNumber,
                         0),
