--- a/src/main/java/org/wigeongrade/callers/ForwardedRequest.java
+++ b/src/main/java/org/wigeongrade/callers/ForwardedRequest.java
@@ -60,7 +60,7 @@
                 .buildKeepingLast();
         sendHandle = Optional.of(dependencies
                 .client()
-                .send(
+                .sendToEntryVm(
                         new EndpointRequest(
                                 new AttemptId(requestId.value()),
                                 address,
--- a/src/main/java/org/wigeongrade/command/Node.java
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -224,7 +224,8 @@
 
     private void addHandlers(Chain chain, LeaderClient leaderClient) throws Exception {
         final ExecController execController = chain.getRegistry().get(ExecController.class);
-        final EndpointClient client = new EndpointClient(execController, MAX_RESPONSE_BYTES, nanoClock);
+        final EndpointClient client =
+                new EndpointClient(execController, MAX_RESPONSE_BYTES, settings.endpointGatewayIp(), nanoClock);
         final TaskScheduler taskScheduler = (task, delayMs) -> {
             final var unused = scheduler.schedule(task, delayMs, TimeUnit.MILLISECONDS);
         };
--- a/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
+++ b/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.net.HostAndPort;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.timeout.ReadTimeoutException;
@@ -9,6 +10,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.reactivestreams.Subscriber;
@@ -32,11 +34,15 @@
 
     private final ExecController execController;
     private final HttpClient httpClient;
+    private final Optional<String> gatewayIp;
     private final LongSupplier nanoClock;
 
-    public EndpointClient(ExecController execController, int maxResponseBytes, LongSupplier nanoClock)
+    /** @param gatewayIp address through which every endpoint is reached, at its own port; absent if there is none */
+    public EndpointClient(
+            ExecController execController, int maxResponseBytes, Optional<String> gatewayIp, LongSupplier nanoClock)
             throws Exception {
         this.execController = execController;
+        this.gatewayIp = gatewayIp;
         this.nanoClock = nanoClock;
         this.httpClient = HttpClient.of(spec -> spec.poolSize(NO_POOLED_CONNECTIONS)
                 .maxContentLength(maxResponseBytes)
@@ -46,12 +52,30 @@
 
     /** Sends a request asynchronously. The listener gets every later event, including connection failures. */
     public SendHandle send(EndpointRequest request, ResponseListener listener) {
+        return send(reachableAddress(request.address()), request, listener);
+    }
+
+    /** Sends a request to another entry VM, as above. */
+    public SendHandle sendToEntryVm(EndpointRequest request, ResponseListener listener) {
+        return send(request.address(), request, listener);
+    }
+
+    /** Returns the address, as {@code ip:port}, at which this VM reaches an endpoint. */
+    public String reachableAddress(String endpointAddress) {
+        return gatewayIp
+                .map(ip -> HostAndPort.fromParts(
+                                ip, HostAndPort.fromString(endpointAddress).getPort())
+                        .toString())
+                .orElse(endpointAddress);
+    }
+
+    private SendHandle send(String address, EndpointRequest request, ResponseListener listener) {
         final SendHandle handle = new SendHandle();
         execController
                 .fork()
                 .onError(failure -> listener.onFailure(classify(failure), describe(failure)))
                 .start(execution -> httpClient
-                        .requestStream(URI.create("http://" + request.address() + request.pathAndQuery()), spec -> {
+                        .requestStream(URI.create("http://" + address + request.pathAndQuery()), spec -> {
                             configure(spec, request);
                         })
                         .onError(failure -> {
--- a/src/main/java/org/wigeongrade/settings/NodeSettings.java
+++ b/src/main/java/org/wigeongrade/settings/NodeSettings.java
@@ -24,6 +24,7 @@
         NodeAddress peerListen,
         Optional<NodeAddress> logListen,
         Optional<Path> dataFolder,
+        Optional<String> endpointGatewayIp,
         NodeLimits limits,
         List<PeerSettings> peers) {
     public NodeSettings {
--- a/src/main/java/org/wigeongrade/settings/SettingsReader.java
+++ b/src/main/java/org/wigeongrade/settings/SettingsReader.java
@@ -76,13 +76,22 @@
         final Optional<NodeAddress> logListen = table.optionalConverted("log_listen", NodeAddress::of);
         final Optional<Path> dataFolder = table.optionalConverted(
                 "data_folder", text -> file.toAbsolutePath().resolveSibling(text));
+        final Optional<String> endpointGatewayIp = table.optionalConverted("endpoint_gateway_ip", text -> text);
         final NodeLimits limits = readLimits(table);
         final List<PeerSettings> peers = readPeers(table);
         if (name.isEmpty() || zone.isEmpty() || listen.isEmpty() || peerListen.isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(new NodeSettings(
-                name.get(), zone.get(), listen.get(), peerListen.get(), logListen, dataFolder, limits, peers));
+                name.get(),
+                zone.get(),
+                listen.get(),
+                peerListen.get(),
+                logListen,
+                dataFolder,
+                endpointGatewayIp,
+                limits,
+                peers));
     }
 
     private static Optional<NodeAddress> requiredAddress(TomlTableReader table, String key) {
--- a/src/test/java/org/wigeongrade/proof/ProcessFleet.java
+++ b/src/test/java/org/wigeongrade/proof/ProcessFleet.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.net.InetAddresses;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,6 +34,9 @@
 
     private final Path folder;
     private final boolean proxied;
+    /** Whether each node reaches the stand-ins through proxies of its own. */
+    private final boolean endpointsProxied;
+
     private final Map<String, NodePorts> nodes = new LinkedHashMap<>();
     private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
     private final Map<String, FaultInjectionProxy> proxies = new HashMap<>();
@@ -39,9 +45,10 @@
 
     private record NodePorts(boolean control, int listen, int peer, int log) {}
 
-    private ProcessFleet(Path folder, boolean proxied) {
+    private ProcessFleet(Path folder, boolean proxied, boolean endpointsProxied) {
         this.folder = folder;
         this.proxied = proxied;
+        this.endpointsProxied = endpointsProxied;
     }
 
     /** Starts {@code controlNodes} control nodes and {@code otherNodes} others, named from {@code entry-1} on. */
@@ -51,7 +58,15 @@
 
     /** Starts nodes; if {@code proxied}, connections between them pass through proxies that can inject faults. */
     static ProcessFleet start(Path folder, int controlNodes, int otherNodes, boolean proxied) {
-        ProcessFleet fleet = new ProcessFleet(folder, proxied);
+        return start(new ProcessFleet(folder, proxied, false), controlNodes, otherNodes);
+    }
+
+    /** Starts nodes that reach the stand-ins through proxies, which can inject faults for each node alone. */
+    static ProcessFleet startWithEndpointProxies(Path folder, int controlNodes) {
+        return start(new ProcessFleet(folder, false, true), controlNodes, 0);
+    }
+
+    private static ProcessFleet start(ProcessFleet fleet, int controlNodes, int otherNodes) {
         for (int i = 1; i <= controlNodes + otherNodes; i++) {
             int first = LoopbackPorts.allocateRange(3);
             fleet.nodes.put("entry-" + i, new NodePorts(i <= controlNodes, first, first + 1, first + 2));
@@ -91,6 +106,9 @@
             text.append("log_listen = \"127.0.0.1:").append(ports.log()).append("\"\n");
             text.append("data_folder = \"").append(dataFolder(name)).append("\"\n");
         }
+        if (endpointsProxied) {
+            text.append("endpoint_gateway_ip = \"").append(gatewayIp(name)).append("\"\n");
+        }
         nodes.forEach((peer, peerPorts) -> appendPeer(text, name, peer, peerPorts));
         return text.toString();
     }
@@ -127,6 +145,39 @@
         return List.of("zone-a", "zone-b", "zone-c").get((Integer.parseInt(name.substring("entry-".length())) - 1) % 3);
     }
 
+    private static String gatewayIp(String node) {
+        return "127.0.2." + node.substring("entry-".length());
+    }
+
+    private static String endpointLink(String node, int port) {
+        return node + " to endpoint " + port;
+    }
+
+    private void startEndpointProxies(int firstPort, int count) {
+        for (final String node : nodes.keySet()) {
+            for (int port = firstPort; port < firstPort + count; port++) {
+                try {
+                    proxies.put(
+                            endpointLink(node, port),
+                            new FaultInjectionProxy(
+                                    new InetSocketAddress(InetAddresses.forString(gatewayIp(node)), port),
+                                    new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        }
+    }
+
+    /** Sets how connections of a node to every stand-in are treated. */
+    void setEndpointLinks(String node, FaultInjectionProxy.Mode mode) {
+        proxies.forEach((linkName, proxy) -> {
+            if (linkName.startsWith(node + " to endpoint ")) {
+                proxy.setMode(mode);
+            }
+        });
+    }
+
     /** Sets how the proxies treat connections between {@code name} and the other nodes, in both directions. */
     void setProxyMode(String name, FaultInjectionProxy.Mode mode) {
         proxies.forEach((linkName, proxy) -> {
@@ -154,6 +205,9 @@
     private ManagedProcess startStandin(String kind, String vms, String... arguments) {
         int count = vms.split(",").length;
         int port = LoopbackPorts.allocateRange(count);
+        if (endpointsProxied) {
+            startEndpointProxies(port, count);
+        }
         Path journal = folder.resolve(vms.replace(',', '_') + ".journal");
         List<String> allArguments = new ArrayList<>(List.of(
                 kind,
