Forward requests of an entry VM that reaches no endpoint on the own interface as well

A VM whose links are cut says so in its pulls, is named to no other VM, forwards its callers' requests to one that the leader named, and reports no lost connection as a crash.

--- a/src/main/java/org/wigeongrade/callers/Attempts.java
+++ b/src/main/java/org/wigeongrade/callers/Attempts.java
@@ -11,6 +11,7 @@
 import org.wigeongrade.decisions.routing.RetryFacts;
 import org.wigeongrade.decisions.routing.RetryRefusal;
 import org.wigeongrade.decisions.routing.RouteTarget;
+import org.wigeongrade.endpoints.ResponseHead;
 import org.wigeongrade.endpoints.SendHandle;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.RunStatus;
@@ -146,8 +147,13 @@
         return Optional.empty();
     }
 
-    /** Reports the attempt's endpoint to every entry VM as cold if its response says so and this was not yet known. */
-    void reportIfCold(AttemptProgress attempt) {
+    /**
+     * Records the head of the attempt's response, and reports the endpoint to every entry VM as cold if the response
+     * says so and this was not yet known.
+     */
+    void recordHead(AttemptProgress attempt, ResponseHead head) {
+        attempt.recordHead(head);
+        dispatcher.recordOpened();
         final EndpointView endpoint = attempt.dispatch().endpoint();
         if (attempt.head().isFromColdEndpoint() && !endpoint.cold()) {
             dependencies
@@ -196,7 +202,7 @@
         current = Optional.empty();
         currentHandle = Optional.empty();
         dispatcher.releaseSlot(attempt.dispatch(), outcome.event());
-        if (outcome.event().mayIndicateCrash()) {
+        if (outcome.event().mayIndicateCrash() && dispatcher.recordLostConnection(attempt.dispatch())) {
             dependencies
                     .entry()
                     .suspects()
--- a/src/main/java/org/wigeongrade/callers/CallerApi.java
+++ b/src/main/java/org/wigeongrade/callers/CallerApi.java
@@ -45,7 +45,7 @@
 
     public CallerApi(CallerDependencies dependencies, InFlightRequests inFlight) {
         this.dependencies = dependencies;
-        this.dispatcher = new Dispatcher(dependencies.entry());
+        this.dispatcher = new Dispatcher(dependencies.entry(), new LinkMonitor(dependencies));
         this.inFlight = inFlight;
         this.modelList = new ModelList(dependencies.entry());
         this.admission = new CallerAdmission(dependencies.entry());
@@ -158,7 +158,7 @@
                     "model '" + generation.model() + "' is not declared; the declared models are " + modelList.names());
         }
         final RouteTarget target = new RouteTarget(EndpointKind.ENGINE, generation.model());
-        if (forwardToColdHolder(request, target)) {
+        if (forwardToOtherVm(request, target)) {
             return;
         }
         final CallerAdmission.Admitted admitted =
@@ -192,7 +192,7 @@
     private void callService(AuthenticatedRequest request, Context context) {
         final ServiceCall call = serviceCall(request, context);
         final RouteTarget target = RouteTarget.of(call.service().name());
-        if (forwardToColdHolder(request, target)) {
+        if (forwardToOtherVm(request, target)) {
             return;
         }
         final CallerAdmission.Admitted admitted = admission.admit(request.organisation(), target, 0);
@@ -210,24 +210,42 @@
     }
 
     /**
-     * Forwards the request to an entry VM that holds the slots of the target's cold endpoints, unless it was forwarded
-     * before. Returns whether it was forwarded.
+     * Forwards the request, unless it was forwarded before, to an entry VM that reaches endpoints if this one reaches
+     * none, or that holds the slots of the target's cold endpoints. Returns whether it was forwarded.
      */
-    private boolean forwardToColdHolder(AuthenticatedRequest request, RouteTarget target) {
-        final boolean alreadyForwarded =
-                request.context().getRequest().getHeaders().contains(ForwardedRequest.HEADER);
-        final Optional<String> address = alreadyForwarded ? Optional.empty() : dispatcher.coldHolderAddress(target);
-        if (address.isEmpty()) {
+    private boolean forwardToOtherVm(AuthenticatedRequest request, RouteTarget target) {
+        if (request.context().getRequest().getHeaders().contains(ForwardedRequest.HEADER)) {
             return false;
         }
+        final Optional<String> relay = dispatcher.relayAddress();
+        if (relay.isPresent()) {
+            dependencies.metrics().countRelayed();
+            dependencies
+                    .events()
+                    .write(
+                            LogEvent.REQUEST_RELAYED,
+                            request.id(),
+                            relay.get(),
+                            dependencies.entry().view().relayAddresses().size(),
+                            "-",
+                            dependencies.limits().requestTimeoutMs());
+            forward(request, relay.get(), "this entry VM reaches no endpoint");
+            return true;
+        }
+        final Optional<String> coldHolder = dispatcher.coldHolderAddress(target);
+        coldHolder.ifPresent(address ->
+                forward(request, address, "the target's endpoints are cold and only this entry VM may send to them"));
+        return coldHolder.isPresent();
+    }
+
+    private void forward(AuthenticatedRequest request, String address, String reason) {
         inFlight.requestStarted();
         respond(request, result -> {
             final ForwardedRequest forwarded = new ForwardedRequest(
                     dependencies, request.id(), request.decisions(), result, inFlight::requestEnded);
             onDisconnect(request.context(), forwarded::onCallerDisconnect);
-            forwarded.start(address.get(), request.context().getRequest(), request.body());
+            forwarded.start(address, reason, request.context().getRequest(), request.body());
         });
-        return true;
     }
 
     private ServiceCall serviceCall(AuthenticatedRequest request, Context context) {
--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -38,11 +38,13 @@
  */
 final class Dispatcher {
     private final EntryRole entry;
+    private final LinkMonitor links;
     private final Router router = new Router(RoutingPolicy.AFFINITY);
     private final SlotTable slots;
 
-    Dispatcher(EntryRole entry) {
+    Dispatcher(EntryRole entry, LinkMonitor links) {
         this.entry = entry;
+        this.links = links;
         this.slots = SlotTable.of(entry.shares(), entry.suspects()::isReservedForSuspect);
     }
 
@@ -63,6 +65,12 @@
         if (!view.hasLease(nowNanos)) {
             return refused(ErrorKind.NO_VIEW_LEASE, "this entry VM holds no valid view lease");
         }
+        if (!links.state().sendsDirectly()) {
+            return refused(
+                    ErrorKind.NO_ENDPOINT_REACHABLE,
+                    "this entry VM reaches no endpoint; it knows "
+                            + view.relayAddresses().size() + " entry VMs that may");
+        }
         final ImmutableSet<PromptPartId> promptParts =
                 originalRequest.prefixDigests().stream().map(PromptPartId::of).collect(ImmutableSet.toImmutableSet());
         final SuspectDecision suspectDecision = entry.suspects().check(requestDigest, promptParts, nowNanos);
@@ -94,6 +102,25 @@
         }
     }
 
+    /** Returns the address of an entry VM to forward a request to if this one reaches no endpoint. */
+    Optional<String> relayAddress() {
+        final ImmutableList<String> addresses = entry.view().relayAddresses();
+        return links.state().sendsDirectly() || addresses.isEmpty()
+                ? Optional.empty()
+                : Optional.of(addresses.get(RandomGenerator.getDefault().nextInt(addresses.size())));
+    }
+
+    /** Records that an endpoint responded on the connection of an attempt. */
+    void recordOpened() {
+        links.recordOpened();
+    }
+
+    /** Returns whether a failure that looks like a crash of the endpoint is evidence against its request. */
+    boolean recordLostConnection(DispatchResult.Ready ready) {
+        links.recordFailure(ready.incarnation());
+        return links.state().showsEndpointFaults();
+    }
+
     /**
      * Returns the address of the entry VM to forward a request to if the target's endpoints are cold or warming up and
      * other entry VMs hold all their slots. Returns empty if this VM can serve the request or no VM can.
@@ -150,6 +177,7 @@
         entry.shares().release(ready.slot());
         if (event == AttemptEvent.CONNECT_FAILED) {
             entry.unreachable().recordConnectFailure(ready.endpoint(), entry.nowNanos());
+            links.recordFailure(ready.incarnation());
         }
     }
 
--- a/src/main/java/org/wigeongrade/callers/ForwardedRequest.java
+++ b/src/main/java/org/wigeongrade/callers/ForwardedRequest.java
@@ -50,9 +50,8 @@
         this.onEnd = onEnd;
     }
 
-    synchronized void start(String address, Request request, byte[] requestBody) {
-        decisions.add(
-                "", "passed on", "the target's endpoints are cold and only entry VM " + address + " may send to them");
+    synchronized void start(String address, String reason, Request request, byte[] requestBody) {
+        decisions.add("", "passed on", "to entry VM " + address + ": " + reason);
         final long timeoutMs = dependencies.limits().requestTimeoutMs();
         final ImmutableMap<String, String> headers = ImmutableMap.<String, String>builder()
                 .putAll(HeaderFilter.toEntryVm(request.getHeaders()))
--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -253,8 +253,7 @@
         @Override
         public void onHead(ResponseHead head) {
             synchronized (GenerationExchange.this) {
-                attempt.recordHead(head);
-                attempts.reportIfCold(attempt);
+                attempts.recordHead(attempt, head);
             }
         }
 
@@ -388,8 +387,7 @@
         @Override
         public void onHead(ResponseHead head) {
             synchronized (GenerationExchange.this) {
-                attempt.recordHead(head);
-                attempts.reportIfCold(attempt);
+                attempts.recordHead(attempt, head);
             }
         }
 
--- /dev/null
+++ b/src/main/java/org/wigeongrade/callers/LinkMonitor.java
@@ -0,0 +1,103 @@
+package org.wigeongrade.callers;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.decisions.reachability.LinkState;
+import org.wigeongrade.decisions.reachability.ProbeRound;
+import org.wigeongrade.decisions.routing.EndpointView;
+import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.nodes.entry.EndpointLinks;
+
+/**
+ * Probes endpoints when this VM's links to all of them are in doubt, and while they are cut. Thread safe: holds no lock
+ * of its own.
+ */
+final class LinkMonitor {
+    /** Timeout of a probe, in milliseconds; several round trips, so that a cut is known well within a second. */
+    private static final int PROBE_TIMEOUT_MS = 300;
+    /** Time between the end of a round of probes without success and the next one, in milliseconds. */
+    private static final long PROBE_INTERVAL_MS = 250;
+
+    private final CallerDependencies dependencies;
+    private final EndpointLinks links;
+    private final AtomicLong stateSinceNanos;
+
+    LinkMonitor(CallerDependencies dependencies) {
+        this.dependencies = dependencies;
+        this.links = dependencies.entry().links();
+        this.stateSinceNanos = new AtomicLong(dependencies.entry().nowNanos());
+    }
+
+    LinkState state() {
+        return links.state();
+    }
+
+    /** Records that a connection to an endpoint could not be opened or was lost. */
+    void recordFailure(EndpointIncarnation endpoint) {
+        if (links.recordFailure(endpoint)) {
+            logState(LinkState.IN_DOUBT);
+            dependencies.workers().execute(this::startRound);
+        }
+    }
+
+    /** Records that an endpoint responded on a new connection. */
+    void recordOpened() {
+        if (links.recordOpened()) {
+            logState(LinkState.WORKING);
+        }
+    }
+
+    private void startRound() {
+        final ProbeRound<EndpointView> round =
+                links.startRound(dependencies.entry().view().allEndpoints());
+        if (round.targets().isEmpty()) {
+            logState(LinkState.WORKING);
+        }
+        round.targets().forEach(endpoint -> dependencies.workers().execute(() -> probe(endpoint, round.number())));
+    }
+
+    private void probe(EndpointView endpoint, long round) {
+        final HostAndPort target = HostAndPort.fromString(dependencies.client().reachableAddress(endpoint.address()));
+        try (Socket socket = new Socket()) {
+            socket.connect(
+                    new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort()),
+                    PROBE_TIMEOUT_MS);
+            recordOpened();
+        } catch (IOException e) {
+            final boolean wasInDoubt = links.state() == LinkState.IN_DOUBT;
+            if (links.recordProbeFailed(round)) {
+                if (wasInDoubt) {
+                    logState(LinkState.CUT);
+                    dependencies.requestViewPull().run();
+                }
+                dependencies.scheduler().schedule(this::probeAgain, PROBE_INTERVAL_MS);
+            }
+        }
+    }
+
+    private void probeAgain() {
+        if (links.state() == LinkState.CUT) {
+            dependencies.workers().execute(this::startRound);
+        }
+    }
+
+    private void logState(LinkState state) {
+        final long nowNanos = dependencies.entry().nowNanos();
+        final long elapsedNanos = nowNanos - stateSinceNanos.getAndSet(nowNanos);
+        dependencies
+                .events()
+                .write(
+                        LogEvent.ENDPOINT_LINKS_CHANGED,
+                        state.code(),
+                        links.failedEndpoints(),
+                        TimeUnit.NANOSECONDS.toMillis(elapsedNanos),
+                        dependencies.entry().view().relayAddresses().size());
+        dependencies.metrics().setEndpointLinksCut(state == LinkState.CUT);
+    }
+}
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -248,8 +248,7 @@
         @Override
         public void onHead(ResponseHead head) {
             synchronized (ServiceExchange.this) {
-                attempt.recordHead(head);
-                attempts.reportIfCold(attempt);
+                attempts.recordHead(attempt, head);
                 refusedBeforeRun = attempt.completedOutcome().event() != AttemptEvent.ANSWERED;
                 if (refusedBeforeRun || ended) {
                     return;
@@ -311,8 +310,7 @@
         @Override
         public void onHead(ResponseHead head) {
             synchronized (ServiceExchange.this) {
-                attempt.recordHead(head);
-                attempts.reportIfCold(attempt);
+                attempts.recordHead(attempt, head);
             }
         }
 
--- a/src/main/java/org/wigeongrade/fleet/control/RelayDirectory.java
+++ b/src/main/java/org/wigeongrade/decisions/reachability/RelayDirectory.java
@@ -1,4 +1,4 @@
-package org.wigeongrade.fleet.control;
+package org.wigeongrade.decisions.reachability;
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.NodeName;
 
@@ -15,13 +14,13 @@
  * The entry nodes that take requests from entry nodes that reach no endpoint. Each node is told a few of its own and of
  * the other availability zones, so that it knows some before it needs them.
  *
- * <p>Invariants: a node that has not pulled for {@link #EXPIRY_NANOS}, or that takes no requests, is not named; a pull
- * costs time in proportion to the availability zones and to the nodes that it names, not to all nodes. Not thread safe;
- * {@link LeaderTerm} guards it.
+ * <p>Invariants: a node that has not pulled for the expiry time, or that takes no requests, is not named; a pull
+ * costs time in proportion to the availability zones and to the nodes that it names, not to all nodes. Time is a
+ * parameter. Not thread safe.
  */
-final class RelayDirectory {
-    /** Several pulls; a node that was killed or is partitioned from the leader is named no longer than that. */
-    private static final long EXPIRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+public final class RelayDirectory {
+    /** Pulls without which a node is taken for killed or partitioned from the leader. */
+    private static final int EXPIRY_PULLS = 4;
     /** Nodes that are named of the reader's own availability zone, and of all others together. */
     private static final int NAMED_IN_ZONE = 3;
 
@@ -29,11 +28,17 @@
 
     private record Relay(NodeName node, AvailabilityZone zone, String address, long pulledNanos) {}
 
+    private final long expiryNanos;
     private final Map<NodeName, Relay> relays = new HashMap<>();
     private final Map<AvailabilityZone, List<NodeName>> nodesByZone = new TreeMap<>();
 
+    /** @param pullIntervalNanos time between two pulls of a node */
+    public RelayDirectory(long pullIntervalNanos) {
+        this.expiryNanos = EXPIRY_PULLS * pullIntervalNanos;
+    }
+
     /** Records where a node takes relayed requests; empty if it takes none. */
-    void record(NodeName node, AvailabilityZone zone, Optional<String> address, long nowNanos) {
+    public void record(NodeName node, AvailabilityZone zone, Optional<String> address, long nowNanos) {
         if (address.isEmpty()) {
             remove(node);
             return;
@@ -52,7 +57,7 @@
     }
 
     /** Returns the addresses that a node may relay to, those of its own availability zone first. */
-    ImmutableList<String> addressesFor(NodeName reader, AvailabilityZone zone, long nowNanos) {
+    public ImmutableList<String> addressesFor(NodeName reader, AvailabilityZone zone, long nowNanos) {
         final List<String> addresses = new ArrayList<>();
         addFrom(zone, reader, NAMED_IN_ZONE, addresses, nowNanos);
         final List<AvailabilityZone> others = nodesByZone.keySet().stream()
@@ -75,7 +80,7 @@
         int added = 0;
         for (int step = 0; step < nodes.size() && added < count; step++) {
             final Relay relay = relays.get(nodes.get((start + step) % nodes.size()));
-            if (nowNanos - relay.pulledNanos() > EXPIRY_NANOS) {
+            if (nowNanos - relay.pulledNanos() > expiryNanos) {
                 expired.add(relay.node());
             } else if (!relay.node().equals(reader)) {
                 addresses.add(relay.address());
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -19,6 +19,7 @@
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
+import org.wigeongrade.decisions.reachability.RelayDirectory;
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
@@ -53,7 +54,8 @@
     private final RoutableEndpointTable routableEndpoints = new RoutableEndpointTable();
     private final EntryNodeReports entryReports = new EntryNodeReports();
     private final EndpointLimitTable limits = new EndpointLimitTable();
-    private final RelayDirectory relays = new RelayDirectory();
+    private final RelayDirectory relays =
+            new RelayDirectory(TimeUnit.MILLISECONDS.toNanos(FleetTimings.PULL_INTERVAL_MS));
     private final CrashQuarantine quarantine;
     /** Whether heartbeats have come in for long enough to plan; until then, existing groups are only taken over. */
     private boolean settled;
--- a/src/main/java/org/wigeongrade/nodes/control/LeaderState.java
+++ b/src/main/java/org/wigeongrade/nodes/control/LeaderState.java
@@ -11,6 +11,8 @@
 import org.wigeongrade.decisions.membership.AnnouncementTable;
 import org.wigeongrade.decisions.outcomes.CrashSuspects;
 import org.wigeongrade.decisions.placement.PlacementReason;
+import org.wigeongrade.decisions.reachability.RelayDirectory;
+import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.logging.EventLog;
@@ -21,7 +23,7 @@
  * The volatile state of a leader for one term: what it knows beyond the replicated log.
  *
  * <p>Invariant: it starts empty in each term, and nothing in it is used after the term. Thread safe: the tables have
- * their own locks; {@code entryStatuses}, {@code holds} and {@code snapshot} are guarded by this object's lock, which
+ * their own locks; {@code entryStatuses}, {@code relays}, {@code holds} and {@code snapshot} are guarded by this object's lock, which
  * is acquired before the locks of the tables and never after them.
  */
 final class LeaderState {
@@ -38,6 +40,7 @@
     private final CrashQuarantine crashQuarantine;
     private final CacheEventRing cacheEvents = new CacheEventRing();
     private final Map<NodeName, EntryStatus> entryStatuses = new TreeMap<>();
+    private final RelayDirectory relays;
     private Optional<FleetSnapshot> snapshot = Optional.empty();
     private ImmutableMap<GroupName, PlacementReason> holds = ImmutableMap.of();
 
@@ -45,6 +48,7 @@
         this.term = term;
         this.sinceNanos = sinceNanos;
         this.timings = timings;
+        this.relays = new RelayDirectory(timings.pullIntervalNanos());
         this.crashQuarantine = new CrashQuarantine(timings.pullIntervalNanos(), events);
         this.shares = new ShareAllocator(timings.viewLeaseNanos(), sinceNanos + timings.viewLeaseNanos());
     }
@@ -106,6 +110,20 @@
         entryStatuses.put(status.node(), status);
     }
 
+    /** Records whether an entry VM takes requests from entry VMs that reach no endpoint. */
+    synchronized void recordRelay(EntryStatus status, boolean takesRequests) {
+        relays.record(
+                status.node(),
+                status.zone(),
+                Optional.of(status.callerAddress()).filter(address -> takesRequests),
+                status.seenAtNanos());
+    }
+
+    /** Returns the addresses to which an entry VM may send its callers' requests if it reaches no endpoint. */
+    synchronized ImmutableList<String> relayAddresses(NodeName reader, AvailabilityZone zone, long nowNanos) {
+        return relays.addressesFor(reader, zone, nowNanos);
+    }
+
     synchronized ImmutableList<EntryStatus> entryStatuses() {
         return ImmutableList.copyOf(entryStatuses.values());
     }
--- a/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
@@ -58,7 +58,7 @@
         final long nowNanos = nanoClock.getAsLong();
         request.getAnnouncements().forEach(record -> recordAnnouncement(record, leaderState, nowNanos));
         final NodeName node = new NodeName(request.getNode());
-        leaderState.recordEntry(new EntryStatus(
+        final EntryStatus status = new EntryStatus(
                 node,
                 new AvailabilityZone(request.getAvailabilityZone()),
                 request.getIncarnation(),
@@ -66,7 +66,10 @@
                 request.isStopping(),
                 request.getCallerAddress(),
                 nowNanos,
-                nowNanos + timings.viewLeaseNanos()));
+                nowNanos + timings.viewLeaseNanos());
+        leaderState.recordEntry(status);
+        leaderState.recordRelay(
+                status, request.isLeaseHeld() && !request.isStopping() && !request.isEndpointLinksCut());
         final CrashReport crashes = CrashRecords.fromThrift(request.getCrashReport());
         crashes.losses()
                 .forEach(loss -> leaderState
@@ -106,6 +109,8 @@
         final CrashQuarantine quarantine = leaderState.crashQuarantine();
         reply.setQuarantinedParts(quarantine.quarantinedParts(new NodeName(request.getNode()), nowNanos));
         reply.setPartsInQuestion(quarantine.partsInQuestion());
+        reply.setRelayAddresses(leaderState.relayAddresses(
+                new NodeName(request.getNode()), new AvailabilityZone(request.getAvailabilityZone()), nowNanos));
         return reply;
     }
 
--- a/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
@@ -42,6 +42,7 @@
     private final PrefixIndex prefixIndex = new PrefixIndex(MAX_BLOCKS_PER_ENGINE);
     private final RetryBudget retryBudget = new RetryBudget(RETRIES_PER_REQUEST, RETRY_RESERVE);
     private final UnreachableEndpoints unreachable = new UnreachableEndpoints(UNREACHABLE_NANOS);
+    private final EndpointLinks links = new EndpointLinks();
     private final AnnouncementInbox inbox = new AnnouncementInbox();
     private final DecisionRecords decisions = new DecisionRecords();
     private final LongSupplier nanoClock;
@@ -90,6 +91,10 @@
         return unreachable;
     }
 
+    public EndpointLinks links() {
+        return links;
+    }
+
     public OrganisationAdmission admission() {
         return admission;
     }
@@ -140,7 +145,9 @@
 
     /** Returns whether the load balancer may send callers to this VM. */
     public boolean isHealthy() {
-        return !leaving.get() && view().hasLease(nowNanos());
+        final boolean canServe =
+                links.state().sendsDirectly() || !view().relayAddresses().isEmpty();
+        return !leaving.get() && view().hasLease(nowNanos()) && canServe;
     }
 
     /** Drops the slots at an endpoint that showed a sign of being cold, as observed by this VM or by a peer. */
--- a/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
@@ -14,7 +14,8 @@
  * The view by which an entry VM routes requests: the configuration in force, the endpoints that may serve and the view
  * lease.
  *
- * <p>{@code leaseDeadlineNanos} is on this VM's monotonic clock and is counted from the time at which the pull was
+ * <p>{@code relayAddresses} are those of entry VMs that take requests which this one cannot send to an endpoint. {@code
+ * leaseDeadlineNanos} is on this VM's monotonic clock and is counted from the time at which the pull was
  * sent.
  *
  * <p>Invariant: the revision and the term never decrease from one view to the next. Immutable; safe for use from any
@@ -26,13 +27,22 @@
         long endpointsDigest,
         ImmutableList<EndpointRecord> records,
         ImmutableMap<EndpointId, EndpointView> endpoints,
+        ImmutableList<String> relayAddresses,
         long quarantineDigest,
         ImmutableMap<String, Long> quarantinedUntilEpochMs,
         long leaseDeadlineNanos) {
     /** Returns the view of a process that has not pulled one yet. */
     public static FleetView empty(long nowNanos) {
         return new FleetView(
-                0, ConfigurationView.EMPTY, 0, ImmutableList.of(), ImmutableMap.of(), 0, ImmutableMap.of(), nowNanos);
+                0,
+                ConfigurationView.EMPTY,
+                0,
+                ImmutableList.of(),
+                ImmutableMap.of(),
+                ImmutableList.of(),
+                0,
+                ImmutableMap.of(),
+                nowNanos);
     }
 
     /** Returns whether the view lease is valid, so that new work may be sent according to this view. */
--- a/src/main/java/org/wigeongrade/nodes/entry/FleetViews.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetViews.java
@@ -49,6 +49,7 @@
                 reply.getEndpointsDigest(),
                 records,
                 endpoints(earlier, records, reply, configuration, sentNanos),
+                reply.isSetRelayAddresses() ? ImmutableList.copyOf(reply.getRelayAddresses()) : ImmutableList.of(),
                 reply.getQuarantineDigest(),
                 quarantined,
                 sentNanos + reply.getViewLeaseNanos()));
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -130,6 +130,7 @@
         request.setQuarantineDigest(view.quarantineDigest());
         request.setAnnouncements(announcements);
         request.setStopping(entry.isStopping());
+        request.setEndpointLinksCut(!entry.links().state().sendsDirectly());
         request.setLeaseHeld(view.hasLease(nowNanos));
         request.setCacheCursorTerm(cacheCursorTerm);
         request.setCacheCursor(cacheCursor);
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -103,6 +103,8 @@
   16: CrashReportRecord crashReport
   // Where other entry VMs may pass callers' requests on to this one.
   17: string callerAddress
+  // The entry VM reaches no endpoint, so that it takes no requests from other ones.
+  18: optional bool endpointLinksCut
 }
 
 struct EndpointRecord {
@@ -169,6 +171,8 @@
   21: optional list<fleet.QuarantinedPartRecord> quarantinedParts
   // Prompt parts for which the leader wants to know the complete responses.
   22: optional list<string> partsInQuestion
+  // Addresses of some entry VMs that take requests which this one cannot send to an endpoint.
+  23: optional list<string> relayAddresses
 }
 
 // A refusal or failure with a code from the closed list of error kinds.
--- a/src/test/java/org/wigeongrade/fleet/control/RelayDirectoryTest.java
+++ b/src/test/java/org/wigeongrade/decisions/reachability/RelayDirectoryTest.java
@@ -1,4 +1,4 @@
-package org.wigeongrade.fleet.control;
+package org.wigeongrade.decisions.reachability;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -18,7 +18,7 @@
 final class RelayDirectoryTest {
     private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
 
-    private final RelayDirectory directory = new RelayDirectory();
+    private final RelayDirectory directory = new RelayDirectory(TimeUnit.MILLISECONDS.toNanos(250));
 
     @ParameterizedTest
     @CsvSource({"1, 0", "2, 1", "3, 2", "7, 6", "100, 6", "340, 6"})
