Add a failing test of groups whose head or member is silent for a second and goes on

The users state that an endpoint may be silent for a second. Requests at it are kept or failed over (CutEntryNodeTest), but the leader closes its group after 0.5 to 0.6 s, in all four cases.

--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the planner against simulated engine VMs in virtual time, with VMs and leaders lost in many patterns. */
@@ -72,6 +73,32 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    /** A group whose head or member is silent for a second and goes on must not be closed under its requests. */
+    @ParameterizedTest
+    @CsvSource({"true, 700", "true, 1000", "false, 700", "false, 1000"})
+    void groupSurvivesASecondOfSilence(boolean ofHead, long silentMs) {
+        fleet.run(LOADED_MS);
+        fleet.keepEveryGroupBusy();
+        fleet.run(2_000);
+        final SimulatedVm head = fleet.anyHead();
+        final SimulatedVm silent = ofHead ? head : fleet.memberOf(head);
+        fleet.changes.clear();
+        silent.silent = true;
+        fleet.run(100);
+        assertThat(fleet.suspects()).isEmpty();
+        fleet.run(silentMs - 100);
+        silent.silent = false;
+        fleet.run(3_000);
+
+        assertThat(fleet.changes.stream()
+                        .map(GroupPhaseChange::phase)
+                        .distinct()
+                        .toList())
+                .containsNoneOf(GroupPhase.CLOSING, GroupPhase.BREAKING, GroupPhase.ENDED);
+        assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isEqualTo(12);
+        assertThat(fleet.suspects()).isEmpty();
+    }
+
     @Test
     void headThatRefusesConnectionsIsSuspectDespiteRecentBytes() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -175,7 +175,7 @@
         if (late) {
             schedule(2_000 + random.nextInt(10_000), () -> executeIfReachable(vm, order));
         }
-        if (late || vm.partitioned || vm.ended) {
+        if (late || vm.partitioned || vm.silent || vm.ended) {
             schedule(timeoutMs(order), () -> leader.recordResponse(order, OrderResponse.NONE, nanos(nowMs)));
             return;
         }
@@ -190,7 +190,7 @@
     }
 
     private static void executeIfReachable(SimulatedVm vm, GroupOrder order) {
-        if (!vm.ended && !vm.partitioned) {
+        if (!vm.ended && !vm.partitioned && !vm.silent) {
             vm.execute(order);
         }
     }
@@ -296,6 +296,18 @@
         return vms.stream().filter(SimulatedVm::mayServe).findFirst().orElseThrow();
     }
 
+    boolean isSilent(VmName name) {
+        return vms.stream().anyMatch(vm -> vm.silent && vm.incarnation.vm().equals(name));
+    }
+
+    /** Returns a VM of the group of this head. */
+    SimulatedVm memberOf(SimulatedVm head) {
+        return vms.stream()
+                .filter(vm -> !vm.isHead() && head.group.equals(vm.group))
+                .findFirst()
+                .orElseThrow();
+    }
+
     long nowMs() {
         return nowMs;
     }
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
@@ -25,6 +25,8 @@
     final FabricDomain domain;
     /** Whether the VM is cut off from the leader; its process keeps running. */
     boolean partitioned;
+    /** Whether the VM answers nothing and its group makes no progress, although it will go on. */
+    boolean silent;
     /** Whether the process has ended. */
     boolean ended;
 
@@ -187,7 +189,7 @@
         }
         nextHeartbeatMs = fleet.nowMs() + SimulatedFleet.HEARTBEAT_MS;
         sequence++;
-        return partitioned || losesHeartbeats ? Optional.empty() : Optional.of(heartbeat());
+        return partitioned || silent || losesHeartbeats ? Optional.empty() : Optional.of(heartbeat());
     }
 
     private void changeState() {
@@ -213,7 +215,8 @@
             stalledSinceMs = Long.MAX_VALUE;
             return;
         }
-        final boolean complete = members.stream().allMatch(member -> fleet.isIn(member, group, epoch));
+        final boolean complete =
+                members.stream().allMatch(member -> fleet.isIn(member, group, epoch) && !fleet.isSilent(member));
         stalledSinceMs = complete ? Long.MAX_VALUE : Math.min(stalledSinceMs, fleet.nowMs());
         if (!complete && fleet.nowMs() - stalledSinceMs >= STALL_MS) {
             state = GroupState.BROKEN;
