Reset a closed connection without an exception, which ended the probes of a cut entry node; cut entry nodes and state limits in the soak

Two of the soak's new faults found this: entry nodes lose their links to all endpoints (partition, reset and refused, new ones refused; one node or all), and endpoints state a limit, which StatedLimitChecker checks over all nodes together.

Cause: resetting a kept connection that the endpoint had closed threw a ChannelException ("Socket is closed", in the log of entry-0), so that no further probe was scheduled; cancelling a request would have failed the same way. The reset now accepts a closed connection, and the next round of probes is scheduled first.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointLinks.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointLinks.java
@@ -95,11 +95,11 @@
     }
 
     private void onRoundFailed() {
+        NettyFutures.logFailure(loop.eventLoop().schedule(this::probeAgain, PROBE_INTERVAL_MS, TimeUnit.MILLISECONDS));
         if (registry.linkState() != LinkState.CUT) {
             enterState();
             connectionPool.resetIdleAndConnecting();
         }
-        NettyFutures.logFailure(loop.eventLoop().schedule(this::probeAgain, PROBE_INTERVAL_MS, TimeUnit.MILLISECONDS));
     }
 
     private void probeAgain() {
--- a/src/main/java/org/wigeongrade/fleet/net/NettyFutures.java
+++ b/src/main/java/org/wigeongrade/fleet/net/NettyFutures.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.fleet.net;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.util.concurrent.Future;
 import java.lang.System.Logger.Level;
@@ -13,7 +14,12 @@
 
     /** Closes a connection with a reset, so that bytes that have not arrived yet never will. */
     public static void reset(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // The other side may have closed the connection, so that there is nothing left to reset.
+            LOGGER.log(Level.DEBUG, "connection {0} is closed already: {1}", channel, e);
+        }
         logFailure(channel.close());
     }
 
--- a/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
@@ -46,6 +46,9 @@
     /** End of the time for which this VM wants no requests; in the past if it takes them. */
     private volatile long wantsPauseUntilNanos = System.nanoTime();
 
+    /** Requests a second that this VM states it takes from all nodes together; 0 if it states none. */
+    private volatile double statedLimit;
+
     private volatile boolean closed;
     /** Fraction of requests whose response is dropped after they ran. */
     private volatile double lostResponseRatio;
@@ -101,6 +104,8 @@
         draining = false;
         saysLeaving = false;
         wantsPauseUntilNanos = System.nanoTime();
+        statedLimit = 0;
+        fleet.guarantees().limits().recordLifted(name);
         engine.ifPresent(FakeEngine::reset);
         running = true;
         server.start();
@@ -145,6 +150,14 @@
         Await.sleepMs(forMs);
     }
 
+    /** States for {@code forMs} how many requests a second it takes. */
+    void stateLimit(double requestsPerSecond, long forMs) {
+        statedLimit = requestsPerSecond;
+        Await.sleepMs(forMs);
+        statedLimit = 0;
+        fleet.guarantees().limits().recordLifted(name);
+    }
+
     private void sendHeartbeats() {
         while (!closed) {
             if (running && !unresponsive) {
@@ -199,6 +212,12 @@
         final String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("X-Attempt-Id", attemptId);
         fleet.guarantees().sendRestrictions().recordArrival(attemptId, name, startedMs);
+        fleet.guarantees().limits().recordArrival(attemptId, name);
+        final double limit = statedLimit;
+        if (limit > 0) {
+            exchange.getResponseHeaders().set("Server-Limit", Double.toString(limit));
+            fleet.guarantees().limits().recordStated(attemptId, name, limit);
+        }
         final boolean toldOfLeaving = exchange.getResponseHeaders().containsKey("Server-Leaving");
         if (turnAway(exchange, attemptId)) {
             return;
--- a/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
+++ b/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
@@ -22,6 +22,12 @@
 
     private final SendRestrictionChecker sendRestrictions = new SendRestrictionChecker(this);
 
+    private final StatedLimitChecker limits = new StatedLimitChecker(this);
+
+    StatedLimitChecker limits() {
+        return limits;
+    }
+
     SendRestrictionChecker sendRestrictions() {
         return sendRestrictions;
     }
--- a/src/test/java/org/wigeongrade/platform/soak/SoakAddresses.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakAddresses.java
@@ -46,6 +46,11 @@
         return "127.77.2." + (index + 1);
     }
 
+    /** Returns the address at which an entry node reaches the endpoints. */
+    String gatewayIp(int entry) {
+        return "127.79.1." + (entry + 1);
+    }
+
     /** Returns the proxied addresses at which endpoints and operators reach the control VMs. */
     List<InetSocketAddress> controlAddresses() {
         return IntStream.range(0, controls)
