End a stream that has begun if a complete response arrives in place of its continuation

Found while reading the change: ExchangeRelayTest, a stream that breaks off at the first entry node and gets an endpoint's error from the second one, failed with "stream event status 500": the caller got bytes of a response within a stream. Directly sent requests had the same fault for any complete response below status 500. Exchange.onResponse, which both go through, now aborts the stream.

--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -459,9 +459,16 @@
         send();
     }
 
-    /** Forwards a complete response to the caller. */
+    /** Forwards a complete response to the caller, unless a stream has begun, which it cannot continue. */
     void onResponse(Attempt attempt, BufferedResponse response) {
         currentAttempt = Optional.empty();
+        if (stream.hasBegun()) {
+            response.body().release();
+            fail(
+                    ErrorKind.ENDPOINT_FAILED,
+                    attempt.target() + " responded with status " + response.status() + " to a stream that has begun");
+            return;
+        }
         log.firstBytesSent();
         responseWriter.writeResponse(response);
         log.responded(attempt.target(), response.status(), attempts, 0);
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -43,6 +43,10 @@
     }
 
     static PublishedConfiguration configuration(RouteKind kind) {
+        return configuration(kind, false);
+    }
+
+    static PublishedConfiguration configuration(RouteKind kind, boolean resumable) {
         final Route route = new Route(
                 RouteName.of("read"),
                 "host",
@@ -55,7 +59,7 @@
                 List.of(new WeightedTarget(SERVICE, 1)),
                 2,
                 true,
-                false);
+                resumable);
         final PublishedService service = new PublishedService(SERVICE, 100, 0, Optional.empty());
         return new PublishedConfiguration(1, List.of(route), List.of(service), CallerLimits.DEFAULT, List.of());
     }
@@ -75,6 +79,14 @@
 
     static EntryView view(
             PublishedConfiguration configuration, Map<String, Integer> inFlightElsewhere, RoutableRecord... endpoints) {
+        return view(configuration, inFlightElsewhere, List.of(), endpoints);
+    }
+
+    static EntryView view(
+            PublishedConfiguration configuration,
+            Map<String, Integer> inFlightElsewhere,
+            List<String> relayAddresses,
+            RoutableRecord... endpoints) {
         return new EntryView(
                 Optional.of(configuration),
                 Set.of(),
@@ -87,7 +99,7 @@
                 List.of(),
                 Set.of(),
                 1,
-                List.of(),
+                relayAddresses,
                 1,
                 1,
                 System.nanoTime());
