Refuse a generation at once when this entry VM finds out that it reaches no endpoint

What callers saw: a generation that was tried before the cut was known was held until its caller gave up, 15 s in CutEntryVmProcessTest in each of the three forms of a cut. Found while reading the change again.

Cause: a refusal after the first attempt is retried every 100 ms until the deadline, whatever its reason. For no_endpoint_reachable another entry VM can serve the request now, so that it is refused at once, with the run status of the attempts before, unless part of its response has reached the caller.

--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -148,8 +148,7 @@
 
     /** Refuses the request if this was its first attempt or it is quarantined; otherwise tries again after a delay. */
     private void onDispatchRefused(WigeongradeException failure) {
-        final boolean retriesLater = failure.kind() != ErrorKind.REQUEST_QUARANTINED && attempts.count() > 0;
-        if (!retriesLater) {
+        if (attempts.count() == 0 || !mayHelpToWait(failure.kind())) {
             endWithError(failure);
             return;
         }
@@ -157,6 +156,15 @@
         dependencies.scheduler().schedule(this::startAttempt, DISPATCH_RETRY_DELAY_MS);
     }
 
+    /** A request that this VM cannot send is better retried at another one, unless its response has begun here. */
+    private boolean mayHelpToWait(ErrorKind refusal) {
+        return switch (refusal) {
+            case REQUEST_QUARANTINED -> false;
+            case NO_ENDPOINT_REACHABLE -> assembler.forwardedAny();
+            default -> true;
+        };
+    }
+
     /**
      * Returns the endpoints that this request must not use: those already tried, and those with another model version.
      */
--- a/src/test/java/org/wigeongrade/proof/CutEntryVmProcessTest.java
+++ b/src/test/java/org/wigeongrade/proof/CutEntryVmProcessTest.java
@@ -44,7 +44,10 @@
                         20_000,
                         () -> Histories.count(recorder.history(), ClientThreads.GENERATE, Phase.OK) > 60);
                 fleet.setEndpointLinks(CUT, cut);
-                Await.sleepMs(TIME_TO_LEARN_MS);
+                // A request that was tried before the cut was known must not be held until its deadline either.
+                assertWithMessage("longest time of a request while the cut is noticed, in milliseconds")
+                        .that(longestMs(fleet, clients))
+                        .isAtMost(TIME_TO_LEARN_MS);
                 final double servedElsewhere = servedRatio(fleet, clients, OTHER);
                 assertThat(servedElsewhere).isAtLeast(MIN_SERVED_ELSEWHERE);
                 assertWithMessage("served at the cut VM")
@@ -63,6 +66,20 @@
         }
     }
 
+    /** Sends requests to the cut VM for the time that it has to notice the cut. */
+    private static long longestMs(ProcessFleet fleet, ClientThreads clients) {
+        final long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIME_TO_LEARN_MS);
+        long longestNanos = 0;
+        while (System.nanoTime() - deadlineNanos < 0) {
+            final long sentNanos = System.nanoTime();
+            final var unused =
+                    clients.generateAt(fleet.entryAddress(CUT), 99, Workload.CHAT, "cut " + sentNanos, "", 6);
+            longestNanos = Math.max(longestNanos, System.nanoTime() - sentNanos);
+            Await.sleepMs(PAUSE_MS);
+        }
+        return TimeUnit.NANOSECONDS.toMillis(longestNanos);
+    }
+
     private static double servedRatio(ProcessFleet fleet, ClientThreads clients, String entry) {
         final long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MEASURED_MS);
         int sent = 0;
