Log failed probes, keep one copy of their timing, and take the gauge of cut links from the state in force

From reading the change again: a failed probe left no log line (event 1511, request=probe, now on both paths); both paths had constants of their own for the timeout and the interval; a state logged by one thread could leave the gauge of another state; event 1513 was written for no reports.

--- a/src/main/java/org/wigeongrade/callers/LinkMonitor.java
+++ b/src/main/java/org/wigeongrade/callers/LinkMonitor.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.decisions.reachability.EndpointReachability;
 import org.wigeongrade.decisions.reachability.LinkState;
 import org.wigeongrade.decisions.reachability.ProbeRound;
 import org.wigeongrade.decisions.routing.EndpointView;
@@ -19,11 +20,6 @@
  * of its own.
  */
 final class LinkMonitor {
-    /** Timeout of a probe, in milliseconds; several round trips, so that a cut is known well within a second. */
-    private static final int PROBE_TIMEOUT_MS = 300;
-    /** Time between the end of a round of probes without success and the next one, in milliseconds. */
-    private static final long PROBE_INTERVAL_MS = 250;
-
     private final CallerDependencies dependencies;
     private final EndpointLinks links;
     private final AtomicLong stateSinceNanos;
@@ -64,19 +60,30 @@
 
     private void probe(EndpointView endpoint, long round) {
         final HostAndPort target = HostAndPort.fromString(dependencies.client().reachableAddress(endpoint.address()));
+        final long startedNanos = dependencies.entry().nowNanos();
         try (Socket socket = new Socket()) {
             socket.connect(
                     new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort()),
-                    PROBE_TIMEOUT_MS);
+                    EndpointReachability.PROBE_TIMEOUT_MS);
             recordOpened();
         } catch (IOException e) {
+            final long elapsedNanos = dependencies.entry().nowNanos() - startedNanos;
+            dependencies
+                    .events()
+                    .write(
+                            LogEvent.ENDPOINT_CONNECT_FAILED,
+                            endpoint.id(),
+                            target,
+                            LogEvent.PROBE,
+                            TimeUnit.NANOSECONDS.toMillis(elapsedNanos),
+                            e);
             final boolean wasInDoubt = links.state() == LinkState.IN_DOUBT;
             if (links.recordProbeFailed(round)) {
                 if (wasInDoubt) {
                     logState(LinkState.CUT);
                     dependencies.requestViewPull().run();
                 }
-                dependencies.scheduler().schedule(this::probeAgain, PROBE_INTERVAL_MS);
+                dependencies.scheduler().schedule(this::probeAgain, EndpointReachability.PROBE_INTERVAL_MS);
             }
         }
     }
@@ -98,6 +105,6 @@
                         links.failedEndpoints(),
                         TimeUnit.NANOSECONDS.toMillis(elapsedNanos),
                         dependencies.entry().view().relayAddresses().size());
-        dependencies.metrics().setEndpointLinksCut(state == LinkState.CUT);
+        dependencies.metrics().setEndpointLinksCut(links.state() == LinkState.CUT);
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/reachability/EndpointReachability.java
+++ b/src/main/java/org/wigeongrade/decisions/reachability/EndpointReachability.java
@@ -25,6 +25,11 @@
  * @param <E> identifies one incarnation of an endpoint
  */
 public final class EndpointReachability<E> {
+    /** Timeout of a probe, in milliseconds; several round trips, so that a cut is known well within a second. */
+    public static final int PROBE_TIMEOUT_MS = 300;
+    /** Time between the end of a round of probes without success and the next one, in milliseconds. */
+    public static final long PROBE_INTERVAL_MS = 250;
+
     /** Endpoints that fail in a row before the node's own links are in doubt. */
     private static final int MIN_FAILED_ENDPOINTS = 2;
     /** Probes in one round: one for each availability zone of the smaller fleets. */
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -26,6 +26,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
+import org.wigeongrade.decisions.reachability.EndpointReachability;
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.ids.VmIncarnation;
@@ -45,8 +46,6 @@
 final class EndpointConnectionPool {
     /** Timeout for opening a connection, in milliseconds; the network delay to endpoints is a few milliseconds. */
     private static final int CONNECT_TIMEOUT_MS = 350;
-    /** Timeout for a probe, in milliseconds; several round trips, so that a cut is known well within a second. */
-    private static final int PROBE_TIMEOUT_MS = 300;
     /** A connection that was idle for longer is not reused, even if the endpoint would keep it open. */
     private static final long MAX_IDLE_MS = 4_000;
     /** Maximum of idle connections to one endpoint; a node seldom has more requests in flight at one endpoint. */
@@ -100,13 +99,7 @@
                 writeOrClose(opening.channel(), call);
                 return;
             }
-            events.write(
-                    LogEvent.ENDPOINT_CONNECT_FAILED,
-                    endpoint.vm(),
-                    endpoint.address(),
-                    call.attemptId().orElse("-"),
-                    TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong() - startedNanos),
-                    done.cause());
+            logFailedOpening(endpoint, call.attemptId().orElse("-"), startedNanos, done.cause());
             call.message().release();
             call.reportNotSent(String.valueOf(done.cause()), outcome == ConnectionOutcome.REFUSED);
         });
@@ -128,16 +121,29 @@
 
     /** Opens a connection to an endpoint and closes it at once; {@code result} is told whether it could be opened. */
     void probe(EndpointLoad endpoint, Consumer<Boolean> result) {
-        final ChannelFuture probing = connect(endpoint, PROBE_TIMEOUT_MS);
+        final long startedNanos = nanoClock.getAsLong();
+        final ChannelFuture probing = connect(endpoint, EndpointReachability.PROBE_TIMEOUT_MS);
         final var unused = probing.addListener(done -> {
             metrics.countEndpointConnection(outcomeOf(done));
             if (done.isSuccess()) {
                 NettyFutures.logFailure(probing.channel().close());
+            } else {
+                logFailedOpening(endpoint, LogEvent.PROBE, startedNanos, done.cause());
             }
             result.accept(done.isSuccess());
         });
     }
 
+    private void logFailedOpening(EndpointLoad endpoint, String request, long startedNanos, Throwable cause) {
+        events.write(
+                LogEvent.ENDPOINT_CONNECT_FAILED,
+                endpoint.vm(),
+                endpoint.address(),
+                request,
+                TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong() - startedNanos),
+                cause);
+    }
+
     /**
      * Resets every idle connection, since their path is lost, and gives up those that are being opened; their requests
      * are reported as not sent.
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointLinks.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointLinks.java
@@ -25,9 +25,6 @@
  * is not held against any endpoint.
  */
 final class EndpointLinks {
-    /** Time between the end of a round of probes without success and the next one, in milliseconds. */
-    private static final long PROBE_INTERVAL_MS = 250;
-
     private final SharedEventLoop loop;
     private final EndpointConnectionPool connectionPool;
     private final EndpointRegistry registry;
@@ -95,7 +92,8 @@
     }
 
     private void onRoundFailed() {
-        NettyFutures.logFailure(loop.eventLoop().schedule(this::probeAgain, PROBE_INTERVAL_MS, TimeUnit.MILLISECONDS));
+        NettyFutures.logFailure(loop.eventLoop()
+                .schedule(this::probeAgain, EndpointReachability.PROBE_INTERVAL_MS, TimeUnit.MILLISECONDS));
         if (registry.linkState() != LinkState.CUT) {
             enterState();
             connectionPool.resetIdleAndConnecting();
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -134,7 +134,7 @@
      * lost requests are not reported as crashes, and no endpoint is avoided.
      */
     void setLinkState(LinkState next) {
-        if (next == LinkState.CUT) {
+        if (next == LinkState.CUT && !crashes.isEmpty()) {
             events.write(LogEvent.CRASH_REPORTS_DROPPED, crashes.size());
             crashes.clear();
         }
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -130,6 +130,9 @@
 
     RECORDS_SUPPRESSED(1801, Level.WARNING, "{count} records of event {suppressed_event} were suppressed");
 
+    /** Value of a request field if a connection was opened for a probe and not for a request. */
+    public static final String PROBE = "probe";
+
     private final int number;
     private final Level level;
     private final String template;
