Keep a leader's plans when its lease lapses and is renewed in the same term

Cause: LeaderLoop ended the LeaderTerm when the lease lapsed, and made a new one under the same fencing token when it was renewed. The new planners gave the term's epochs out again. A second group of the same name and epoch hid the first one from the answers to its orders, and its end freed the members of the first one while the first head served. The change numbers of the routing table began again under the same term as well.

A lease that is renewed in the term in which it lapsed shows that no other node led in between: a majority that had voted in a higher term would have refused the renewal. So the state is still valid, and the LeaderTerm is used again. Epochs are given out once, and responses to orders under way still count.

--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -21,7 +21,9 @@
 /**
  * Runs planning steps while this node leads: at a fixed interval, and soon after a group changes.
  *
- * <p>Invariant: all plans of a term come from one {@link LeaderTerm}, made only while the lease is held. Thread safe.
+ * <p>Invariant: all plans of a term come from one {@link LeaderTerm}, made only while the lease is held. A lease that
+ * lapses and is renewed in the same term continues with that object, because no other node can have led in between.
+ * Thread safe.
  */
 final class LeaderLoop implements AutoCloseable {
     /** Heartbeat intervals that this node waits after its start before it treats VMs without a heartbeat as lost. */
@@ -42,6 +44,8 @@
     private final Thread worker = new Thread(this::run, "plan");
     private final Semaphore wakeUps = new Semaphore(0);
     private volatile Optional<LeaderTerm> currentTerm = Optional.empty();
+    /** The latest term that this node led, also after its lease has lapsed. Used by the planning thread only. */
+    private Optional<LeaderTerm> latestTerm = Optional.empty();
 
     LeaderLoop(
             NodeName self,
@@ -111,7 +115,10 @@
         final long term = log.term();
         if (currentTerm.filter(leaderTerm -> leaderTerm.term() == term).isEmpty()) {
             endTerm("a newer term");
-            currentTerm = Optional.of(new LeaderTerm(term, timings, events, nanoClock.getAsLong()));
+            latestTerm = latestTerm
+                    .filter(led -> led.term() == term)
+                    .or(() -> Optional.of(new LeaderTerm(term, timings, events, nanoClock.getAsLong())));
+            currentTerm = latestTerm;
             events.write(LogEvent.LEADER_ELECTED, self, term);
         }
         try {
