Keep VMs without a group unused while a head of an earlier leader may wait for them

Cause: a new leader took each VM that reported no group for free. Such a VM may have left a group whose head is unreachable (BREAKING under the earlier leader, which waited for the stall time; that wait was lost with the leader), or its process may have been restarted under its name. The head then serves or stalls until it is broken, which this leader can't see, or waits to be adopted since its group is incomplete.

Class of fault: absence of a report taken as evidence. Fix: ReleaseTimes. A VM that reports no group is used only if this leader saw its group end, or if the stall time and its margin have passed since the start of the term and since the VM last reported a group that this leader did not manage. VMs that report a spare, which hold nothing, and VMs that start later in the term are used at once as before.

The simulated fleet missed it: it compared a join with the VM's current group only, so that a VM that had left or restarted belonged to none. It now compares with the group that a VM of this name joined last.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -22,8 +22,9 @@
  * Plans the groups of one service during one leader term: repairs broken groups, forms missing ones and keeps spares.
  *
  * <p>Invariants: a VM is in at most one managed group. An epoch belongs to one group only, and epochs increase. A VM is
- * used only after a heartbeat in this term, and after an unanswered order only once a newer heartbeat has arrived. Time
- * is a parameter. Not thread safe.
+ * used only after a heartbeat in this term, and after an unanswered order only once a newer heartbeat has arrived. A VM
+ * that reports no group is used only once no head of an earlier leader can still wait for it. Time is a parameter. Not
+ * thread safe.
  */
 public final class GroupPlanner {
     /** Number of epochs reserved for each term; a leader forms far fewer groups. */
@@ -39,6 +40,7 @@
     private final StagingTracker stagingTracker = new StagingTracker();
     private final ScaleUpPolicy scaleUpPolicy = new ScaleUpPolicy();
     private final CrossDomainGroups crossDomainGroups = new CrossDomainGroups();
+    private final ReleaseTimes releaseTimes;
     private final long startedNanos;
     private long nextEpoch;
 
@@ -53,6 +55,7 @@
         this.timings = timings;
         this.changes = changes;
         this.startedNanos = nowNanos;
+        this.releaseTimes = new ReleaseTimes(nowNanos, timings.headBrokenAfterNanos());
         this.nextEpoch = term * EPOCHS_PER_TERM + 1;
     }
 
@@ -136,6 +139,9 @@
             groups.add(group);
             recordPhaseChange(group);
         });
+        vms.stream()
+                .filter(inherited::isInUnadoptedGroup)
+                .forEach(vm -> releaseTimes.recordInUnadoptedGroup(vm.vm().vm(), nowNanos));
     }
 
     private void step(ManagedGroup group, PlanningContext context) {
@@ -317,7 +323,10 @@
     }
 
     private void removeEnded(long nowNanos) {
-        groups.removeEnded().forEach(group -> inherited.recordEnded(group.name, group.epoch, nowNanos));
+        groups.removeEnded().forEach(group -> {
+            inherited.recordEnded(group.name, group.epoch, nowNanos);
+            group.members.forEach(member -> releaseTimes.recordGroupEnded(member.vm.vm(), nowNanos));
+        });
     }
 
     private int countGroups(GroupedModel model, PlanningContext context) {
@@ -374,6 +383,7 @@
                 .filter(vm -> !groups.isInUse(vm, !withSpares))
                 .filter(vm -> vm.receivedNanos() - startedNanos > 0
                         && sentHeartbeatSinceUnresponsive(vm)
+                        && releaseTimes.isReleased(vm, context.nowNanos())
                         && !inherited.isInUnadoptedGroup(vm))
                 .map(VmRecord::heartbeat)
                 .toList();
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -183,6 +183,38 @@
         assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isAtLeast(12);
     }
 
+    /** Members that left a partitioned head under an earlier leader joined other groups before the head was broken. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_500, 2_500, 3_500, 4_500})
+    void membersThatLeftPartitionedHeadStayUnusedUnderNewLeader(long afterMs) {
+        fleet.run(LOADED_MS);
+        fleet.anyHead().partitioned = true;
+        fleet.run(afterMs);
+        fleet.newLeader();
+        fleet.run(12_000);
+
+        assertThat(fleet.violations).isEmpty();
+        assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isAtLeast(12);
+    }
+
+    /** A member that restarted under its name as the leader changed joined a group before its old head was broken. */
+    @ParameterizedTest
+    @CsvSource({"true, 100", "true, 600", "false, 100", "false, 600"})
+    void restartedMemberStaysUnusedUnderNewLeader(boolean headPartitioned, long afterMs) {
+        fleet.run(LOADED_MS);
+        final SimulatedVm head = fleet.anyHead();
+        final SimulatedVm member = fleet.memberOf(head);
+        head.partitioned = headPartitioned;
+        fleet.newLeader();
+        fleet.restart(member);
+        fleet.run(afterMs);
+        fleet.newLeader();
+        fleet.run(12_000);
+
+        assertThat(fleet.violations).isEmpty();
+        assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isAtLeast(12);
+    }
+
     @Test
     void leavingMemberEndsItsGroupAndIsReplaced() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -27,7 +27,7 @@
  * Simulates engine VMs and the leaders that form groups of them, in virtual time.
  *
  * <p>Records violations of two invariants: no group starts to serve before every member has been ready in it, and no VM
- * joins another group while the head of its current group may still serve. Not thread safe.
+ * joins another group while the head of the group that it joined last may still serve, even if it has left or restarted. Not thread safe.
  */
 final class SimulatedFleet {
     static final long HEARTBEAT_MS = 1_200;
@@ -292,6 +292,15 @@
         return joined.get(random.nextInt(joined.size()));
     }
 
+    /** Restarts a VM at once under its name; the new process knows nothing of its group. */
+    void restart(SimulatedVm vm) {
+        vm.ended = true;
+        final SimulatedVm restarted = add(vm.incarnation.vm().value(), vm.domain.value());
+        restarted.staged.addAll(vm.staged);
+        restarted.lastGroup = vm.lastGroup;
+        restarted.lastEpoch = vm.lastEpoch;
+    }
+
     SimulatedVm anyHead() {
         return vms.stream().filter(SimulatedVm::mayServe).findFirst().orElseThrow();
     }
@@ -338,7 +347,8 @@
 
     void checkNotServingBeforeJoin(SimulatedVm vm, GroupOrder order) {
         vms.stream()
-                .filter(head -> head.mayServe() && head.group.equals(vm.group) && head.epoch == vm.epoch)
+                .filter(head -> head.mayServe() && head.group.equals(vm.lastGroup) && head.epoch == vm.lastEpoch)
+                .filter(head -> !order.group().equals(vm.lastGroup))
                 .forEach(head -> violations.add(nowMs + " ms: " + vm.incarnation + " joins " + order.group()
                         + " while head " + head.incarnation + " of " + head.group + " is " + head.state));
     }
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
@@ -35,6 +35,10 @@
 
     boolean draining;
     GroupName group;
+    /** The group that this VM or an earlier process of its name joined last; it stays after the VM has left. */
+    GroupName lastGroup;
+
+    long lastEpoch;
     long epoch;
     List<VmName> members = List.of();
     GroupState state;
@@ -104,6 +108,8 @@
             return OrderResponse.REFUSED;
         }
         fleet.checkNotServingBeforeJoin(this, order);
+        lastGroup = order.group();
+        lastEpoch = order.epoch();
         highestEpoch = order.epoch();
         group = order.group();
         epoch = order.epoch();
