Close each kept connection in time while an entry node stops

While an entry node was replaced, a caller whose stream had begun before SIGTERM sent its next request on the same connection. The node read it, passed it on and cut it when its process ended.

The node decided at the head of a response whether the connection closes after it, so that a stream that had begun before the stop kept it open. A connection that was not idle when idle ones were closed, once, 2.3 s after the signal, was missed likewise. Requests that had been read behind the current one were dropped by its "Connection: close".

Now a stream closes its connection at its end too; the close is announced on the last of the requests that have arrived; connections that become idle later are closed while the node waits; and 3 s after the signal, when the load balancer has reacted, requests are refused unsent with 503 and Retry-After.

--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -34,8 +34,8 @@
  * A connection from a caller. Used on the event loop only.
  *
  * <p>Invariants: requests are processed one at a time, in the order of arrival, and only once everything that had
- * arrived was read, so that a request whose caller has already left is not sent on; while the node stops, each response
- * closes its connection.
+ * arrived was read, so that a request whose caller has already left is not sent on; while the node stops, the response to
+ * the last request that has arrived closes its connection.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> implements ResponseWriter {
     private static final int BAD_REQUEST = 400;
@@ -132,7 +132,11 @@
                 this,
                 this::onExchangeEnd);
         currentExchange = Optional.of(exchange);
-        exchange.start();
+        if (connections.isRefusing()) {
+            exchange.refuseWhileStopping();
+        } else {
+            exchange.start();
+        }
     }
 
     private void onExchangeEnd() {
@@ -184,7 +188,8 @@
     @Override
     public void endStream() {
         final var written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        if (!keepAlive) {
+        // The head of a stream that began before the stop did not announce that the connection closes.
+        if (!keepAlive || (connections.isClosing() && !anotherRequestArrived())) {
             willClose = true;
             NettyFutures.logFailure(written.addListener(ChannelFutureListener.CLOSE));
         }
@@ -197,11 +202,16 @@
     }
 
     private boolean closesAfterResponse() {
-        final boolean closes = !keepAlive || connections.isClosing() || servesNobody();
+        final boolean goesElsewhere = connections.isClosing() || servesNobody();
+        final boolean closes = !keepAlive || (goesElsewhere && !anotherRequestArrived());
         willClose = willClose || closes;
         return closes;
     }
 
+    private boolean anotherRequestArrived() {
+        return !pipelined.isEmpty() || intake.isReceiving();
+    }
+
     /** Returns whether callers have to go to another node, because this one neither reaches endpoints nor relays. */
     private boolean servesNobody() {
         return services.endpointLinks().areCut()
--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnections.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnections.java
@@ -8,6 +8,7 @@
 final class CallerConnections {
     private final Set<CallerConnection> open = new HashSet<>();
     private boolean closing;
+    private boolean refusing;
 
     void add(CallerConnection connection) {
         open.add(connection);
@@ -26,6 +27,15 @@
         return closing;
     }
 
+    /** Refuses each request that is not being served yet. */
+    void refuseNewRequests() {
+        refusing = true;
+    }
+
+    boolean isRefusing() {
+        return refusing;
+    }
+
     void closeIdle() {
         ImmutableList.copyOf(open).forEach(CallerConnection::closeIfIdle);
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -36,7 +36,7 @@
  * A process in the entry role: it forwards callers' requests to endpoints.
  *
  * <p>Invariant: a graceful stop first fails the readiness check, keeps serving new requests until the load balancer in
- * front of the entry nodes has reacted, and then ends when no request is in flight. Thread safe.
+ * front of the entry nodes has reacted, then refuses them, and ends when no request is in flight. Thread safe.
  */
 public final class EntryNode {
     private static final int OK = 200;
@@ -238,8 +238,9 @@
         sleepUntil(startNanos, BALANCER_REACTION_MS);
         callerListener.close();
         relayListener.close();
+        loop.eventLoop().execute(connections::refuseNewRequests);
         final long graceMs = Math.round(GRACE_FRACTION * settings.ms(FleetKey.GRACE_S));
-        while (requestsInFlight() > 0 && elapsedMs(startNanos) < graceMs) {
+        while (awaitedRequests() > 0 && elapsedMs(startNanos) < graceMs) {
             sleepUntil(System.nanoTime(), STOP_POLL_MS);
         }
         viewPuller.close();
@@ -248,11 +249,17 @@
         stopped.countDown();
     }
 
-    private int requestsInFlight() {
-        return CompletableFuture.supplyAsync(connections::inFlight, loop.eventLoop())
+    private int awaitedRequests() {
+        return CompletableFuture.supplyAsync(this::closeIdleConnections, loop.eventLoop())
                 .join();
     }
 
+    /** Closes what has become idle since the last call and returns the number of requests in flight. */
+    private int closeIdleConnections() {
+        connections.closeIdle();
+        return connections.inFlight();
+    }
+
     private static long elapsedMs(long startNanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -113,6 +113,11 @@
         }
     }
 
+    /** Refuses the request unsent, because this node ends before it could be finished. */
+    void refuseWhileStopping() {
+        refuse(ErrorKind.STOPPING, "this node is about to end", ErrorKind.STOPPING.retryAfterMs());
+    }
+
     /** Of the nodes that handle a request, the first that may send it to an endpoint counts it for the budget. */
     private void recordInRetryBudget() {
         final boolean sentElsewhere = services.endpointLinks().areCut() || attemptsThatMayHaveRun > 0;
@@ -545,7 +550,8 @@
     private void refuse(ErrorKind kind, String cause, long retryAfterMs) {
         log.refused(organisation, kind, cause, retryAfterMs);
         final HttpReply reply = services.codec().error(request, kind, cause, retryAfterMs);
-        final boolean anotherNodeMayTakeIt = relayed && kind == ErrorKind.NO_ENDPOINT_REACHABLE;
+        final boolean anotherNodeMayTakeIt =
+                relayed && (kind == ErrorKind.NO_ENDPOINT_REACHABLE || kind == ErrorKind.STOPPING);
         responseWriter.writeResponse(anotherNodeMayTakeIt ? reply.withHeader(RelayHeaders.notTaken(), "1") : reply);
         end();
     }
