Close a connection on which bytes arrive while no response is awaited

An endpoint had sent the beginning of a head after a complete response. The handler closes a connection for unexpected messages, but an incomplete head is no message yet: it stayed in the decoder of the idle connection, and the next response was appended to it.

The decoder now drops the connection for any byte that comes while nothing is awaited, and a connection is released only if no byte follows the response. Bytes that cross the next request cannot be seen on an idle connection. A head that holds a second status line, in its reason, a header's name or a value, is therefore no response, whichever of the two it claims to be.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -11,7 +11,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -183,9 +183,11 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
+                        final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
                         child.pipeline()
-                                .addLast(new HttpClientCodec())
-                                .addLast(new EndpointResponseHandler(codec, releaser));
+                                .addLast(decoder)
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new EndpointResponseHandler(decoder, codec, releaser));
                     }
                 })
                 .connect(new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort()));
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseDecoder.java
@@ -0,0 +1,51 @@
+package org.wigeongrade.fleet.entry;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+import org.wigeongrade.fleet.net.NettyFutures;
+
+/**
+ * Decodes the responses on one connection to an endpoint. Used on the event loop only.
+ *
+ * <p>Invariant: no byte that arrived while no response was awaited is part of a decoded response; such a byte closes
+ * the connection.
+ */
+final class EndpointResponseDecoder extends HttpResponseDecoder {
+    private Optional<HttpMethod> awaitedMethod = Optional.empty();
+
+    /** Starts to decode; {@code method} is that of the request, since a response to HEAD has no body. */
+    void start(HttpMethod method) {
+        awaitedMethod = Optional.of(method);
+    }
+
+    /** Stops decoding; returns whether no bytes are left, so that the connection may be reused. */
+    boolean stop() {
+        awaitedMethod = Optional.empty();
+        return actualReadableBytes() == 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (awaitedMethod.isEmpty()) {
+            ReferenceCountUtil.release(message);
+            NettyFutures.logFailure(context.close());
+            return;
+        }
+        super.channelRead(context, message);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        final boolean isFinal = message instanceof HttpResponse response
+                && response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
+        final boolean answersHead =
+                awaitedMethod.filter(HttpMethod.HEAD::equals).isPresent();
+        return (isFinal && answersHead) || super.isContentAlwaysEmpty(message);
+    }
+}
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -16,7 +16,7 @@
  *
  * <p>Invariant: a response that names another request is skipped; any unexpected data that cannot be told apart from
  * the awaited response closes the connection. On a connection that carried an earlier request, that includes a response
- * that names none.
+ * that names none. A connection is released only if nothing follows the response.
  */
 final class EndpointResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final int FIRST_FINAL_STATUS = 200;
@@ -32,6 +32,7 @@
         void release(Channel channel, long idleMs);
     }
 
+    private final EndpointResponseDecoder decoder;
     private final CallerCodec codec;
     private final ConnectionReleaser releaser;
     private Optional<EndpointCall> currentCall = Optional.empty();
@@ -41,7 +42,9 @@
     private long skippedBytes;
     private boolean skipping;
 
-    EndpointResponseHandler(CallerCodec codec, ConnectionReleaser releaser) {
+    /** @param decoder decoder of the same connection */
+    EndpointResponseHandler(EndpointResponseDecoder decoder, CallerCodec codec, ConnectionReleaser releaser) {
+        this.decoder = decoder;
         this.codec = codec;
         this.releaser = releaser;
     }
@@ -52,6 +55,7 @@
         head = Optional.empty();
         interimResponses = 0;
         skipping = false;
+        decoder.start(call.message().method());
     }
 
     @Override
@@ -69,12 +73,17 @@
         if (message instanceof HttpResponse response) {
             readHead(context, response);
         }
-        if (message instanceof HttpContent content && (head.isPresent() || skipping)) {
+        if (message instanceof HttpContent content && currentCall.isPresent() && (head.isPresent() || skipping)) {
             readBody(context, content);
         }
     }
 
     private void readHead(ChannelHandlerContext context, HttpResponse response) {
+        final Optional<String> fault = MergedHeads.findFault(response);
+        if (fault.isPresent()) {
+            fail(context, "the head is not that of one response: " + fault.get());
+            return;
+        }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             interimResponses++;
             if (response.status().code() == SWITCHING_PROTOCOLS || interimResponses > MAX_INTERIM_RESPONSES) {
@@ -127,7 +136,10 @@
         currentCall = Optional.empty();
         head = Optional.empty();
         reused = true;
-        if (finishedHead.selfDelimited() && finishedHead.reusableForMs().isPresent()) {
+        final boolean nothingFollows = decoder.stop();
+        if (nothingFollows
+                && finishedHead.selfDelimited()
+                && finishedHead.reusableForMs().isPresent()) {
             context.channel().config().setAutoRead(true);
             releaser.release(context.channel(), finishedHead.reusableForMs().getAsLong());
         } else {
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -1,13 +1,13 @@
 package org.wigeongrade.fleet.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -33,9 +33,16 @@
 
     private final List<String> reported = new ArrayList<>();
     private final List<Long> keptIdleMs = new ArrayList<>();
-    private final EmbeddedChannel channel = new EmbeddedChannel(
-            new HttpClientCodec(),
-            new EndpointResponseHandler(new PlatformCallerCodec(), (connection, idleMs) -> keptIdleMs.add(idleMs)));
+    private final EmbeddedChannel channel = newChannel();
+
+    private EmbeddedChannel newChannel() {
+        final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
+        return new EmbeddedChannel(
+                decoder,
+                new HttpRequestEncoder(),
+                new EndpointResponseHandler(
+                        decoder, new PlatformCallerCodec(), (connection, idleMs) -> keptIdleMs.add(idleMs)));
+    }
 
     @Test
     void completeResponseEndsTheCallAndKeepsTheConnection() {
@@ -107,6 +114,64 @@
         }
     }
 
+    /** The beginning of a head on an idle connection turned the next failure into a success. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                // what arrives after a complete response: with its last bytes or after them
+                "H",
+                "\\r\\n",
+                "HTTP/1.1 200 OK\\r\\n",
+                "HTTP/1.1 200 OK\\r\\nContent-Type: text/plain\\r\\n",
+                "HTTP/1.1 200 OK\\nContent-Type: text/plain\\n",
+                "HTTP/1.1 100 Continue\\r\\n",
+                "HTTP/1.1 100 Continue\\r\\n\\r\\n",
+            })
+    void anyByteOnAnIdleConnectionClosesIt(String extra) {
+        for (final boolean together : new boolean[] {true, false}) {
+            final EmbeddedChannel connection = together ? channel : newChannel();
+            sendRequest(connection, "first");
+            final String response = EXPECTED.replace("mine", "first");
+            if (together) {
+                receive(connection, response + extra.translateEscapes());
+                assertThat(keptIdleMs).isEmpty();
+            } else {
+                receive(connection, response);
+                receive(connection, extra.translateEscapes());
+            }
+
+            assertThat(connection.isActive()).isFalse();
+        }
+    }
+
+    /** The beginning of a head that crossed the next request turned its failure into a success or a refusal. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nRetry-After: 1\r\n",
+                "HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: first\r\nRetry-After: 0.25\r\n",
+                "HTTP/1.1 421 Misdirected\nX-Attempt-Id: first\n",
+                "HTTP/1.1 100 Continue\r\nX-Attempt-Id: first\r\n",
+            })
+    void beginningOfAHeadIsNotJoinedWithTheNextResponse(String head) {
+        final String failure = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: mine\r\nX-Server-Seal: s\r\n"
+                + "Content-Length: 6\r\n\r\nfailed";
+        for (int bytes = 1; bytes <= head.length(); bytes++) {
+            final EmbeddedChannel connection = newChannel();
+            sendRequest(connection, "first");
+            receive(connection, EXPECTED.replace("mine", "first"));
+            reported.clear();
+            sendRequest(connection, "mine");
+            receive(connection, head.substring(0, bytes));
+            receive(connection, failure);
+
+            assertWithMessage("after %s bytes", bytes).that(reported).hasSize(1);
+            assertThat(reported.get(0)).startsWith("failed after send");
+            assertThat(connection.isActive()).isFalse();
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -184,18 +249,25 @@
     }
 
     private void sendRequest(String attemptId) {
+        sendRequest(channel, attemptId);
+    }
+
+    private void sendRequest(EmbeddedChannel connection, String attemptId) {
         final EndpointCall call = new EndpointCall(
                 Optional.of(attemptId),
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
                 new Recorder());
-        call.markSent(channel);
-        channel.pipeline().get(EndpointResponseHandler.class).awaitResponse(call);
-        channel.writeOutbound(call.message());
+        call.markSent(connection);
+        connection.pipeline().get(EndpointResponseHandler.class).awaitResponse(call);
+        connection.writeOutbound(call.message());
     }
 
     private void receive(String text) {
-        final ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
-        channel.writeInbound(bytes);
+        receive(channel, text);
+    }
+
+    private static void receive(EmbeddedChannel connection, String text) {
+        connection.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
     private final class Recorder implements EndpointListener {
