Mislead the leader about groups in the fault soak

The soak had ten engine VMs in groups of two, which control and entry nodes reached at one address. No fault cut VMs from control nodes only, held up heartbeats, carried orders out late, refused orders, or restarted a VM at once under its id.

Adds these faults, freezes around the lease, cuts between control nodes only and restarts in turn; eighteen engine VMs, two models, groups of two and four. A join of the same group and epoch with other members gets 412. The check for two groups now counts a join that the VM took, as the rule says, and holds the history of orders; cases in which the VM restarted are printed apart. It also counts groups that stand still without a request.

--- a/src/test/java/org/wigeongrade/platform/soak/FakeEndpointFleet.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEndpointFleet.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.platform.soak;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,13 +14,14 @@
 /** The endpoint VMs of a soak test, and the checks of guarantees that involve several of them. Thread safe. */
 final class FakeEndpointFleet implements AutoCloseable {
     private static final int DOMAINS = 2;
-    private static final int VMS_IN_DOMAIN = 5;
+    private static final int VMS_IN_DOMAIN = 9;
     private static final int PLAIN_REPLICAS = 2;
 
     private final GuaranteeChecker guarantees;
     private final ControlClient control;
     private final SoakOperator operator;
     private final EndpointProxies proxies;
+    private final OrderHistory history = new OrderHistory();
     private final List<FakeEndpointVm> vms = new CopyOnWriteArrayList<>();
     private final Map<FakeEngine.Group, Set<String>> readyMembers = new ConcurrentHashMap<>();
 
@@ -60,6 +63,22 @@
         return candidates.get(random.nextInt(candidates.size()));
     }
 
+    FakeEndpointVm pickEngine(Random random) {
+        return pickEngines(random, 1).get(0);
+    }
+
+    /** Returns some random engine VMs. */
+    List<FakeEndpointVm> pickEngines(Random random, int count) {
+        final List<FakeEndpointVm> engines = new ArrayList<>(
+                vms.stream().filter(vm -> vm.engine().isPresent()).toList());
+        Collections.shuffle(engines, random);
+        return List.copyOf(engines.subList(0, count));
+    }
+
+    OrderHistory history() {
+        return history;
+    }
+
     EndpointProxies proxies() {
         return proxies;
     }
@@ -100,26 +119,30 @@
             return;
         }
         final Set<String> ready = readyMembers.getOrDefault(group, Set.of());
-        if (group.members().size() != FakeEngine.GROUP_SIZE || !ready.containsAll(group.members())) {
+        if (group.members().size() != FakeEngine.groupSize(group.model()) || !ready.containsAll(group.members())) {
             guarantees.reportViolation(
                     "only complete groups serve", group + " runs a request, but the ready members were " + ready);
         }
     }
 
-    /** Checks that a VM joins another group only once the head of its current group can no longer run requests. */
-    void checkJoin(String vm, FakeEngine.Group currentGroup, String newGroup) {
-        if (currentGroup == null || currentGroup.name().equals(newGroup)) {
-            return;
-        }
-        final Optional<FakeEndpointVm> head = member(currentGroup.members().get(0));
-        final boolean headServes = head.filter(FakeEndpointVm::isRunning)
-                .flatMap(FakeEndpointVm::engine)
-                .filter(member -> currentGroup.equals(member.group()) && member.mayServe())
-                .isPresent();
-        if (headServes) {
-            guarantees.reportViolation(
-                    "no VM is in two serving groups",
-                    vm + " joins " + newGroup + " while the head of " + currentGroup + " serves");
+    /** Returns whether the head of a group is open or closing, or stands still and is not broken yet. */
+    boolean headServes(FakeEngine.Group group) {
+        return group != null
+                && member(group.members().get(0))
+                        .filter(FakeEndpointVm::isRunning)
+                        .flatMap(FakeEndpointVm::engine)
+                        .filter(head -> head.servesIn(group))
+                        .isPresent();
+    }
+
+    /** Reports that a VM took a join of another group although the head of its group served. */
+    void reportTwoGroups(String vm, FakeEngine.Group oldGroup, String newGroup, boolean sameLife) {
+        final String details = vm + " joins " + newGroup + " while the head of " + oldGroup + " serves"
+                + history.of(vm, oldGroup.name(), newGroup);
+        if (sameLife) {
+            guarantees.reportViolation("no VM is in two serving groups", details);
+        } else {
+            guarantees.reportObservation("a VM restarted and joined another group", details);
         }
     }
 
--- a/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
@@ -34,6 +34,8 @@
     private final FakeEndpointFleet fleet;
     private final Optional<FakeEngine> engine;
     private final Thread heartbeatThread = new Thread(this::sendHeartbeats, "heartbeat");
+    private final OrderFaults orderFaults = new OrderFaults();
+    private final ControlLink controlLink;
     private HttpServer server;
     private ExecutorService workers;
     private volatile long startedMs;
@@ -58,6 +60,7 @@
         this.service = service;
         this.port = port;
         this.fleet = fleet;
+        this.controlLink = new ControlLink(fleet.control());
         this.engine = domain.map(fabricDomain -> new FakeEngine(name, fabricDomain, fleet));
         start();
         heartbeatThread.setDaemon(true);
@@ -72,6 +75,18 @@
         return engine;
     }
 
+    int port() {
+        return port;
+    }
+
+    OrderFaults orderFaults() {
+        return orderFaults;
+    }
+
+    ControlLink controlLink() {
+        return controlLink;
+    }
+
     boolean isRunning() {
         return running;
     }
@@ -127,6 +142,12 @@
         }
     }
 
+    /** Starts a new incarnation at once, which knows nothing of the previous one. */
+    synchronized void crashAndRestart() {
+        crash();
+        restart();
+    }
+
     /** Leaves gracefully: reports that it drains, serves for another {@code serveOnMs}, deregisters and stops. */
     void leave(long serveOnMs) {
         draining = true;
@@ -174,15 +195,15 @@
 
     private void sendHeartbeat() {
         final String body = """
-                {"service":"%s","address":"127.0.0.1:%d","zone":"zone-a","version":"v1","slots":8,"state":"%s",
+                {"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":8,"state":"%s",
                 "coldRemainingMs":0,"sequence":%d,"born":%d%s}""".formatted(
                         service,
-                        port,
+                        EndpointProxies.controlAddress(port),
                         draining ? "draining" : "ready",
                         sequence.incrementAndGet(),
                         startedMs,
                         engine.map(FakeEngine::report).orElse(""));
-        final var unused = fleet.control().call("POST", "/-/instances/" + name + "/heartbeat", body);
+        controlLink.send("/-/instances/" + name + "/heartbeat", body);
     }
 
     /** Serves a request; an exception closes the connection without the terminator of a complete response. */
@@ -200,12 +221,31 @@
             respond(exchange, 200, "{}");
         } else if (exchange.getRequestURI().getPath().equals("/-/order")) {
             final byte[] order = exchange.getRequestBody().readAllBytes();
-            respond(exchange, engine.orElseThrow().execute(order), "");
+            executeOrder(exchange, order);
         } else {
             run(exchange);
         }
     }
 
+    private void executeOrder(HttpExchange exchange, byte[] order) throws IOException {
+        final int refusal = orderFaults.nextRefusal();
+        if (refusal != 0) {
+            respond(exchange, refusal, "");
+            return;
+        }
+        final long delayMs = orderFaults.nextDelayMs();
+        if (delayMs == 0) {
+            respond(exchange, engine.orElseThrow().execute(order), "");
+            return;
+        }
+        final long incarnation = startedMs;
+        Await.sleepMs(delayMs);
+        if (running && incarnation == startedMs) {
+            final int unused = engine.orElseThrow().execute(order);
+        }
+        throw new IOException("injected late execution of an order");
+    }
+
     private void run(HttpExchange exchange) throws IOException {
         final String attemptId = exchange.getRequestHeaders().getFirst("X-Attempt-Id");
         final String path = exchange.getRequestURI().getPath();
--- a/src/test/java/org/wigeongrade/platform/soak/FakeEngine.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEngine.java
@@ -16,7 +16,6 @@
  */
 final class FakeEngine {
     static final long STALL_MS = 1_000;
-    static final int GROUP_SIZE = 2;
     private static final long MIN_JOIN_MS = 150;
     /** Largest random addition to {@link #MIN_JOIN_MS}, so that members do not become ready at the same time. */
     private static final long JOIN_SPREAD_MS = 1_200;
@@ -30,7 +29,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** One member's view of its group. Immutable; safe for use from any thread. */
-    record Group(String name, long epoch, List<String> members) {}
+    record Group(String name, long epoch, String model, List<String> members) {}
 
     private final String vm;
     private final String fabricDomain;
@@ -41,7 +40,10 @@
     private long nextStateNanos;
     private long highestFencingToken;
     private long highestEpoch;
-    private boolean loaded;
+    private String lastModel = "";
+    /** The group of the previous incarnation, which may still serve. */
+    private Group previousLifeGroup;
+
     private volatile long changes;
     private long stalledSinceNanos;
 
@@ -52,12 +54,13 @@
     }
 
     synchronized void reset() {
+        previousLifeGroup = group == null ? previousLifeGroup : group;
         group = null;
         state = "";
         nextState = "";
         highestFencingToken = 0;
         highestEpoch = 0;
-        loaded = false;
+        lastModel = "";
         stalledSinceNanos = 0;
     }
 
@@ -84,6 +87,16 @@
         }
     }
 
+    /** Returns whether this VM heads this very group, and the group accepts requests or has not broken yet. */
+    boolean servesIn(Group expected) {
+        checkMembers();
+        return expected.equals(group()) && mayServe();
+    }
+
+    static int groupSize(String model) {
+        return model.equals("huge") ? 4 : 2;
+    }
+
     boolean isReadyIn(Group expected) {
         applyDueTransition();
         synchronized (this) {
@@ -143,9 +156,32 @@
     int execute(byte[] body) throws IOException {
         final JsonNode order = JSON.readTree(body);
         applyDueTransition();
-        if (order.path("operation").asText().equals("join")) {
-            fleet.checkJoin(vm, group(), order.path("group").asText());
+        final Group before = group();
+        final boolean headServes = fleet.headServes(before);
+        final int status = apply(order);
+        fleet.history().recordOrder(vm, order, status);
+        if (status == BEGUN && order.path("operation").asText().equals("join")) {
+            checkJoin(before, headServes, order.path("group").asText());
         }
+        return status;
+    }
+
+    private void checkJoin(Group before, boolean headServes, String newGroup) {
+        final Group earlier;
+        synchronized (this) {
+            earlier = previousLifeGroup;
+            previousLifeGroup = null;
+        }
+        if (before != null && headServes && !before.name().equals(newGroup)) {
+            fleet.reportTwoGroups(vm, before, newGroup, true);
+        } else if (before == null
+                && fleet.headServes(earlier)
+                && !earlier.name().equals(newGroup)) {
+            fleet.reportTwoGroups(vm, earlier, newGroup, false);
+        }
+    }
+
+    private int apply(JsonNode order) {
         synchronized (this) {
             if (order.path("fencingToken").asLong() < highestFencingToken) {
                 return STALE_TOKEN;
@@ -167,17 +203,17 @@
     }
 
     private synchronized int join(JsonNode order) {
+        final List<String> members = new ArrayList<>();
+        order.path("members").forEach(member -> members.add(member.asText()));
         if (isForCurrentGroup(order)) {
-            return DONE;
+            return group.members().equals(members) ? DONE : STALE_TOKEN;
         }
         if (order.path("epoch").asLong() < highestEpoch) {
             return STALE_TOKEN;
         }
         highestEpoch = order.path("epoch").asLong();
-        final List<String> members = new ArrayList<>();
-        order.path("members").forEach(member -> members.add(member.asText()));
-        group = new Group(order.path("group").asText(), highestEpoch, List.copyOf(members));
-        loaded = true;
+        lastModel = order.path("model").asText();
+        group = new Group(order.path("group").asText(), highestEpoch, lastModel, List.copyOf(members));
         stalledSinceNanos = 0;
         setState("joining");
         scheduleTransition("ready", MIN_JOIN_MS + ThreadLocalRandom.current().nextLong(JOIN_SPREAD_MS));
@@ -229,14 +265,16 @@
 
     private synchronized void setState(String next) {
         state = next;
+        fleet.history().recordState(vm, group == null ? "" : group.name(), next);
         nextState = "";
         changes++;
     }
 
     /** Returns the additional heartbeat fields of an engine, as JSON. */
     synchronized String report() {
-        final String models = loaded ? "[{\"name\":\"large\",\"version\":1,\"adapters\":[]}]" : "[]";
-        final String staged = loaded ? "[\"large\"]" : "[]";
+        final String models =
+                lastModel.isEmpty() ? "[]" : "[{\"name\":\"" + lastModel + "\",\"version\":1,\"adapters\":[]}]";
+        final String staged = lastModel.isEmpty() ? "[]" : "[\"" + lastModel + "\"]";
         final String groupField = group == null
                 ? ""
                 : ",\"group\":{\"name\":\"%s\",\"epoch\":%d,\"rank\":%d,\"state\":\"%s\"}"
--- a/src/test/java/org/wigeongrade/platform/soak/FaultInjector.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FaultInjector.java
@@ -31,12 +31,16 @@
     private final Random random;
     private final List<Thread> faultThreads = new ArrayList<>();
     private final List<String> injected = new ArrayList<>();
+    private final GroupFaults groupFaults;
     private int disksLost;
 
+    private final boolean onlyGroupFaults = Boolean.getBoolean("soak.groupFaults");
+
     FaultInjector(SoakNodes nodes, FakeEndpointFleet endpoints, Random random) {
         this.nodes = nodes;
         this.endpoints = endpoints;
         this.random = random;
+        this.groupFaults = new GroupFaults(nodes, endpoints, random);
     }
 
     List<String> injected() {
@@ -47,7 +51,12 @@
     void run(long forMs) {
         final long startNanos = System.nanoTime();
         while (System.nanoTime() - startNanos < forMs * 1_000_000) {
-            inject();
+            if (onlyGroupFaults || random.nextBoolean()) {
+                final GroupFaults.Fault fault = groupFaults.next();
+                start(fault.description(), fault.action());
+            } else {
+                inject();
+            }
             Await.sleepMs(random.nextInt(900));
         }
         faultThreads.forEach(fault -> {
@@ -165,19 +174,13 @@
 
     /** Starts a fault of a process, which is excused from what endpoints told it before and meanwhile. */
     private void startAtNode(String fault, int node, Runnable action) {
-        final int entry = node - nodes.addresses().controls();
         start(fault + nodes.name(node), () -> {
-            excuseProcess(entry);
+            nodes.excuse(node, endpoints.guarantees());
             action.run();
-            excuseProcess(entry);
+            nodes.excuse(node, endpoints.guarantees());
         });
     }
 
-    private void excuseProcess(int entry) {
-        endpoints.guarantees().sendRestrictions().excuse(entry);
-        endpoints.guarantees().limits().excuse(entry);
-    }
-
     private void start(String description, Runnable fault) {
         injected.add(description);
         final Thread thread = new Thread(fault, description);
--- a/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
@@ -130,10 +130,14 @@
     private static void report(long seed, GuaranteeChecker guarantees, FaultInjector faults, SoakNodes nodes)
             throws IOException {
         System.out.println("soak seed " + seed + ": " + faults.injected().size() + " faults, " + guarantees
-                + ", violations " + guarantees.violations());
+                + ", violations " + guarantees.violations()
+                + ", restarted VMs in two groups " + guarantees.observations().size());
         final String logs = System.getProperty("soak.logs");
         if (logs != null) {
-            Files.writeString(Path.of(logs, "seed-" + seed + ".log"), faults.injected() + "\n" + nodes.logs());
+            Files.writeString(
+                    Path.of(logs, "seed-" + seed + ".log"),
+                    guarantees.violations() + "\n" + guarantees.observations() + "\n" + faults.injected() + "\n"
+                            + nodes.logs());
         }
     }
 }
--- a/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
+++ b/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
@@ -17,6 +17,7 @@
     private final Map<String, Integer> refusalStatuses = new ConcurrentHashMap<>();
     private final Map<String, Long> sentNanos = new ConcurrentHashMap<>();
     private final List<String> violations = new CopyOnWriteArrayList<>();
+    private final List<String> observations = new CopyOnWriteArrayList<>();
     private final Map<Integer, AtomicInteger> responsesByStatus = new ConcurrentHashMap<>();
     private final AtomicInteger incompleteResponses = new AtomicInteger();
 
@@ -36,6 +37,15 @@
         violations.add(guarantee + ": " + details);
     }
 
+    /** Records what may be no violation, but is worth a trace. */
+    void reportObservation(String what, String details) {
+        observations.add(what + ": " + details);
+    }
+
+    List<String> observations() {
+        return List.copyOf(observations);
+    }
+
     void recordSent(String attempt) {
         sentNanos.put(attempt, System.nanoTime());
     }
--- a/src/test/java/org/wigeongrade/platform/soak/SoakAddresses.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakAddresses.java
@@ -12,6 +12,9 @@
  * proxy forwards to it. Immutable; safe for use from any thread.
  */
 record SoakAddresses(int firstPort, int controls, int entries) {
+    /** The address at which control nodes reach the endpoints. */
+    static final String CONTROL_GATEWAY_IP = "127.79.2.1";
+
     private static final int PORTS = 6;
 
     static SoakAddresses free(int controls, int entries) {
@@ -22,6 +25,11 @@
         return List.of(firstPort, firstPort + 1, controlPort());
     }
 
+    /** Returns the ports at which other nodes, but no endpoints, call a control VM. */
+    List<Integer> peerPorts() {
+        return List.of(firstPort, firstPort + 1);
+    }
+
     int controlPort() {
         return firstPort + 3;
     }
--- a/src/test/java/org/wigeongrade/platform/soak/SoakClient.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakClient.java
@@ -76,7 +76,7 @@
                 "X-Credential",
                 asGuest ? "key-guest" : "key-shop"));
         if (kind.equals("gen")) {
-            headers.put("X-Model", "large");
+            headers.put("X-Model", random.nextInt(3) == 0 ? "huge" : "large");
             headers.put("X-Token-Count", "100,60");
             headers.put("X-Prompt-Prefix", "ab:100");
         }
--- a/src/test/java/org/wigeongrade/platform/soak/SoakNodes.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakNodes.java
@@ -69,6 +69,20 @@
         return addresses.controls() + addresses.entries();
     }
 
+    List<Integer> controls() {
+        return IntStream.range(0, addresses.controls()).boxed().toList();
+    }
+
+    List<Integer> entries() {
+        return IntStream.range(addresses.controls(), count()).boxed().toList();
+    }
+
+    /** Excuses a node whose process a fault affects from what endpoints told it. */
+    void excuse(int node, GuaranteeChecker guarantees) {
+        guarantees.sendRestrictions().excuse(node - addresses.controls());
+        guarantees.limits().excuse(node - addresses.controls());
+    }
+
     String name(int node) {
         return isControl(node) ? "control-" + node : "entry-" + (node - addresses.controls());
     }
@@ -77,6 +91,19 @@
         proxies.get(control).forEach(proxy -> proxy.setMode(mode));
     }
 
+    /** Cuts control VMs from other nodes, but not from endpoints, for {@code forMs}. */
+    void cutFromPeers(List<Integer> cutControls, FaultInjectionProxy.Mode mode, long forMs) {
+        setPeerMode(cutControls, mode);
+        Await.sleepMs(forMs);
+        setPeerMode(cutControls, FaultInjectionProxy.Mode.FORWARD);
+    }
+
+    private void setPeerMode(List<Integer> cutControls, FaultInjectionProxy.Mode mode) {
+        final int peerPorts = addresses.peerPorts().size();
+        cutControls.forEach(
+                control -> proxies.get(control).subList(0, peerPorts).forEach(proxy -> proxy.setMode(mode)));
+    }
+
     /** Resets the open connections to a control VM; new ones are forwarded normally. */
     void resetConnections(int control) {
         setProxyMode(control, FaultInjectionProxy.Mode.RESET);
