Count responses that end with their connection once their endpoint has survived

Only a response that states its end counted as complete. Where none does, no prompt part ever counted as sound, so that CrashAttribution could not tell the crashing part from the first part that all requests of the route share, quarantined both, and no trial released the sound one.

The end of a connection proves nothing: the kernel ends the connections of a crashed process in the same way. What tells the two apart is whether the endpoint was alive afterwards. UnconfirmedCompletions keeps such responses until a view that is five heartbeats newer still lists the same incarnation; the leader stops listing one that misses four. A broken or refused connection to the endpoint, its absence from a view, or a suspicion of the leader drops them. A response counts from its end, not from its confirmation, so that a loss in between is not cleared by it. A stream that ends within an event, and a response without success, still count for nothing.

A relayed request is sent to its endpoint by the other entry node, which counts it in the same way; the relaying node counts nothing, as before. The request path of the own interface counts responses by another rule and is unchanged.

Evidence, without the change (the new method without effect): CrashAttributionTest 10 of 34 cases failed, all of them new, and UnframedStreamTest 1 of 5.

--- a/src/main/java/org/wigeongrade/decisions/outcomes/CompletedParts.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CompletedParts.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.decisions.outcomes;
 
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -14,7 +15,7 @@
  * Remembers which prompt parts an entry node saw in requests that got a complete response; such a part does not crash
  * endpoints.
  *
- * <p>Invariant: holds at most {@link #MAX_PARTS} parts; the one that was completed longest ago is forgotten first. Time
+ * <p>Invariant: holds at most {@link #MAX_PARTS} parts; the one that was recorded longest ago is forgotten first. Time
  * is a parameter, on the monotonic clock. Not thread safe.
  */
 public final class CompletedParts {
@@ -27,14 +28,14 @@
 
     private final Map<PromptPartId, Deque<Long>> completedNanos = new LinkedHashMap<>();
 
-    /** Records a complete response to a request with these parts. */
-    public void record(Set<PromptPartId> parts, long nowNanos) {
+    /** Records a response to a request with these parts that was complete at a time, which may be before the last one. */
+    public void record(Set<PromptPartId> parts, long completeNanos) {
         for (final PromptPartId part : parts) {
             final Deque<Long> times =
                     Optional.ofNullable(completedNanos.remove(part)).orElseGet(ArrayDeque::new);
-            times.addLast(nowNanos);
+            times.addLast(completeNanos);
             if (times.size() > MAX_COUNT) {
-                times.removeFirst();
+                times.remove(Collections.min(times));
             }
             completedNanos.put(part, times);
         }
@@ -50,6 +51,6 @@
         final Deque<Long> times = completedNanos.getOrDefault(part, new ArrayDeque<>());
         final int count = (int)
                 times.stream().filter(nanos -> nowNanos - nanos <= WINDOW_NANOS).count();
-        return count == 0 ? Optional.empty() : Optional.of(new PartCompletions(count, times.getLast()));
+        return count == 0 ? Optional.empty() : Optional.of(new PartCompletions(count, Collections.max(times)));
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/outcomes/QuarantinedParts.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/QuarantinedParts.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.wigeongrade.ids.PromptPartId;
+import org.wigeongrade.ids.VmIncarnation;
 
 /**
  * An entry node's view of the prompt parts that crash endpoints.
@@ -18,6 +19,7 @@
  */
 public final class QuarantinedParts {
     private final CompletedParts completed = new CompletedParts();
+    private final UnconfirmedCompletions unconfirmed = new UnconfirmedCompletions();
     private final Set<PromptPartId> refused = new HashSet<>();
     private final Set<PromptPartId> startedTrials = new HashSet<>();
     private ImmutableMap<PromptPartId, PartQuarantine> quarantined = ImmutableMap.of();
@@ -56,6 +58,29 @@
         completed.record(parts, nowNanos);
     }
 
+    /**
+     * Records a response to a request with these parts that ended with its connection, as it would have in a crash; it
+     * counts once {@link #confirmCompleted} finds the endpoint alive.
+     */
+    public void recordEndedWithConnection(VmIncarnation endpoint, Set<PromptPartId> parts, long nowNanos) {
+        unconfirmed.record(endpoint, parts, nowNanos);
+    }
+
+    /** Records that an endpoint may have crashed, so that the ends of its connections prove nothing. */
+    public void recordLost(VmIncarnation endpoint) {
+        unconfirmed.forget(endpoint);
+    }
+
+    /**
+     * Counts the responses of living endpoints that ended with their connections.
+     *
+     * @param alive the endpoints that the leader lists
+     * @param endedBeforeNanos if an endpoint had crashed before this time, the leader would no longer list it
+     */
+    public void confirmCompleted(Set<VmIncarnation> alive, long endedBeforeNanos) {
+        unconfirmed.confirm(alive, endedBeforeNanos, completed);
+    }
+
     /** Returns and forgets the parts because of which requests were refused since the last call. */
     public ImmutableSet<PromptPartId> drainRefused() {
         final ImmutableSet<PromptPartId> drained = ImmutableSet.copyOf(refused);
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -3,9 +3,12 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.EngineLatencyModel;
+import org.wigeongrade.decisions.outcomes.QuarantinedParts;
+import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.metrics.RetryReason;
 
@@ -178,6 +181,7 @@
         services.endpointLinks().recordFailure(endpoint);
         if (connectionRefused) {
             endpoint.recordRefusedConnection(services.nowNanos());
+            services.registry().quarantinedParts().recordLost(endpoint.vm());
         } else {
             endpoint.recordFailure(services.nowNanos());
         }
@@ -233,13 +237,18 @@
         exchange.onResponse(this, response);
     }
 
-    /** A response that ends with its connection may have been ended by a crash, so that it proves nothing. */
+    /** A response that ends with its connection may have been ended by a crash, so that alone it proves nothing. */
     private void recordCompletedParts() {
         final ResponseHead finishedHead = head.orElseThrow();
-        if (finishedHead.isSuccess() && finishedHead.selfDelimited()) {
-            services.registry()
-                    .quarantinedParts()
-                    .recordCompleted(exchange.request().sharedPromptParts(), services.nowNanos());
+        final Set<PromptPartId> promptParts = exchange.request().sharedPromptParts();
+        final QuarantinedParts parts = services.registry().quarantinedParts();
+        if (!finishedHead.isSuccess()) {
+            return;
+        }
+        if (finishedHead.selfDelimited()) {
+            parts.recordCompleted(promptParts, services.nowNanos());
+        } else {
+            parts.recordEndedWithConnection(endpoint.vm(), promptParts, services.nowNanos());
         }
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -25,6 +26,7 @@
 import org.wigeongrade.ids.ModelVersionName;
 import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
@@ -46,8 +48,12 @@
     /** An endpoint that sent bytes within this time can be reached on the connections that are open to it. */
     private static final long MAX_SILENCE_WITH_WORKING_LINK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** Heartbeats without which the leader surely no longer lists an endpoint; one more than it may miss at most. */
+    private static final int MISSED_HEARTBEATS_OF_CRASHED = 5;
+
     private final EventLog events;
     private final long maxPauseMs;
+    private final long crashNoticedNanos;
     private final SendRestrictions restrictions = new SendRestrictions();
     private final EndpointLimits limits;
     private final Map<VmName, EndpointLoad> routable = new HashMap<>();
@@ -59,11 +65,15 @@
     private EntryView view;
     private LinkState linkState = LinkState.WORKING;
 
-    /** @param maxPauseMs longest pause that an endpoint may ask for; longer ones are shortened to it */
-    EndpointRegistry(EventLog events, long maxPauseMs, long nowNanos) {
+    /**
+     * @param maxPauseMs longest pause that an endpoint may ask for; longer ones are shortened to it
+     * @param heartbeatMs usual time between two heartbeats of an endpoint
+     */
+    EndpointRegistry(EventLog events, long maxPauseMs, long heartbeatMs, long nowNanos) {
         this.events = events;
         this.limits = new EndpointLimits(restrictions, events);
         this.maxPauseMs = maxPauseMs;
+        this.crashNoticedNanos = TimeUnit.MILLISECONDS.toNanos(MISSED_HEARTBEATS_OF_CRASHED * heartbeatMs);
         this.view = EntryView.empty(nowNanos);
     }
 
@@ -85,9 +95,20 @@
                 next.unreadTokensElsewhere().getOrDefault(vm.value(), 0)));
         retired.removeIf(load -> load.inFlight() == 0);
         quarantinedParts.apply(next.quarantinedParts(), next.partsInQuestion());
+        if (next.isSettled()) {
+            quarantinedParts.confirmCompleted(aliveEndpoints(), next.pullSentNanos() - crashNoticedNanos);
+        }
         view = next;
     }
 
+    /** Returns the listed endpoints that the leader does not suspect. */
+    private ImmutableSet<VmIncarnation> aliveEndpoints() {
+        return routable.values().stream()
+                .filter(load -> !load.isSuspect())
+                .map(EndpointLoad::vm)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /**
      * Returns the endpoints of a service, or of one of its models, except those that are leaving and those in zones
      * that are out of service.
@@ -146,6 +167,7 @@
 
     /** Records that a request was in flight at an endpoint when the connection failed. */
     void recordCrash(String requestDigest, Set<PromptPartId> promptParts, EndpointLoad load) {
+        quarantinedParts.recordLost(load.vm());
         if (linkState == LinkState.CUT) {
             return;
         }
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -99,7 +99,8 @@
                 settings.fleetPort(),
                 settings.controlPort(),
                 settings.seeds().stream().map(NodeAddress::ip).toList());
-        this.registry = new EndpointRegistry(events, settings.ms(FleetKey.MAX_PAUSE_S), clock.getAsLong());
+        this.registry = new EndpointRegistry(
+                events, settings.ms(FleetKey.MAX_PAUSE_S), settings.ms(FleetKey.HEARTBEAT_MS), clock.getAsLong());
         this.viewPuller = new ViewPuller(
                 settings.name(),
                 settings.availabilityZone(),
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
@@ -65,6 +65,11 @@
                 nowNanos);
     }
 
+    /** Returns whether the leader had heard of every endpoint, so that those that it does not list do not serve. */
+    boolean isSettled() {
+        return term != 0;
+    }
+
     long version() {
         return configuration.map(PublishedConfiguration::version).orElse(0L);
     }
--- a/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -20,6 +21,8 @@
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.ids.PromptPartId;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
 
 /**
  * Pattern: few endpoints serve a model, each with many requests in flight, and either the requests with one prompt part
@@ -40,6 +43,10 @@
     private static final int SUBJECTS = 60;
     private static final String CRASHING = "bad";
     private static final long WARM_UP_MS = 8_000;
+    /** Time until the leader no longer lists a crashed endpoint, and the larger one that entry nodes assume. */
+    private static final long UNNOTICED_MS = 4_800;
+
+    private static final long SURVIVED_MS = 6_000;
     private static final long LEARNING_MS = 3_000;
     private static final int CRASHES_TO_LEARN_FROM = 5;
     private static final int MAX_SENDS_AFTERWARDS = 3;
@@ -60,10 +67,31 @@
         }
     }
 
+    /** How an entry node can tell that a response is complete. */
+    private enum ResponseEnd {
+        STATED,
+        END_OF_CONNECTION
+    }
+
     private static final class Endpoint {
+        private final VmName vm;
         private int incarnation = 1;
         private long downUntilMs;
         private final List<Request> running = new ArrayList<>();
+
+        Endpoint(int number) {
+            vm = VmName.of("vm-" + number);
+        }
+
+        VmIncarnation current() {
+            return new VmIncarnation(vm, incarnation);
+        }
+
+        /** Returns the incarnation that the leader lists at a time, which is a crashed one for a while. */
+        VmIncarnation listed(long nowMs) {
+            final boolean crashNoticed = nowMs >= downUntilMs - RESTART_MS + UNNOTICED_MS;
+            return incarnation == 1 || crashNoticed ? current() : new VmIncarnation(vm, incarnation - 1);
+        }
     }
 
     private final class Entry {
@@ -83,6 +111,9 @@
             parts.drainRefused().forEach(part -> leader.recordRefused(name, part, nanos()));
             leader.update(nanos());
             parts.apply(leader.quarantinedParts(name), leader.partsInQuestion());
+            parts.confirmCompleted(
+                    endpoints.stream().map(endpoint -> endpoint.listed(nowMs)).collect(Collectors.toSet()),
+                    nanos() - TimeUnit.MILLISECONDS.toNanos(SURVIVED_MS));
             quarantinedRequests = leader.quarantinedRequests();
         }
 
@@ -103,7 +134,7 @@
     private final List<Entry> entries =
             IntStream.range(0, ENTRIES).mapToObj(Entry::new).toList();
     private final List<Endpoint> endpoints =
-            IntStream.range(0, ENDPOINTS).mapToObj(unused -> new Endpoint()).toList();
+            IntStream.range(0, ENDPOINTS).mapToObj(Endpoint::new).toList();
     private final List<Long> crashesMs = new ArrayList<>();
     private final List<Long> crashingSendsMs = new ArrayList<>();
     private final Set<PromptPartId> soundPartsQuarantined = new HashSet<>();
@@ -112,6 +143,7 @@
     private int requests;
     private int soundOffered;
     private int soundRefused;
+    private ResponseEnd responseEnd = ResponseEnd.STATED;
 
     /** Requests are attributed by what they share, since no two of those that crash endpoints are alike. */
     @ParameterizedTest
@@ -140,6 +172,50 @@
                 .isAtMost(soundOffered / 100);
     }
 
+    /** Sound requests were all refused where no response states its end: none of their parts ever counted as sound. */
+    @ParameterizedTest
+    @CsvSource({"1, 3, 2", "2, 3, 2", "3, 6, 2", "4, 6, 3", "5, 1, 2", "6, 3, 1", "7, 10, 2", "8, 3, 4", "9, 0.3, 2"})
+    void partsThatEndpointsSurviveAreNotQuarantinedWhereResponsesEndWithTheirConnections(
+            long seed, double perSecond, int subjectsBeside) {
+        responseEnd = ResponseEnd.END_OF_CONNECTION;
+        final Random random = new Random(seed);
+        run(random, 2 * WARM_UP_MS, 0, subjectsBeside);
+        run(random, 60_000, perSecond, subjectsBeside);
+
+        assertThat(crashesMs.size()).isAtLeast(3);
+        assertThat(sendsAfterLearning()).isAtMost(MAX_SENDS_AFTERWARDS);
+        assertThat(soundPartsQuarantined).doesNotContain(PromptPartId.of("first"));
+        assertWithMessage("sound requests refused of %s", soundOffered)
+                .that(soundRefused)
+                .isAtMost(soundOffered / 100);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // whether the endpoint is lost after the response, whether the leader still lists it, and the time until a view
+        "false, true, 6001, true",
+        "false, true, 5999, false",
+        "false, false, 6001, false",
+        "true, true, 6001, false",
+    })
+    void responseThatEndsWithItsConnectionCountsOnlyIfItsEndpointSurvivedIt(
+            boolean lost, boolean listed, long viewAfterMs, boolean counts) {
+        final QuarantinedParts parts = entries.get(0).parts;
+        final PromptPartId part = PromptPartId.of("a");
+        final VmIncarnation endpoint = endpoints.get(0).current();
+        parts.apply(List.of(), Set.of(part));
+        parts.recordEndedWithConnection(endpoint, Set.of(part), nanos());
+        if (lost) {
+            parts.recordLost(endpoint);
+        }
+        final long viewNanos = TimeUnit.MILLISECONDS.toNanos(viewAfterMs);
+        parts.confirmCompleted(
+                listed ? Set.of(endpoint) : Set.of(), viewNanos - TimeUnit.MILLISECONDS.toNanos(SURVIVED_MS));
+
+        assertThat(parts.completionsInQuestion(viewNanos))
+                .isEqualTo(counts ? Map.of(part, new PartCompletions(1, 0)) : Map.of());
+    }
+
     @ParameterizedTest
     @CsvSource({"1", "2", "3"})
     void changeOfLeaderKeepsTheQuarantine(long seed) {
@@ -317,14 +393,23 @@
         endpoint.running.removeIf(request -> {
             final boolean done = nowMs >= request.begunMs + WORK_MS;
             if (done) {
-                entries.get(request.entry).parts.recordCompleted(request.parts, nanos());
+                recordResponse(request, endpoint);
             }
             return done;
         });
     }
 
+    private void recordResponse(Request request, Endpoint endpoint) {
+        final QuarantinedParts parts = entries.get(request.entry).parts;
+        switch (responseEnd) {
+            case STATED -> parts.recordCompleted(request.parts, nanos());
+            case END_OF_CONNECTION -> parts.recordEndedWithConnection(endpoint.current(), request.parts, nanos());
+        }
+    }
+
     private List<Request> crash(Endpoint endpoint) {
         final List<Request> lost = List.copyOf(endpoint.running);
+        lost.forEach(request -> entries.get(request.entry).parts.recordLost(endpoint.current()));
         final EndpointIncarnation incarnation =
                 new EndpointIncarnation(EndpointId.of("vm-" + endpoints.indexOf(endpoint)), endpoint.incarnation);
         lost.forEach(request -> entries.get(request.entry)
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
@@ -24,7 +24,7 @@
     private static final ServiceName SERVICE = ServiceName.of("app");
     private static final long MAX_PAUSE_MS = 5_000;
 
-    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), MAX_PAUSE_MS, 0);
+    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), MAX_PAUSE_MS, 1_200, 0);
     private long changeNumber;
 
     @ParameterizedTest
