Wait for unflushed responses when an entry node stops or closes idle connections

A connection counted as idle as soon as its exchange had ended, although its response was still queued in the process. The stop did not wait for it, and closing idle connections discarded it.

A connection now counts its writes that have not been flushed, and is idle only without any.

Not run with real processes.

--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -35,7 +35,7 @@
  *
  * <p>Invariants: requests are processed one at a time, in the order of arrival, and only once everything that had
  * arrived was read, so that a request whose caller has already left is not sent on; while the node stops, the response to
- * the last request that has arrived closes its connection.
+ * the last request that has arrived closes its connection; a connection is idle only once its responses were flushed.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> implements ResponseWriter {
     private static final int BAD_REQUEST = 400;
@@ -57,6 +57,7 @@
     private boolean keepAlive = true;
     private boolean willClose;
     private boolean hasServed;
+    private int unflushedWrites;
     private long openedNanos;
     private long idleSinceNanos;
 
@@ -99,10 +100,13 @@
         }
     }
 
-    /** Returns whether no request is being received or served, and none is about to arrive on a new connection. */
+    /**
+     * Returns whether no request is being received or served, no response waits for its caller to read, and no request
+     * is about to arrive on a new connection.
+     */
     boolean isIdle() {
         final boolean expectsFirstRequest = !hasServed && services.nowNanos() - openedNanos < FIRST_REQUEST_WAIT_NANOS;
-        return currentExchange.isEmpty() && pipelined.isEmpty() && !intake.isReceiving() && !expectsFirstRequest;
+        return currentExchange.isEmpty() && !anotherRequestArrived() && unflushedWrites == 0 && !expectsFirstRequest;
     }
 
     /** Closes the connection if it is idle. */
@@ -164,11 +168,19 @@
         if (closes) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        final ChannelFuture written = context.writeAndFlush(message);
-        NettyFutures.logFailure(written);
+        final ChannelFuture written = track(context.writeAndFlush(message));
         return closes ? written.addListener(ChannelFutureListener.CLOSE) : written;
     }
 
+    private ChannelFuture track(ChannelFuture write) {
+        unflushedWrites++;
+        NettyFutures.logFailure(write);
+        return write.addListener(flushed -> {
+            unflushedWrites--;
+            idleSinceNanos = services.nowNanos();
+        });
+    }
+
     @Override
     public void beginStream(int status, HttpHeaders headers) {
         final HttpResponse message = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
@@ -177,17 +189,17 @@
             keepAlive = false;
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        NettyFutures.logFailure(context.write(message));
+        final var unused = track(context.write(message));
     }
 
     @Override
     public void writeStream(byte[] bytes) {
-        NettyFutures.logFailure(context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes))));
+        final var unused = track(context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes))));
     }
 
     @Override
     public void endStream() {
-        final var written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        final ChannelFuture written = track(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         // The head of a stream that began before the stop did not announce that the connection closes.
         if (!keepAlive || (connections.isClosing() && !anotherRequestArrived())) {
             willClose = true;
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -123,6 +123,10 @@
     }
 
     static EntryServices services(SharedEventLoop loop, EndpointRegistry registry) {
+        return services(loop, registry, new BufferedBodies(1_000_000, 100_000));
+    }
+
+    static EntryServices services(SharedEventLoop loop, EndpointRegistry registry, BufferedBodies bufferedBodies) {
         final PlatformCallerCodec codec = new PlatformCallerCodec();
         final EventLog events = new EventLog();
         final Metrics metrics = new Metrics();
@@ -136,7 +140,7 @@
                 connectionPool,
                 new EndpointLinks(loop, connectionPool, registry, events, metrics, System::nanoTime),
                 new RelayPeers(new SplittableRandom(1)),
-                new BufferedBodies(1_000_000, 100_000),
+                bufferedBodies,
                 new Balancer(new SplittableRandom(1)),
                 new RetryBudgetShare(0.2, 100, TimeUnit.SECONDS.toNanos(10)),
                 new ColdStartLimits(1.5, 5, 0),
--- a/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
@@ -31,6 +31,9 @@
     private static final int MAX_BYTES = 64 * 1024;
     private static final int TIMEOUT_MS = 5_000;
     private static final int SILENCE_MS = 300;
+    /** More than the buffers of both sides' sockets hold. */
+    private static final int LARGE_BYTES = 16_000_000;
+
     private static final String EVENT = "d\r\nid: 1\ndata:\n\n\r\n";
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
@@ -108,6 +111,30 @@
         }
     }
 
+    /** A response that waited for a slow reader counted as finished: the end of the process or an idle timeout cut it. */
+    @Test
+    void responseThatItsCallerReadsSlowlyIsWaitedFor() throws Exception {
+        try (Socket caller = connect(RouteKind.IDEMPOTENT, false)) {
+            send(caller, "a1");
+            final Socket connection = takeRequest("a1");
+            write(
+                    connection,
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Seal: s\r\nContent-Length: " + LARGE_BYTES
+                            + "\r\n\r\n" + "x".repeat(LARGE_BYTES));
+            readUntil(caller, "\r\n\r\n");
+            onLoop(connections::closeAfterNextResponse);
+            onLoop(connections::closeIdle);
+
+            assertThat(inFlight()).isEqualTo(1);
+            assertThat(caller.getInputStream().readNBytes(LARGE_BYTES)).hasLength(LARGE_BYTES);
+            assertThat(inFlight()).isEqualTo(0);
+        }
+    }
+
+    private int inFlight() throws Exception {
+        return loop.eventLoop().submit(connections::inFlight).get();
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -157,21 +184,26 @@
     }
 
     private Socket connect(boolean fromEntryNode) throws Exception {
+        return connect(RouteKind.STREAMING, fromEntryNode);
+    }
+
+    private Socket connect(RouteKind kind, boolean fromEntryNode) throws Exception {
         final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, System.nanoTime());
         registry.apply(
                 EntryFixture.view(
-                        EntryFixture.configuration(RouteKind.STREAMING),
+                        EntryFixture.configuration(kind),
                         Map.of(),
                         EntryFixture.endpoint("vm-1", endpoint.getLocalPort(), 4)),
                 System.nanoTime());
-        final EntryServices services = EntryFixture.services(loop, registry);
+        final EntryServices services =
+                EntryFixture.services(loop, registry, new BufferedBodies(2 * LARGE_BYTES, LARGE_BYTES));
         final InetSocketAddress address;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             address = (InetSocketAddress) free.getLocalSocketAddress();
         }
         final HttpListener unused = HttpListener.open(loop, address, MAX_BYTES, pipeline -> {
-            final RequestIntake intake =
-                    new RequestIntake(new MemoryBudget(MAX_BYTES), () -> TIMEOUT_MS, TIMEOUT_MS, (kind, cause) -> {});
+            final RequestIntake intake = new RequestIntake(
+                    new MemoryBudget(MAX_BYTES), () -> TIMEOUT_MS, TIMEOUT_MS, (refusal, cause) -> {});
             intake.addTo(pipeline);
             pipeline.addLast(new HttpObjectAggregator(MAX_BYTES))
                     .addLast(new CallerConnection(services, connections, intake, fromEntryNode));
