Fail a response whose connection ends right after its head

An endpoint that stopped after the head of a response with neither a length nor chunks, and closed, gave its caller a success with an empty body, framed as whole; a stream ended as complete without an event.

The end of such a response is that of its connection, so that the decoder reports a complete one. A response that ends so now counts only if it has a body; one that may have none by its status or method has ended before.

responseThatStopsEarlyIsNotComplete closes and resets the connection after every byte of ten responses: with a length, in chunks, without either, in HTTP/1.0, with LF only, and after an interim response. Before, its three cases without a framing failed. The other seven show that a response cut off in its status line, headers, chunks or length was a failure already.

copyOfAnEarlierRefusalIsNotTakenForTheNextResponse shows that a second copy of a refusal of another request, in two parts at every byte, is skipped, or ends the connection if it names no request. It found no fault in the product; two of its cases first ended with an error, since the test wrote to a connection that was closed already.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseDecoder.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.fleet.entry;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -7,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import java.util.Optional;
 import org.wigeongrade.fleet.net.NettyFutures;
 
@@ -18,6 +20,7 @@
  */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
     private Optional<HttpMethod> awaitedMethod = Optional.empty();
+    private boolean closed;
 
     /** Starts to decode; {@code method} is that of the request, since a response to HEAD has no body. */
     void start(HttpMethod method) {
@@ -30,6 +33,17 @@
         return actualReadableBytes() == 0;
     }
 
+    /** Returns whether the endpoint has closed the connection, so that this is what ends a response without a length. */
+    boolean isClosed() {
+        return closed;
+    }
+
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
+        closed = true;
+        super.decodeLast(context, bytes, decoded);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (awaitedMethod.isEmpty()) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -8,7 +8,9 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.wigeongrade.fleet.net.NettyFutures;
 
 /**
@@ -16,7 +18,8 @@
  *
  * <p>Invariant: a response that names another request is skipped; any unexpected data that cannot be told apart from
  * the awaited response closes the connection. On a connection that carried an earlier request, that includes a response
- * that names none. A connection is released only if nothing follows the response.
+ * that names none. A connection is released only if nothing follows the response. A response that
+ * ends with its connection is complete only if it has a body.
  */
 final class EndpointResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final int FIRST_FINAL_STATUS = 200;
@@ -25,6 +28,8 @@
     private static final int MAX_INTERIM_RESPONSES = 8;
     /** Maximum of bytes of responses to other requests that are skipped; beyond it a new connection is cheaper. */
     private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
+    /** Refusals after which a connection is closed, so that their ids need not be kept. */
+    private static final int MAX_REFUSALS = 16;
 
     /** Receives a connection that may be reused. */
     @FunctionalInterface
@@ -35,12 +40,14 @@
     private final EndpointResponseDecoder decoder;
     private final CallerCodec codec;
     private final ConnectionReleaser releaser;
+    private final Set<String> refusedAttempts = new HashSet<>();
     private Optional<EndpointCall> currentCall = Optional.empty();
     private Optional<ResponseHead> head = Optional.empty();
     private boolean reused;
     private int interimResponses;
     private long skippedBytes;
     private boolean skipping;
+    private boolean hasBody;
 
     /** @param decoder decoder of the same connection */
     EndpointResponseHandler(EndpointResponseDecoder decoder, CallerCodec codec, ConnectionReleaser releaser) {
@@ -49,12 +56,21 @@
         this.releaser = releaser;
     }
 
+    /**
+     * Returns whether the request may be sent on this connection. A second copy of an earlier refusal could not be told
+     * from the response to the same request.
+     */
+    boolean maySend(EndpointCall call) {
+        return call.attemptId().filter(id -> !refusedAttempts.contains(id)).isPresent();
+    }
+
     /** Starts waiting for the response to a request. */
     void awaitResponse(EndpointCall call) {
         currentCall = Optional.of(call);
         head = Optional.empty();
         interimResponses = 0;
         skipping = false;
+        hasBody = false;
         decoder.start(call.message().method());
     }
 
@@ -122,10 +138,15 @@
         final EndpointCall call = currentCall.orElseThrow();
         final ByteBuf bytes = content.content();
         if (bytes.isReadable()) {
+            hasBody = true;
             final byte[] copy = new byte[bytes.readableBytes()];
             bytes.readBytes(copy);
             call.reportBody(copy);
         }
+        if (last && decoder.isClosed() && !hasBody) {
+            fail(context, "the endpoint closed the connection after the head of a response without a length");
+            return;
+        }
         if (last && !call.isFinished()) {
             finish(context, call);
         }
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -172,6 +172,78 @@
         }
     }
 
+    /** A second copy of an earlier refusal told callers that a request had not run although it had. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                // status line and headers of the refusal | whether it names the earlier request
+                "503 Unavailable\\r\\nX-Not-Executed: 1\\r\\nX-Attempt-Id: first | true",
+                "429 Too Many\\r\\nX-Attempt-Id: first\\r\\nX-Not-Executed: 1 | true",
+                "421 Misdirected\\r\\nX-Attempt-Id: first | true",
+                "503 Unavailable\\r\\nX-Not-Executed: 1 | false",
+                "421 Misdirected\\r\\nX-Server-Seal: s | false",
+            })
+    void copyOfAnEarlierRefusalIsNotTakenForTheNextResponse(String head, boolean namesEarlier) {
+        final String refusal =
+                "HTTP/1.1 " + head.translateEscapes() + "\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nno";
+        for (int bytes = 0; bytes <= refusal.length(); bytes++) {
+            final EmbeddedChannel connection = newChannel();
+            sendRequest(connection, "first");
+            receive(connection, namesEarlier ? refusal : EXPECTED.replace("mine", "first"));
+            reported.clear();
+            sendRequest(connection, "mine");
+            receive(connection, refusal.substring(0, bytes));
+            if (connection.isActive()) {
+                receive(connection, refusal.substring(bytes) + EXPECTED);
+            }
+
+            if (namesEarlier) {
+                assertWithMessage("split after %s", bytes).that(reported).containsExactly("head 200", "abc", "end");
+            } else {
+                assertWithMessage("split after %s", bytes).that(reported).hasSize(1);
+                assertThat(reported.get(0)).startsWith("failed after send");
+            }
+        }
+    }
+
+    /** A response that stopped in the middle of its head, or of its framed body, was passed on as a whole one. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                // the whole response, of which each shorter beginning is sent | bytes after which its close is its end
+                "HTTP/1.1 200 OK\\r\\nX-Attempt-Id: mine\\r\\nX-Server-Seal: s\\r\\nContent-Length: 3\\r\\n\\r\\nabc | 0",
+                "HTTP/1.0 200 OK\\r\\nX-Attempt-Id: mine\\r\\nX-Server-Seal: s\\r\\nContent-Length: 3\\r\\n\\r\\nabc | 0",
+                "HTTP/1.1 200 OK\\nX-Attempt-Id: mine\\nX-Server-Seal: s\\nContent-Length: 3\\n\\nabc | 0",
+                "HTTP/1.1 200 OK\\r\\nX-Attempt-Id: mine\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n3\\r\\nabc\\r\\n0\\r\\n\\r\\n | 0",
+                "HTTP/1.1 200 OK\\nX-Attempt-Id: mine\\nTransfer-Encoding: chunked\\n\\n3\\nabc\\n0\\n\\n | 0",
+                "HTTP/1.1 100 Continue\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nX-Attempt-Id: mine\\r\\nContent-Length: 3\\r\\n\\r\\nabc | 0",
+                "HTTP/1.1 103 Hints\\r\\nX-Attempt-Id: mine\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nX-Attempt-Id: mine\\r\\nContent-Length: 3\\r\\n\\r\\nabc | 0",
+                "HTTP/1.1 200 OK\\r\\nX-Attempt-Id: mine\\r\\nX-Server-Seal: s\\r\\n\\r\\nabc | 3",
+                "HTTP/1.0 200 OK\\r\\nX-Attempt-Id: mine\\r\\nX-Server-Seal: s\\r\\n\\r\\nabc | 3",
+                "HTTP/1.1 200 OK\\nX-Attempt-Id: mine\\nX-Server-Seal: s\\n\\nabc | 3",
+            })
+    void responseThatStopsEarlyIsNotComplete(String text, int endsWithCloseBytes) {
+        final String response = text.translateEscapes();
+        final int atLeastMissing = Math.max(1, endsWithCloseBytes);
+        for (final boolean reset : new boolean[] {false, true}) {
+            for (int bytes = 0; bytes <= response.length() - atLeastMissing; bytes++) {
+                final EmbeddedChannel connection = newChannel();
+                reported.clear();
+                sendRequest(connection, "mine");
+                receive(connection, response.substring(0, bytes));
+                if (reset) {
+                    connection.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+                }
+                connection.close().syncUninterruptibly();
+
+                assertWithMessage("after %s bytes", bytes).that(reported).doesNotContain("end");
+                assertThat(reported.get(reported.size() - 1)).startsWith("failed after send");
+            }
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
