Count a VM without a group as released only from its first heartbeat in a term

Callers could see rule TWO broken: a VM that restarted after the term had started, but before the leader first heard it, was free 4.8 s after the start of the term and so less than the stall time after its restart, while the head of its old group was open.

Release now counts from the first heartbeat that is heard in the term while VMs look for the leader. A VM with neither staged nor loaded models has never joined and is released at once, so that a cold start takes no longer.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -139,9 +139,13 @@
             groups.add(group);
             recordPhaseChange(group);
         });
-        vms.stream()
-                .filter(inherited::isInUnadoptedGroup)
-                .forEach(vm -> releaseTimes.recordInUnadoptedGroup(vm.vm().vm(), nowNanos));
+        for (final VmRecord vm : vms) {
+            if (inherited.isInUnadoptedGroup(vm)) {
+                releaseTimes.recordInUnadoptedGroup(vm.vm().vm(), nowNanos);
+            } else if (vm.receivedNanos() - startedNanos > 0) {
+                releaseTimes.recordHeard(vm.vm().vm(), nowNanos);
+            }
+        }
     }
 
     private void step(ManagedGroup group, PlanningContext context) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/ReleaseTimes.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ReleaseTimes.java
@@ -15,13 +15,13 @@
  */
 final class ReleaseTimes {
     private final long headBrokenAfterNanos;
-    private final long initialReleaseNanos;
+    private final long startedNanos;
     private final Map<VmName, Long> releaseNanos = new HashMap<>();
 
     /** @param startedNanos start of this leader's term */
     ReleaseTimes(long startedNanos, long headBrokenAfterNanos) {
         this.headBrokenAfterNanos = headBrokenAfterNanos;
-        this.initialReleaseNanos = startedNanos + headBrokenAfterNanos;
+        this.startedNanos = startedNanos;
     }
 
     /** Records that the VM reports a group that this leader does not manage. */
@@ -29,6 +29,15 @@
         releaseNanos.put(vm, nowNanos + headBrokenAfterNanos);
     }
 
+    /**
+     * Records a VM that has sent a heartbeat in this term. One that is new while VMs look for the leader may have been
+     * in a group until then; one that is new later has just started.
+     */
+    void recordHeard(VmName vm, long nowNanos) {
+        final boolean lookedForLeader = nowNanos - startedNanos <= GroupTimings.LEADER_SEARCH_NANOS;
+        releaseNanos.putIfAbsent(vm, lookedForLeader ? nowNanos + headBrokenAfterNanos : nowNanos);
+    }
+
     /** Records that a managed group of the VM has ended, so that its head cannot serve. */
     void recordGroupEnded(VmName vm, long nowNanos) {
         releaseNanos.put(vm, nowNanos);
@@ -37,6 +46,13 @@
     /** Returns whether no head can wait for this VM, or the VM reports a group, which is then checked by itself. */
     boolean isReleased(VmRecord vm, long nowNanos) {
         return vm.heartbeat().group().isPresent()
-                || nowNanos - releaseNanos.getOrDefault(vm.vm().vm(), initialReleaseNanos) >= 0;
+                || hasNeverJoined(vm)
+                || nowNanos - releaseNanos.getOrDefault(vm.vm().vm(), nowNanos + headBrokenAfterNanos) >= 0;
+    }
+
+    /** Joining stages the model, and a host keeps its staged models when the process is restarted. */
+    private static boolean hasNeverJoined(VmRecord vm) {
+        return vm.heartbeat().stagedModels().isEmpty()
+                && vm.heartbeat().loadedModel().isEmpty();
     }
 }
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -331,4 +331,28 @@
         }
         assertThat(faultyFleet.violations).isEmpty();
     }
+
+    /** VMs that restarted soon after a change of leader joined a group before their old head was broken. */
+    @ParameterizedTest
+    @ValueSource(
+            longs = {
+                101, 102, 103, 104, 105, 106, 107, 108, 109, 110, 111, 112, 113, 114, 115, 116, 117, 118, 119, 120, 121,
+                122, 123, 124, 125, 126, 127, 128, 129, 130, 131, 132, 133, 134, 135, 136, 137, 138, 139, 140
+            })
+    void groupsStayCompleteAndDisjointWhenVmsRestart(long seed) {
+        final SimulatedFleet faultyFleet = new SimulatedFleet(4, 8, seed);
+        faultyFleet.run(LOADED_MS);
+        for (int round = 0; round < 40; round++) {
+            faultyFleet.lateOrderFraction = faultyFleet.random.nextInt(2) == 0 ? 0.35 : 0;
+            switch (faultyFleet.random.nextInt(6)) {
+                case 0, 1 -> faultyFleet.restart(faultyFleet.anyMember());
+                case 2 -> faultyFleet.anyMember().partitioned = true;
+                case 3 -> faultyFleet.vms.forEach(vm -> vm.partitioned = false);
+                case 4 -> faultyFleet.restartControl();
+                default -> faultyFleet.newLeader();
+            }
+            faultyFleet.run(faultyFleet.random.nextInt(6_000));
+        }
+        assertThat(faultyFleet.violations).isEmpty();
+    }
 }
