--- a/src/test/java/org/wigeongrade/fleet/net/OneShotHttpClientTest.java
+++ b/src/test/java/org/wigeongrade/fleet/net/OneShotHttpClientTest.java
@@ -15,15 +15,17 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Pattern: a busy leader asks a VM that answers at once, and one that does not answer. */
 final class OneShotHttpClientTest {
@@ -33,7 +35,7 @@
 
     private final SharedEventLoop loop = new SharedEventLoop();
     private final OneShotHttpClient client = new OneShotHttpClient(loop);
-    private final List<Socket> accepted = new ArrayList<>();
+    private final List<Socket> accepted = new CopyOnWriteArrayList<>();
     private ServerSocket server;
 
     @BeforeEach
@@ -70,6 +72,45 @@
         }
     }
 
+    /** A VM that stopped in the middle of its response's head was taken to have carried out its order. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 202 Acc",
+                "HTTP/1.1 202 Accepted\r\n",
+                "HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\n",
+                "HTTP/1.1 202 Accepted\nContent-Type: application/json\n",
+                "HTTP/1.0 202 Accepted\r\nContent-Ty",
+                "HTTP/1.1 202 Accepted\r\nnocolon\r\n\r\n",
+                "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{",
+                "HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+                "HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+                "HTTP/1.1 100 Continue\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 202 Acc",
+            })
+    void responseThatStopsEarlyIsAFailure(String response) throws Exception {
+        final Thread answering = new Thread(() -> answerOnce(response), "answering");
+        answering.start();
+        final CompletableFuture<OneShotHttpClient.Response> result = send();
+
+        final ExecutionException failure = assertThrows(ExecutionException.class, result::get);
+        assertThat(failure).hasCauseThat().isInstanceOf(IOException.class);
+        answering.join();
+    }
+
+    /** An interim response was taken for the response to an order, which was then sent again. */
+    @Test
+    void interimResponseIsSkipped() throws Exception {
+        final Thread answering = new Thread(
+                () -> answerOnce("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}"),
+                "answering");
+        answering.start();
+
+        assertThat(send().get().status()).isEqualTo(202);
+        answering.join();
+    }
+
     private InetSocketAddress openSlowListener() throws IOException {
         final InetSocketAddress address;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -101,14 +142,26 @@
     }
 
     private void answerOnce() {
+        accepted.add(answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    /** Answers one request and closes its connection. */
+    private void answerOnce(String response) {
+        try {
+            answer(response).close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Socket answer(String response) {
         try {
             final Socket socket = server.accept();
-            synchronized (accepted) {
-                accepted.add(socket);
-            }
-            assertThat(socket.getInputStream().read()).isEqualTo('G');
-            socket.getOutputStream()
-                    .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            final byte[] request = new byte[4_096];
+            assertThat(socket.getInputStream().read(request)).isGreaterThan(0);
+            assertThat(request[0]).isEqualTo((byte) 'G');
+            socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+            return socket;
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
