Fail a response to an order that is cut off, and skip interim ones

A VM that stopped in the middle of its response's head was taken to have carried out its order, with the status that the cut-off head named; so was one that closed within the chunks of the body, and an interim response counted as the response.

The decoder marks a head that it cannot read in full, but nothing looked at the mark; and the aggregator takes the chunked encoding off the head, whereupon the decoder takes the end of the connection for that of the body. The handler now collects the body itself, fails on the mark, and skips interim responses.

--- a/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
+++ b/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
@@ -10,11 +10,16 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -55,10 +60,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        child.pipeline()
-                                .addLast(new HttpClientCodec())
-                                .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                                .addLast(new ResponseHandler(result));
+                        child.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler(result));
                     }
                 });
         final ChannelFuture connecting = bootstrap.connect(address);
@@ -101,20 +103,43 @@
                         TimeUnit.MILLISECONDS));
     }
 
-    /** Completes the future with the first complete response. Used on the event loop only. */
-    private static final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /**
+     * Completes the future with the first complete response that is not an interim one. Collects the body itself, since
+     * Netty's aggregator takes the chunked encoding off the head, whereupon the decoder takes the end of the connection
+     * for that of the body. Used on the event loop only.
+     */
+    private static final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
         private final CompletableFuture<Response> result;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private Optional<HttpResponse> head = Optional.empty();
 
         ResponseHandler(CompletableFuture<Response> result) {
             this.result = result;
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            final byte[] body = new byte[response.content().readableBytes()];
-            response.content().readBytes(body);
-            result.complete(new Response(response.status().code(), response.headers(), Bytes.wrap(body)));
-            NettyFutures.logFailure(context.close());
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) throws IOException {
+            if (message.decoderResult().isFailure()) {
+                throw new IOException(
+                        "the response cannot be decoded",
+                        message.decoderResult().cause());
+            }
+            if (message instanceof HttpResponse response) {
+                head = Optional.of(response)
+                        .filter(received -> received.status().codeClass() != HttpStatusClass.INFORMATIONAL);
+            }
+            if (message instanceof HttpContent content && head.isPresent()) {
+                content.content().readBytes(body, content.content().readableBytes());
+                if (body.size() > MAX_RESPONSE_BYTES) {
+                    throw new IOException("the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
+                }
+                if (content instanceof LastHttpContent) {
+                    final HttpResponse complete = head.get();
+                    result.complete(
+                            new Response(complete.status().code(), complete.headers(), Bytes.wrap(body.toByteArray())));
+                    NettyFutures.logFailure(context.close());
+                }
+            }
         }
 
         @Override
