Believe a refusal only if it is certain that it answers this request

A faulty endpoint wrote an earlier refusal once more on a kept connection. Callers were told "not run" for requests that an endpoint had run or was running, or such a request was sent to a second endpoint.

A repeat of a refused request has the id of the first try, so that on the same kept connection a copy of the refusal was taken for its response; a refusal without an id was believed on a new connection; and a 429, 503, 421 or 408 without the statement that the request did not run was passed on to callers, whom these statuses promise just that.

A repeat is no longer sent on a connection that carried a refusal of its id. A statement that the request did not run counts only with the request's own id. Where a request must not run twice, a status that promises "not run" without the statement ends as an unknown outcome.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -157,12 +157,19 @@
     public void onComplete() {
         stopTracking();
         final ResponseHead finishedHead = head.orElseThrow();
-        if (finishedHead.notRun()) {
+        if (finishedHead.isRefusalOf(exchange.request().attemptId())) {
             body.release();
             endpoint.recordFailure(services.nowNanos());
             finishedHead.faultyVm().ifPresent(vm -> services.registry().recordFaultyVm(endpoint, vm));
             exchange.onNotRun(
                     this, RetryReason.ENDPOINT_REFUSED, "the endpoint responded with status " + finishedHead.status());
+        } else if (finishedHead.notRun() || (finishedHead.promisesNotRun() && !exchange.mayRunTwice())) {
+            body.release();
+            endpoint.recordFailure(services.nowNanos());
+            exchange.onMayHaveRun(
+                    this,
+                    RetryReason.ANSWER_MISMATCHED,
+                    "status " + finishedHead.status() + " without a refusal of this request");
         } else if (isStream()) {
             finishStream();
         } else {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -80,8 +80,7 @@
 
     /** Sends a request; {@code mayReuse} states whether an idle connection of an earlier request may be used. */
     void send(EndpointLoad endpoint, EndpointCall call, boolean mayReuse) {
-        final Optional<Channel> reused =
-                mayReuse && call.attemptId().isPresent() ? takeIdle(endpoint.vm()) : Optional.empty();
+        final Optional<Channel> reused = mayReuse ? takeIdle(endpoint.vm(), call) : Optional.empty();
         if (reused.isPresent()) {
             call.markReused();
             write(reused.get(), call);
@@ -208,12 +207,17 @@
         NettyFutures.logFailure(channel.writeAndFlush(call.message()));
     }
 
-    private Optional<Channel> takeIdle(VmIncarnation vm) {
+    private Optional<Channel> takeIdle(VmIncarnation vm, EndpointCall call) {
         final Deque<IdleConnection> connections = idleByVm.getOrDefault(vm, new ArrayDeque<>());
         final long nowNanos = nanoClock.getAsLong();
-        while (!connections.isEmpty()) {
+        while (call.attemptId().isPresent() && !connections.isEmpty()) {
             final IdleConnection latest = connections.removeLast();
-            if (latest.channel().isActive() && nowNanos - latest.usableUntilNanos() < 0) {
+            final boolean usable = latest.channel().isActive() && nowNanos - latest.usableUntilNanos() < 0;
+            if (usable
+                    && latest.channel()
+                            .pipeline()
+                            .get(EndpointResponseHandler.class)
+                            .maySend(call)) {
                 return Optional.of(latest.channel());
             }
             NettyFutures.logFailure(latest.channel().close());
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -8,7 +8,9 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.wigeongrade.fleet.net.NettyFutures;
 
 /**
@@ -26,6 +28,8 @@
     private static final int MAX_INTERIM_RESPONSES = 8;
     /** Maximum of bytes of responses to other requests that are skipped; beyond it a new connection is cheaper. */
     private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
+    /** Refusals after which a connection is closed, so that their ids need not be kept. */
+    private static final int MAX_REFUSALS = 16;
 
     /** Receives a connection that may be reused. */
     @FunctionalInterface
@@ -36,6 +40,7 @@
     private final EndpointResponseDecoder decoder;
     private final CallerCodec codec;
     private final ConnectionReleaser releaser;
+    private final Set<String> refusedAttempts = new HashSet<>();
     private Optional<EndpointCall> currentCall = Optional.empty();
     private Optional<ResponseHead> head = Optional.empty();
     private boolean reused;
@@ -51,6 +56,14 @@
         this.releaser = releaser;
     }
 
+    /**
+     * Returns whether the request may be sent on this connection. A second copy of an earlier refusal could not be told
+     * from the response to the same request.
+     */
+    boolean maySend(EndpointCall call) {
+        return call.attemptId().filter(id -> !refusedAttempts.contains(id)).isPresent();
+    }
+
     /** Starts waiting for the response to a request. */
     void awaitResponse(EndpointCall call) {
         currentCall = Optional.of(call);
@@ -144,8 +157,11 @@
         currentCall = Optional.empty();
         head = Optional.empty();
         reused = true;
-        final boolean nothingFollows = decoder.stop();
-        if (nothingFollows
+        if (finishedHead.notRun()) {
+            finishedHead.attemptId().ifPresent(refusedAttempts::add);
+        }
+        final boolean mayReuse = decoder.stop() && refusedAttempts.size() < MAX_REFUSALS;
+        if (mayReuse
                 && finishedHead.selfDelimited()
                 && finishedHead.reusableForMs().isPresent()) {
             context.channel().config().setAutoRead(true);
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -399,6 +399,11 @@
         failOrRefuse(ErrorKind.ENDPOINT_FAILED, attempt.target() + ": " + cause, 0);
     }
 
+    /** Returns whether the route lets the request run more than once. */
+    boolean mayRunTwice() {
+        return route.orElseThrow().mayRetry();
+    }
+
     /** Returns whether an endpoint may have run the request. */
     boolean mayHaveRun() {
         return attemptsThatMayHaveRun > 0;
--- a/src/main/java/org/wigeongrade/fleet/entry/ResponseHead.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ResponseHead.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.fleet.entry;
 
+import com.google.common.collect.ImmutableSet;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -38,6 +39,8 @@
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
     private static final int FIRST_SERVER_ERROR = 500;
+    /** Statuses that tell a caller that its request did not run and never will. */
+    private static final ImmutableSet<Integer> NOT_RUN_STATUSES = ImmutableSet.of(408, 421, 429, 503);
 
     public boolean isSuccess() {
         return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
@@ -46,4 +49,14 @@
     public boolean isServerError() {
         return status >= FIRST_SERVER_ERROR;
     }
+
+    /** Returns whether the endpoint stated that it did not run this request, and not another one. */
+    public boolean isRefusalOf(Optional<String> requestAttemptId) {
+        return notRun && attemptId.equals(requestAttemptId);
+    }
+
+    /** Returns whether the status tells a caller that its request did not run, whatever the endpoint did. */
+    public boolean promisesNotRun() {
+        return NOT_RUN_STATUSES.contains(status);
+    }
 }
