Take only an answer about the state as proof that a VM has closed or left

A leader could free the members of a group whose head served (rule TWO): each status but 200, 202 and 421 to an order to close or leave counted as closed or left. A 412 says that a newer leader has given orders, and an error says nothing of the state at all.

Such responses are INCONCLUSIVE now and treated like none: the group waits for the stall time after a member has certainly left. 409 still counts, since it says that the VM isn't open, or not in the group.

Before: 5 of the 21 cases of PlatformOrderCodecTest failed with the codec as it was. After: all pass. Found by reading; no run has shown it with processes.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupOrderKind.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupOrderKind.java
@@ -15,5 +15,13 @@
     /** Load a model's weights onto the host in the background; membership in the group does not change. */
     STAGE,
     /** Respond, to show that the VM is alive. */
-    PROBE
+    PROBE;
+
+    /** Returns whether the order ends a head's service or a VM's membership, so that its response may free VMs. */
+    public boolean endsMembership() {
+        return switch (this) {
+            case CLOSE_WHEN_DONE, CLOSE_NOW, LEAVE -> true;
+            case JOIN, OPEN, STAGE, PROBE -> false;
+        };
+    }
 }
--- a/src/main/java/org/wigeongrade/decisions/grouping/OrderResponse.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/OrderResponse.java
@@ -8,6 +8,8 @@
     DONE,
     /** The order does not match the VM's state, or is older than one that the VM has seen. */
     REFUSED,
+    /** The response does not show whether the VM closed or left: an error, or a refusal because of a newer leader. */
+    INCONCLUSIVE,
     /** Another VM responded at the address, so the addressed one has ended. */
     ENDED,
     /** The address refused the connection. */
@@ -15,7 +17,7 @@
     /** No response came in time; the order may still be carried out later. */
     NONE;
 
-    /** Returns whether the addressed VM responded, which shows that it is alive. */
+    /** Returns whether the addressed VM responded about its state, which shows that it is alive. */
     public boolean isFromLiveVm() {
         return this == BEGUN || this == DONE || this == REFUSED;
     }
--- a/src/main/java/org/wigeongrade/platform/PlatformOrderCodec.java
+++ b/src/main/java/org/wigeongrade/platform/PlatformOrderCodec.java
@@ -20,6 +20,7 @@
     private static final String REPORT_PATH = "/-/report";
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
+    private static final int CONFLICT = 409;
     private static final int MISDIRECTED = 421;
 
     @Override
@@ -49,7 +50,8 @@
             case OK -> OrderResponse.DONE;
             case ACCEPTED -> OrderResponse.BEGUN;
             case MISDIRECTED -> OrderResponse.ENDED;
-            default -> OrderResponse.REFUSED;
+            case CONFLICT -> OrderResponse.REFUSED;
+            default -> order.kind().endsMembership() ? OrderResponse.INCONCLUSIVE : OrderResponse.REFUSED;
         };
     }
 
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
@@ -79,7 +79,7 @@
             return OrderResponse.DONE;
         }
         if (order.fencingTerm() < highestFencingTerm) {
-            return OrderResponse.REFUSED;
+            return order.kind().endsMembership() ? OrderResponse.INCONCLUSIVE : OrderResponse.REFUSED;
         }
         highestFencingTerm = order.fencingTerm();
         if (order.kind() == GroupOrderKind.JOIN) {
--- a/src/test/java/org/wigeongrade/platform/PlatformOrderCodecTest.java
+++ b/src/test/java/org/wigeongrade/platform/PlatformOrderCodecTest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wigeongrade.decisions.grouping.GroupOrder;
@@ -49,6 +50,28 @@
                 .isEqualTo(expected);
     }
 
+    /** An error, or a refusal for a newer leader's token, was taken to show that a head had closed or left. */
+    @ParameterizedTest
+    @CsvSource({
+        "200, DONE",
+        "202, BEGUN",
+        "409, REFUSED",
+        "412, INCONCLUSIVE",
+        "400, INCONCLUSIVE",
+        "404, INCONCLUSIVE",
+        "500, INCONCLUSIVE",
+        "503, INCONCLUSIVE",
+        "421, ENDED"
+    })
+    void onlyAnAnswerAboutTheStateShowsThatAVmClosedOrLeft(int status, OrderResponse expected) {
+        for (final GroupOrderKind kind :
+                List.of(GroupOrderKind.CLOSE_NOW, GroupOrderKind.CLOSE_WHEN_DONE, GroupOrderKind.LEAVE)) {
+            assertThat(codec.decode(
+                            order(kind), new OneShotHttpClient.Response(status, new DefaultHttpHeaders(), Bytes.EMPTY)))
+                    .isEqualTo(expected);
+        }
+    }
+
     private static GroupOrder order(GroupOrderKind kind) {
         return new GroupOrder(
                 kind,
