List a case of VMs in two groups: a member restarts behind a cut under a new control state

All control VMs restart while a group is cut off from them. A member that then restarts under its name is first heard more than 3 s into the term and used at once, although the head of its group is open: 3 of 4 cases of memberThatRestartedBehindCutStaysUnused fail.

Tried: waiting for the stall time from the first heartbeat of every VM with weights. Then restartedZoneFormsGroupsWithinDomains fails, whose bound stays.

--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -4,6 +4,7 @@
 import static org.wigeongrade.decisions.grouping.SimulatedFleet.LARGE;
 import static org.wigeongrade.decisions.grouping.SimulatedFleet.SMALL;
 
+import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -215,6 +216,22 @@
         assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isAtLeast(12);
     }
 
+    /** A member that restarted behind a cut, long after a change of leader, joined a group before its head was broken. */
+    @ParameterizedTest
+    @ValueSource(longs = {2_500, 3_500, 5_500, 8_000})
+    void memberThatRestartedBehindCutStaysUnused(long afterMs) {
+        fleet.run(LOADED_MS);
+        final SimulatedVm head = fleet.anyHead();
+        final List<SimulatedVm> members = fleet.membersOf(head);
+        members.forEach(member -> member.partitioned = true);
+        fleet.restartControl();
+        fleet.run(afterMs);
+        fleet.restart(members.get(1));
+        fleet.run(12_000);
+
+        assertThat(fleet.violations).isEmpty();
+    }
+
     @Test
     void leavingMemberEndsItsGroupAndIsReplaced() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -27,7 +27,8 @@
  * Simulates engine VMs and the leaders that form groups of them, in virtual time.
  *
  * <p>Records violations of two invariants: no group starts to serve before every member has been ready in it, and no VM
- * joins another group while the head of the group that it joined last may still serve, even if it has left or restarted. Not thread safe.
+ * joins another group while the head of the group that it joined last may still serve, even if it has left or restarted.
+ * Not thread safe.
  */
 final class SimulatedFleet {
     static final long HEARTBEAT_MS = 1_200;
@@ -317,6 +318,14 @@
                 .orElseThrow();
     }
 
+    /** Returns the members of a group, the head first. */
+    List<SimulatedVm> membersOf(SimulatedVm head) {
+        return vms.stream()
+                .filter(vm -> head.group.equals(vm.group))
+                .sorted(Comparator.comparing(vm -> !vm.isHead()))
+                .toList();
+    }
+
     long nowMs() {
         return nowMs;
     }
