Continue a broken stream only with events that certainly belong to it

A stream that broke off was continued with a response that is no stream: callers found the text of an error page in the middle of their stream, or the stream ended as if it were complete after a 204 or a text/plain response. An event without an id at the start of a continuation was joined as well, though its place is unknown.

Any 2xx response of the next endpoint was taken for the continuation. It now needs the status and the media type of the stream, and the first event that is no comment has to name its id; else the attempt counts as failed, and the stream is visibly broken unless another endpoint continues it. Streams of relayed requests are checked in the same way.

Not covered: a continuation that begins again with the first event is cut down to its unseen part, as before, and an empty one ends the stream.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -119,6 +119,8 @@
         final boolean unusable = received.isSuccess() && (!received.signed() || received.contentEncoded());
         if (unusable) {
             rejectResponse("the response is not signed by the endpoint or its body was encoded in transit");
+        } else if (isStream()) {
+            exchange.stream().startPart(received).ifPresent(this::rejectResponse);
         }
     }
 
@@ -146,6 +148,11 @@
         for (final ServerSentEventSplitter.Event event : eventSplitter.accept(bytes)) {
             recordProgress();
             recordEvent();
+            final Optional<String> fault = exchange.stream().findFault(event);
+            if (fault.isPresent()) {
+                rejectResponse(fault.get());
+                return;
+            }
             exchange.forwardEvent(head.orElseThrow(), event);
         }
         if (eventSplitter.partialBytes() > MAX_EVENT_BYTES) {
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
@@ -85,6 +85,9 @@
     public void onHead(ResponseHead received) {
         lastBytesNanos = services.nowNanos();
         head = Optional.of(received);
+        if (isStream()) {
+            exchange.stream().startPart(received).ifPresent(fault -> fail(fault, RetryReason.ANSWER_MISMATCHED));
+        }
     }
 
     @Override
@@ -95,6 +98,11 @@
             return;
         }
         for (final ServerSentEventSplitter.Event event : eventSplitter.accept(bytes)) {
+            final Optional<String> fault = exchange.stream().findFault(event);
+            if (fault.isPresent()) {
+                fail(fault.get(), RetryReason.ANSWER_MISMATCHED);
+                return;
+            }
             exchange.forwardEvent(head.orElseThrow(), event);
         }
         if (eventSplitter.partialBytes() > EndpointAttempt.MAX_EVENT_BYTES) {
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayedStream.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayedStream.java
@@ -1,6 +1,10 @@
 package org.wigeongrade.fleet.entry;
 
-import io.netty.handler.codec.http.HttpHeaders;
+import com.google.common.base.Ascii;
+import com.google.common.base.Strings;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -14,6 +18,9 @@
     private int status;
     private int events;
     private OptionalLong lastEventId = OptionalLong.empty();
+    private Optional<String> mediaType = Optional.empty();
+    /** Whether the place of the current response's events in the stream is known. */
+    private boolean placed = true;
 
     boolean hasBegun() {
         return begun;
@@ -47,13 +54,45 @@
         if (!begun) {
             begun = true;
             status = head.status();
-            final HttpHeaders headers = head.headers();
-            responseWriter.beginStream(status, headers);
+            mediaType = mediaTypeOf(head);
+            responseWriter.beginStream(status, head.headers());
         }
     }
 
+    /**
+     * Starts the part that comes from another response. Returns why that response cannot continue the stream; empty if it
+     * can, or if the stream has not begun.
+     */
+    Optional<String> startPart(ResponseHead head) {
+        placed = !begun;
+        final boolean fits =
+                !begun || (head.status() == status && mediaTypeOf(head).equals(mediaType));
+        return fits
+                ? Optional.empty()
+                : Optional.of("status " + head.status() + " of type "
+                        + mediaTypeOf(head).orElse("-") + " does not continue a stream of type "
+                        + mediaType.orElse("-"));
+    }
+
+    /**
+     * Returns why an event cannot follow; empty if it can. The first event of a continuation has to name its id, or its
+     * place in the stream is unknown.
+     */
+    Optional<String> findFault(ServerSentEventSplitter.Event event) {
+        return placed || event.id().isPresent() || event.isComment()
+                ? Optional.empty()
+                : Optional.of("the first event of the continuation names no id");
+    }
+
+    private static Optional<String> mediaTypeOf(ResponseHead head) {
+        return Optional.ofNullable(
+                        HttpUtil.getMimeType(Strings.nullToEmpty(head.headers().get(HttpHeaderNames.CONTENT_TYPE))))
+                .map(type -> Ascii.toLowerCase(type.toString().strip()));
+    }
+
     /** Forwards an event unless it was forwarded before. */
     void relay(ServerSentEventSplitter.Event event, ResponseWriter responseWriter) {
+        placed = placed || event.id().isPresent();
         final boolean alreadyRelayed =
                 event.id().isPresent() && lastEventId.isPresent() && event.id().getAsLong() <= lastEventId.getAsLong();
         if (alreadyRelayed) {
--- a/src/main/java/org/wigeongrade/fleet/entry/ServerSentEventSplitter.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ServerSentEventSplitter.java
@@ -13,9 +13,15 @@
  */
 final class ServerSentEventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final byte COMMENT = ':';
 
     /** The bytes of one event as they were sent, with its id if it has a numeric one. */
-    record Event(Bytes bytes, OptionalLong id) {}
+    record Event(Bytes bytes, OptionalLong id) {
+        /** Returns whether this holds no data, but keeps the connection open. */
+        boolean isComment() {
+            return bytes.array().length > 0 && bytes.array()[0] == COMMENT;
+        }
+    }
 
     private final ByteArrayOutputStream event = new ByteArrayOutputStream();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
