Answer every request that an entry node has read before it ends

In a planned stop, requests that arrived until 3 s after SIGTERM were taken and sent to endpoints for as long as their deadlines allowed, and those that had no response at nine tenths of the grace period were cut without an answer, among them ones that may not run twice.

The stop waited for requests in flight and then closed their connections. Requests that begin during the stop now have until the end of the grace period at most: the balancer refuses at once, as not run, what no endpoint is expected to finish by then, and endpoints are told this deadline. What is left at the end gets an error that says whether it may have run (502), or, if it was never sent, 503; the node waits 200 ms for these errors to be flushed. A stream that has begun can only be broken off visibly, as before. Relayed requests take the same path. On the own interface (node), requests are refused as soon as the stop begins, and what is in flight at the stop deadline is still cut.

--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -116,6 +116,11 @@
         }
     }
 
+    /** Ends the request that is being served, if any, with an error. */
+    void failUnfinished() {
+        currentExchange.ifPresent(Exchange::failWhileStopping);
+    }
+
     private void serve(FullHttpRequest message) {
         hasServed = true;
         keepAlive = HttpUtil.isKeepAlive(message);
@@ -139,6 +144,7 @@
         if (connections.isRefusing()) {
             exchange.refuseWhileStopping();
         } else {
+            connections.stopDeadlineNanos().ifPresent(exchange::limitDeadline);
             exchange.start();
         }
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -69,6 +69,8 @@
     private static final int RELAY_HEADER_BYTES = 1_024;
 
     private static final long STOP_POLL_MS = 50;
+    /** Time for the errors of requests that could not finish to reach their callers, in milliseconds. */
+    private static final long FLUSH_MS = 200;
 
     private final FleetSettings settings;
     private final CallerCodec codec;
@@ -233,23 +235,34 @@
     private void stopGracefully() {
         final long startNanos = System.nanoTime();
         events.write(LogEvent.NODE_STOPPING, settings.name(), "a signal", "-");
-        loop.eventLoop().execute(connections::closeAfterNextResponse);
+        final long graceMs = Math.round(GRACE_FRACTION * settings.ms(FleetKey.GRACE_S));
+        final long stopDeadlineNanos = clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(graceMs);
+        loop.eventLoop().execute(() -> {
+            connections.closeAfterNextResponse();
+            connections.limitNewRequests(stopDeadlineNanos);
+        });
         sleepUntil(startNanos, CLOSE_IDLE_AFTER_MS);
         loop.eventLoop().execute(connections::closeIdle);
         sleepUntil(startNanos, BALANCER_REACTION_MS);
         callerListener.close();
         relayListener.close();
         loop.eventLoop().execute(connections::refuseNewRequests);
-        final long graceMs = Math.round(GRACE_FRACTION * settings.ms(FleetKey.GRACE_S));
-        while (awaitedRequests() > 0 && elapsedMs(startNanos) < graceMs) {
-            sleepUntil(System.nanoTime(), STOP_POLL_MS);
-        }
+        awaitRequests(startNanos, graceMs);
+        loop.eventLoop().execute(connections::failUnfinished);
+        awaitRequests(startNanos, graceMs + FLUSH_MS);
         viewPuller.close();
         loop.close();
         events.write(LogEvent.NODE_STOPPED, settings.name(), elapsedMs(startNanos));
         stopped.countDown();
     }
 
+    /** Waits until no request is in flight, until {@code untilMs} after the start of the stop at most. */
+    private void awaitRequests(long startNanos, long untilMs) {
+        while (awaitedRequests() > 0 && elapsedMs(startNanos) < untilMs) {
+            sleepUntil(System.nanoTime(), STOP_POLL_MS);
+        }
+    }
+
     private int awaitedRequests() {
         return CompletableFuture.supplyAsync(this::closeIdleConnections, loop.eventLoop())
                 .join();
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
@@ -58,6 +59,7 @@
     private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
     private final RelayedStream stream = new RelayedStream();
     private Optional<BufferedResponse> errorResponse = Optional.empty();
+    private OptionalLong latestDeadlineNanos = OptionalLong.empty();
     private long deadlineNanos;
     private int attempts;
     /** Number of failed attempts whose request an endpoint may have run. */
@@ -113,11 +115,23 @@
         }
     }
 
+    /** Sets when the node ends. The request is not sent to an endpoint that would respond later. */
+    void limitDeadline(long latestNanos) {
+        latestDeadlineNanos = OptionalLong.of(latestNanos);
+    }
+
     /** Refuses the request unsent, because this node ends before it could be finished. */
     void refuseWhileStopping() {
         refuse(ErrorKind.STOPPING, "this node is about to end", ErrorKind.STOPPING.retryAfterMs());
     }
 
+    /** Ends the request with an error, because this node ends before it has its response. */
+    void failWhileStopping() {
+        final ErrorKind kindIfSent =
+                route.filter(Route::mayRetry).isPresent() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN;
+        endUnfinished(kindIfSent, ErrorKind.STOPPING, ErrorKind.STOPPING.retryAfterMs(), "this node ends");
+    }
+
     /** Of the nodes that handle a request, the first that may send it to an endpoint counts it for the budget. */
     private void recordInRetryBudget() {
         final boolean sentElsewhere = services.endpointLinks().areCut() || attemptsThatMayHaveRun > 0;
@@ -142,7 +156,9 @@
 
     private void setDeadline(Route matched) {
         final long waitMs = Math.min(matched.timeoutMs(), request.timeoutMs().orElse(matched.timeoutMs()));
-        deadlineNanos = log.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        final long callersNanos = log.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        final long latestNanos = latestDeadlineNanos.orElse(callersNanos);
+        deadlineNanos = callersNanos - latestNanos < 0 ? callersNanos : latestNanos;
         deadlineTimer =
                 Optional.of(services.loop().eventLoop().schedule(this::onDeadline, waitMs, TimeUnit.MILLISECONDS));
     }
@@ -501,18 +517,23 @@
     }
 
     private void onDeadline() {
+        endUnfinished(ErrorKind.ENDPOINT_TIMEOUT, ErrorKind.NO_FREE_SLOT, 0, "the deadline passed");
+    }
+
+    /** Ends the request without waiting for its endpoint any longer. */
+    private void endUnfinished(ErrorKind kindIfSent, ErrorKind kindIfUnsent, long retryAfterMs, String reason) {
         if (ended) {
             return;
         }
         currentAttempt.ifPresent(Attempt::cancel);
         final boolean sent = attemptsThatMayHaveRun > 0 || currentAttempt.isPresent();
         final String cause =
-                "the deadline passed; " + currentAttempt.map(Attempt::describe).orElse("no attempt was running");
+                reason + "; " + currentAttempt.map(Attempt::describe).orElse("no attempt was running");
         currentAttempt = Optional.empty();
         if (sent) {
-            fail(ErrorKind.ENDPOINT_TIMEOUT, cause, 0);
+            fail(kindIfSent, cause, 0);
         } else {
-            refuse(ErrorKind.NO_FREE_SLOT, "the deadline passed before the request was sent", 0);
+            refuse(kindIfUnsent, reason + " before the request was sent", retryAfterMs);
         }
     }
 
--- a/src/test/java/org/wigeongrade/platform/AcknowledgedLeaveProcessTest.java
+++ b/src/test/java/org/wigeongrade/platform/AcknowledgedLeaveProcessTest.java
@@ -35,7 +35,7 @@
     /** Time for the start of all nodes and for some heartbeats, in milliseconds. */
     private static final int HEARTBEATS_BEFORE = 6;
     /** A VM without a heartbeat stays routable for four intervals; one more, so that none is missed. */
-    private static final long CHECKED_MS = 5L * ControlVmProcesses.HEARTBEAT_MS;
+    private static final long CHECKED_MS = 5L * FleetProcesses.HEARTBEAT_MS;
 
     private static final long POLL_MS = 100;
     private static final long TAKEOVER_TIMEOUT_MS = 15_000;
@@ -47,43 +47,43 @@
     private enum Fault {
         LEADER_KILLED {
             @Override
-            void inject(ControlVmProcesses controls, int leader) {
+            void inject(FleetProcesses controls, int leader) {
                 controls.process(leader).kill();
             }
         },
         LEADER_STOPPED {
             @Override
-            void inject(ControlVmProcesses controls, int leader) {
+            void inject(FleetProcesses controls, int leader) {
                 controls.process(leader).terminate();
             }
         },
         LEADER_FROZEN {
             @Override
-            void inject(ControlVmProcesses controls, int leader) {
+            void inject(FleetProcesses controls, int leader) {
                 controls.process(leader).freeze();
             }
         },
         ALL_KILLED_AND_RESTARTED {
             @Override
-            void inject(ControlVmProcesses controls, int leader) {
+            void inject(FleetProcesses controls, int leader) {
                 controls.processes().forEach(ManagedProcess::kill);
                 IntStream.range(0, CONTROLS).forEach(controls::restart);
             }
         };
 
-        abstract void inject(ControlVmProcesses controls, int leader);
+        abstract void inject(FleetProcesses controls, int leader);
     }
 
     @ParameterizedTest
     @EnumSource(Fault.class)
     void leavingVmStaysUnusedAfter(Fault fault) {
-        try (ControlVmProcesses controls = new ControlVmProcesses(folder, CONTROLS, LOSSES_BORNE)) {
+        try (FleetProcesses controls = new FleetProcesses(folder, CONTROLS, LOSSES_BORNE)) {
             controls.publish(CONFIGURATION);
             for (int sequence = 1; sequence <= HEARTBEATS_BEFORE; sequence++) {
                 for (final String vm : VMS) {
                     heartbeat(controls, vm, sequence, "ready");
                 }
-                Await.sleepMs(ControlVmProcesses.HEARTBEAT_MS);
+                Await.sleepMs(FleetProcesses.HEARTBEAT_MS);
             }
             final int leader = controls.awaitLeader();
             assertThat(routable(controls)).containsExactlyElementsIn(VMS);
@@ -121,7 +121,7 @@
         return "/-/instances/" + vm + "/" + call;
     }
 
-    private static void heartbeat(ControlVmProcesses controls, String vm, int sequence, String state) {
+    private static void heartbeat(FleetProcesses controls, String vm, int sequence, String state) {
         final var unused = controls.firstAcknowledging(path(vm, "heartbeat"), heartbeatBody(vm, sequence, state));
     }
 
@@ -132,7 +132,7 @@
     }
 
     /** Returns the VMs that some leader lists as routable. */
-    private static Set<String> routable(ControlVmProcesses controls) {
+    private static Set<String> routable(FleetProcesses controls) {
         final Set<String> vms = new TreeSet<>();
         for (int control = 0; control < CONTROLS; control++) {
             controls.pull(control)
--- a/src/test/java/org/wigeongrade/platform/ControlVmProcesses.java
+++ b/src/test/java/org/wigeongrade/platform/FleetProcesses.java
@@ -26,19 +26,24 @@
 import org.wigeongrade.proof.ManagedProcess;
 
 /**
- * Control nodes as separate processes on loopback addresses, called as endpoint VMs, operators and entry nodes do.
+ * Control nodes and at most one entry node as separate processes on loopback addresses, called as endpoint VMs, operators
+ * and entry nodes do.
  *
  * <p>Invariant: {@link #close} ends every process that was started here, by its id. Not thread safe.
  */
-final class ControlVmProcesses implements AutoCloseable {
+final class FleetProcesses implements AutoCloseable {
     static final int HEARTBEAT_MS = 1_200;
     private static final String MAIN = "org.wigeongrade.command.Main";
     private static final int START_TIMEOUT_MS = 30_000;
     /** Time for the response to a heartbeat or deregistration; later ones do not count as acknowledgements. */
     private static final int ACKNOWLEDGE_TIMEOUT_MS = 1_000;
 
-    private static final int PORTS = 4;
+    static final int GRACE_S = 5;
+    private static final int PORTS = 6;
     private static final int CONTROL_PORT_OFFSET = 3;
+    private static final int CALLER_PORT_OFFSET = 4;
+    private static final int READINESS_PORT_OFFSET = 5;
+    private static final String ENTRY_IP = "127.81.2.1";
     private static final int OK = 200;
     private static final long UNKNOWN_TERM = -1;
 
@@ -49,7 +54,7 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<ManagedProcess> processes = new ArrayList<>();
 
-    ControlVmProcesses(Path folder, int count, int lossesBorne) {
+    FleetProcesses(Path folder, int count, int lossesBorne) {
         this.folder = folder;
         this.count = count;
         this.lossesBorne = lossesBorne;
@@ -63,6 +68,37 @@
         }
     }
 
+    /** Starts an entry node; it must be ready before requests are sent to {@link #entryAddress}. */
+    ManagedProcess startEntry() {
+        final Path file = folder.resolve("entry.toml");
+        writeFile(
+                file,
+                """
+                name = "entry"
+                role = "entry"
+                ip = "%s"
+                caller_listen = "%s:%d"
+                readiness_listen = "%s:%d"
+                grace_s = %d
+                """.formatted(
+                                        ENTRY_IP,
+                                        ENTRY_IP,
+                                        firstPort + CALLER_PORT_OFFSET,
+                                        ENTRY_IP,
+                                        firstPort + READINESS_PORT_OFFSET,
+                                        GRACE_S)
+                        + commonSettings(true));
+        final ManagedProcess entry =
+                ManagedProcess.startJava("entry", folder, MAIN, List.of("fleet-node", "--settings", file.toString()));
+        processes.add(entry);
+        return entry;
+    }
+
+    /** Returns where the entry node takes requests. */
+    InetSocketAddress entryAddress() {
+        return new InetSocketAddress(ENTRY_IP, firstPort + CALLER_PORT_OFFSET);
+    }
+
     ManagedProcess process(int control) {
         return processes.get(control);
     }
@@ -116,6 +152,15 @@
                 .findFirst();
     }
 
+    /** Returns the size of a node's log file. */
+    long logBytes(int control) {
+        try {
+            return Files.size(folder.resolve("data-" + control).resolve("log"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Returns the status of the response, or 0 if there was none in time. Redirects are not followed. */
     int statusOf(int control, String method, String path, String body) {
         return response(control, method, path, body)
@@ -165,33 +210,40 @@
 
     private void writeSettings(int control, boolean bootstrap) {
         final String controlPort = ":" + (firstPort + CONTROL_PORT_OFFSET) + "\"";
-        final String seeds = IntStream.range(0, Math.min(3, count))
-                .mapToObj(seed -> "\"" + ip(seed) + controlPort)
-                .collect(Collectors.joining(", "));
-        final String text = """
+        writeFile(
+                settingsFile(control),
+                """
                 name = "control-%d"
                 role = "control"
-                availability_zone = "zone-a"
                 ip = "%s"
-                first_internal_port = %d
                 control_listen = "%s
-                seeds = [%s]
-                bootstrap = %s
                 data_folder = "%s"
                 losses_borne = %d
-                heartbeat_ms = %d
                 """.formatted(
-                        control,
-                        ip(control),
-                        firstPort,
-                        ip(control) + controlPort,
-                        seeds,
-                        bootstrap,
-                        folder.resolve("data-" + control),
-                        lossesBorne,
-                        HEARTBEAT_MS);
+                                        control,
+                                        ip(control),
+                                        ip(control) + controlPort,
+                                        folder.resolve("data-" + control),
+                                        lossesBorne)
+                        + commonSettings(bootstrap));
+    }
+
+    private String commonSettings(boolean bootstrap) {
+        final String seeds = IntStream.range(0, Math.min(3, count))
+                .mapToObj(seed -> "\"" + ip(seed) + ":" + (firstPort + CONTROL_PORT_OFFSET) + "\"")
+                .collect(Collectors.joining(", "));
+        return """
+                availability_zone = "zone-a"
+                first_internal_port = %d
+                seeds = [%s]
+                bootstrap = %s
+                heartbeat_ms = %d
+                """.formatted(firstPort, seeds, bootstrap, HEARTBEAT_MS);
+    }
+
+    private static void writeFile(Path file, String text) {
         try {
-            Files.writeString(settingsFile(control), text);
+            Files.writeString(file, text);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
