--- a/src/test/java/org/wigeongrade/proof/ManagedProcess.java
+++ b/src/test/java/org/wigeongrade/proof/ManagedProcess.java
@@ -64,6 +64,20 @@
         start(commandWithLimit);
     }
 
+    /** Lets every write of the running process that makes a file larger than this fail, as on a full disk. */
+    public void fillDisk(long maxFileBytes) {
+        limitFileSize(Long.toString(maxFileBytes));
+    }
+
+    /** Ends {@link #fillDisk}. */
+    public void freeDisk() {
+        limitFileSize("unlimited");
+    }
+
+    private synchronized void limitFileSize(String softLimit) {
+        run("prlimit", "--pid=" + process.pid(), "--fsize=" + softLimit + ":unlimited");
+    }
+
     private void start(List<String> commandToRun) {
         if (process != null && process.isAlive()) {
             throw new IllegalStateException(name + " is still running; stop it before starting it again");
@@ -103,10 +117,13 @@
         if (!process.isAlive()) {
             return;
         }
+        run("kill", signal, Long.toString(process.pid()));
+    }
+
+    private void run(String... tool) {
         try {
-            Process kill = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
-            if (kill.waitFor() != 0) {
-                throw new IllegalStateException("signal " + signal + " to " + name + " failed");
+            if (new ProcessBuilder(tool).start().waitFor() != 0) {
+                throw new IllegalStateException(String.join(" ", tool) + " failed for " + name);
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
