Reject heartbeats whose values no later one could exceed or that overflow

Another writer's heartbeat with the address of a sound VM, or with its name, and a start time of 2^63-1 was accepted. The sound VM counted as ended at its address, or its own heartbeats as older ones, for as long as the odd one was repeated. A remaining cold start of 1e400 overflowed the end of the cold start, a VM with 2^31-1 slots looked as if it could take every request, the address 0.0.0.0 made entry nodes connect to themselves, and a software version or a list of staged models could be as long as a whole call, and was relayed and kept.

Values are now bounded where a heartbeat is created, so that ones that older control VMs relay are dropped, too: incarnation, sequence, epoch, slots, cold start, length of the version, staged models; an address must be that of one VM. A deregistration checks the incarnation in the same way. Deep nesting, integers beyond 64 bits and ports out of range were rejected already (tests that passed before).

HeartbeatReaderTest: rejectsValuesOutOfBounds.

--- a/src/main/java/org/wigeongrade/decisions/discovery/VmHeartbeat.java
+++ b/src/main/java/org/wigeongrade/decisions/discovery/VmHeartbeat.java
@@ -12,6 +12,9 @@
 /**
  * The state that an endpoint VM reports of itself. Immutable; safe for use from any thread.
  *
+ * <p>Invariant: all values are within {@link HeartbeatBounds}; otherwise, the constructor throws {@link
+ * IllegalArgumentException}.
+ *
  * @param sequence increases with each heartbeat of an incarnation, so that late heartbeats can be detected
  * @param address IP address and port at which the VM receives requests and orders
  * @param slots number of requests that the VM runs at once
@@ -37,5 +40,11 @@
         Optional<GroupReport> group) {
     public VmHeartbeat {
         stagedModels = ImmutableSet.copyOf(stagedModels);
+        HeartbeatBounds.INCARNATION.check(vm.incarnation());
+        HeartbeatBounds.SEQUENCE.check(sequence);
+        HeartbeatBounds.SOFTWARE_VERSION_CHARS.check(softwareVersion.length());
+        HeartbeatBounds.SLOTS.check(slots);
+        HeartbeatBounds.COLD_MS.check(coldForMs);
+        HeartbeatBounds.STAGED_MODELS.check(stagedModels.size());
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/discovery/VmWithdrawal.java
+++ b/src/main/java/org/wigeongrade/decisions/discovery/VmWithdrawal.java
@@ -14,8 +14,12 @@
         return new VmWithdrawal(heartbeat.vm(), heartbeat.sequence());
     }
 
-    /** Returns the withdrawal of a VM that has deregistered, which no heartbeat of its incarnation revokes. */
+    /**
+     * Returns the withdrawal of a VM that has deregistered, which no heartbeat of its incarnation revokes; throws {@link
+     * IllegalArgumentException} if the incarnation is not one that a heartbeat may state.
+     */
     public static VmWithdrawal deregistered(VmIncarnation vm) {
+        HeartbeatBounds.INCARNATION.check(vm.incarnation());
         return new VmWithdrawal(vm, EVERY_SEQUENCE);
     }
 
--- a/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
@@ -110,11 +110,12 @@
             return CompletableFuture.completedFuture(
                     log.isLeaderWithLease() ? new ControlResponse.Accepted() : redirectOrUnavailable());
         }
+        final VmWithdrawal withdrawal = VmWithdrawal.deregistered(leaving.get());
         registry.markDeparted(leaving.get());
         events.write(LogEvent.ENDPOINT_LEAVING, leaving.get());
         heartbeatRelay.notifyListeners(vm);
         requestPlanning.run();
-        return withdraw(VmWithdrawal.deregistered(leaving.get()), new ControlResponse.Accepted());
+        return withdraw(withdrawal, new ControlResponse.Accepted());
     }
 
     private CompletableFuture<ControlResponse> withdraw(VmWithdrawal withdrawal, ControlResponse accepted) {
--- a/src/main/java/org/wigeongrade/fleet/control/HeartbeatCodec.java
+++ b/src/main/java/org/wigeongrade/fleet/control/HeartbeatCodec.java
@@ -15,6 +15,7 @@
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
+import org.wigeongrade.settings.NodeAddress;
 
 /** Converts heartbeats to and from the records that control VMs exchange. Stateless; safe for use from any thread. */
 final class HeartbeatCodec {
@@ -57,7 +58,7 @@
                 new VmIncarnation(VmName.of(encoded.getVm()), encoded.getIncarnation()),
                 encoded.getSequence(),
                 ServiceName.of(encoded.getServiceName()),
-                encoded.getAddress(),
+                NodeAddress.ofVm(encoded.getAddress()).toString(),
                 AvailabilityZone.of(encoded.getAvailabilityZone()),
                 encoded.getSoftwareVersion(),
                 encoded.getSlots(),
--- a/src/main/java/org/wigeongrade/settings/NodeAddress.java
+++ b/src/main/java/org/wigeongrade/settings/NodeAddress.java
@@ -14,6 +14,8 @@
     /** The expected form of an address, for error messages. */
     public static final String EXPECTED = "an IP address and a port, for example \"127.0.0.1:8001\"";
 
+    private static final String BROADCAST_IP = "255.255.255.255";
+
     public NodeAddress {
         if (!InetAddresses.isInetAddress(ip) || port < 1 || port > 65_535) {
             throw new IllegalArgumentException("'" + ip + ":" + port + "' is not an address; expected " + EXPECTED);
@@ -26,6 +28,20 @@
         return new NodeAddress(parsed.getHost(), parsed.getPortOrDefault(0));
     }
 
+    /**
+     * Parses the address of one VM like {@link #of}; throws {@link IllegalArgumentException} also for a wildcard, a
+     * multicast and the broadcast address.
+     */
+    public static NodeAddress ofVm(String text) {
+        final NodeAddress address = of(text);
+        if (address.isWildcard()
+                || address.ip.equals(BROADCAST_IP)
+                || InetAddresses.forString(address.ip).isMulticastAddress()) {
+            throw new IllegalArgumentException("'" + text + "' is not the address of one VM; expected " + EXPECTED);
+        }
+        return address;
+    }
+
     private static HostAndPort parse(String text) {
         try {
             return HostAndPort.fromString(text);
--- a/src/test/java/org/wigeongrade/platform/HeartbeatReaderTest.java
+++ b/src/test/java/org/wigeongrade/platform/HeartbeatReaderTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.decisions.discovery.GroupReport;
 import org.wigeongrade.decisions.discovery.GroupState;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
@@ -66,6 +67,43 @@
         assertThrows(WigeongradeException.class, () -> read(malformed));
     }
 
+    /** Values that have the right type but overflow what is computed from them, or outlast all later heartbeats. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"coldRemainingMs\":1500 | \"coldRemainingMs\":1e400",
+                "\"coldRemainingMs\":1500 | \"coldRemainingMs\":86400001",
+                "\"slots\":18 | \"slots\":2147483647",
+                "\"slots\":18 | \"slots\":99999999999999999999",
+                "\"born\":1700000000123 | \"born\":9223372036854775807",
+                "\"born\":1700000000123 | \"born\":-1",
+                "\"sequence\":4 | \"sequence\":9223372036854775807",
+                "\"epoch\":12 | \"epoch\":9223372036854775807",
+                "\"epoch\":12 | \"epoch\":-1",
+                "\"address\":\"10.128.0.9:8080\" | \"address\":\"0.0.0.0:8080\"",
+                "\"address\":\"10.128.0.9:8080\" | \"address\":\"[::]:8080\"",
+                "\"address\":\"10.128.0.9:8080\" | \"address\":\"224.0.0.1:8080\"",
+                "\"address\":\"10.128.0.9:8080\" | \"address\":\"255.255.255.255:8080\"",
+                "\"address\":\"10.128.0.9:8080\" | \"address\":\"10.128.0.9:65536\"",
+                "\"address\":\"10.128.0.9:8080\" | \"address\":\"10.128.0.9:0\"",
+            })
+    void rejectsValuesOutOfBounds(String part, String replacement) {
+        final String odd = HEARTBEAT.replace(part, replacement);
+
+        assertThat(odd).isNotEqualTo(HEARTBEAT);
+        assertThrows(WigeongradeException.class, () -> read(odd));
+    }
+
+    /** A deeply nested field exhausted the stack of the reader. */
+    @ParameterizedTest
+    @ValueSource(ints = {999, 100_000})
+    void rejectsDeeplyNestedFields(int depth) {
+        final String nested = HEARTBEAT.replace("\"slots\":18", "\"slots\":" + "[".repeat(depth) + "]".repeat(depth));
+
+        assertThrows(WigeongradeException.class, () -> read(nested));
+    }
+
     private static VmHeartbeat read(String text) {
         return HeartbeatReader.read("i-1", text.getBytes(StandardCharsets.UTF_8));
     }
