Check the lease of the term before each order to an endpoint VM

The lease was checked once before all orders of a plan, and the term was read apart from it, so that a leader that was paused between two orders could send the rest of an outdated plan, and a node that had lost and regained leadership those of an earlier term. Lease and term are now read together, before each order.

--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -145,11 +145,15 @@
         final boolean vmsKnown = nowNanos - startedNanos > discoveryNanos && !vms.isEmpty();
         final List<GroupOrder> plannedOrders =
                 term.plan(configurations.get(state.version(), state.document().get()), vms, vmsKnown, nowNanos);
-        if (log.isLeaderWithLease()) {
-            plannedOrders.forEach(order -> orderSender.send(order, (sent, answer) -> {
+        for (final GroupOrder order : plannedOrders) {
+            // Checked before each order, because this thread may have been paused since the one before.
+            if (!log.holdsLease(term.term())) {
+                return;
+            }
+            orderSender.send(order, (sent, answer) -> {
                 term.handleOrderAnswer(sent, answer, nanoClock.getAsLong());
                 wake();
-            }));
+            });
         }
     }
 
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -177,6 +177,15 @@
         return !stopping && deadlineNanos.isPresent() && clock.getAsLong() - deadlineNanos.getAsLong() < 0;
     }
 
+    /** Returns whether this node leads the term and holds its lease. */
+    public boolean holdsLease(long ofTerm) {
+        final Status read = status;
+        return !stopping
+                && read.term() == ofTerm
+                && read.leaseDeadlineNanos().isPresent()
+                && clock.getAsLong() - read.leaseDeadlineNanos().getAsLong() < 0;
+    }
+
     @Override
     public Optional<NodeName> leader() {
         return status.leader();
