Do not take an expired heartbeat record for the end of a group's head

A group whose VMs were all cut off from the control VMs for a minute counted as ended, because the record of its head had expired. When the links came back and a member was heard before the head, the member was ordered into another group while the head was open (TWO).

Only a newer incarnation, or another VM at the address, shows that a head has ended. A head that is not heard keeps its group in the phase that waits for members to leave and for the stall time.

--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -222,7 +222,7 @@
     }
 
     private void close(PlanningContext context) {
-        if (context.record(head()).isEmpty()) {
+        if (context.hasEnded(head())) {
             enterPhase(GroupPhase.ENDED, cause, context.nowNanos());
             return;
         }
@@ -274,7 +274,7 @@
 
     /** Returns whether the head has ended, reported that it is broken, or left the group. */
     private boolean headStopped(PlanningContext context) {
-        return context.record(head()).isEmpty()
+        return context.hasEnded(head())
                 || (reportsState(head(), GroupState.BROKEN, context) && !context.isHeartbeatLate(head()))
                 || head().hasNoListener()
                 || hasLeft(head());
--- a/src/main/java/org/wigeongrade/decisions/grouping/PlanningContext.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/PlanningContext.java
@@ -33,6 +33,16 @@
                 .filter(found -> found.vm().equals(member.vm) && !found.ended());
     }
 
+    /**
+     * Returns whether this incarnation of the VM is known to have ended. That nothing was heard of it for so long that its
+     * record is gone shows nothing.
+     */
+    boolean hasEnded(GroupMember member) {
+        return Optional.ofNullable(vms.get(member.vm.vm()))
+                .filter(found -> found.ended() || found.vm().incarnation() > member.vm.incarnation())
+                .isPresent();
+    }
+
     Optional<GroupReport> report(GroupMember member) {
         return record(member).flatMap(found -> found.heartbeat().group());
     }
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -232,6 +232,23 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    /** A group that nobody had heard for a minute counted as ended, so that its members were used before its head. */
+    @ParameterizedTest
+    @ValueSource(longs = {61_000, 63_000, 65_000, 70_000})
+    void membersOfGroupThatWasCutForAMinuteStayUnused(long cutMs) {
+        fleet.run(LOADED_MS);
+        final List<SimulatedVm> members = fleet.membersOf(fleet.anyHead());
+        members.forEach(member -> member.partitioned = true);
+        fleet.run(cutMs);
+        members.get(0).losesHeartbeats = true;
+        members.forEach(member -> member.partitioned = false);
+        fleet.run(2_400);
+        members.get(0).losesHeartbeats = false;
+        fleet.run(12_000);
+
+        assertThat(fleet.violations).isEmpty();
+    }
+
     @Test
     void leavingMemberEndsItsGroupAndIsReplaced() {
         fleet.run(LOADED_MS);
