Keep all members of a reopened group unused, not only its head

A delayed order can reopen a group that has ended.

A reopened group is never adopted as serving, because a member may have left it since its last heartbeat.

--- a/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
@@ -35,6 +35,8 @@
     private final Set<Key> owned = new HashSet<>();
     private final Map<Key, Long> endedNanos = new HashMap<>();
     private final Map<Key, Long> firstSeenNanos = new HashMap<>();
+    /** Ended groups whose heads report that they serve, because a delayed order was carried out. */
+    private Set<Key> reopened = Set.of();
 
     /** Records that this leader formed or adopted a group. */
     void recordOwned(GroupName group, long epoch) {
@@ -48,15 +50,15 @@
 
     /**
      * Returns whether the VM reports a group that has not been adopted: one of an earlier leader, or an ended one
-     * that reopened because a delayed order was carried out.
+     * whose head serves again.
      */
     boolean isInUnadoptedGroup(VmRecord vm) {
         return keyOf(vm)
-                .filter(key -> !owned.contains(key) || reappeared(key, vm))
+                .filter(key -> !owned.contains(key) || reopened.contains(key))
                 .isPresent();
     }
 
-    private boolean reappeared(Key key, VmRecord vm) {
+    private boolean hasReopened(Key key, VmRecord vm) {
         final GroupState state = report(vm).state();
         return endedNanos.containsKey(key)
                 && vm.receivedNanos() - endedNanos.get(key) > 0
@@ -82,6 +84,9 @@
      * time to report.
      */
     ImmutableList<ManagedGroup> adopt(EngineProfile engine, List<VmRecord> vms, long maxWaitNanos, long nowNanos) {
+        reopened = vms.stream()
+                .flatMap(vm -> keyOf(vm).filter(key -> hasReopened(key, vm)).stream())
+                .collect(Collectors.toSet());
         final Map<Key, List<VmRecord>> byGroup = vms.stream()
                 .filter(this::isInUnadoptedGroup)
                 .collect(Collectors.groupingBy(vm -> keyOf(vm).orElseThrow()));
@@ -99,11 +104,12 @@
         adopted.forEach(group -> {
             recordOwned(group.name, group.epoch);
             endedNanos.remove(new Key(group.name, group.epoch));
+            reopened.remove(new Key(group.name, group.epoch));
         });
         return adopted;
     }
 
-    private static Optional<ManagedGroup> adopt(
+    private Optional<ManagedGroup> adopt(
             Key key, List<VmRecord> members, EngineProfile engine, boolean waitedLongEnough, long nowNanos) {
         final List<VmRecord> byRank = members.stream()
                 .sorted(Comparator.comparingInt(vm -> report(vm).rank()))
@@ -112,7 +118,9 @@
         final boolean open = headKnown && report(byRank.get(0)).state() == GroupState.OPEN;
         final Optional<GroupedModel> model =
                 byRank.get(0).heartbeat().loadedModel().flatMap(engine::model);
+        // A member of a reopened group may have left it since its last heartbeat.
         final boolean completeAndOpen = open
+                && !reopened.contains(key)
                 && model.filter(known -> known.groupSize() == byRank.size()).isPresent();
         if (!completeAndOpen && !waitedLongEnough) {
             return Optional.empty();
--- a/src/test/java/org/wigeongrade/decisions/grouping/InheritedGroupsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/InheritedGroupsTest.java
@@ -21,6 +21,8 @@
 
 final class InheritedGroupsTest {
     private static final ModelVersionName MODEL = ModelVersionName.of("large");
+    private static final GroupName GROUP = GroupName.of("g1");
+    private static final long EPOCH = 1;
     private static final long MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     /** A group that only a lost VM has reported must not keep the leader from forming another one. */
@@ -35,9 +37,36 @@
                 .isEqualTo(pending);
     }
 
+    /** A ready member of an ended group whose head had reopened counted as free. */
+    @ParameterizedTest
+    @CsvSource({"OPEN, true", "CLOSING, true", "READY, false", "BROKEN, false"})
+    void membersOfReopenedGroupAreNotFree(GroupState stateOfHead, boolean inGroup) {
+        final long endedNanos = TimeUnit.SECONDS.toNanos(100);
+        final VmRecord head = record("head", 0, stateOfHead, endedNanos + 1);
+        final VmRecord member = record("member", 1, GroupState.READY, endedNanos + 1);
+        final InheritedGroups groups = new InheritedGroups();
+        groups.recordOwned(GROUP, EPOCH);
+        groups.recordEnded(GROUP, EPOCH, endedNanos);
+        final List<ManagedGroup> adopted =
+                groups.adopt(SimulatedFleet.ENGINE, List.of(head, member), MAX_SILENCE_NANOS, endedNanos + 2);
+
+        assertThat(adopted).isEmpty();
+        assertThat(groups.isInUnadoptedGroup(member)).isEqualTo(inGroup);
+        assertThat(groups.isInUnadoptedGroup(head)).isEqualTo(inGroup);
+    }
+
+    private static VmRecord record(String vm, int rank, GroupState state, long receivedNanos) {
+        return new VmRecord(
+                heartbeat(vm, new GroupReport(GROUP, EPOCH, rank, state)), receivedNanos, 0, false, false, false);
+    }
+
     private static VmHeartbeat heartbeat() {
+        return heartbeat("vm", new GroupReport(GROUP, EPOCH, 1, GroupState.READY));
+    }
+
+    private static VmHeartbeat heartbeat(String vm, GroupReport group) {
         return new VmHeartbeat(
-                new VmIncarnation(VmName.of("vm"), 1),
+                new VmIncarnation(VmName.of(vm), 1),
                 1,
                 ServiceName.of("pool"),
                 "10.0.0.1:80",
@@ -49,6 +78,6 @@
                 Optional.empty(),
                 Set.of(MODEL),
                 Optional.of(MODEL),
-                Optional.of(new GroupReport(GroupName.of("g1"), 1, 1, GroupState.READY)));
+                Optional.of(group));
     }
 }
