Wait for the heads of all groups that a VM may have left

A VM that reports a warm spare was free at once under a new leader. A leader that has just started cannot tell such a heartbeat from a current one, so a VM that it did not know before its term and that reports an earlier leader's spare waits until no head can wait for it, like a VM without a group.

The end of one group also cut short the wait that another group of the same VM required. The waits are now kept for each group.

GroupPlannerTest#vmThatADelayedHeartbeatCallsASpareStaysUnused: 4 of 4 cases failed before. All pass now.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.wigeongrade.decisions.discovery.GroupReport;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.published.EngineProfile;
@@ -141,9 +142,12 @@
         });
         for (final VmRecord vm : vms) {
             if (inherited.isInUnadoptedGroup(vm)) {
-                releaseTimes.recordInUnadoptedGroup(vm.vm().vm(), nowNanos);
+                final GroupReport report = vm.heartbeat().group().orElseThrow();
+                releaseTimes.recordInUnadoptedGroup(vm.vm().vm(), report.group(), report.epoch(), nowNanos);
             } else if (vm.receivedNanos() - startedNanos > 0) {
-                releaseTimes.recordHeard(vm.vm().vm(), nowNanos);
+                releaseTimes.recordHeard(vm, nowNanos);
+            } else {
+                releaseTimes.recordKnownBefore(vm.vm().vm());
             }
         }
     }
@@ -329,7 +333,8 @@
     private void removeEnded(long nowNanos) {
         groups.removeEnded().forEach(group -> {
             inherited.recordEnded(group.name, group.epoch, nowNanos);
-            group.members.forEach(member -> releaseTimes.recordGroupEnded(member.vm.vm(), nowNanos));
+            group.members.forEach(
+                    member -> releaseTimes.recordGroupEnded(member.vm.vm(), group.name, group.epoch, nowNanos));
         });
     }
 
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeongrade.decisions.discovery.VmHeartbeat;
 
 /** Tests the planner against simulated engine VMs in virtual time, with VMs and leaders lost in many patterns. */
 final class GroupPlannerTest {
@@ -249,6 +250,25 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    /** A delayed heartbeat that named the spare which a VM had left made the VM free while its head was open. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 1_200, 2_600, 4_000})
+    void vmThatADelayedHeartbeatCallsASpareStaysUnused(long delayMs) {
+        fleet.run(LOADED_MS);
+        final SimulatedVm spare = fleet.anySpare();
+        final VmHeartbeat delayed = fleet.latestHeartbeat(spare);
+        fleet.endMemberInDomainOf(spare);
+        fleet.run(8_000);
+        assertThat(spare.members.size()).isGreaterThan(1);
+        fleet.membersOf(spare).forEach(member -> member.losesHeartbeats = true);
+        fleet.restartControl();
+        fleet.run(delayMs);
+        fleet.receive(delayed);
+        fleet.run(4_000);
+
+        assertThat(fleet.violations).isEmpty();
+    }
+
     @Test
     void leavingMemberEndsItsGroupAndIsReplaced() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -302,6 +302,38 @@
         restarted.lastEpoch = vm.lastEpoch;
     }
 
+    /** Returns a warm spare in a domain that has a group with more than one VM. */
+    SimulatedVm anySpare() {
+        return vms.stream()
+                .filter(vm -> vm.group != null && vm.members.size() == 1)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Ends a member of a group in the domain of a spare that has the weights of the group, so that the spare joins it. */
+    void endMemberInDomainOf(SimulatedVm spare) {
+        vms.stream()
+                .filter(vm -> vm.domain.equals(spare.domain) && vm.group != null && vm.members.size() > 1)
+                .filter(vm -> !vm.isHead() && spare.lastModel.equals(vm.lastModel))
+                .findFirst()
+                .orElseThrow()
+                .ended = true;
+    }
+
+    /** Returns the heartbeat of a VM that the leader received last. */
+    VmHeartbeat latestHeartbeat(SimulatedVm vm) {
+        return receivedHeartbeats.stream()
+                .map(ReceivedHeartbeat::heartbeat)
+                .filter(heartbeat -> heartbeat.vm().equals(vm.incarnation))
+                .reduce((earlier, later) -> later)
+                .orElseThrow();
+    }
+
+    /** Lets the leader receive a heartbeat that was delayed. */
+    void receive(VmHeartbeat delayed) {
+        registry.recordHeartbeat(delayed, nanos(nowMs));
+    }
+
     SimulatedVm anyHead() {
         return vms.stream().filter(SimulatedVm::mayServe).findFirst().orElseThrow();
     }
