List two ways in which a VM may still be in two groups, with their failing tests

In the simulated fleet both break TWO: a delayed first heartbeat makes a VM count as one that never joined a group (4 of 4 cases), and a head that refuses connections but serves on counts as ended if its heartbeats are lost as well (1 of 2 cases; it holds while heartbeats arrive).

--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -269,6 +269,35 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    /** A delayed first heartbeat made a VM count as one that had never joined a group, while the head of its group was open. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 1_200, 2_600, 4_000})
+    void vmThatADelayedHeartbeatCallsNewStaysUnused(long delayMs) {
+        fleet.run(LOADED_MS);
+        final SimulatedVm head = fleet.anyHead();
+        final VmHeartbeat delayed = fleet.firstHeartbeat(fleet.memberOf(head));
+        fleet.membersOf(head).forEach(member -> member.losesHeartbeats = true);
+        fleet.restartControl();
+        fleet.run(delayMs);
+        fleet.receive(delayed);
+        fleet.run(4_000);
+
+        assertThat(fleet.violations).isEmpty();
+    }
+
+    /** A head that had stopped listening, but still had requests, counted as ended after two refused connections. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void membersOfHeadThatRefusesConnectionsStayUnused(boolean losesHeartbeats) {
+        fleet.run(LOADED_MS);
+        final SimulatedVm head = fleet.anyHead();
+        head.refusesConnections = true;
+        head.losesHeartbeats = losesHeartbeats;
+        fleet.run(12_000);
+
+        assertThat(fleet.violations).isEmpty();
+    }
+
     @Test
     void leavingMemberEndsItsGroupAndIsReplaced() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -181,7 +181,7 @@
             return;
         }
         schedule(5, () -> {
-            final OrderResponse response = vm.ended ? OrderResponse.NONE : vm.execute(order);
+            final OrderResponse response = vm.ended ? OrderResponse.NONE : vm.receive(order);
             schedule(5, () -> leader.recordResponse(order, response, nanos(nowMs)));
         });
     }
@@ -329,6 +329,15 @@
                 .orElseThrow();
     }
 
+    /** Returns the first heartbeat of a VM that a leader received. */
+    VmHeartbeat firstHeartbeat(SimulatedVm vm) {
+        return receivedHeartbeats.stream()
+                .map(ReceivedHeartbeat::heartbeat)
+                .filter(heartbeat -> heartbeat.vm().equals(vm.incarnation))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Lets the leader receive a heartbeat that was delayed. */
     void receive(VmHeartbeat delayed) {
         registry.recordHeartbeat(delayed, nanos(nowMs));
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedVm.java
@@ -33,6 +33,9 @@
     /** Whether heartbeats are lost, while orders still arrive. */
     boolean losesHeartbeats;
 
+    /** Whether the process has stopped listening, but goes on with the requests that it has. */
+    boolean refusesConnections;
+
     boolean draining;
     GroupName group;
     /** The group that this VM or an earlier process of its name joined last; it stays after the VM has left. */
@@ -74,6 +77,10 @@
         return Math.max(0, fleet.nowMs() - stalledSinceMs);
     }
 
+    OrderResponse receive(GroupOrder order) {
+        return refusesConnections ? OrderResponse.NO_LISTENER : execute(order);
+    }
+
     OrderResponse execute(GroupOrder order) {
         if (order.kind() == GroupOrderKind.PROBE) {
             return OrderResponse.DONE;
