Refuse connections of the fault proxy from the moment at which it stops listening

Closing a ServerSocket wakes the thread that accepts on it; until that thread has left its system call, the kernel goes on taking connections in. The proxy now waits for the end of that thread before setMode returns. The check of the test is unchanged.

--- a/src/test/java/org/wigeongrade/proof/FaultInjectionProxy.java
+++ b/src/test/java/org/wigeongrade/proof/FaultInjectionProxy.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.proof;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.BindException;
@@ -60,6 +61,8 @@
     private static final int FILL_TIMEOUT_MS = 50;
     private static final int BACKLOG = 50;
     private static final long PORT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Longer than the thread that accepts takes to connect to the target. */
+    private static final long ACCEPTOR_END_MS = 5_000;
     /** Time for a reset of a connection whose bytes were held up to be noticed. */
     private static final int RESET_CHECK_MS = 5;
 
@@ -68,6 +71,7 @@
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private final List<Socket> queueFillers = new ArrayList<>();
     private Optional<ServerSocket> server = Optional.empty();
+    private Optional<Thread> acceptor = Optional.empty();
     private volatile Mode mode = Mode.FORWARD;
 
     /** Listens at a free loopback port and forwards to {@code targetPort}. */
@@ -120,7 +124,7 @@
     private void startAccepting() throws IOException {
         final ServerSocket accepting = openServer(BACKLOG);
         server = Optional.of(accepting);
-        startThread("proxy-accept", () -> acceptConnections(accepting));
+        acceptor = Optional.of(startThread("proxy-accept", () -> acceptConnections(accepting)));
     }
 
     /** The port becomes free only once the thread that accepted on it has left its system call. */
@@ -147,6 +151,18 @@
             server.get().close();
         }
         server = Optional.empty();
+        awaitAcceptorEnd();
+    }
+
+    /** The kernel takes connections in until the thread that accepted has left its system call. */
+    private void awaitAcceptorEnd() {
+        if (acceptor.isPresent()) {
+            Uninterruptibles.joinUninterruptibly(acceptor.get(), ACCEPTOR_END_MS, TimeUnit.MILLISECONDS);
+            if (acceptor.get().isAlive()) {
+                throw new IllegalStateException("the thread that accepts at " + listen + " does not end");
+            }
+        }
+        acceptor = Optional.empty();
     }
 
     /** Forwards the connections that the kernel took in before the queue was full. */
@@ -207,14 +223,16 @@
             connection.reset();
             return;
         }
-        startThread("proxy-copy", () -> connection.copy(clientSocket, targetSocket, true));
-        startThread("proxy-copy", () -> connection.copy(targetSocket, clientSocket, false));
+        final var unusedUpstream = startThread("proxy-copy", () -> connection.copy(clientSocket, targetSocket, true));
+        final var unusedDownstream =
+                startThread("proxy-copy", () -> connection.copy(targetSocket, clientSocket, false));
     }
 
-    private static void startThread(String name, Runnable action) {
+    private static Thread startThread(String name, Runnable action) {
         Thread thread = new Thread(null, action, name, 128 * 1024);
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     @Override
