--- a/src/main/java/org/wigeongrade/decisions/discovery/VmWithdrawal.java
+++ b/src/main/java/org/wigeongrade/decisions/discovery/VmWithdrawal.java
@@ -23,11 +23,6 @@
         return new VmWithdrawal(vm, EVERY_SEQUENCE);
     }
 
-    /** Returns whether the VM may no longer be used, as far as the heartbeat shows. */
-    public boolean covers(VmHeartbeat heartbeat) {
-        return includes(draining(heartbeat));
-    }
-
     /** Returns whether every heartbeat that {@code other} covers is covered by this withdrawal as well. */
     public boolean includes(VmWithdrawal other) {
         return vm.vm().equals(other.vm.vm())
--- a/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
@@ -37,9 +37,9 @@
  * Handles requests of operators and endpoint VMs at one control node.
  *
  * <p>Invariants: a change, and a VM's statement that it leaves, is accepted only once it is on enough disks; the latter
- * waits for the disks only where all control VMs support {@link CommandFormat#WITHDRAWALS}. A read is answered only by a leader that held
- * its lease before the state was read, so that the response is complete, and after, so that it is never older than an
- * accepted change. Thread safe; holds no lock of its own.
+ * waits for the disks only if the log may hold {@link CommandFormat#WITHDRAWALS}. A read is answered only by a leader that
+ * held its lease before the state was read, so that the response is complete, and after, so that it is never older than
+ * an accepted change. Thread safe; holds no lock of its own.
  */
 public final class ControlRequestHandler {
     private final NodeName self;
@@ -118,6 +118,7 @@
         return withdraw(withdrawal, new ControlResponse.Accepted());
     }
 
+    /** Stores that a VM leaves; the response is {@code accepted} once every later leader knows it. */
     private CompletableFuture<ControlResponse> withdraw(VmWithdrawal withdrawal, ControlResponse accepted) {
         final PublishedState state = stateMachine.state();
         if (state.isWithdrawn(withdrawal)) {
