--- a/src/main/java/org/wigeongrade/decisions/grouping/ReleaseTimes.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ReleaseTimes.java
@@ -13,8 +13,9 @@
 /**
  * Knows from when on a VM that reports no group may be used.
  *
- * <p>A VM that reports no group, or a spare that this leader does not keep, may have left one, or have been restarted, shortly before this leader's term. The head
- * of that group then serves or stalls for up to the engines' stall time, and may be unreachable for this leader.
+ * <p>A VM that reports no group, or a spare that this leader does not keep, may have left one, or have been restarted,
+ * shortly before this leader's term. The head of that group then serves or stalls for up to the engines' stall time, and
+ * may be unreachable for this leader.
  * Invariant: a VM without a group is usable only if this leader saw its group end, or if no group that this leader does
  * not manage can have lost the VM within that time. Not thread safe.
  */
