--- a/src/test/java/org/wigeongrade/platform/FleetProcesses.java
+++ b/src/test/java/org/wigeongrade/platform/FleetProcesses.java
@@ -24,6 +24,7 @@
 import org.wigeongrade.proof.Await;
 import org.wigeongrade.proof.LoopbackPorts;
 import org.wigeongrade.proof.ManagedProcess;
+import org.wigeongrade.proof.ProcessLimits;
 
 /**
  * Control nodes and at most one entry node as separate processes on loopback addresses, called as endpoint VMs, operators
@@ -40,6 +41,7 @@
 
     static final int GRACE_S = 5;
     private static final int PORTS = 6;
+    private static final int METRICS_PORT_OFFSET = 2;
     private static final int CONTROL_PORT_OFFSET = 3;
     private static final int CALLER_PORT_OFFSET = 4;
     private static final int READINESS_PORT_OFFSET = 5;
@@ -51,10 +53,16 @@
     private final int firstPort = LoopbackPorts.allocateRange(PORTS);
     private final int count;
     private final int lossesBorne;
+    private final ProcessLimits limits;
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<ManagedProcess> processes = new ArrayList<>();
 
     FleetProcesses(Path folder, int count, int lossesBorne) {
+        this(folder, count, lossesBorne, ProcessLimits.DEFAULT);
+    }
+
+    FleetProcesses(Path folder, int count, int lossesBorne, ProcessLimits limits) {
+        this.limits = limits;
         this.folder = folder;
         this.count = count;
         this.lossesBorne = lossesBorne;
@@ -63,6 +71,7 @@
             processes.add(ManagedProcess.startJava(
                     "control-" + control,
                     folder,
+                    limits,
                     MAIN,
                     List.of("fleet-node", "--settings", settingsFile(control).toString())));
         }
@@ -70,6 +79,11 @@
 
     /** Starts an entry node; it must be ready before requests are sent to {@link #entryAddress}. */
     ManagedProcess startEntry() {
+        return startEntry("");
+    }
+
+    /** Starts an entry node as above, with further lines of its settings. */
+    ManagedProcess startEntry(String furtherSettings) {
         final Path file = folder.resolve("entry.toml");
         writeFile(
                 file,
@@ -87,9 +101,10 @@
                                         ENTRY_IP,
                                         firstPort + READINESS_PORT_OFFSET,
                                         GRACE_S)
-                        + commonSettings(true));
-        final ManagedProcess entry =
-                ManagedProcess.startJava("entry", folder, MAIN, List.of("fleet-node", "--settings", file.toString()));
+                        + commonSettings(true)
+                        + furtherSettings);
+        final ManagedProcess entry = ManagedProcess.startJava(
+                "entry", folder, limits, MAIN, List.of("fleet-node", "--settings", file.toString()));
         processes.add(entry);
         return entry;
     }
@@ -99,6 +114,21 @@
         return new InetSocketAddress(ENTRY_IP, firstPort + CALLER_PORT_OFFSET);
     }
 
+    /** Returns where the entry node answers readiness checks. */
+    InetSocketAddress readinessAddress() {
+        return new InetSocketAddress(ENTRY_IP, firstPort + READINESS_PORT_OFFSET);
+    }
+
+    /** Returns where the entry node serves its metrics. */
+    InetSocketAddress metricsAddress() {
+        return new InetSocketAddress(ENTRY_IP, firstPort + METRICS_PORT_OFFSET);
+    }
+
+    /** Returns where a control node takes calls of endpoint VMs and operators. */
+    InetSocketAddress controlAddress(int control) {
+        return new InetSocketAddress(ip(control), firstPort + CONTROL_PORT_OFFSET);
+    }
+
     ManagedProcess process(int control) {
         return processes.get(control);
     }
--- a/src/test/java/org/wigeongrade/proof/ManagedProcess.java
+++ b/src/test/java/org/wigeongrade/proof/ManagedProcess.java
@@ -26,6 +26,10 @@
             "-cp",
             System.getProperty("java.class.path"));
 
+    private static final long BYTES_PER_KIB = 1_024;
+    /** Words at the end of {@link #JAVA} that follow its flags: the class path and its value. */
+    private static final int JAVA_FLAGS_AFTER = 2;
+
     private final String name;
     private final Path output;
     private final List<String> command;
@@ -39,7 +43,15 @@
 
     /** Starts {@code mainClass} of this project with {@code arguments}; output goes to {@code folder/name.log}. */
     public static ManagedProcess startJava(String name, Path folder, String mainClass, List<String> arguments) {
-        List<String> command = new ArrayList<>(JAVA);
+        return startJava(name, folder, ProcessLimits.DEFAULT, mainClass, arguments);
+    }
+
+    /** Starts a process as above, with less memory and fewer descriptors. */
+    public static ManagedProcess startJava(
+            String name, Path folder, ProcessLimits limits, String mainClass, List<String> arguments) {
+        List<String> command = new ArrayList<>(limits.launcher());
+        command.addAll(JAVA);
+        command.addAll(command.size() - JAVA_FLAGS_AFTER, limits.jvmFlags());
         command.add(mainClass);
         command.addAll(arguments);
         ManagedProcess managedProcess = new ManagedProcess(name, folder.resolve(name + ".log"), command);
@@ -140,6 +152,27 @@
         return process.pid();
     }
 
+    /** Returns the largest resident memory that the running process has had, in bytes. */
+    public long peakMemoryBytes() {
+        final Path status = Path.of("/proc", Long.toString(pid()), "status");
+        try {
+            return Files.readAllLines(status).stream()
+                    .filter(line -> line.startsWith("VmHWM:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * BYTES_PER_KIB)
+                    .findFirst()
+                    .orElseThrow();
+        } catch (IOException e) {
+            throw new UncheckedIOException(name + " has ended", e);
+        }
+    }
+
+    /** Returns the number of descriptors that the running process has open. */
+    public int openDescriptors() {
+        final String[] descriptors =
+                Path.of("/proc", Long.toString(pid()), "fd").toFile().list();
+        return descriptors == null ? 0 : descriptors.length;
+    }
+
     /** Waits for the end of the process and returns whether it ended in time. */
     public boolean awaitEnd(long timeoutMs) {
         Process awaited;
