Serve higher ranks first when a pool cannot serve all of its requests

The priority of a route was published and read by no decision, that of an organisation was not even read. A request with a loose target was admitted where one of a higher rank with a tight target was refused, and kept the groups full.

The rank of a request is now the priority of its organisation and then that of its route, where these differ for a service. A lower rank is admitted at three quarters of the tightest target that a higher rank of the same model used in the last ten seconds, about one in six of its requests at its own target so that it does not starve. The urgency that engines admit waiting requests by follows the rank. Where all requests of a service have one rank, nothing changes.

The checks for requests that crash endpoints move out of Exchange into a class of their own.

--- a/src/main/java/org/wigeongrade/decisions/balancing/PlacementRequest.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/PlacementRequest.java
@@ -9,7 +9,7 @@
  * The properties of a request that decide where it is sent. Immutable; safe for use from any thread.
  *
  * @param promptTokens tokens of the prompt; 0 for a plain service
- * @param targetLatencyMs maximum time to the first event or response that counts as on time
+ * @param targetLatencyMs maximum predicted time to the first event or response at which the request is admitted
  * @param targetPauseMs maximum pause between two events that counts as on time; 0 where nothing is streamed
  * @param remainingMs time until the caller gives up
  * @param tried endpoints that the request has already been sent to
--- a/src/main/java/org/wigeongrade/decisions/published/PublishedConfiguration.java
+++ b/src/main/java/org/wigeongrade/decisions/published/PublishedConfiguration.java
@@ -23,6 +23,7 @@
     private final ImmutableList<PublishedOrganisation> organisations;
     private final ImmutableMap<String, ImmutableList<Route>> longestPrefixFirst;
     private final ImmutableMap<String, OrganisationName> organisationOfKey;
+    private final ServiceRanks ranks;
 
     public PublishedConfiguration(
             long version,
@@ -39,6 +40,7 @@
         this.organisations = ImmutableList.copyOf(organisations);
         this.longestPrefixFirst = indexRoutes(this.routes);
         this.organisationOfKey = indexKeys(this.organisations);
+        this.ranks = new ServiceRanks(this.routes, this.organisations);
     }
 
     public long version() {
@@ -83,6 +85,11 @@
         return Optional.ofNullable(organisationOfKey.get(key));
     }
 
+    /** Returns the rank of a request; empty if all requests for the service have the same one. */
+    public Optional<RequestRank> rankOf(ServiceName service, Optional<OrganisationName> organisation, Route route) {
+        return ranks.rankOf(service, organisation, route);
+    }
+
     private static ImmutableMap<String, ImmutableList<Route>> indexRoutes(List<Route> routes) {
         final Map<String, ImmutableList.Builder<Route>> byHost = new HashMap<>();
         routes.stream()
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
+import org.wigeongrade.decisions.overload.RankedTargets;
 import org.wigeongrade.decisions.published.CallerLimits;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.errors.ErrorKind;
@@ -127,6 +128,7 @@
                 new BufferedBodies((long) settings.number(FleetKey.MAX_HELD_BYTES), (int)
                         settings.number(FleetKey.MAX_RESPONSE_BYTES)),
                 new Balancer(random),
+                new RankedTargets(random),
                 new RetryBudgetShare(
                         settings.number(FleetKey.RETRY_RATIO),
                         settings.number(FleetKey.RETRY_SLACK),
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
@@ -4,6 +4,7 @@
 import java.util.random.RandomGenerator;
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
+import org.wigeongrade.decisions.overload.RankedTargets;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.logging.EventLog;
@@ -24,6 +25,7 @@
         RelayPeers relayPeers,
         BufferedBodies bufferedBodies,
         Balancer balancer,
+        RankedTargets rankedTargets,
         RetryBudgetShare retryBudget,
         ColdStartLimits coldStartLimits,
         RandomGenerator random,
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -1,10 +1,8 @@
 package org.wigeongrade.fleet.entry;
 
 import com.google.common.collect.ImmutableSet;
-import com.google.common.hash.Hashing;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -14,9 +12,10 @@
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.Placement;
 import org.wigeongrade.decisions.balancing.PlacementRequest;
-import org.wigeongrade.decisions.outcomes.QuarantinedParts;
+import org.wigeongrade.decisions.overload.RequestUrgency;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
+import org.wigeongrade.decisions.published.RequestRank;
 import org.wigeongrade.decisions.published.Route;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.net.HttpReply;
@@ -47,6 +46,7 @@
     private final ResponseWriter responseWriter;
     private final Runnable onEnd;
     private final ExchangeLog log;
+    private final RequestQuarantine quarantine;
     private final Set<VmName> triedVms = new HashSet<>();
     private final Set<String> triedPeers = new HashSet<>();
     /** Whether another entry node relayed the request, which must not be relayed again. */
@@ -55,6 +55,9 @@
     private Optional<Route> route = Optional.empty();
     private Optional<OrganisationName> organisation = Optional.empty();
     private Optional<PublishedService> service = Optional.empty();
+    /** Empty if the configuration gives the same rank to all requests of the service. */
+    private Optional<RequestRank> rank = Optional.empty();
+
     private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
     private final RelayedStream stream = new RelayedStream();
@@ -88,6 +91,7 @@
         this.responseWriter = responseWriter;
         this.onEnd = onEnd;
         this.log = new ExchangeLog(services, request);
+        this.quarantine = new RequestQuarantine(services, request);
         if (relayed) {
             log.arrivedRelayed(attemptsThatMayHaveRun);
         }
@@ -111,6 +115,7 @@
         if (authenticate(configuration.get(), route.get())) {
             final ServiceName target = route.get().targetAt(services.random().nextDouble());
             service = configuration.get().service(target);
+            rank = configuration.get().rankOf(target, organisation, route.get());
             send();
         }
     }
@@ -189,9 +194,9 @@
             onDeadline();
             return;
         }
-        final Optional<String> quarantine = findQuarantine();
-        if (quarantine.isPresent() && !tryStartTrial()) {
-            failOrRefuse(ErrorKind.SUSPECT_WAITING, quarantine.get(), ErrorKind.SUSPECT_WAITING.retryAfterMs());
+        final Optional<String> quarantined = quarantine.find(organisation);
+        if (quarantined.isPresent() && !quarantine.tryStartTrial(attempts, log)) {
+            failOrRefuse(ErrorKind.SUSPECT_WAITING, quarantined.get(), ErrorKind.SUSPECT_WAITING.retryAfterMs());
             return;
         }
         if (!isKeyFresh(nowNanos)) {
@@ -213,7 +218,8 @@
                     describe(refusal) + " " + placement.candidates()
                             + " endpoints of "
                             + service.orElseThrow().name() + " for "
-                            + model().map(ModelVersionName::value).orElse("requests without a model"),
+                            + model().map(ModelVersionName::value).orElse("requests without a model")
+                            + rank.map(known -> ", " + known).orElse(""),
                     placement.retryAfterMs());
             return;
         }
@@ -276,8 +282,8 @@
                 .place(
                         new PlacementRequest(
                                 request.promptTokens(),
-                                route.orElseThrow().targetLatencyMs(),
-                                route.get().targetPauseMs(),
+                                admissionTargetMs(model, nowNanos),
+                                route.orElseThrow().targetPauseMs(),
                                 remainingMs,
                                 ImmutableSet.copyOf(triedVms),
                                 mayHaveStarted,
@@ -289,6 +295,13 @@
                         nowNanos);
     }
 
+    private long admissionTargetMs(Optional<ModelVersionName> model, long nowNanos) {
+        final long targetMs = route.orElseThrow().targetLatencyMs();
+        return model.isPresent() && rank.isPresent()
+                ? services.rankedTargets().admissionTargetMs(model.get(), rank.get(), targetMs, nowNanos)
+                : targetMs;
+    }
+
     private void sendTo(Placement placement, long remainingMs, long nowNanos) {
         final EndpointLoad endpoint = placement.endpoint().orElseThrow();
         attempts++;
@@ -298,8 +311,12 @@
                 this, endpoint, services.registry().engine(model()), placement.predictedMs(), nowNanos);
         currentAttempt = Optional.of(attempt);
         endpoint.recordSent(nowNanos);
-        final ForwardingMetadata metadata =
-                new ForwardingMetadata(remainingMs, endpoint.vm().vm(), organisation, stream.resumeAfter(request));
+        final ForwardingMetadata metadata = new ForwardingMetadata(
+                remainingMs,
+                endpoint.vm().vm(),
+                organisation,
+                stream.resumeAfter(request),
+                RequestUrgency.of(model().flatMap(name -> rank), attempts > 1));
         attempt.start(
                 services.codec().encode(request, metadata, endpoint.address()),
                 route.get().mayRetry());
@@ -320,40 +337,9 @@
         }
     }
 
-    /** Returns why the request must not be sent, if it or a part of its prompt is known to crash endpoints. */
-    private Optional<String> findQuarantine() {
-        final Set<String> requests = services.registry().view().quarantined();
-        if (!requests.isEmpty() && requests.contains(digest())) {
-            return Optional.of("this request has crashed endpoints");
-        }
-        return services.registry()
-                .quarantinedParts()
-                .findQuarantined(request.sharedPromptParts())
-                .map(part -> "requests with the prompt part " + part + " have crashed endpoints");
-    }
-
-    /** Returns whether the leader lets this node try one request with the quarantined prompt part, and this is it. */
-    private boolean tryStartTrial() {
-        final QuarantinedParts parts = services.registry().quarantinedParts();
-        final boolean sendsItself = !services.endpointLinks().areCut();
-        if (attempts == 0 && sendsItself && parts.tryStartTrial(request.sharedPromptParts())) {
-            log.trialStarted();
-            return true;
-        }
-        parts.findQuarantined(request.sharedPromptParts()).ifPresent(parts::recordRefused);
-        return false;
-    }
-
     /** Returns a hash of the request that is the same each time a caller sends it. */
     String digest() {
-        return Hashing.murmur3_128()
-                .newHasher()
-                .putString(organisation.map(OrganisationName::value).orElse("-"), StandardCharsets.UTF_8)
-                .putString(request.method(), StandardCharsets.UTF_8)
-                .putString(request.target(), StandardCharsets.UTF_8)
-                .putBytes(request.body().array())
-                .hash()
-                .toString();
+        return quarantine.digest(organisation);
     }
 
     EntryServices services() {
@@ -460,7 +446,7 @@
                 && remainingMs >= MIN_ATTEMPT_MS
                 && stream.isResumable()
                 && isKeyFresh(nowNanos)
-                && findQuarantine().isEmpty()
+                && quarantine.find(organisation).isEmpty()
                 && hasAlternative(remainingMs, nowNanos);
     }
 
--- a/src/main/java/org/wigeongrade/platform/ConfigurationReader.java
+++ b/src/main/java/org/wigeongrade/platform/ConfigurationReader.java
@@ -145,7 +145,9 @@
         return Optional.of(json).filter(document -> document.has("tenants")).stream()
                 .flatMap(document -> document.objects("tenants").stream())
                 .map(tenant -> new PublishedOrganisation(
-                        OrganisationName.of(tenant.string("name")), ImmutableSet.copyOf(tenant.strings("apiKeys"))))
+                        OrganisationName.of(tenant.string("name")),
+                        ImmutableSet.copyOf(tenant.strings("apiKeys")),
+                        (int) tenant.number("priority", DEFAULT_PRIORITY)))
                 .toList();
     }
 }
--- a/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
+++ b/src/main/java/org/wigeongrade/platform/PlatformCallerCodec.java
@@ -101,6 +101,7 @@
     public FullHttpRequest encode(CallerRequest request, ForwardingMetadata metadata, String address) {
         final FullHttpRequest message = copy(request, metadata.remainingMs(), metadata.resumeAfter());
         message.headers().set(WireHeaders.EXPECTED_VM, metadata.vm().value());
+        metadata.urgency().ifPresent(urgency -> message.headers().set(WireHeaders.URGENCY, urgency));
         metadata.organisation()
                 .ifPresent(organisation -> message.headers().set(WireHeaders.ORGANISATION, organisation.value()));
         return message;
--- a/src/main/java/org/wigeongrade/platform/WireHeaders.java
+++ b/src/main/java/org/wigeongrade/platform/WireHeaders.java
@@ -43,6 +43,9 @@
     /** Estimated number of output tokens. */
     static final String OUTPUT_TOKEN_ESTIMATE = "x-length-hint";
 
+    /** Order in which an endpoint admits waiting requests, from 0, first, to 9. */
+    static final String URGENCY = "x-request-urgency";
+
     /** Id of the last stream event that the client received. */
     static final String LAST_EVENT_ID = "last-event-id";
 
--- a/src/test/java/org/wigeongrade/decisions/published/PublishedCheckerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/published/PublishedCheckerTest.java
@@ -119,7 +119,7 @@
     }
 
     private static PublishedOrganisation organisation(String name, String... keys) {
-        return new PublishedOrganisation(OrganisationName.of(name), ImmutableSet.copyOf(keys));
+        return new PublishedOrganisation(OrganisationName.of(name), ImmutableSet.copyOf(keys), 1);
     }
 
     private static Route route(String name, String prefix, String service, double weight, long timeoutMs) {
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -14,6 +14,7 @@
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
 import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.decisions.overload.RankedTargets;
 import org.wigeongrade.decisions.published.CallerLimits;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
@@ -142,6 +143,7 @@
                 new RelayPeers(new SplittableRandom(1)),
                 bufferedBodies,
                 new Balancer(new SplittableRandom(1)),
+                new RankedTargets(new SplittableRandom(1)),
                 new RetryBudgetShare(0.2, 100, TimeUnit.SECONDS.toNanos(10)),
                 new ColdStartLimits(1.5, 5, 0),
                 new SplittableRandom(1),
--- a/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
+++ b/src/test/java/org/wigeongrade/platform/PlatformCallerCodecTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
@@ -29,7 +30,7 @@
 
 final class PlatformCallerCodecTest {
     private static final ForwardingMetadata METADATA = new ForwardingMetadata(
-            750, VmName.of("i-1"), Optional.of(OrganisationName.of("shop")), OptionalLong.empty());
+            750, VmName.of("i-1"), Optional.of(OrganisationName.of("shop")), OptionalLong.empty(), OptionalInt.of(3));
     private final PlatformCallerCodec codec = new PlatformCallerCodec();
 
     @Test
@@ -94,8 +95,8 @@
 
     @Test
     void resumedRequestCarriesLastForwardedEventId() {
-        final ForwardingMetadata resumed =
-                new ForwardingMetadata(750, VmName.of("i-1"), Optional.empty(), OptionalLong.of(7));
+        final ForwardingMetadata resumed = new ForwardingMetadata(
+                750, VmName.of("i-1"), Optional.empty(), OptionalLong.of(7), OptionalInt.empty());
         final FullHttpRequest forwarded = codec.encode(codec.decode(message()), resumed, "10.0.0.1:80");
 
         assertThat(forwarded.headers().getAll("Last-Event-Id")).containsExactly("7");
