Bound the memory and connections that clients may hold, and the work for each connection

Clients that hold connections open, send heads of many short fields or never read their responses ended a node or kept it from serving: only the bytes of bodies were counted, connections were not limited, and responses were written whether they were read or not. A body in small pieces kept the buffer of each piece.

What is held for clients now has one account per process, at every port for callers, readiness checks, metrics and control: heads by their fields, bodies, and responses that are not read. When it is full, the connection that has held the most for the longest makes room, so that ordinary requests are read. Above half of the process's descriptors, the connection that has been waiting for its client for longest is closed; ones that never sent a request go first. A connection is not read on while its client does not read, is read 32 KiB at a time at most, and pieces of a body are copied into larger ones. Requests at the readiness, metrics and control ports are served one at a time, also if several arrive in one read; a request that is refused behind an unanswered one no longer gets its response in between.

--- a/src/main/java/org/wigeongrade/fleet/MetricsListener.java
+++ b/src/main/java/org/wigeongrade/fleet/MetricsListener.java
@@ -1,8 +1,11 @@
 package org.wigeongrade.fleet;
 
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.fleet.net.CallHandlers;
+import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.HttpRequestHandler;
@@ -16,18 +19,28 @@
     private static final int NOT_FOUND = 404;
     private static final int MAX_HEADER_BYTES = 8 * 1024;
     private static final int MAX_BODY_BYTES = 1024;
+    /** Time for the head and for the body of a request, in milliseconds. */
+    private static final long REQUEST_TIMEOUT_MS = 3_000;
+    /** Idle time after which a connection is closed, in seconds; longer than the usual interval of a scrape. */
+    private static final int IDLE_TIMEOUT_S = 120;
 
     private MetricsListener() {}
 
     /** Starts listening. */
-    public static HttpListener open(SharedEventLoop loop, InetSocketAddress address, Metrics metrics) {
+    public static HttpListener open(
+            SharedEventLoop loop,
+            InetSocketAddress address,
+            Metrics metrics,
+            ClientMemory memory,
+            BiConsumer<ErrorKind, String> onRefused) {
+        final CallHandlers handlers = new CallHandlers(
+                memory, MAX_BODY_BYTES, REQUEST_TIMEOUT_MS, REQUEST_TIMEOUT_MS, IDLE_TIMEOUT_S, onRefused);
         return HttpListener.open(
                 loop,
                 address,
                 MAX_HEADER_BYTES,
-                pipeline -> pipeline.addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                        .addLast(new HttpRequestHandler(
-                                call -> CompletableFuture.completedFuture(respond(call, metrics)))));
+                pipeline ->
+                        handlers.addTo(pipeline, call -> CompletableFuture.completedFuture(respond(call, metrics))));
     }
 
     private static HttpReply respond(HttpRequestHandler.Request call, Metrics metrics) {
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -2,9 +2,6 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedSet;
-import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -25,12 +22,13 @@
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
 import org.wigeongrade.fleet.SuspendAwareClock;
+import org.wigeongrade.fleet.net.CallHandlers;
+import org.wigeongrade.fleet.net.ClientLimits;
+import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.HttpRequestHandler;
-import org.wigeongrade.fleet.net.MemoryBudget;
 import org.wigeongrade.fleet.net.OneShotHttpClient;
-import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.FleetService;
 import org.wigeongrade.ids.NodeName;
@@ -86,7 +84,7 @@
     private final PeerFormats peerFormats = new PeerFormats();
     private final PublishedStateMachine stateMachine = new PublishedStateMachine();
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final MemoryBudget requestMemory = new MemoryBudget(MAX_HELD_BYTES);
+    private final ClientMemory clientMemory;
     private final Map<String, PeerExchange> exchanges = new HashMap<>();
     private final long startedNanos = System.nanoTime();
     private final RaftReplicatedLog log;
@@ -103,6 +101,10 @@
         this.events = events;
         this.metrics = metrics;
         this.self = NodeName.of(settings.ip());
+        this.clientMemory = new ClientMemory(
+                ClientLimits.heldBytes(MAX_HELD_BYTES),
+                ClientLimits.connections((long) settings.number(FleetKey.MAX_DESCRIPTORS)),
+                System::nanoTime);
         this.directory = new ControlDirectory(
                 settings.logPort(),
                 settings.fleetPort(),
@@ -162,12 +164,19 @@
         leaderLoop.start();
         final Function<HttpRequestHandler.Request, CompletableFuture<HttpReply>> httpHandler =
                 apiFactory.apply(requestHandler);
+        final CallHandlers handlers = new CallHandlers(
+                clientMemory, MAX_BODY_BYTES, HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, IDLE_TIMEOUT_S, this::recordRefusal);
         listener = HttpListener.open(
                 loop,
                 settings.controlListen().orElseThrow().toSocketAddress(),
                 MAX_HEADER_BYTES,
-                pipeline -> addHandlers(pipeline, httpHandler));
-        MetricsListener.open(loop, new InetSocketAddress(settings.bindIp(), settings.metricsPort()), metrics);
+                pipeline -> handlers.addTo(pipeline, httpHandler));
+        MetricsListener.open(
+                loop,
+                new InetSocketAddress(settings.bindIp(), settings.metricsPort()),
+                metrics,
+                clientMemory,
+                this::recordRefusal);
         events.write(LogEvent.NODE_STARTED, settings.name(), settings.availabilityZone(), listenText());
     }
 
@@ -197,15 +206,6 @@
         events.write(LogEvent.REQUEST_REFUSED, "-", "-", kind.code(), cause);
     }
 
-    private void addHandlers(
-            ChannelPipeline pipeline, Function<HttpRequestHandler.Request, CompletableFuture<HttpReply>> httpHandler) {
-        pipeline.addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_S));
-        final RequestIntake intake =
-                new RequestIntake(requestMemory, () -> HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, this::recordRefusal);
-        intake.addTo(pipeline);
-        pipeline.addLast(new HttpObjectAggregator(MAX_BODY_BYTES)).addLast(new HttpRequestHandler(httpHandler));
-    }
-
     private RaftReplicatedLog openLog() {
         final ImmutableSortedSet<NodeName> initialVoters = settings.bootstrap()
                 ? settings.seeds().stream()
--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -82,24 +82,32 @@
     @Override
     protected void channelRead0(ChannelHandlerContext reading, FullHttpRequest message) {
         pipelined.addLast(message.retain());
-        reading.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
+        updateReading();
         if (currentExchange.isEmpty()) {
             reading.executor().execute(this::serveNext);
         }
     }
 
     private void serveNext() {
-        if (currentExchange.isPresent() || willClose || !context.channel().isActive()) {
+        if (currentExchange.isPresent()
+                || willClose
+                || !context.channel().isActive()
+                || !context.channel().isWritable()) {
             return;
         }
         final FullHttpRequest next = pipelined.pollFirst();
         if (next != null) {
-            context.channel().config().setAutoRead(true);
+            updateReading();
             serve(next);
             next.release();
         }
     }
 
+    private void updateReading() {
+        final boolean roomForMore = pipelined.size() < MAX_PIPELINED;
+        context.channel().config().setAutoRead(roomForMore && context.channel().isWritable());
+    }
+
     /**
      * Returns whether no request is being received or served, no response waits for its caller to read, and no request
      * is about to arrive on a new connection.
@@ -240,6 +248,11 @@
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
         currentExchange.ifPresent(exchange ->
                 exchange.onCallerWritabilityChanged(changed.channel().isWritable()));
+        // While a response is being written, the connection is read on, so that a caller's close is seen.
+        if (currentExchange.isEmpty()) {
+            updateReading();
+            changed.executor().execute(this::serveNext);
+        }
     }
 
     @Override
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -20,10 +20,12 @@
 import org.wigeongrade.fleet.MetricsListener;
 import org.wigeongrade.fleet.SuspendAwareClock;
 import org.wigeongrade.fleet.control.DocumentReader;
+import org.wigeongrade.fleet.net.CallHandlers;
+import org.wigeongrade.fleet.net.ClientLimits;
+import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.HttpRequestHandler;
-import org.wigeongrade.fleet.net.MemoryBudget;
 import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
@@ -44,6 +46,8 @@
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
     private static final int MAX_READINESS_BYTES = 1024;
+    /** Idle time of a connection for readiness checks, in seconds; many times the interval of the checks. */
+    private static final int READINESS_IDLE_S = 30;
     /**
      * Requests with API keys are sent while the view is younger than this fraction of the time in which a key must be
      * revoked; the rest covers the time in transit.
@@ -80,7 +84,7 @@
     private final SuspendAwareClock clock = new SuspendAwareClock();
     private final SharedEventLoop loop = new SharedEventLoop();
     private final CallerConnections connections = new CallerConnections();
-    private final MemoryBudget requestMemory;
+    private final ClientMemory clientMemory;
     private final ControlDirectory directory;
     private final EndpointRegistry registry;
     private final ViewPuller viewPuller;
@@ -96,7 +100,10 @@
         this.codec = codec;
         this.events = events;
         this.metrics = metrics;
-        this.requestMemory = new MemoryBudget((long) settings.number(FleetKey.MAX_HELD_BYTES));
+        this.clientMemory = new ClientMemory(
+                ClientLimits.heldBytes((long) settings.number(FleetKey.MAX_HELD_BYTES)),
+                ClientLimits.connections((long) settings.number(FleetKey.MAX_DESCRIPTORS)),
+                System::nanoTime);
         this.directory = new ControlDirectory(
                 settings.logPort(),
                 settings.fleetPort(),
@@ -161,10 +168,14 @@
                 loop,
                 settings.readinessListen().orElseThrow().toSocketAddress(),
                 CallerLimits.DEFAULT.maxHeaderBytes(),
-                pipeline -> pipeline.addLast(new HttpObjectAggregator(MAX_READINESS_BYTES))
-                        .addLast(new HttpRequestHandler(
-                                call -> CompletableFuture.completedFuture(respondToReadinessCheck(call)))));
-        MetricsListener.open(loop, new InetSocketAddress(settings.bindIp(), settings.metricsPort()), metrics);
+                pipeline -> readinessHandlers()
+                        .addTo(pipeline, call -> CompletableFuture.completedFuture(respondToReadinessCheck(call))));
+        MetricsListener.open(
+                loop,
+                new InetSocketAddress(settings.bindIp(), settings.metricsPort()),
+                metrics,
+                clientMemory,
+                this::recordRefusal);
         events.write(
                 LogEvent.NODE_STARTED,
                 settings.name(),
@@ -191,12 +202,22 @@
 
     private void addCallerHandlers(ChannelPipeline pipeline, boolean fromEntryNode) {
         final RequestIntake intake = new RequestIntake(
-                requestMemory, () -> callerLimits().headerTimeoutMs(), BODY_TIMEOUT_MS, this::recordRefusal);
+                clientMemory, () -> callerLimits().headerTimeoutMs(), BODY_TIMEOUT_MS, this::recordRefusal);
         intake.addTo(pipeline);
         pipeline.addLast(new HttpObjectAggregator(callerLimits().maxBodyBytes()))
                 .addLast(new CallerConnection(services, connections, intake, fromEntryNode));
     }
 
+    private CallHandlers readinessHandlers() {
+        return new CallHandlers(
+                clientMemory,
+                MAX_READINESS_BYTES,
+                CallerLimits.DEFAULT.headerTimeoutMs(),
+                CallerLimits.DEFAULT.headerTimeoutMs(),
+                READINESS_IDLE_S,
+                this::recordRefusal);
+    }
+
     private CallerLimits callerLimits() {
         return registry.view()
                 .configuration()
--- /dev/null
+++ b/src/main/java/org/wigeongrade/fleet/net/CallHandlers.java
@@ -0,0 +1,36 @@
+package org.wigeongrade.fleet.net;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.wigeongrade.errors.ErrorKind;
+
+/**
+ * Handlers of a connection whose requests are answered by this process itself, with limits on what the client may send
+ * and how long it may take.
+ *
+ * @param memory what the process holds for all clients
+ * @param maxBodyBytes largest body
+ * @param headTimeoutMs longest time for a head
+ * @param bodyTimeoutMs longest time for a body
+ * @param idleTimeoutS time without a byte after which the connection is closed
+ * @param onRefused called for each request that is refused, with a description of the cause
+ */
+public record CallHandlers(
+        ClientMemory memory,
+        int maxBodyBytes,
+        long headTimeoutMs,
+        long bodyTimeoutMs,
+        int idleTimeoutS,
+        BiConsumer<ErrorKind, String> onRefused) {
+    /** Adds the handlers after the HTTP codec of a pipeline. */
+    public void addTo(
+            ChannelPipeline pipeline, Function<HttpRequestHandler.Request, CompletableFuture<HttpReply>> service) {
+        pipeline.addLast(new ReadTimeoutHandler(idleTimeoutS));
+        new RequestIntake(memory, () -> headTimeoutMs, bodyTimeoutMs, onRefused).addTo(pipeline);
+        pipeline.addLast(new HttpObjectAggregator(maxBodyBytes)).addLast(new HttpRequestHandler(service));
+    }
+}
--- a/src/main/java/org/wigeongrade/fleet/net/HttpListener.java
+++ b/src/main/java/org/wigeongrade/fleet/net/HttpListener.java
@@ -1,11 +1,11 @@
 package org.wigeongrade.fleet.net;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -20,8 +20,13 @@
     /** Maximum of connections that wait to be accepted; many clients reconnect at once after an outage. */
     private static final int BACKLOG = 1_024;
 
-    /** Reads of one connection before other connections get their turn; Netty's default for sockets. */
-    private static final int MAX_READS_AT_ONCE = 16;
+    /**
+     * Reads of one connection before other connections get their turn. With {@link #READ_BYTES}, it bounds the time for
+     * which a client that sends very small pieces keeps the event loop busy.
+     */
+    private static final int MAX_READS_AT_ONCE = 4;
+
+    private static final int READ_BYTES = 8 * 1024;
 
     private static final int MAX_INITIAL_LINE_BYTES = 16 * 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
@@ -57,7 +62,7 @@
                 // Reads on after a short read, so that a close that has already arrived is seen with the last request.
                 .childOption(
                         ChannelOption.RCVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
+                        new FixedRecvByteBufAllocator(READ_BYTES)
                                 .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MAX_READS_AT_ONCE))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/org/wigeongrade/fleet/net/HttpRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/net/HttpRequestHandler.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpUtil;
 import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.wigeongrade.decisions.log.Bytes;
@@ -16,13 +18,17 @@
 /**
  * Passes the requests of one HTTP connection to a function, in the order of arrival. Used on the event loop only.
  *
- * <p>Invariant: the next request is read only after the response to the previous one was written.
+ * <p>Invariants: a request is served only after the response to the previous one was written, and only while the client
+ * reads its responses; meanwhile the connection is not read.
  */
 public final class HttpRequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final System.Logger LOGGER = System.getLogger(HttpRequestHandler.class.getName());
     private static final int INTERNAL_ERROR = 500;
 
     private final Function<Request, CompletableFuture<HttpReply>> service;
+    private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+    private boolean serving;
+    private boolean closing;
 
     /** A request. The body is a copy, so that it stays valid after the read has returned. */
     public record Request(String method, String path, Bytes body) {}
@@ -33,15 +39,31 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        waiting.addLast(request.retain());
+        serveNext(context);
+    }
+
+    private void serveNext(ChannelHandlerContext context) {
+        final boolean takesNext = !serving && !closing && context.channel().isWritable();
+        final FullHttpRequest request = takesNext ? waiting.pollFirst() : null;
+        if (request != null) {
+            serving = true;
+            serve(context, request);
+            request.release();
+        }
+        context.channel().config().setAutoRead(!serving && waiting.isEmpty());
+    }
+
+    private void serve(ChannelHandlerContext context, FullHttpRequest request) {
         final boolean keepAlive =
                 HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
         final byte[] body = new byte[request.content().readableBytes()];
         request.content().readBytes(body);
-        context.channel().config().setAutoRead(false);
-        final var unused = serve(new Request(request.method().name(), request.uri(), Bytes.wrap(body)))
+        final String path = request.uri();
+        final var unused = serve(new Request(request.method().name(), path, Bytes.wrap(body)))
                 .whenComplete((reply, failure) -> context.executor().execute(() -> {
                     if (failure != null) {
-                        LOGGER.log(Level.WARNING, "request " + request.uri() + " failed", failure);
+                        LOGGER.log(Level.WARNING, "request " + path + " failed", failure);
                     }
                     write(
                             context,
@@ -50,6 +72,17 @@
                 }));
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        serveNext(context);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        waiting.forEach(FullHttpRequest::release);
+        waiting.clear();
+    }
+
     private CompletableFuture<HttpReply> serve(Request call) {
         try {
             return service.apply(call);
@@ -58,13 +91,15 @@
         }
     }
 
-    private static void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+    private void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
         final FullHttpResponse message = reply.toMessage();
+        serving = false;
         if (keepAlive) {
             NettyFutures.logFailure(context.writeAndFlush(message));
-            context.channel().config().setAutoRead(true);
+            serveNext(context);
             return;
         }
+        closing = true;
         message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         NettyFutures.logFailure(context.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE));
     }
--- a/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
+++ b/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
@@ -1,9 +1,11 @@
 package org.wigeongrade.fleet.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -23,13 +25,26 @@
 import org.wigeongrade.errors.ErrorKind;
 
 /**
- * Limits the time and the memory that the requests of one connection take until they are complete. Used on the event
- * loop only.
+ * Limits the time and the memory that the requests and responses of one connection take while the connection waits for
+ * its client. Used on the event loop only.
  *
- * <p>Invariants: a request whose head or body is not complete in time, or whose body finds no memory, is refused and its
- * connection closed; the bytes of a body count against the budget until the request has its response.
+ * <p>Invariants: a request whose head or body is not complete in time, or that finds no memory, is refused and its
+ * connection closed; a request counts against the memory until it has its response, and responses do while the client
+ * does not read them.
  */
-public final class RequestIntake extends ChannelDuplexHandler {
+public final class RequestIntake extends ChannelDuplexHandler implements ClientMemory.Holder {
+    /** Bytes of a head that are not counted; those of the published limits' usual requests are smaller. */
+    private static final int UNCOUNTED_HEAD_BYTES = 2_048;
+    /** Fields of a head that are not counted. */
+    private static final int UNCOUNTED_FIELDS = 32;
+    /** Memory that a decoded field takes in addition to its bytes: the objects for its name, value and entry. */
+    private static final int FIELD_BYTES = 192;
+    /** Memory that each byte of an incomplete head may take, if its fields have four bytes each. */
+    private static final int MEMORY_PER_HEAD_BYTE = FIELD_BYTES / 4;
+
+    /** Time for a client to read a refusal, in milliseconds. */
+    private static final long MAX_REFUSAL_MS = 2_000;
+
     private enum State {
         /** No byte of a request has arrived. */
         IDLE,
@@ -39,28 +54,34 @@
         REFUSED
     }
 
-    private final MemoryBudget budget;
+    private final ClientMemory memory;
     private final LongSupplier headTimeoutMs;
     private final long bodyTimeoutMs;
     private final BiConsumer<ErrorKind, String> onRefused;
     private final Deque<Long> unansweredBytes = new ArrayDeque<>();
     private State state = State.IDLE;
     private long currentBytes;
+    private long headBytes;
+    private long countedHeadBytes;
+    private long unreadResponseBytes;
+    private long waitingSinceNanos = System.nanoTime();
+    private boolean served;
+    private ChannelHandlerContext context;
     private long deadlineNanos;
     private boolean timerRuns;
 
     /**
-     * @param budget memory for the bodies of all connections
+     * @param memory memory for all connections
      * @param headTimeoutMs longest time from the first byte of a head to its end
      * @param bodyTimeoutMs longest time from the end of a head to the end of the body
      * @param onRefused called for each request that is refused, with a description of the cause
      */
     public RequestIntake(
-            MemoryBudget budget,
+            ClientMemory memory,
             LongSupplier headTimeoutMs,
             long bodyTimeoutMs,
             BiConsumer<ErrorKind, String> onRefused) {
-        this.budget = budget;
+        this.memory = memory;
         this.headTimeoutMs = headTimeoutMs;
         this.bodyTimeoutMs = bodyTimeoutMs;
         this.onRefused = onRefused;
@@ -68,56 +89,162 @@
 
     /** Adds this handler to a pipeline that ends with the HTTP codec. */
     public void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(this);
+        pipeline.addLast(this).addLast(new BodyPieceMerger());
         pipeline.addFirst(new ChannelInboundHandlerAdapter() {
             @Override
-            public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
-                if (state == State.IDLE) {
-                    enter(State.HEAD, headTimeoutMs.getAsLong(), context);
+            public void channelRead(ChannelHandlerContext first, Object bytes) throws Exception {
+                if (state == State.REFUSED || !countHeadBytes((ByteBuf) bytes)) {
+                    ReferenceCountUtil.release(bytes);
+                    return;
                 }
-                super.channelRead(context, bytes);
+                super.channelRead(first, bytes);
             }
         });
     }
 
+    /** Counts what arrived if it may belong to a head; refuses the request and returns false if it finds no memory. */
+    private boolean countHeadBytes(ByteBuf bytes) {
+        if (state == State.IDLE) {
+            enter(State.HEAD, headTimeoutMs.getAsLong(), context);
+        }
+        if (state != State.HEAD) {
+            return true;
+        }
+        headBytes += bytes.readableBytes();
+        final long counted = Math.max(0, headBytes - UNCOUNTED_HEAD_BYTES) * MEMORY_PER_HEAD_BYTE;
+        if (!memory.tryReserve(this, counted - countedHeadBytes)) {
+            refuse(context, ErrorKind.NO_MEMORY, "no memory for a head of " + headBytes + " bytes");
+            return false;
+        }
+        countedHeadBytes = counted;
+        return true;
+    }
+
     /** Returns whether a request has begun to arrive and is not complete. */
     public boolean isReceiving() {
         return state == State.HEAD || state == State.BODY;
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+        memory.add(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext reading, Object message) throws Exception {
         if (state == State.REFUSED) {
             ReferenceCountUtil.release(message);
             return;
         }
         if (message instanceof HttpRequest) {
-            enter(State.BODY, bodyTimeoutMs, context);
+            enter(State.BODY, bodyTimeoutMs, reading);
         }
-        if (message instanceof HttpContent content && !reserve(content)) {
+        if (!reserve(message)) {
             ReferenceCountUtil.release(message);
-            refuse(context, ErrorKind.NO_MEMORY, "no memory for the body after " + currentBytes + " bytes");
+            refuse(reading, ErrorKind.NO_MEMORY, "no memory for the request after " + currentBytes + " bytes");
             return;
         }
         if (message instanceof LastHttpContent) {
             state = State.IDLE;
+            served = true;
+            waitingSinceNanos = System.nanoTime();
             unansweredBytes.addLast(currentBytes);
             currentBytes = 0;
         }
-        super.channelRead(context, message);
+        super.channelRead(reading, message);
     }
 
-    private boolean reserve(HttpContent content) {
-        final int bytes = content.content().readableBytes();
-        final boolean reserved = budget.tryReserve(bytes);
+    private boolean reserve(Object message) {
+        long bytes = 0;
+        if (message instanceof HttpRequest head) {
+            releaseHead();
+            bytes += (long) Math.max(0, head.headers().size() - UNCOUNTED_FIELDS) * FIELD_BYTES;
+        }
+        if (message instanceof HttpContent content) {
+            bytes += content.content().readableBytes();
+        }
+        final boolean reserved = memory.tryReserve(this, bytes);
         currentBytes += reserved ? bytes : 0;
         return reserved;
     }
 
+    private void releaseHead() {
+        memory.release(countedHeadBytes);
+        countedHeadBytes = 0;
+        headBytes = 0;
+    }
+
+    /**
+     * Counts the responses that the client does not read, from when they exceed the connection's buffers. Whoever writes
+     * more than these hold has memory of its own for it.
+     */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) throws Exception {
+        memory.release(unreadResponseBytes);
+        unreadResponseBytes = 0;
+        final ChannelOutboundBuffer unwritten = changed.channel().unsafe().outboundBuffer();
+        if (!changed.channel().isWritable() && unwritten != null) {
+            waitingSinceNanos = System.nanoTime();
+            unreadResponseBytes = Math.min(
+                    unwritten.totalPendingWriteBytes(),
+                    changed.channel().config().getWriteBufferHighWaterMark());
+            if (!memory.tryReserve(this, unreadResponseBytes)) {
+                unreadResponseBytes = 0;
+                shed("no memory for responses that are not read");
+                return;
+            }
+        }
+        super.channelWritabilityChanged(changed);
+    }
+
+    @Override
+    public long heldBytes() {
+        return currentBytes + countedHeadBytes + unreadResponseBytes;
+    }
+
+    @Override
+    public long waitingSinceNanos() {
+        return waitingSinceNanos;
+    }
+
+    @Override
+    public boolean waitsForClient() {
+        return state != State.REFUSED && (unansweredBytes.isEmpty() || unreadResponseBytes > 0);
+    }
+
+    @Override
+    public boolean hasServed() {
+        return served;
+    }
+
+    @Override
+    public void shed(String cause) {
+        if (isReceiving() && unreadResponseBytes == 0) {
+            refuse(context, ErrorKind.NO_MEMORY, cause);
+        } else {
+            state = State.REFUSED;
+            onRefused.accept(ErrorKind.NO_MEMORY, cause);
+            NettyFutures.logFailure(context.channel().close());
+        }
+        releaseUnfinished();
+    }
+
+    private void releaseUnfinished() {
+        releaseHead();
+        memory.release(currentBytes + unreadResponseBytes);
+        currentBytes = 0;
+        unreadResponseBytes = 0;
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         if (message instanceof LastHttpContent && !isInterim(message) && !unansweredBytes.isEmpty()) {
-            budget.release(unansweredBytes.removeFirst());
+            memory.release(unansweredBytes.removeFirst());
+            waitingSinceNanos = System.nanoTime();
+            if (state == State.REFUSED && unansweredBytes.isEmpty()) {
+                NettyFutures.logFailure(promise.unvoid().addListener(ChannelFutureListener.CLOSE));
+            }
         }
         super.write(context, message, promise);
     }
@@ -129,15 +256,18 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-        budget.release(currentBytes);
-        currentBytes = 0;
-        unansweredBytes.forEach(budget::release);
+        releaseUnfinished();
+        unansweredBytes.forEach(memory::release);
         unansweredBytes.clear();
         state = State.REFUSED;
+        memory.remove(this);
         super.channelInactive(context);
     }
 
     private void enter(State next, long timeoutMs, ChannelHandlerContext context) {
+        if (!isReceiving()) {
+            waitingSinceNanos = System.nanoTime();
+        }
         state = next;
         deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
         if (!timerRuns) {
@@ -166,15 +296,34 @@
         refuse(context, ErrorKind.REQUEST_TOO_SLOW, "the " + state + " of the request was not complete in time");
     }
 
-    private void refuse(ChannelHandlerContext context, ErrorKind kind, String cause) {
+    /** Refuses the request that is arriving; requests that arrived before it get their responses first. */
+    private void refuse(ChannelHandlerContext refused, ErrorKind kind, String cause) {
         state = State.REFUSED;
         onRefused.accept(kind, cause);
+        releaseUnfinished();
+        closeLater(refused);
+        if (!unansweredBytes.isEmpty()) {
+            return;
+        }
         HttpReply reply = HttpReply.text(kind.httpStatus(), kind.code() + ": " + cause + "\n");
         if (kind.retryAfterMs() > 0) {
             reply = reply.withHeader("retry-after", RetryAfterHeader.format(kind.retryAfterMs()));
         }
         final FullHttpResponse message = reply.toMessage();
         message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        NettyFutures.logFailure(context.channel().writeAndFlush(message).addListener(ChannelFutureListener.CLOSE));
+        NettyFutures.logFailure(refused.channel().writeAndFlush(message).addListener(ChannelFutureListener.CLOSE));
+    }
+
+    /** Closes the connection even if the client does not read the refusal. */
+    private void closeLater(ChannelHandlerContext refused) {
+        NettyFutures.logFailure(refused.executor()
+                .schedule(
+                        () -> {
+                            if (unansweredBytes.isEmpty()) {
+                                NettyFutures.logFailure(refused.channel().close());
+                            }
+                        },
+                        MAX_REFUSAL_MS,
+                        TimeUnit.MILLISECONDS));
     }
 }
--- a/src/main/java/org/wigeongrade/settings/FleetKey.java
+++ b/src/main/java/org/wigeongrade/settings/FleetKey.java
@@ -18,6 +18,11 @@
     STALL_MS(4_000, 10, 600_000, "time after which the head VM of a group that lost a member refuses work"),
     MAX_RESPONSE_BYTES(8_388_608, 65_536, 1_073_741_824, "largest body of a response that is not streamed"),
     MAX_HELD_BYTES(33_554_432, 1_048_576, 1_073_741_824, "largest sum of such bodies that an entry node holds at once"),
+    MAX_DESCRIPTORS(
+            1_000_000,
+            64,
+            1_000_000_000,
+            "descriptors that the process may open; clients' connections take half of them"),
     MAX_PAUSE_S(600, 1, 86_400, "longest pause, in seconds, that an endpoint VM may ask an entry node for"),
     COLD_BURST_FACTOR(1.5, 0.1, 100, "factor on the request rate that a cold endpoint may get"),
     COLD_MARGIN(5, 0, 1_000_000, "requests per second that are allowed in addition to that factor");
--- a/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
-import org.wigeongrade.fleet.net.MemoryBudget;
 import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
@@ -83,8 +83,11 @@
             address = (InetSocketAddress) free.getLocalSocketAddress();
         }
         HttpListener.open(loop, address, MAX_BYTES, pipeline -> {
-            final RequestIntake intake =
-                    new RequestIntake(new MemoryBudget(MAX_BYTES), () -> TIMEOUT_MS, TIMEOUT_MS, (kind, cause) -> {});
+            final RequestIntake intake = new RequestIntake(
+                    new ClientMemory(MAX_BYTES, Integer.MAX_VALUE, System::nanoTime),
+                    () -> TIMEOUT_MS,
+                    TIMEOUT_MS,
+                    (kind, cause) -> {});
             intake.addTo(pipeline);
             pipeline.addLast(new HttpObjectAggregator(MAX_BYTES))
                     .addLast(new CallerConnection(services, connections, intake, false));
--- a/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
@@ -20,8 +20,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.decisions.published.RouteKind;
+import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
-import org.wigeongrade.fleet.net.MemoryBudget;
 import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
@@ -203,7 +203,10 @@
         }
         final HttpListener unused = HttpListener.open(loop, address, MAX_BYTES, pipeline -> {
             final RequestIntake intake = new RequestIntake(
-                    new MemoryBudget(MAX_BYTES), () -> TIMEOUT_MS, TIMEOUT_MS, (refusal, cause) -> {});
+                    new ClientMemory(MAX_BYTES, Integer.MAX_VALUE, System::nanoTime),
+                    () -> TIMEOUT_MS,
+                    TIMEOUT_MS,
+                    (refusal, cause) -> {});
             intake.addTo(pipeline);
             pipeline.addLast(new HttpObjectAggregator(MAX_BYTES))
                     .addLast(new CallerConnection(services, connections, intake, fromEntryNode));
--- a/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
@@ -24,7 +24,7 @@
     private static final long HEAD_TIMEOUT_MS = 40;
     private static final long BODY_TIMEOUT_MS = 80;
 
-    private final MemoryBudget budget = new MemoryBudget(BUDGET_BYTES);
+    private final ClientMemory budget = new ClientMemory(BUDGET_BYTES, Integer.MAX_VALUE, System::nanoTime);
     private final List<ErrorKind> refused = new ArrayList<>();
 
     @ParameterizedTest
