Keep room only for higher ranks that have real demand

A single request of a higher rank, such as a monitor's on an unused route, kept lower ranks at three quarters of its target for ten seconds.

A rank now counts once its recent requests are a tenth of those of the request's own rank.

--- a/src/main/java/org/wigeongrade/decisions/overload/RankedTargets.java
+++ b/src/main/java/org/wigeongrade/decisions/overload/RankedTargets.java
@@ -1,7 +1,6 @@
 package org.wigeongrade.decisions.overload;
 
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.OptionalLong;
@@ -23,18 +22,39 @@
  * Not thread safe.
  */
 public final class RankedTargets {
-    /** Time for which a target counts after its last request; longer than the usual pause between two requests. */
-    private static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** Time constant of the average by which requests of a rank are counted; longer than the usual pause between two. */
+    private static final double MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /**
+     * Requests of a higher rank, as a fraction of those of the request's own, from which on room is kept for them. Single
+     * requests, for example of a monitor, do not take it from everyone else.
+     */
+    private static final double MIN_DEMAND_FRACTION = 0.1;
 
     /** Fraction of a higher rank's target at which lower ranks are admitted. */
     private static final double HEADROOM_FRACTION = 0.75;
     /** Fraction of the lower-ranked requests that are admitted at their own target. */
     private static final double OWN_TARGET_FRACTION = 0.16;
 
-    private record RecentTarget(long targetMs, long expiresNanos) {}
+    /** Recent requests of one rank. Not thread safe. */
+    private static final class Demand {
+        private long targetMs;
+        private double requests;
+        private long updatedNanos;
+
+        void add(long requestTargetMs, long nowNanos) {
+            final double known = requests(nowNanos);
+            targetMs = known < 1 ? requestTargetMs : Math.min(targetMs, requestTargetMs);
+            requests = known + 1;
+            updatedNanos = nowNanos;
+        }
+
+        double requests(long nowNanos) {
+            return requests * Math.exp((updatedNanos - nowNanos) / MEMORY_NANOS);
+        }
+    }
 
     private final RandomGenerator random;
-    private final Map<ModelVersionName, NavigableMap<Integer, RecentTarget>> byModel = new HashMap<>();
+    private final Map<ModelVersionName, NavigableMap<Integer, Demand>> byModel = new HashMap<>();
 
     public RankedTargets(RandomGenerator random) {
         this.random = random;
@@ -42,27 +62,17 @@
 
     /** Returns the target, in milliseconds, at which a request is admitted, and notes its own. */
     public long admissionTargetMs(ModelVersionName model, RequestRank rank, long targetMs, long nowNanos) {
-        final NavigableMap<Integer, RecentTarget> targets = byModel.computeIfAbsent(model, name -> new TreeMap<>());
-        removeExpired(targets, nowNanos);
-        targets.merge(
-                rank.position(),
-                new RecentTarget(targetMs, nowNanos + RECENT_NANOS),
-                (known, added) -> new RecentTarget(Math.min(known.targetMs(), added.targetMs()), added.expiresNanos()));
-        final OptionalLong ofHigherRanks = targets.headMap(rank.position(), false).values().stream()
-                .mapToLong(RecentTarget::targetMs)
+        final NavigableMap<Integer, Demand> byRank = byModel.computeIfAbsent(model, name -> new TreeMap<>());
+        final Demand own = byRank.computeIfAbsent(rank.position(), position -> new Demand());
+        own.add(targetMs, nowNanos);
+        final double minRequests = MIN_DEMAND_FRACTION * own.requests(nowNanos);
+        final OptionalLong ofHigherRanks = byRank.headMap(rank.position(), false).values().stream()
+                .filter(demand -> demand.requests(nowNanos) >= minRequests)
+                .mapToLong(demand -> demand.targetMs)
                 .min();
         if (ofHigherRanks.isEmpty() || random.nextDouble() < OWN_TARGET_FRACTION) {
             return targetMs;
         }
         return Math.min(targetMs, Math.round(HEADROOM_FRACTION * ofHigherRanks.getAsLong()));
     }
-
-    private static void removeExpired(NavigableMap<Integer, RecentTarget> targets, long nowNanos) {
-        final Iterator<RecentTarget> each = targets.values().iterator();
-        while (each.hasNext()) {
-            if (nowNanos - each.next().expiresNanos() >= 0) {
-                each.remove();
-            }
-        }
-    }
 }
