--- a/src/main/java/org/wigeongrade/decisions/overload/RankedTargets.java
+++ b/src/main/java/org/wigeongrade/decisions/overload/RankedTargets.java
@@ -23,7 +23,7 @@
  */
 public final class RankedTargets {
     /** Time constant of the average by which requests of a rank are counted; longer than the usual pause between two. */
-    private static final double MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final double AVERAGING_NANOS = TimeUnit.SECONDS.toNanos(10);
     /**
      * Requests of a higher rank, as a fraction of those of the request's own, from which on room is kept for them. Single
      * requests, for example of a monitor, do not take it from everyone else.
@@ -49,7 +49,7 @@
         }
 
         double requests(long nowNanos) {
-            return requests * Math.exp((updatedNanos - nowNanos) / MEMORY_NANOS);
+            return requests * Math.exp((updatedNanos - nowNanos) / AVERAGING_NANOS);
         }
     }
 
--- a/src/main/java/org/wigeongrade/decisions/published/ServiceRanks.java
+++ b/src/main/java/org/wigeongrade/decisions/published/ServiceRanks.java
@@ -4,11 +4,11 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedSet;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
-import java.util.function.Function;
 import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.ServiceName;
 
@@ -22,7 +22,7 @@
     private final ImmutableList<Integer> organisationPriorities;
 
     ServiceRanks(List<Route> routes, List<PublishedOrganisation> organisations) {
-        final Map<ServiceName, TreeSet<Integer>> byService = new java.util.HashMap<>();
+        final Map<ServiceName, TreeSet<Integer>> byService = new HashMap<>();
         routes.forEach(route -> route.targets()
                 .forEach(target -> byService
                         .computeIfAbsent(target.service(), service -> new TreeSet<>())
@@ -48,9 +48,11 @@
         if (count < 2) {
             return Optional.empty();
         }
-        final Function<Integer, Integer> position = priority -> organisationPriorities.indexOf(priority);
-        final int organisationPosition =
-                organisation.map(priorityOfOrganisation::get).map(position).orElse(organisationRanks - 1);
+        // Requests without an organisation come last.
+        final int organisationPosition = organisation
+                .map(priorityOfOrganisation::get)
+                .map(organisationPriorities::indexOf)
+                .orElse(organisationRanks - 1);
         return Optional.of(new RequestRank(
                 organisationPosition * Math.max(1, ofRoutes.size()) + Math.max(0, ofRoutes.indexOf(route.priority())),
                 count));
--- a/src/main/java/org/wigeongrade/fleet/net/BodyPieceMerger.java
+++ b/src/main/java/org/wigeongrade/fleet/net/BodyPieceMerger.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 
 /**
@@ -33,7 +34,7 @@
                 forward(context);
             }
         }
-        if (message instanceof io.netty.handler.codec.http.LastHttpContent) {
+        if (message instanceof LastHttpContent) {
             forward(context);
             super.channelRead(context, message);
         } else {
--- a/src/main/java/org/wigeongrade/fleet/net/CallHandlers.java
+++ b/src/main/java/org/wigeongrade/fleet/net/CallHandlers.java
@@ -10,7 +10,7 @@
 
 /**
  * Handlers of a connection whose requests are answered by this process itself, with limits on what the client may send
- * and how long it may take.
+ * and how long it may take. Used on the event loop only.
  *
  * @param memory what the process holds for all clients
  * @param maxBodyBytes largest body
--- a/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
+++ b/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
@@ -33,7 +33,7 @@
  * does not read them.
  */
 public final class RequestIntake extends ChannelDuplexHandler implements ClientMemory.Holder {
-    /** Bytes of a head that are not counted; those of the published limits' usual requests are smaller. */
+    /** Bytes of a head that are not counted; the heads of usual requests are smaller. */
     private static final int UNCOUNTED_HEAD_BYTES = 2_048;
     /** Fields of a head that are not counted. */
     private static final int UNCOUNTED_FIELDS = 32;
