--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -4,11 +4,9 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 /**
  * Places each request on the endpoint with the lowest cost, which is mainly the predicted time to the response.
@@ -35,11 +33,6 @@
      * Cost of an endpoint in another availability zone, in milliseconds: the round trip and the price of the traffic.
      */
     private static final double CROSS_ZONE_COST_MS = 4;
-    /**
-     * The same where zones are distant, in milliseconds. It is less than half a pass of a busy engine, so that requests
-     * leave their zone as soon as its groups are noticeably busier than others.
-     */
-    private static final double DISTANT_ZONE_COST_MS = 30;
     /** Cost of each millisecond by which the predicted pause exceeds the target. */
     private static final double EXCESS_PAUSE_WEIGHT = 4;
     /** Cost of an endpoint that fails all of its requests, in milliseconds. */
@@ -124,7 +117,7 @@
         final List<EndpointLoad> healthy = available.stream()
                 .filter(endpoint -> isHealthy(endpoint, nowNanos))
                 .toList();
-        final EndpointLoad chosen = compared(healthy.isEmpty() ? available : healthy, request, engine, limits).stream()
+        final EndpointLoad chosen = sample(healthy.isEmpty() ? available : healthy, limits.entryNodes()).stream()
                 .map(endpoint -> new EndpointCost(endpoint, cost(endpoint, request, engine, medianSlowness, nowNanos)))
                 .min(Comparator.comparingDouble(EndpointCost::cost))
                 .orElseThrow()
@@ -136,35 +129,6 @@
         return !endpoint.isAvoided(nowNanos) && !endpoint.isSuspect() && endpoint.stalledNanos(nowNanos) < STALL_NANOS;
     }
 
-    /**
-     * Returns the endpoints to compare. Where zones are distant, they are sampled in the caller's zone and in the others,
-     * because a small sample of all zones would often contain none of the caller's.
-     */
-    private List<EndpointLoad> compared(
-            List<EndpointLoad> endpoints,
-            PlacementRequest request,
-            Optional<EngineLatencyModel> engine,
-            BalancingLimits limits) {
-        if (engine.filter(EngineLatencyModel::zonesAreDistant).isEmpty()) {
-            return sample(endpoints, limits.entryNodes());
-        }
-        final Map<Boolean, List<EndpointLoad>> byZone = endpoints.stream()
-                .collect(Collectors.partitioningBy(endpoint -> endpoint.zone().equals(request.zone())));
-        return byZone.values().stream()
-                .flatMap(part -> sample(part, limits.entryNodes()).stream())
-                .toList();
-    }
-
-    private static double zoneCostMs(
-            EndpointLoad endpoint, PlacementRequest request, Optional<EngineLatencyModel> engine) {
-        if (endpoint.zone().equals(request.zone())) {
-            return 0;
-        }
-        return engine.filter(EngineLatencyModel::zonesAreDistant).isPresent()
-                ? DISTANT_ZONE_COST_MS
-                : CROSS_ZONE_COST_MS;
-    }
-
     /**
      * Returns all endpoints if there are few entry nodes, and a random sample if there are many. Otherwise, all nodes
      * would send to the same endpoint until the next view shows its load.
@@ -236,7 +200,7 @@
                 engine.map(model -> model.passMs(endpoint.totalInFlight() + 1)).orElse(0.0)
                         * slowness(endpoint, medianSlowness);
         final double excessPauseMs = request.targetPauseMs() == 0 ? 0 : Math.max(0, pauseMs - request.targetPauseMs());
-        final double zoneMs = zoneCostMs(endpoint, request, engine);
+        final double zoneMs = endpoint.zone().equals(request.zone()) ? 0 : CROSS_ZONE_COST_MS;
         final double jitter = 1 + COST_JITTER * random.nextDouble();
         final double excessSilenceMs =
                 engine.map(model -> excessSilenceMs(endpoint, model, nowNanos)).orElse(0.0);
--- a/src/main/java/org/wigeongrade/decisions/balancing/EngineLatencyModel.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EngineLatencyModel.java
@@ -19,9 +19,6 @@
     /** Assumed number of events of a running request: the users' mean response. */
     private static final double MEAN_EVENTS_PER_ANSWER = 23;
 
-    /** One-way delay between availability zones, in milliseconds, from which on they count as distant. */
-    private static final double DISTANT_ZONE_MS = 1;
-
     private final EngineProfile engine;
     private final double paceFactor;
     private final LearnedOverhead overhead;
@@ -38,11 +35,6 @@
         overhead.record(tookMs - predictedMs + overhead.ms());
     }
 
-    /** Returns whether availability zones are so far apart that requests should stay in the zone of their caller. */
-    boolean zonesAreDistant() {
-        return engine.zoneDelayMs() >= DISTANT_ZONE_MS;
-    }
-
     /** Returns the number of requests that one group runs at once. */
     public int slots() {
         return engine.slots();
--- a/src/main/java/org/wigeongrade/decisions/published/EngineProfile.java
+++ b/src/main/java/org/wigeongrade/decisions/published/EngineProfile.java
@@ -22,7 +22,6 @@
  * @param maxConcurrentLoads number of loads that can run at once without slowing each other down
  * @param formationMs time from the order to open a group until the group serves
  * @param crossDomainFactor factor on all latencies of a group whose members are in several fabric domains
- * @param zoneDelayMs longest one-way delay between two availability zones; 0 if unknown
  */
 public record EngineProfile(
         int slots,
@@ -37,8 +36,7 @@
         double loadsPerSecond,
         int maxConcurrentLoads,
         long formationMs,
-        double crossDomainFactor,
-        double zoneDelayMs) {
+        double crossDomainFactor) {
     public EngineProfile {
         models = ImmutableList.copyOf(models);
     }
--- a/src/main/java/org/wigeongrade/platform/ConfigurationReader.java
+++ b/src/main/java/org/wigeongrade/platform/ConfigurationReader.java
@@ -111,16 +111,7 @@
                 json.number("loadsPerS"),
                 json.smallInteger("loads_at_once"),
                 Math.round(json.number("formationMs", 0)),
-                json.number("far_x", 1),
-                longestZoneDelayMs(json));
-    }
-
-    private static double longestZoneDelayMs(WireJson json) {
-        return Optional.of(json).filter(engine -> engine.has("delays")).stream()
-                .flatMap(engine -> engine.objects("delays").stream())
-                .mapToDouble(delay -> delay.number("delay_ms", 0))
-                .max()
-                .orElse(0);
+                json.number("far_x", 1));
     }
 
     private static GroupedModel model(WireJson json) {
--- a/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/BalancerTest.java
@@ -26,7 +26,7 @@
 final class BalancerTest {
     private static final GroupedModel MODEL = new GroupedModel(ModelVersionName.of("m"), 4, 1, 1, 16_000, 1_600);
     private static final EngineProfile PROFILE =
-            new EngineProfile(18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5, 0);
+            new EngineProfile(18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final AvailabilityZone HERE = AvailabilityZone.of("here");
     private static final AvailabilityZone THERE = AvailabilityZone.of("there");
     private static final BalancingLimits UNBOUNDED = new BalancingLimits(Double.MAX_VALUE, 7, 0);
@@ -193,42 +193,6 @@
         assertThat(chosen.size()).isAtLeast(chosenAtLeast);
     }
 
-    @ParameterizedTest
-    @CsvSource({
-        // one-way delay between zones, requests running at each group here and there, fraction placed here at least, at
-        // most
-        "0.5, 3, 3, 0.2, 0.8",
-        "1.4, 3, 3, 0.95, 1",
-        "1.4, 5, 3, 0.95, 1",
-        "1.4, 16, 2, 0, 0.4",
-        "1.4, 20, 2, 0, 0",
-    })
-    void requestsStayInTheirZoneWhereZonesAreDistant(
-            double delayMs, int runningHere, int runningThere, double fromFraction, double toFraction) {
-        final EngineProfile profile = new EngineProfile(
-                18, 5, ImmutableList.of(MODEL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5, delayMs);
-        final List<EndpointLoad> groups = IntStream.range(0, 24)
-                .mapToObj(index -> group("g" + index, index % 3 == 0 ? HERE : THERE))
-                .toList();
-        groups.forEach(group -> send(group, group.zone().equals(HERE) ? runningHere : runningThere));
-        final long placedHere = IntStream.range(0, 200)
-                .filter(seed -> new Balancer(new Random(seed))
-                        .place(
-                                request(Set.of()),
-                                groups,
-                                Optional.of(new EngineLatencyModel(profile, MODEL, new LearnedOverhead())),
-                                new BalancingLimits(Double.MAX_VALUE, 129, 0),
-                                0)
-                        .endpoint()
-                        .orElseThrow()
-                        .zone()
-                        .equals(HERE))
-                .count();
-
-        assertThat(placedHere / 200.0).isAtLeast(fromFraction);
-        assertThat(placedHere / 200.0).isAtMost(toFraction);
-    }
-
     @Test
     void triedGroupIsNotRetried() {
         final List<EndpointLoad> groups = List.of(group("a", HERE));
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -36,7 +36,7 @@
     static final GroupedModel LARGE = new GroupedModel(ModelVersionName.of("large"), 4, 0.67, 1, 16_000, 1_600);
     static final GroupedModel SMALL = new GroupedModel(ModelVersionName.of("small"), 2, 0.33, 0.6, 12_000, 1_100);
     static final EngineProfile ENGINE = new EngineProfile(
-            18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5, 0);
+            18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
     private static final long ORDER_TIMEOUT_MS = 450;
     private static final long PROBE_TIMEOUT_MS = 250;
     /** One request in flight at an endpoint that belongs to no group; it shows the leader that callers are active. */
--- a/src/test/java/org/wigeongrade/decisions/overload/TwoRanksOverloadTest.java
+++ b/src/test/java/org/wigeongrade/decisions/overload/TwoRanksOverloadTest.java
@@ -35,8 +35,8 @@
  */
 final class TwoRanksOverloadTest {
     private static final GroupedModel MODEL = new GroupedModel(ModelVersionName.of("m"), 12, 1, 1, 16_000, 1_600);
-    private static final EngineProfile PROFILE = new EngineProfile(
-            34, 5, ImmutableList.of(MODEL), 6.45, 0.137, 0.004, 56_100, 0.309, 2_048, 4, 6, 300, 4, 0);
+    private static final EngineProfile PROFILE =
+            new EngineProfile(34, 5, ImmutableList.of(MODEL), 6.45, 0.137, 0.004, 56_100, 0.309, 2_048, 4, 6, 300, 4);
     private static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
     private static final int GROUPS = 4;
     private static final int DURATION_MS = 20_000;
