Read a caller's connection on when its stream becomes writable again

A request that arrived while a response waited for its caller turned reading off until the stream ended, so that the close of a caller that left in between was not seen.

--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -248,11 +248,11 @@
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
         currentExchange.ifPresent(exchange ->
                 exchange.onCallerWritabilityChanged(changed.channel().isWritable()));
-        // While a response is being written, the connection is read on, so that a caller's close is seen.
-        if (currentExchange.isEmpty()) {
+        // While a request is being served, the connection is read on, so that a caller's close is seen.
+        if (currentExchange.isEmpty() || changed.channel().isWritable()) {
             updateReading();
-            changed.executor().execute(this::serveNext);
         }
+        changed.executor().execute(this::serveNext);
     }
 
     @Override
