Let the slowness of an endpoint fade while it gets no requests

Change: the average is believed less the longer the node sends the endpoint nothing, with a time constant of 2 s; the first response after a pause counts for more if it is faster than the average, and as usual if it is not.

--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -109,7 +109,7 @@
         final double medianSlowness = medianSlowness(endpoints);
         final List<EndpointLoad> available = allowed.stream()
                 .filter(endpoint -> hasCapacity(endpoint, engine, limits, nowNanos)
-                        && isInTime(endpoint, request, engine, medianSlowness))
+                        && isInTime(endpoint, request, engine, medianSlowness, nowNanos))
                 .toList();
         if (available.isEmpty()) {
             return Placement.refused(Placement.Refusal.ALL_BUSY, allowed.size(), retryAfterMs(request));
@@ -122,7 +122,7 @@
                 .min(Comparator.comparingDouble(EndpointCost::cost))
                 .orElseThrow()
                 .endpoint();
-        return Placement.at(chosen, predictedMs(chosen, request, engine, medianSlowness), available.size());
+        return Placement.at(chosen, predictedMs(chosen, request, engine, medianSlowness, nowNanos), available.size());
     }
 
     private static boolean isHealthy(EndpointLoad endpoint, long nowNanos) {
@@ -169,12 +169,13 @@
             EndpointLoad endpoint,
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
-            double medianSlowness) {
+            double medianSlowness,
+            long nowNanos) {
         if (engine.isEmpty() || request.mayHaveStarted()) {
             return true;
         }
-        final boolean slow = slowness(endpoint, medianSlowness) >= SLOW_ENDPOINT_FACTOR;
-        return predictedMs(endpoint, request, engine, medianSlowness)
+        final boolean slow = slowness(endpoint, medianSlowness, nowNanos) >= SLOW_ENDPOINT_FACTOR;
+        return predictedMs(endpoint, request, engine, medianSlowness, nowNanos)
                 <= (slow ? MAX_LATENCY_FACTOR_AT_SLOW : MAX_LATENCY_FACTOR) * request.targetLatencyMs();
     }
 
@@ -185,8 +186,8 @@
         return sorted[(sorted.length - 1) / 2];
     }
 
-    private static double slowness(EndpointLoad endpoint, double medianSlowness) {
-        return endpoint.paceFactor() * Math.max(1, endpoint.slowness() / medianSlowness);
+    private static double slowness(EndpointLoad endpoint, double medianSlowness, long nowNanos) {
+        return endpoint.paceFactor() * endpoint.slownessAgainst(medianSlowness, nowNanos);
     }
 
     private double cost(
@@ -195,10 +196,10 @@
             Optional<EngineLatencyModel> engine,
             double medianSlowness,
             long nowNanos) {
-        final double firstEventMs = predictedMs(endpoint, request, engine, medianSlowness);
+        final double firstEventMs = predictedMs(endpoint, request, engine, medianSlowness, nowNanos);
         final double pauseMs =
                 engine.map(model -> model.passMs(endpoint.totalInFlight() + 1)).orElse(0.0)
-                        * slowness(endpoint, medianSlowness);
+                        * slowness(endpoint, medianSlowness, nowNanos);
         final double excessPauseMs = request.targetPauseMs() == 0 ? 0 : Math.max(0, pauseMs - request.targetPauseMs());
         final double zoneMs = endpoint.zone().equals(request.zone()) ? 0 : CROSS_ZONE_COST_MS;
         final double jitter = 1 + COST_JITTER * random.nextDouble();
@@ -225,12 +226,13 @@
             EndpointLoad endpoint,
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
-            double medianSlowness) {
+            double medianSlowness,
+            long nowNanos) {
         final double idealMs = engine.map(model -> model.firstEventMs(
                         endpoint.totalInFlight(), endpoint.pendingPromptTokens(), request.promptTokens()))
                 .orElseGet(() ->
                         PLAIN_ANSWER_MS * (1 + (double) endpoint.totalInFlight() / Math.max(1, endpoint.slots())));
-        return idealMs * slowness(endpoint, medianSlowness);
+        return idealMs * slowness(endpoint, medianSlowness, nowNanos);
     }
 
     /**
--- a/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/EndpointLoad.java
@@ -21,6 +21,9 @@
     private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private static final int MAX_AVOID_DOUBLINGS = 4;
+    /** Time constant by which an endpoint that gets no requests is believed to be as fast as the others again. */
+    private static final double SLOWNESS_FADING_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final VmIncarnation vm;
@@ -43,6 +46,9 @@
     private boolean progressedSinceReport;
     private boolean refusedSinceReport;
     private double slowness = 1;
+    /** Fraction of the slowness that had faded when the oldest request in flight was sent; 0 once it has a response. */
+    private double fadedWhenSent;
+
     private double failureRate;
     private int consecutiveFailures;
     private long avoidUntilNanos = Long.MIN_VALUE;
@@ -173,6 +179,7 @@
     public void recordSent(long nowNanos) {
         if (inFlight == 0) {
             lastProgressNanos = nowNanos;
+            fadedWhenSent = faded(nowNanos);
         }
         inFlight++;
         lastActiveNanos = nowNanos;
@@ -208,10 +215,15 @@
         progressedSinceReport = true;
     }
 
-    /** Updates the slowness from the measured and the predicted time of a response or event. */
+    /**
+     * Updates the slowness from the measured and the predicted time of a response or event. The first response after a
+     * pause counts for more if it is faster than the average, because the endpoint may have recovered meanwhile.
+     */
     public void recordLatency(double tookMs, double predictedMs) {
         final double ratio = Math.max(0.5, Math.min(20, tookMs / Math.max(1, predictedMs)));
-        slowness += NEWEST_WEIGHT * (ratio - slowness);
+        final double weight = ratio < slowness ? Math.max(NEWEST_WEIGHT, fadedWhenSent) : NEWEST_WEIGHT;
+        slowness += weight * (ratio - slowness);
+        fadedWhenSent = 0;
     }
 
     /** Records that a response is complete; the endpoint is no longer avoided. */
@@ -258,6 +270,18 @@
         return slowness;
     }
 
+    /**
+     * Returns by which factor the endpoint is believed to be slower than usual; 1 or more. Without requests nothing
+     * corrects the average, so it is believed less as time passes, and the endpoint gets a request now and then.
+     */
+    public double slownessAgainst(double usualSlowness, long nowNanos) {
+        return 1 + (1 - faded(nowNanos)) * Math.max(0, slowness / usualSlowness - 1);
+    }
+
+    private double faded(long nowNanos) {
+        return inFlight > 0 ? 0 : 1 - Math.exp((lastActiveNanos - nowNanos) / SLOWNESS_FADING_NANOS);
+    }
+
     /** Returns the time since the last bytes of a response arrived; 0 if this node has no requests in flight. */
     public long stalledNanos(long nowNanos) {
         return inFlight == 0 ? 0 : nowNanos - lastProgressNanos;
