Spread requests evenly where many entry nodes place by the same old view

Cause: with many entry nodes, the load of the others in a node's view is up to half a second old, in which a group gets eight requests or more. Nodes preferred the least loaded groups of that view, so all of them sent to the same ones in turn, and short prompts met long ones there while other groups had room.

Change: with more than ten entry nodes, endpoints are compared as if the load of the other nodes were spread evenly over them. Slowness, failures, silence, zones and the node's own requests count as before, and so does the load in the view where it decides whether an endpoint can respond in time.

--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -6,11 +6,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 /**
  * Places each request on the endpoint with the lowest cost, which is mainly the predicted time to the response.
  *
+ * <p>Many entry nodes place several requests at each endpoint before any of them sees a new view. Preferring the endpoint
+ * that had the least load would make all of them choose it, so they compare endpoints as if the other nodes' load were
+ * spread evenly. Which endpoints can still respond in time is decided by the load in the view.
+ *
  * <p>Endpoints that recently failed, are suspect or are stalled are used only if there is no other one. Stateless
  * except for the random number generator; not thread safe.
  */
@@ -117,8 +122,11 @@
         final List<EndpointLoad> healthy = available.stream()
                 .filter(endpoint -> isHealthy(endpoint, nowNanos))
                 .toList();
+        final Function<EndpointLoad, Load> load =
+                limits.entryNodes() > MAX_NODES_COMPARING_ALL ? Load.spreadEvenly(endpoints) : Load::inView;
         final EndpointLoad chosen = sample(healthy.isEmpty() ? available : healthy, limits.entryNodes()).stream()
-                .map(endpoint -> new EndpointCost(endpoint, cost(endpoint, request, engine, medianSlowness, nowNanos)))
+                .map(endpoint -> new EndpointCost(
+                        endpoint, cost(endpoint, load.apply(endpoint), request, engine, medianSlowness, nowNanos)))
                 .min(Comparator.comparingDouble(EndpointCost::cost))
                 .orElseThrow()
                 .endpoint();
@@ -148,6 +156,27 @@
 
     private record EndpointCost(EndpointLoad endpoint, double cost) {}
 
+    /** What an endpoint is assumed to have in flight, and the prompt tokens of it that wait for prefill. */
+    private record Load(int requests, int promptTokens) {
+        static Load inView(EndpointLoad endpoint) {
+            return new Load(endpoint.totalInFlight(), endpoint.pendingPromptTokens());
+        }
+
+        /** Returns this node's own load at an endpoint, with an even share of what other nodes have at all of them. */
+        static Function<EndpointLoad, Load> spreadEvenly(List<EndpointLoad> endpoints) {
+            final int requests = (int) Math.round(endpoints.stream()
+                    .mapToInt(endpoint -> endpoint.totalInFlight() - endpoint.inFlight())
+                    .average()
+                    .orElse(0));
+            final int promptTokens = (int) Math.round(endpoints.stream()
+                    .mapToInt(endpoint -> endpoint.pendingPromptTokens() - endpoint.ownPendingPromptTokens())
+                    .average()
+                    .orElse(0));
+            return endpoint ->
+                    new Load(endpoint.inFlight() + requests, endpoint.ownPendingPromptTokens() + promptTokens);
+        }
+    }
+
     private static boolean hasCapacity(
             EndpointLoad endpoint, Optional<EngineLatencyModel> engine, BalancingLimits limits, long nowNanos) {
         if (endpoint.isCold(nowNanos)
@@ -192,13 +221,14 @@
 
     private double cost(
             EndpointLoad endpoint,
+            Load load,
             PlacementRequest request,
             Optional<EngineLatencyModel> engine,
             double medianSlowness,
             long nowNanos) {
-        final double firstEventMs = predictedMs(endpoint, request, engine, medianSlowness, nowNanos);
+        final double firstEventMs = predictedMs(endpoint, load, request, engine, medianSlowness, nowNanos);
         final double pauseMs =
-                engine.map(model -> model.passMs(endpoint.totalInFlight() + 1)).orElse(0.0)
+                engine.map(model -> model.passMs(load.requests() + 1)).orElse(0.0)
                         * slowness(endpoint, medianSlowness, nowNanos);
         final double excessPauseMs = request.targetPauseMs() == 0 ? 0 : Math.max(0, pauseMs - request.targetPauseMs());
         final double zoneMs = endpoint.zone().equals(request.zone()) ? 0 : CROSS_ZONE_COST_MS;
@@ -228,10 +258,19 @@
             Optional<EngineLatencyModel> engine,
             double medianSlowness,
             long nowNanos) {
-        final double idealMs = engine.map(model -> model.firstEventMs(
-                        endpoint.totalInFlight(), endpoint.pendingPromptTokens(), request.promptTokens()))
-                .orElseGet(() ->
-                        PLAIN_ANSWER_MS * (1 + (double) endpoint.totalInFlight() / Math.max(1, endpoint.slots())));
+        return predictedMs(endpoint, Load.inView(endpoint), request, engine, medianSlowness, nowNanos);
+    }
+
+    private static double predictedMs(
+            EndpointLoad endpoint,
+            Load load,
+            PlacementRequest request,
+            Optional<EngineLatencyModel> engine,
+            double medianSlowness,
+            long nowNanos) {
+        final double idealMs = engine.map(
+                        model -> model.firstEventMs(load.requests(), load.promptTokens(), request.promptTokens()))
+                .orElseGet(() -> PLAIN_ANSWER_MS * (1 + (double) load.requests() / Math.max(1, endpoint.slots())));
         return idealMs * slowness(endpoint, medianSlowness, nowNanos);
     }
 
