Count closed client connections by their cause

Cause: a connection closed for a newer one, one that held most memory, one that found no memory left, and a response that was not read were all counted as no_memory, so operators could not tell what to change.

--- a/src/main/java/org/wigeongrade/fleet/MetricsListener.java
+++ b/src/main/java/org/wigeongrade/fleet/MetricsListener.java
@@ -2,9 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BiConsumer;
-import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.net.CallHandlers;
+import org.wigeongrade.fleet.net.ClientClosings;
 import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.HttpReply;
@@ -32,9 +31,9 @@
             InetSocketAddress address,
             Metrics metrics,
             ClientMemory memory,
-            BiConsumer<ErrorKind, String> onRefused) {
+            ClientClosings closings) {
         final CallHandlers handlers = new CallHandlers(
-                memory, MAX_BODY_BYTES, REQUEST_TIMEOUT_MS, REQUEST_TIMEOUT_MS, IDLE_TIMEOUT_S, onRefused);
+                memory, MAX_BODY_BYTES, REQUEST_TIMEOUT_MS, REQUEST_TIMEOUT_MS, IDLE_TIMEOUT_S, closings);
         return HttpListener.open(
                 loop,
                 address,
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -17,12 +17,12 @@
 import org.wigeongrade.decisions.log.LogTimings;
 import org.wigeongrade.decisions.log.VoterPolicy;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
-import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
 import org.wigeongrade.fleet.SuspendAwareClock;
 import org.wigeongrade.fleet.net.CallHandlers;
+import org.wigeongrade.fleet.net.ClientClosings;
 import org.wigeongrade.fleet.net.ClientLimits;
 import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
@@ -165,7 +165,12 @@
         final Function<HttpRequestHandler.Request, CompletableFuture<HttpReply>> httpHandler =
                 apiFactory.apply(requestHandler);
         final CallHandlers handlers = new CallHandlers(
-                clientMemory, MAX_BODY_BYTES, HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, IDLE_TIMEOUT_S, this::recordRefusal);
+                clientMemory,
+                MAX_BODY_BYTES,
+                HEAD_TIMEOUT_MS,
+                BODY_TIMEOUT_MS,
+                IDLE_TIMEOUT_S,
+                new ClientClosings(metrics, events));
         listener = HttpListener.open(
                 loop,
                 settings.controlListen().orElseThrow().toSocketAddress(),
@@ -176,7 +181,7 @@
                 new InetSocketAddress(settings.bindIp(), settings.metricsPort()),
                 metrics,
                 clientMemory,
-                this::recordRefusal);
+                new ClientClosings(metrics, events));
         events.write(LogEvent.NODE_STARTED, settings.name(), settings.availabilityZone(), listenText());
     }
 
@@ -201,11 +206,6 @@
         return settings.controlListen().orElseThrow().toString();
     }
 
-    private void recordRefusal(ErrorKind kind, String cause) {
-        metrics.countRefusal(kind);
-        events.write(LogEvent.REQUEST_REFUSED, "-", "-", kind.code(), cause);
-    }
-
     private RaftReplicatedLog openLog() {
         final ImmutableSortedSet<NodeName> initialVoters = settings.bootstrap()
                 ? settings.seeds().stream()
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -14,13 +14,13 @@
 import org.wigeongrade.decisions.overload.RankedTargets;
 import org.wigeongrade.decisions.published.CallerLimits;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
-import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
 import org.wigeongrade.fleet.SuspendAwareClock;
 import org.wigeongrade.fleet.control.DocumentReader;
 import org.wigeongrade.fleet.net.CallHandlers;
+import org.wigeongrade.fleet.net.ClientClosings;
 import org.wigeongrade.fleet.net.ClientLimits;
 import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
@@ -175,7 +175,7 @@
                 new InetSocketAddress(settings.bindIp(), settings.metricsPort()),
                 metrics,
                 clientMemory,
-                this::recordRefusal);
+                new ClientClosings(metrics, events));
         events.write(
                 LogEvent.NODE_STARTED,
                 settings.name(),
@@ -202,7 +202,10 @@
 
     private void addCallerHandlers(ChannelPipeline pipeline, boolean fromEntryNode) {
         final RequestIntake intake = new RequestIntake(
-                clientMemory, () -> callerLimits().headerTimeoutMs(), BODY_TIMEOUT_MS, this::recordRefusal);
+                clientMemory,
+                () -> callerLimits().headerTimeoutMs(),
+                BODY_TIMEOUT_MS,
+                new ClientClosings(metrics, events));
         intake.addTo(pipeline);
         pipeline.addLast(new HttpObjectAggregator(callerLimits().maxBodyBytes()))
                 .addLast(new CallerConnection(services, connections, intake, fromEntryNode));
@@ -215,7 +218,7 @@
                 CallerLimits.DEFAULT.headerTimeoutMs(),
                 CallerLimits.DEFAULT.headerTimeoutMs(),
                 READINESS_IDLE_S,
-                this::recordRefusal);
+                new ClientClosings(metrics, events));
     }
 
     private CallerLimits callerLimits() {
@@ -225,11 +228,6 @@
                 .orElse(CallerLimits.DEFAULT);
     }
 
-    private void recordRefusal(ErrorKind kind, String cause) {
-        metrics.countRefusal(kind);
-        events.write(LogEvent.REQUEST_REFUSED, "-", "-", kind.code(), cause);
-    }
-
     private HttpReply respondToReadinessCheck(HttpRequestHandler.Request call) {
         if (!codec.isReadinessCheck(call.method(), call.path())) {
             return HttpReply.text(NOT_FOUND, "only the readiness check is served here\n");
--- a/src/main/java/org/wigeongrade/fleet/net/CallHandlers.java
+++ b/src/main/java/org/wigeongrade/fleet/net/CallHandlers.java
@@ -4,9 +4,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BiConsumer;
 import java.util.function.Function;
-import org.wigeongrade.errors.ErrorKind;
 
 /**
  * Handlers of a connection whose requests are answered by this process itself, with limits on what the client may send
@@ -17,7 +15,7 @@
  * @param headTimeoutMs longest time for a head
  * @param bodyTimeoutMs longest time for a body
  * @param idleTimeoutS time without a byte after which the connection is closed
- * @param onRefused called for each request that is refused, with a description of the cause
+ * @param closings counts each request that is refused, and each connection that is closed
  */
 public record CallHandlers(
         ClientMemory memory,
@@ -25,12 +23,12 @@
         long headTimeoutMs,
         long bodyTimeoutMs,
         int idleTimeoutS,
-        BiConsumer<ErrorKind, String> onRefused) {
+        ClientClosings closings) {
     /** Adds the handlers after the HTTP codec of a pipeline. */
     public void addTo(
             ChannelPipeline pipeline, Function<HttpRequestHandler.Request, CompletableFuture<HttpReply>> service) {
         pipeline.addLast(new ReadTimeoutHandler(idleTimeoutS));
-        new RequestIntake(memory, () -> headTimeoutMs, bodyTimeoutMs, onRefused).addTo(pipeline);
+        new RequestIntake(memory, () -> headTimeoutMs, bodyTimeoutMs, closings).addTo(pipeline);
         pipeline.addLast(new HttpObjectAggregator(maxBodyBytes)).addLast(new HttpRequestHandler(service));
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/net/ClientMemory.java
+++ b/src/main/java/org/wigeongrade/fleet/net/ClientMemory.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.wigeongrade.metrics.ClientClosing;
 
 /**
  * What a process holds for its clients, and how many connections they have. When there is no room for more, the client
@@ -30,7 +31,7 @@
         boolean hasServed();
 
         /** Closes the connection and releases what is reserved for it. */
-        void shed(String cause);
+        void shed(ClientClosing cause, String detail);
     }
 
     private final long maxBytes;
@@ -59,7 +60,8 @@
         holders.add(connection);
         if (holders.size() > maxConnections) {
             longestWaiting(connection)
-                    .ifPresent(waiting -> waiting.shed("more than " + maxConnections + " connections"));
+                    .ifPresent(waiting -> waiting.shed(
+                            ClientClosing.TOO_MANY_CONNECTIONS, "more than " + maxConnections + " connections"));
         }
     }
 
@@ -78,8 +80,10 @@
                 return false;
             }
             largest.get()
-                    .shed("no memory: " + largest.get().heldBytes()
-                            + " bytes held for a client that sends or reads slowly");
+                    .shed(
+                            ClientClosing.HELD_MOST,
+                            "no memory: " + largest.get().heldBytes()
+                                    + " bytes held for a client that sends or reads slowly");
         }
         reservedBytes += bytes;
         return true;
--- a/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
+++ b/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
@@ -20,9 +20,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.metrics.ClientClosing;
 
 /**
  * Limits the time and the memory that the requests and responses of one connection take while the connection waits for
@@ -57,7 +57,7 @@
     private final ClientMemory memory;
     private final LongSupplier headTimeoutMs;
     private final long bodyTimeoutMs;
-    private final BiConsumer<ErrorKind, String> onRefused;
+    private final ClientClosings closings;
     private final Deque<Long> unansweredBytes = new ArrayDeque<>();
     private State state = State.IDLE;
     private long currentBytes;
@@ -74,17 +74,13 @@
      * @param memory memory for all connections
      * @param headTimeoutMs longest time from the first byte of a head to its end
      * @param bodyTimeoutMs longest time from the end of a head to the end of the body
-     * @param onRefused called for each request that is refused, with a description of the cause
+     * @param closings counts each request that is refused, and each connection that is closed
      */
-    public RequestIntake(
-            ClientMemory memory,
-            LongSupplier headTimeoutMs,
-            long bodyTimeoutMs,
-            BiConsumer<ErrorKind, String> onRefused) {
+    public RequestIntake(ClientMemory memory, LongSupplier headTimeoutMs, long bodyTimeoutMs, ClientClosings closings) {
         this.memory = memory;
         this.headTimeoutMs = headTimeoutMs;
         this.bodyTimeoutMs = bodyTimeoutMs;
-        this.onRefused = onRefused;
+        this.closings = closings;
     }
 
     /** Adds this handler to a pipeline that ends with the HTTP codec. */
@@ -113,7 +109,7 @@
         headBytes += bytes.readableBytes();
         final long counted = Math.max(0, headBytes - UNCOUNTED_HEAD_BYTES) * MEMORY_PER_HEAD_BYTE;
         if (!memory.tryReserve(this, counted - countedHeadBytes)) {
-            refuse(context, ErrorKind.NO_MEMORY, "no memory for a head of " + headBytes + " bytes");
+            refuse(context, ClientClosing.NO_MEMORY_LEFT, "no memory for a head of " + headBytes + " bytes");
             return false;
         }
         countedHeadBytes = counted;
@@ -142,7 +138,7 @@
         }
         if (!reserve(message)) {
             ReferenceCountUtil.release(message);
-            refuse(reading, ErrorKind.NO_MEMORY, "no memory for the request after " + currentBytes + " bytes");
+            refuse(reading, ClientClosing.NO_MEMORY_LEFT, "no memory for the request after " + currentBytes + " bytes");
             return;
         }
         if (message instanceof LastHttpContent) {
@@ -191,7 +187,7 @@
                     changed.channel().config().getWriteBufferHighWaterMark());
             if (!memory.tryReserve(this, unreadResponseBytes)) {
                 unreadResponseBytes = 0;
-                shed("no memory for responses that are not read");
+                shed(ClientClosing.NO_MEMORY_LEFT, "no memory for responses that are not read");
                 return;
             }
         }
@@ -219,12 +215,12 @@
     }
 
     @Override
-    public void shed(String cause) {
+    public void shed(ClientClosing cause, String detail) {
         if (isReceiving() && unreadResponseBytes == 0) {
-            refuse(context, ErrorKind.NO_MEMORY, cause);
+            refuse(context, cause, detail);
         } else {
             state = State.REFUSED;
-            onRefused.accept(ErrorKind.NO_MEMORY, cause);
+            closings.record(cause, detail);
             NettyFutures.logFailure(context.channel().close());
         }
         releaseUnfinished();
@@ -293,19 +289,20 @@
             startTimer(context);
             return;
         }
-        refuse(context, ErrorKind.REQUEST_TOO_SLOW, "the " + state + " of the request was not complete in time");
+        refuse(context, ClientClosing.TOO_SLOW, "the " + state + " of the request was not complete in time");
     }
 
     /** Refuses the request that is arriving; requests that arrived before it get their responses first. */
-    private void refuse(ChannelHandlerContext refused, ErrorKind kind, String cause) {
+    private void refuse(ChannelHandlerContext refused, ClientClosing cause, String detail) {
         state = State.REFUSED;
-        onRefused.accept(kind, cause);
+        closings.record(cause, detail);
         releaseUnfinished();
         closeLater(refused);
         if (!unansweredBytes.isEmpty()) {
             return;
         }
-        HttpReply reply = HttpReply.text(kind.httpStatus(), kind.code() + ": " + cause + "\n");
+        final ErrorKind kind = cause.errorKind();
+        HttpReply reply = HttpReply.text(kind.httpStatus(), kind.code() + ": " + detail + "\n");
         if (kind.retryAfterMs() > 0) {
             reply = reply.withHeader("retry-after", RetryAfterHeader.format(kind.retryAfterMs()));
         }
--- a/src/main/java/org/wigeongrade/metrics/MetricName.java
+++ b/src/main/java/org/wigeongrade/metrics/MetricName.java
@@ -3,6 +3,9 @@
 /** Names and help texts of the metrics; docs/operators/metrics.md lists the same ones. Immutable; thread safe. */
 public enum MetricName {
     REFUSALS("wigeongrade_refusals_total", "Error responses by reason, which is a code of docs/ERRORS.md."),
+    CLIENT_CLOSINGS(
+            "wigeongrade_client_closings_total",
+            "Connections of clients that were closed before their next request was complete, by cause."),
     RETRIES("wigeongrade_retries_total", "Requests retried or resumed, by reason."),
     LOST_IN_FLIGHT(
             "wigeongrade_requests_lost_total",
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -20,7 +20,7 @@
 /**
  * The metrics of one process.
  *
- * <p>Invariant: each refusal reason, retry reason and connection outcome has a time series from the start, at zero. Times are given in nanoseconds
+ * <p>Invariant: each refusal reason, closing cause, retry reason and connection outcome has a time series from the start, at zero. Times are given in nanoseconds
  * or milliseconds and exposed in seconds. Safe for use from any thread.
  */
 public final class Metrics {
@@ -38,6 +38,7 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
     private final Counter refusals = counter(MetricName.REFUSALS, "reason");
+    private final Counter clientClosings = counter(MetricName.CLIENT_CLOSINGS, "cause");
     private final Counter retries = counter(MetricName.RETRIES, "reason");
     private final Counter lostInFlight = counter(MetricName.LOST_IN_FLIGHT);
     private final Counter endpointConnections = counter(MetricName.ENDPOINT_CONNECTIONS, "outcome");
@@ -54,11 +55,14 @@
     private final Gauge inFlight = gauge(MetricName.IN_FLIGHT);
     private final Gauge leader = gauge(MetricName.LEADER);
 
-    /** Creates the metrics, with the counters of every refusal and retry reason at zero. */
+    /** Creates the metrics, with the counters of every reason and cause at zero. */
     public Metrics() {
         for (final ErrorKind kind : ErrorKind.values()) {
             refusals.labelValues(kind.code());
         }
+        for (final ClientClosing cause : ClientClosing.values()) {
+            clientClosings.labelValues(cause.code());
+        }
         for (final RetryReason reason : RetryReason.values()) {
             retries.labelValues(reason.code());
         }
@@ -81,6 +85,11 @@
         refusals.labelValues(kind.code()).inc();
     }
 
+    /** Counts one connection of a client that was closed before its next request was complete. */
+    public void countClientClosing(ClientClosing cause) {
+        clientClosings.labelValues(cause.code()).inc();
+    }
+
     /** Counts one request that was retried or resumed. */
     public void countRetry(RetryReason reason) {
         retries.labelValues(reason.code()).inc();
--- a/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
@@ -16,11 +16,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.fleet.net.ClientClosings;
 import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Pattern: an overloaded entry node reads a request only after its caller gave up and closed the connection. */
 final class CallerLeftTest {
@@ -87,7 +89,7 @@
                     new ClientMemory(MAX_BYTES, Integer.MAX_VALUE, System::nanoTime),
                     () -> TIMEOUT_MS,
                     TIMEOUT_MS,
-                    (kind, cause) -> {});
+                    new ClientClosings(new Metrics(), new EventLog()));
             intake.addTo(pipeline);
             pipeline.addLast(new HttpObjectAggregator(MAX_BYTES))
                     .addLast(new CallerConnection(services, connections, intake, false));
--- a/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
@@ -20,11 +20,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.decisions.published.RouteKind;
+import org.wigeongrade.fleet.net.ClientClosings;
 import org.wigeongrade.fleet.net.ClientMemory;
 import org.wigeongrade.fleet.net.HttpListener;
 import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests what callers see on open connections while their entry node stops. */
 final class StoppingEntryNodeTest {
@@ -206,7 +208,7 @@
                     new ClientMemory(MAX_BYTES, Integer.MAX_VALUE, System::nanoTime),
                     () -> TIMEOUT_MS,
                     TIMEOUT_MS,
-                    (refusal, cause) -> {});
+                    new ClientClosings(new Metrics(), new EventLog()));
             intake.addTo(pipeline);
             pipeline.addLast(new HttpObjectAggregator(MAX_BYTES))
                     .addLast(new CallerConnection(services, connections, intake, fromEntryNode));
--- a/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
@@ -9,23 +9,27 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.ClientClosing;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests requests that arrive slowly or never end, and the memory that requests take. */
 final class RequestIntakeTest {
     private static final int MAX_BODY_BYTES = 1_000;
     private static final int BUDGET_BYTES = 1_500;
+    private static final int MAX_CONNECTIONS = 3;
     private static final long HEAD_TIMEOUT_MS = 40;
     private static final long BODY_TIMEOUT_MS = 80;
 
-    private final ClientMemory budget = new ClientMemory(BUDGET_BYTES, Integer.MAX_VALUE, System::nanoTime);
-    private final List<ErrorKind> refused = new ArrayList<>();
+    private final ClientMemory budget = new ClientMemory(BUDGET_BYTES, MAX_CONNECTIONS, System::nanoTime);
+    private final Metrics metrics = new Metrics();
+    private final ClientClosings closings = new ClientClosings(metrics, new EventLog());
 
     @ParameterizedTest
     @CsvSource(
@@ -46,7 +50,7 @@
 
         assertThat(statusWritten(channel)).isEqualTo(status);
         assertThat(channel.isActive()).isEqualTo(status == 0);
-        assertThat(refused).hasSize(status == 0 ? 0 : 1);
+        assertThat(closed(ClientClosing.TOO_SLOW)).isEqualTo(status == 0 ? 0 : 1);
     }
 
     @Test
@@ -57,12 +61,36 @@
         receive(second, "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + "a".repeat(900));
 
         assertThat(statusWritten(second)).isEqualTo(503);
-        assertThat(refused).containsExactly(ErrorKind.NO_MEMORY);
+        assertThat(closed(ClientClosing.NO_MEMORY_LEFT)).isEqualTo(1);
         assertThat(budget.reservedBytes()).isEqualTo(900);
         first.writeOutbound(HttpReply.text(200, "done").toMessage());
         assertThat(budget.reservedBytes()).isEqualTo(0);
     }
 
+    @Test
+    void clientThatHoldsMostMakesRoomForAnother() {
+        final EmbeddedChannel slow = open();
+        receive(slow, "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + "a".repeat(899));
+        final EmbeddedChannel quick = open();
+        receive(quick, "POST / HTTP/1.1\r\nContent-Length: 700\r\n\r\n" + "a".repeat(700));
+
+        assertThat(statusWritten(slow)).isEqualTo(503);
+        assertThat(statusWritten(quick)).isEqualTo(0);
+        assertThat(closed(ClientClosing.HELD_MOST)).isEqualTo(1);
+        assertThat(budget.reservedBytes()).isEqualTo(700);
+    }
+
+    @Test
+    void connectionThatHasWaitedLongestMakesRoomForANewOne() {
+        final List<EmbeddedChannel> channels =
+                Stream.generate(this::open).limit(MAX_CONNECTIONS + 1).toList();
+
+        assertThat(channels.stream().map(EmbeddedChannel::isActive).toList())
+                .containsExactly(false, true, true, true)
+                .inOrder();
+        assertThat(closed(ClientClosing.TOO_MANY_CONNECTIONS)).isEqualTo(1);
+    }
+
     @Test
     void closedConnectionFreesItsBytes() {
         final EmbeddedChannel channel = open();
@@ -75,12 +103,18 @@
 
     private EmbeddedChannel open() {
         final EmbeddedChannel channel = new EmbeddedChannel(new HttpServerCodec());
-        new RequestIntake(budget, () -> HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, (kind, cause) -> refused.add(kind))
-                .addTo(channel.pipeline());
+        new RequestIntake(budget, () -> HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, closings).addTo(channel.pipeline());
         channel.pipeline().addLast(new HttpObjectAggregator(MAX_BODY_BYTES));
         return channel;
     }
 
+    private int closed(ClientClosing cause) {
+        final String series = "wigeongrade_client_closings_total{cause=\"" + cause.code() + "\"} ";
+        final String rendered = metrics.render();
+        final int start = rendered.indexOf(series) + series.length();
+        return (int) Double.parseDouble(rendered.substring(start, rendered.indexOf('\n', start)));
+    }
+
     private static void receive(EmbeddedChannel channel, String text) {
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
         final FullHttpRequest request = channel.readInbound();
