--- a/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
+++ b/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
@@ -220,7 +220,7 @@
             refuse(context, cause, detail);
         } else {
             state = State.REFUSED;
-            closings.record(cause, detail);
+            closings.recordClosed(cause, detail);
             NettyFutures.logFailure(context.channel().close());
         }
         releaseUnfinished();
@@ -295,7 +295,7 @@
     /** Refuses the request that is arriving; requests that arrived before it get their responses first. */
     private void refuse(ChannelHandlerContext refused, ClientClosing cause, String detail) {
         state = State.REFUSED;
-        closings.record(cause, detail);
+        closings.recordRefused(cause, detail);
         releaseUnfinished();
         closeLater(refused);
         if (!unansweredBytes.isEmpty()) {
