Share the simulated groups of two load tests

Cause: ManyNodesTest and TwoRanksOverloadTest each had the same engine and groups, and Balancer two forms of one prediction. Change: SimulatedGroups holds them; Balancer's callers name the load they mean.

--- a/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
+++ b/src/main/java/org/wigeongrade/decisions/balancing/Balancer.java
@@ -130,7 +130,10 @@
                 .min(Comparator.comparingDouble(EndpointCost::cost))
                 .orElseThrow()
                 .endpoint();
-        return Placement.at(chosen, predictedMs(chosen, request, engine, medianSlowness, nowNanos), available.size());
+        return Placement.at(
+                chosen,
+                predictedMs(chosen, Load.inView(chosen), request, engine, medianSlowness, nowNanos),
+                available.size());
     }
 
     private static boolean isHealthy(EndpointLoad endpoint, long nowNanos) {
@@ -204,7 +207,7 @@
             return true;
         }
         final boolean slow = slowness(endpoint, medianSlowness, nowNanos) >= SLOW_ENDPOINT_FACTOR;
-        return predictedMs(endpoint, request, engine, medianSlowness, nowNanos)
+        return predictedMs(endpoint, Load.inView(endpoint), request, engine, medianSlowness, nowNanos)
                 <= (slow ? MAX_LATENCY_FACTOR_AT_SLOW : MAX_LATENCY_FACTOR) * request.targetLatencyMs();
     }
 
@@ -252,15 +255,6 @@
         return Math.max(0, silentMs - expectedMs * endpoint.paceFactor());
     }
 
-    private static double predictedMs(
-            EndpointLoad endpoint,
-            PlacementRequest request,
-            Optional<EngineLatencyModel> engine,
-            double medianSlowness,
-            long nowNanos) {
-        return predictedMs(endpoint, Load.inView(endpoint), request, engine, medianSlowness, nowNanos);
-    }
-
     private static double predictedMs(
             EndpointLoad endpoint,
             Load load,
--- a/src/test/java/org/wigeongrade/decisions/balancing/ManyNodesTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/ManyNodesTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -10,27 +9,15 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wigeongrade.decisions.published.EngineProfile;
-import org.wigeongrade.decisions.published.GroupedModel;
-import org.wigeongrade.ids.AvailabilityZone;
-import org.wigeongrade.ids.ModelVersionName;
-import org.wigeongrade.ids.ServiceName;
-import org.wigeongrade.ids.VmIncarnation;
-import org.wigeongrade.ids.VmName;
 
 /**
  * Load pattern: many entry nodes, each of which knows the load of the others as of the last pulls, send short prompts to
  * the same groups as bursts of long ones. There is room for all of them if no group gets much more than its share.
  */
 final class ManyNodesTest {
-    private static final GroupedModel MODEL = new GroupedModel(ModelVersionName.of("m"), 12, 1, 1, 16_000, 1_600);
-    private static final EngineProfile PROFILE =
-            new EngineProfile(34, 5, ImmutableList.of(MODEL), 6.45, 0.137, 0.004, 56_100, 0.309, 2_048, 4, 6, 300, 4);
-    private static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
     private static final int GROUPS = 7;
     private static final int DURATION_MS = 20_000;
     private static final int PULL_INTERVAL_MS = 250;
@@ -56,7 +43,8 @@
         private final Random random;
         private final Balancer balancer;
         private final LearnedOverhead overhead = new LearnedOverhead();
-        private final EngineLatencyModel engine = new EngineLatencyModel(PROFILE, MODEL, overhead);
+        private final EngineLatencyModel engine =
+                new EngineLatencyModel(SimulatedGroups.PROFILE, SimulatedGroups.MODEL, overhead);
         private final PriorityQueue<Change> changes = new PriorityQueue<>(Comparator.comparingDouble(Change::atMs));
         private final List<Group> groups =
                 Stream.generate(Group::new).limit(GROUPS).toList();
@@ -73,9 +61,7 @@
                 overhead.record(OVERHEAD_MS);
             }
             for (int node = 0; node < nodes; node++) {
-                views.add(IntStream.range(0, GROUPS)
-                        .mapToObj(ManyNodesTest::endpoint)
-                        .toList());
+                views.add(SimulatedGroups.view(GROUPS));
             }
         }
 
@@ -122,7 +108,8 @@
         private boolean isOnTime(Kind kind, List<EndpointLoad> view, int nowMs) {
             final long nowNanos = nowMs * 1_000_000L;
             final Placement placement = balancer.place(
-                    new PlacementRequest(kind.promptTokens(), kind.targetMs(), 300, 8_000, Set.of(), false, ZONE),
+                    new PlacementRequest(
+                            kind.promptTokens(), kind.targetMs(), 300, 8_000, Set.of(), false, SimulatedGroups.ZONE),
                     view,
                     Optional.of(engine),
                     new BalancingLimits(Double.MAX_VALUE, views.size(), 0),
@@ -136,8 +123,9 @@
         /** Runs a request: the group reads one prompt after the other. Returns the time to the first event. */
         private double run(Kind kind, EndpointLoad chosen, Group group, int nowMs) {
             final double passMs = engine.passMs(group.inFlight);
-            final int chunks = 1 + kind.promptTokens() / PROFILE.prefillChunkTokens();
-            final double readMs = engine.prefillMs(kind.promptTokens()) + chunks * passMs / PROFILE.stepsPerPass();
+            final int chunks = 1 + kind.promptTokens() / SimulatedGroups.PROFILE.prefillChunkTokens();
+            final double readMs =
+                    engine.prefillMs(kind.promptTokens()) + chunks * passMs / SimulatedGroups.PROFILE.stepsPerPass();
             group.readUntilMs = Math.max(group.readUntilMs, nowMs + passMs / 2) + readMs;
             final double firstEventMs = group.readUntilMs
                     + OVERHEAD_MS
@@ -175,18 +163,4 @@
                 .that((double) late[1] / offered[1])
                 .isAtMost(MAX_LATE);
     }
-
-    private static EndpointLoad endpoint(int index) {
-        return new EndpointLoad(
-                new VmIncarnation(VmName.of("g" + index), 1),
-                ServiceName.of("pool"),
-                "10.0.0.1:80",
-                ZONE,
-                Optional.of(MODEL.name()),
-                PROFILE.slots(),
-                1,
-                new SendRestriction(),
-                0,
-                0);
-    }
 }
--- a/src/test/java/org/wigeongrade/decisions/overload/TwoRanksOverloadTest.java
+++ b/src/test/java/org/wigeongrade/decisions/overload/TwoRanksOverloadTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import com.google.common.collect.ImmutableList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -19,25 +18,14 @@
 import org.wigeongrade.decisions.balancing.LearnedOverhead;
 import org.wigeongrade.decisions.balancing.Placement;
 import org.wigeongrade.decisions.balancing.PlacementRequest;
-import org.wigeongrade.decisions.balancing.SendRestriction;
-import org.wigeongrade.decisions.published.EngineProfile;
-import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.decisions.balancing.SimulatedGroups;
 import org.wigeongrade.decisions.published.RequestRank;
-import org.wigeongrade.ids.AvailabilityZone;
-import org.wigeongrade.ids.ModelVersionName;
-import org.wigeongrade.ids.ServiceName;
-import org.wigeongrade.ids.VmIncarnation;
-import org.wigeongrade.ids.VmName;
 
 /**
  * Load pattern: two ranks with about twice the load that their groups can serve. The lower rank has long prompts and a
  * target twice as loose, which got it admitted where the higher rank was refused, so that it kept the groups full.
  */
 final class TwoRanksOverloadTest {
-    private static final GroupedModel MODEL = new GroupedModel(ModelVersionName.of("m"), 12, 1, 1, 16_000, 1_600);
-    private static final EngineProfile PROFILE =
-            new EngineProfile(34, 5, ImmutableList.of(MODEL), 6.45, 0.137, 0.004, 56_100, 0.309, 2_048, 4, 6, 300, 4);
-    private static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
     private static final int GROUPS = 4;
     private static final int DURATION_MS = 20_000;
 
@@ -68,9 +56,9 @@
         final Random random = new Random(1);
         final Balancer balancer = new Balancer(random);
         final RankedTargets targets = new RankedTargets(random);
-        final EngineLatencyModel engine = new EngineLatencyModel(PROFILE, MODEL, new LearnedOverhead());
-        final List<EndpointLoad> groups =
-                IntStream.range(0, GROUPS).mapToObj(TwoRanksOverloadTest::group).toList();
+        final EngineLatencyModel engine =
+                new EngineLatencyModel(SimulatedGroups.PROFILE, SimulatedGroups.MODEL, new LearnedOverhead());
+        final List<EndpointLoad> groups = SimulatedGroups.view(GROUPS);
         final PriorityQueue<Change> changes = new PriorityQueue<>(Comparator.comparingLong(Change::atMs));
         final int[] offered = new int[kinds.size()];
         final int[] admitted = new int[kinds.size()];
@@ -100,10 +88,10 @@
             PriorityQueue<Change> changes,
             long nowMs) {
         final long nowNanos = nowMs * 1_000_000;
-        final long targetMs =
-                targets.admissionTargetMs(MODEL.name(), new RequestRank(kind.rank(), 3), kind.targetMs(), nowNanos);
+        final long targetMs = targets.admissionTargetMs(
+                SimulatedGroups.MODEL.name(), new RequestRank(kind.rank(), 3), kind.targetMs(), nowNanos);
         final Placement placement = balancer.place(
-                new PlacementRequest(kind.promptTokens(), targetMs, 300, 8_000, Set.of(), false, ZONE),
+                new PlacementRequest(kind.promptTokens(), targetMs, 300, 8_000, Set.of(), false, SimulatedGroups.ZONE),
                 groups,
                 Optional.of(engine),
                 new BalancingLimits(Double.MAX_VALUE, 1, 0),
@@ -119,18 +107,4 @@
         });
         return placement.endpoint().isPresent();
     }
-
-    private static EndpointLoad group(int index) {
-        return new EndpointLoad(
-                new VmIncarnation(VmName.of("g" + index), 1),
-                ServiceName.of("pool"),
-                "10.0.0.1:80",
-                ZONE,
-                Optional.of(MODEL.name()),
-                PROFILE.slots(),
-                1,
-                new SendRestriction(),
-                0,
-                0);
-    }
 }
