--- a/src/test/java/org/wigeongrade/decisions/balancing/ManyNodesTest.java
+++ b/src/test/java/org/wigeongrade/decisions/balancing/ManyNodesTest.java
@@ -21,6 +21,11 @@
     private static final int GROUPS = 7;
     private static final int DURATION_MS = 20_000;
     private static final int PULL_INTERVAL_MS = 250;
+    /** Time between the pulls of two nodes. */
+    private static final int PULL_OFFSET_MS = 17;
+    /** Responses after which a node knows the overhead. */
+    private static final int LEARNED_RESPONSES = 400;
+
     private static final int SEEDS = 5;
     private static final int BURST_MS = 2_000;
     /** Time by which first events come later than the profile predicts. */
@@ -57,7 +62,7 @@
             balancer = new Balancer(random);
             reportedRequests = new int[nodes][GROUPS];
             reportedTokens = new int[nodes][GROUPS];
-            for (int response = 0; response < 400; response++) {
+            for (int response = 0; response < LEARNED_RESPONSES; response++) {
                 overhead.record(OVERHEAD_MS);
             }
             for (int node = 0; node < nodes; node++) {
@@ -86,7 +91,7 @@
         /** Lets the nodes whose turn it is report their load, and learn what the others have reported. */
         private void pull(int nowMs) {
             for (int node = 0; node < views.size(); node++) {
-                if ((nowMs + node * 17) % PULL_INTERVAL_MS != 0) {
+                if ((nowMs + node * PULL_OFFSET_MS) % PULL_INTERVAL_MS != 0) {
                     continue;
                 }
                 for (int index = 0; index < GROUPS; index++) {
--- a/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/net/RequestIntakeTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableMap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -29,7 +30,7 @@
 
     private final ClientMemory budget = new ClientMemory(BUDGET_BYTES, MAX_CONNECTIONS, System::nanoTime);
     private final Metrics metrics = new Metrics();
-    private final ClientClosings closings = new ClientClosings(metrics, new EventLog());
+    private final ClientClosings recorder = new ClientClosings(metrics, new EventLog());
 
     @ParameterizedTest
     @CsvSource(
@@ -50,7 +51,7 @@
 
         assertThat(statusWritten(channel)).isEqualTo(status);
         assertThat(channel.isActive()).isEqualTo(status == 0);
-        assertThat(closed(ClientClosing.TOO_SLOW)).isEqualTo(status == 0 ? 0 : 1);
+        assertThat(closings()).isEqualTo(status == 0 ? ImmutableMap.of() : ImmutableMap.of(ClientClosing.TOO_SLOW, 1));
     }
 
     @Test
@@ -61,7 +62,7 @@
         receive(second, "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + "a".repeat(900));
 
         assertThat(statusWritten(second)).isEqualTo(503);
-        assertThat(closed(ClientClosing.NO_MEMORY_LEFT)).isEqualTo(1);
+        assertThat(closings()).containsExactly(ClientClosing.NO_MEMORY_LEFT, 1);
         assertThat(budget.reservedBytes()).isEqualTo(900);
         first.writeOutbound(HttpReply.text(200, "done").toMessage());
         assertThat(budget.reservedBytes()).isEqualTo(0);
@@ -76,7 +77,7 @@
 
         assertThat(statusWritten(slow)).isEqualTo(503);
         assertThat(statusWritten(quick)).isEqualTo(0);
-        assertThat(closed(ClientClosing.HELD_MOST)).isEqualTo(1);
+        assertThat(closings()).containsExactly(ClientClosing.HELD_MOST, 1);
         assertThat(budget.reservedBytes()).isEqualTo(700);
     }
 
@@ -88,7 +89,7 @@
         assertThat(channels.stream().map(EmbeddedChannel::isActive).toList())
                 .containsExactly(false, true, true, true)
                 .inOrder();
-        assertThat(closed(ClientClosing.TOO_MANY_CONNECTIONS)).isEqualTo(1);
+        assertThat(closings()).containsExactly(ClientClosing.TOO_MANY_CONNECTIONS, 1);
     }
 
     @Test
@@ -103,12 +104,19 @@
 
     private EmbeddedChannel open() {
         final EmbeddedChannel channel = new EmbeddedChannel(new HttpServerCodec());
-        new RequestIntake(budget, () -> HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, closings).addTo(channel.pipeline());
+        new RequestIntake(budget, () -> HEAD_TIMEOUT_MS, BODY_TIMEOUT_MS, recorder).addTo(channel.pipeline());
         channel.pipeline().addLast(new HttpObjectAggregator(MAX_BODY_BYTES));
         return channel;
     }
 
-    private int closed(ClientClosing cause) {
+    /** Returns how many connections were closed for each cause that occurred. */
+    private ImmutableMap<ClientClosing, Integer> closings() {
+        return Stream.of(ClientClosing.values())
+                .filter(cause -> counted(cause) > 0)
+                .collect(ImmutableMap.toImmutableMap(cause -> cause, this::counted));
+    }
+
+    private int counted(ClientClosing cause) {
         final String series = "wigeongrade_client_closings_total{cause=\"" + cause.code() + "\"} ";
         final String rendered = metrics.render();
         final int start = rendered.indexOf(series) + series.length();
--- a/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
+++ b/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
@@ -18,6 +18,7 @@
 /** Tests that the error kinds, retry reasons and metrics agree with their docs, and that their counters work. */
 final class ErrorTableTest {
     private static final Path ERRORS_PAGE = Path.of("docs/ERRORS.md");
+    private static final Path CLIENT_LIMITS_PAGE = Path.of("docs/operators/client-limits.md");
     private static final Path METRICS_PAGE = Path.of("docs/operators/metrics.md");
 
     @Test
@@ -38,6 +39,15 @@
                 .inOrder();
     }
 
+    @Test
+    void clientLimitsPageListsEveryCauseOfAClosing() throws IOException {
+        assertThat(rowsOf(CLIENT_LIMITS_PAGE, "\\| `[a-z_]+` \\| [a-z].*"))
+                .containsExactlyElementsIn(Arrays.stream(ClientClosing.values())
+                        .map(cause -> "| `%s` | %s |".formatted(cause.code(), cause.meaning()))
+                        .toList())
+                .inOrder();
+    }
+
     @Test
     void metricsPageListsEveryMetric() throws IOException {
         assertThat(rowsOf(METRICS_PAGE, "\\| `wigeongrade_[a-z_]+` \\|.*"))
