Log on which evidence a group ended and a VM was taken

The record of the incident does not say why the leader took a member of a serving group for free: a phase change to ENDED says why the group was closed, not why its head counts as stopped, and nothing says why a VM was free.

Events 1410 (group_ended) and 1411 (vm_taken) name the evidence, so that a head that refused connections, one that was replaced and a VM of which the leader knew too little can be told apart.

ReleaseTimesTest asks freedomOf for presence in place of isReleased, which is the same check.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.wigeongrade.decisions.discovery.GroupReport;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRecord;
@@ -33,7 +32,7 @@
 
     private final long term;
     private final GroupTimings timings;
-    private final Consumer<GroupPhaseChange> changes;
+    private final PlannerListener listener;
     private final ManagedGroups groups = new ManagedGroups();
     private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
     private final InheritedGroups inherited = new InheritedGroups();
@@ -43,18 +42,20 @@
     private final CrossDomainGroups crossDomainGroups = new CrossDomainGroups();
     private final ReleaseTimes releaseTimes;
     private final long startedNanos;
+    /** For each VM, the end of the group that it was in last and that this leader managed. */
+    private final Map<VmName, GroupPhaseChange> latestEnded = new HashMap<>();
+
     private long nextEpoch;
 
     /**
      * @param term term of this leader; VMs refuse orders of lower terms
-     * @param changes receives a record of each phase change of a group
      * @param nowNanos start of this leader's term; a heartbeat received before it may be outdated, because an earlier
      * leader may have used the VM since
      */
-    public GroupPlanner(long term, GroupTimings timings, Consumer<GroupPhaseChange> changes, long nowNanos) {
+    public GroupPlanner(long term, GroupTimings timings, PlannerListener listener, long nowNanos) {
         this.term = term;
         this.timings = timings;
-        this.changes = changes;
+        this.listener = listener;
         this.startedNanos = nowNanos;
         this.releaseTimes = new ReleaseTimes(nowNanos, timings.headBrokenAfterNanos());
         this.nextEpoch = term * EPOCHS_PER_TERM + 1;
@@ -161,12 +162,17 @@
     }
 
     private void recordPhaseChange(ManagedGroup group) {
-        changes.accept(new GroupPhaseChange(
+        listener.onPhaseChange(phaseChange(group));
+    }
+
+    private static GroupPhaseChange phaseChange(ManagedGroup group) {
+        return new GroupPhaseChange(
                 group.name,
                 group.model.name(),
                 group.phase(),
                 group.members.stream().map(member -> member.vm).toList(),
-                group.cause()));
+                group.cause(),
+                group.endEvidence());
     }
 
     private void formMissingGroups(EngineProfile engine, PlanningContext context) {
@@ -325,16 +331,30 @@
                 phase,
                 false,
                 context.nowNanos());
+        reportTaken(group, context);
         groups.add(group);
         recordPhaseChange(group);
         group.step(context);
     }
 
+    private void reportTaken(ManagedGroup group, PlanningContext context) {
+        group.members.stream()
+                .flatMap(member -> context.record(member).stream())
+                .forEach(vm -> listener.onVmTaken(
+                        vm.vm(),
+                        group.name,
+                        releaseTimes.freedomOf(vm, context.nowNanos()).orElse(VmFreedom.KEPT_SPARE),
+                        Optional.ofNullable(latestEnded.get(vm.vm().vm()))));
+    }
+
     private void removeEnded(long nowNanos) {
         groups.removeEnded().forEach(group -> {
             inherited.recordEnded(group.name, group.epoch, nowNanos);
-            group.members.forEach(
-                    member -> releaseTimes.recordGroupEnded(member.vm.vm(), group.name, group.epoch, nowNanos));
+            final GroupPhaseChange ended = phaseChange(group);
+            group.members.forEach(member -> {
+                releaseTimes.recordGroupEnded(member.vm.vm(), group.name, group.epoch, nowNanos);
+                latestEnded.put(member.vm.vm(), ended);
+            });
         });
     }
 
@@ -392,7 +412,7 @@
                 .filter(vm -> !groups.isInUse(vm, !withSpares))
                 .filter(vm -> vm.receivedNanos() - startedNanos > 0
                         && sentHeartbeatSinceUnresponsive(vm)
-                        && releaseTimes.isReleased(vm, context.nowNanos())
+                        && releaseTimes.freedomOf(vm, context.nowNanos()).isPresent()
                         && !inherited.isInUnadoptedGroup(vm))
                 .map(VmRecord::heartbeat)
                 .toList();
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -34,6 +34,7 @@
     private boolean openSent;
     private boolean headClosed;
     private String cause = "formed";
+    private Optional<GroupEndEvidence> endEvidence = Optional.empty();
 
     ManagedGroup(
             GroupName name,
@@ -67,6 +68,11 @@
         return cause;
     }
 
+    /** Returns why the head cannot serve any more; empty until the group has ended. */
+    Optional<GroupEndEvidence> endEvidence() {
+        return endEvidence;
+    }
+
     /** Returns whether the members are in several fabric domains, which slows the group down. */
     boolean spansDomains() {
         return members.stream().map(member -> member.domain).distinct().count() > 1;
@@ -83,7 +89,7 @@
 
     /** Ends a spare at once, since it was never opened; its VM becomes free. */
     void endSpare(long nowNanos) {
-        enterPhase(GroupPhase.ENDED, "its VM joins a group that will serve", nowNanos);
+        end(GroupEndEvidence.NEVER_OPENED, "its VM joins a group that will serve", nowNanos);
     }
 
     /** Ends the group after its head has finished its requests. */
@@ -126,7 +132,7 @@
     private void keepSpare(PlanningContext context) {
         final GroupMember spare = head();
         if (context.isSilent(spare) || context.isLeaving(spare) || cannotJoin(spare)) {
-            enterPhase(GroupPhase.ENDED, "spare " + spare.vm + " cannot be kept", context.nowNanos());
+            end(GroupEndEvidence.NEVER_OPENED, "spare " + spare.vm + " cannot be kept", context.nowNanos());
             return;
         }
         joinMembers(context);
@@ -223,13 +229,11 @@
 
     private void close(PlanningContext context) {
         if (context.hasEnded(head())) {
-            enterPhase(GroupPhase.ENDED, cause, context.nowNanos());
+            end(GroupEndEvidence.HEAD_REPLACED, cause, context.nowNanos());
             return;
         }
-        if (head().responseTo(GroupOrderKind.LEAVE)
-                .filter(OrderResponse::isFromLiveVm)
-                .isPresent()) {
-            enterPhase(GroupPhase.ENDED, cause, context.nowNanos());
+        if (hasLeft(head())) {
+            end(GroupEndEvidence.HEAD_LEFT, cause, context.nowNanos());
             return;
         }
         if (head().unansweredOrders() > 0) {
@@ -258,10 +262,9 @@
     }
 
     private void awaitHeadBroken(PlanningContext context) {
-        final boolean stallTimePassed = firstDepartureNanos != Long.MIN_VALUE
-                && context.nowNanos() - firstDepartureNanos >= context.timings().headBrokenAfterNanos();
-        if (stallTimePassed || (headKnown && headStopped(context))) {
-            enterPhase(GroupPhase.ENDED, cause, context.nowNanos());
+        final Optional<GroupEndEvidence> evidence = findHeadStopped(context);
+        if (evidence.isPresent()) {
+            end(evidence.get(), cause, context.nowNanos());
             return;
         }
         recordFirstDeparture(context.nowNanos());
@@ -272,12 +275,25 @@
                 .forEach(member -> sendOrder(member, GroupOrderKind.LEAVE, context));
     }
 
-    /** Returns whether the head has ended, reported that it is broken, or left the group. */
-    private boolean headStopped(PlanningContext context) {
-        return context.hasEnded(head())
-                || (reportsState(head(), GroupState.BROKEN, context) && !context.isHeartbeatLate(head()))
-                || head().hasNoListener()
-                || hasLeft(head());
+    /** Returns why the head cannot serve any more; empty if it may. */
+    private Optional<GroupEndEvidence> findHeadStopped(PlanningContext context) {
+        if (firstDepartureNanos != Long.MIN_VALUE
+                && context.nowNanos() - firstDepartureNanos >= context.timings().headBrokenAfterNanos()) {
+            return Optional.of(GroupEndEvidence.STALL_TIME_PASSED);
+        }
+        if (!headKnown) {
+            return Optional.empty();
+        }
+        if (context.hasEnded(head())) {
+            return Optional.of(GroupEndEvidence.HEAD_REPLACED);
+        }
+        if (reportsState(head(), GroupState.BROKEN, context) && !context.isHeartbeatLate(head())) {
+            return Optional.of(GroupEndEvidence.HEAD_BROKEN);
+        }
+        if (hasLeft(head())) {
+            return Optional.of(GroupEndEvidence.HEAD_LEFT);
+        }
+        return head().hasNoListener() ? Optional.of(GroupEndEvidence.HEAD_REFUSED_CONNECTIONS) : Optional.empty();
     }
 
     private void recordFirstDeparture(long nowNanos) {
@@ -367,7 +383,11 @@
     }
 
     private void abort(String reason, long nowNanos) {
-        enterPhase(openSent ? GroupPhase.CLOSING : GroupPhase.ENDED, reason, nowNanos);
+        if (openSent) {
+            enterPhase(GroupPhase.CLOSING, reason, nowNanos);
+        } else {
+            end(GroupEndEvidence.NEVER_OPENED, reason, nowNanos);
+        }
     }
 
     private void sendOrder(GroupMember member, GroupOrderKind kind, PlanningContext context) {
@@ -384,6 +404,11 @@
                         members.stream().map(each -> each.vm.vm()).toList()));
     }
 
+    private void end(GroupEndEvidence evidence, String reason, long nowNanos) {
+        endEvidence = Optional.of(evidence);
+        enterPhase(GroupPhase.ENDED, reason, nowNanos);
+    }
+
     private void enterPhase(GroupPhase next, String reason, long nowNanos) {
         phase = next;
         phaseSinceNanos = nowNanos;
--- a/src/main/java/org/wigeongrade/decisions/grouping/ReleaseTimes.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ReleaseTimes.java
@@ -28,6 +28,9 @@
     /** VMs that this node knew before the term; their delayed heartbeats do not replace later ones. */
     private final Set<VmName> knownBefore = new HashSet<>();
 
+    private final Set<VmName> groupEnded = new HashSet<>();
+    private final Set<VmName> justStarted = new HashSet<>();
+
     private record Key(GroupName group, long epoch) {}
 
     /** @param startedNanos start of this leader's term */
@@ -55,22 +58,41 @@
     void recordHeard(VmRecord vm, long nowNanos) {
         final boolean lookedForLeader = nowNanos - startedNanos <= GroupTimings.LEADER_SEARCH_NANOS;
         final boolean justStarted = !lookedForLeader && vm.heartbeat().group().isEmpty();
-        releaseNanos.putIfAbsent(vm.vm().vm(), justStarted ? nowNanos : nowNanos + headBrokenAfterNanos);
+        final Long known =
+                releaseNanos.putIfAbsent(vm.vm().vm(), justStarted ? nowNanos : nowNanos + headBrokenAfterNanos);
+        if (justStarted && known == null) {
+            this.justStarted.add(vm.vm().vm());
+        }
     }
 
     /** Records that a managed group of the VM has ended, so that its head cannot serve. */
     void recordGroupEnded(VmName vm, GroupName group, long epoch, long nowNanos) {
         releaseNanos.put(vm, nowNanos);
+        groupEnded.add(vm);
         groupReleaseNanos.getOrDefault(vm, new HashMap<>()).remove(new Key(group, epoch));
     }
 
-    /** Returns whether no head can wait for this VM, or the VM reports a group, which is then checked by itself. */
-    boolean isReleased(VmRecord vm, long nowNanos) {
+    /**
+     * Returns why no head can wait for this VM, or that the VM reports a group, which is then checked by itself; empty if
+     * a head may wait for it.
+     */
+    Optional<VmFreedom> freedomOf(VmRecord vm, long nowNanos) {
+        final VmName name = vm.vm().vm();
         final Optional<GroupReport> report = vm.heartbeat().group();
-        if (report.isPresent() && !mayHaveLeftSpare(vm.vm().vm(), report.get())) {
-            return true;
+        if (report.isPresent() && !mayHaveLeftSpare(name, report.get())) {
+            return Optional.of(VmFreedom.KEPT_SPARE);
+        }
+        if (report.isEmpty() && hasNeverJoined(vm)) {
+            return Optional.of(VmFreedom.NEVER_JOINED);
+        }
+        return hasPassed(name, nowNanos) ? Optional.of(reasonOfRelease(name)) : Optional.empty();
+    }
+
+    private VmFreedom reasonOfRelease(VmName vm) {
+        if (groupEnded.contains(vm)) {
+            return VmFreedom.GROUP_ENDED;
         }
-        return (report.isEmpty() && hasNeverJoined(vm)) || hasPassed(vm.vm().vm(), nowNanos);
+        return justStarted.contains(vm) ? VmFreedom.JUST_STARTED : VmFreedom.STALL_TIME_PASSED;
     }
 
     private static boolean isSpare(GroupReport report) {
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -10,7 +10,6 @@
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.grouping.EndpointObservation;
 import org.wigeongrade.decisions.grouping.GroupOrder;
-import org.wigeongrade.decisions.grouping.GroupPhaseChange;
 import org.wigeongrade.decisions.grouping.GroupPlanner;
 import org.wigeongrade.decisions.grouping.GroupTimings;
 import org.wigeongrade.decisions.grouping.OrderResponse;
@@ -30,7 +29,6 @@
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
-import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.nodes.CrashQuarantine;
 
 /**
@@ -121,7 +119,7 @@
             Map<VmName, RoutableEndpointTable.RoutableEndpoint> routableByVm,
             long nowNanos) {
         final GroupPlanner planner = planners.computeIfAbsent(
-                service.name(), name -> new GroupPlanner(term, timings, this::logGroupChange, startedNanos));
+                service.name(), name -> new GroupPlanner(term, timings, new GroupLog(events), startedNanos));
         final EngineProfile engine = service.engine().orElseThrow();
         if (!settled) {
             planner.adoptCompleteGroups(engine, serviceVms, nowNanos);
@@ -175,14 +173,4 @@
                 .setQuarantinedParts(quarantine.quarantinedParts(node, nowNanos))
                 .setPartsInQuestion(quarantine.partsInQuestion());
     }
-
-    private void logGroupChange(GroupPhaseChange change) {
-        events.write(
-                LogEvent.GROUP_PHASE_CHANGED,
-                change.group(),
-                change.model(),
-                change.phase(),
-                change.members(),
-                change.cause());
-    }
 }
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -52,6 +52,8 @@
     ORDER_REFUSED(1407, Level.WARNING, "order {order} for group {group} refused by VM {vm}: {cause}"),
     PLACEMENT_FAILED(1408, Level.WARNING, "placement could not be carried out: {cause}"),
     GROUP_PHASE_CHANGED(1409, Level.INFO, "group {group} of model {model} is {phase} with VMs {members}: {cause}"),
+    GROUP_ENDED(1410, Level.INFO, "group {group} ended, so that VMs {members} are free: {evidence}"),
+    VM_TAKEN(1411, Level.INFO, "VM {vm} is taken for {group}: {evidence}; latest ended group {ended_group}"),
 
     ENDPOINT_COLD(1501, Level.WARNING, "endpoint {endpoint} is cold: {cause}; its load is limited to {slots} requests"),
     ENDPOINT_WARM(1502, Level.INFO, "endpoint {endpoint} is warm; its load may reach {slots} requests"),
--- a/src/test/java/org/wigeongrade/decisions/grouping/ReleaseTimesTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/ReleaseTimesTest.java
@@ -34,7 +34,7 @@
         times.recordInUnadoptedGroup(VM, REPORTED, 1, 0);
         times.recordGroupEnded(VM, GroupName.of(ended), 1, 100);
 
-        assertThat(times.isReleased(withoutGroup(), nowNanos)).isEqualTo(released);
+        assertThat(times.freedomOf(withoutGroup(), nowNanos).isPresent()).isEqualTo(released);
     }
 
     private static VmRecord withoutGroup() {
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -45,11 +45,29 @@
 
     private record ReceivedHeartbeat(long atMs, VmHeartbeat heartbeat) {}
 
+    /** A VM that was taken for a group, and the evidence that it was free and that its latest group had ended. */
+    record VmTaken(VmIncarnation vm, VmFreedom freedom, Optional<GroupEndEvidence> endedGroup) {}
+
     private record Event(long atMs, long sequence, Runnable action) {}
 
     final List<SimulatedVm> vms = new ArrayList<>();
     final List<String> violations = new ArrayList<>();
     final List<GroupPhaseChange> changes = new ArrayList<>();
+    /** For each VM that was taken, on which evidence it was free. */
+    final List<VmTaken> taken = new ArrayList<>();
+
+    private final PlannerListener listener = new PlannerListener() {
+        @Override
+        public void onPhaseChange(GroupPhaseChange change) {
+            changes.add(change);
+        }
+
+        @Override
+        public void onVmTaken(
+                VmIncarnation vm, GroupName group, VmFreedom freedom, Optional<GroupPhaseChange> endedGroup) {
+            taken.add(new VmTaken(vm, freedom, endedGroup.flatMap(GroupPhaseChange::evidence)));
+        }
+    };
     private final List<ReceivedHeartbeat> receivedHeartbeats = new ArrayList<>();
     final Random random;
     /** Fraction of orders that get no response and are carried out 2 to 12 s later. */
@@ -103,7 +121,7 @@
     void newLeader() {
         term++;
         planner = new GroupPlanner(
-                term, new GroupTimings(nanos(HEARTBEAT_MS), nanos(SimulatedVm.STALL_MS)), changes::add, nanos(nowMs));
+                term, new GroupTimings(nanos(HEARTBEAT_MS), nanos(SimulatedVm.STALL_MS)), listener, nanos(nowMs));
     }
 
     /** Restarts all control VMs: the new leader knows no VM until its next heartbeat. */
