Hold the groups whose heads may serve in the replicated log

A leader knew the groups of earlier ones from heartbeats alone, which name a group but not its members. It took a VM of which it had heard too little for free: one that restarted behind a cut under its name, or one whose delayed first heartbeat named no group, while the head of the VM's group was out of its sight. Class of fault: the absence of a report counts as proof.

The log now holds each group with its members (format 3, used once every control VM supports it). A head is ordered to open only once the log holds its group; a VM that the log holds as a member, under any incarnation, is free only once a leader knows that the head has stopped. So what a later leader must know before it uses a VM is on the disks of a quorum before it can matter. The record is written while the members join, so that opening does not wait. A group of which a member has been heard outside it is closed, with the member list of the log; one of which nothing has been heard is left alone.

--- /dev/null
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupLedger.java
@@ -0,0 +1,76 @@
+package org.wigeongrade.decisions.grouping;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import java.util.Map;
+import java.util.Optional;
+import org.wigeongrade.decisions.published.CommandFormat;
+import org.wigeongrade.decisions.published.PublishedState;
+import org.wigeongrade.decisions.published.RecordedGroup;
+import org.wigeongrade.decisions.published.RecordedMember;
+import org.wigeongrade.ids.GroupName;
+import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmName;
+
+/**
+ * The groups of one service that the replicated log holds, as of one planning step.
+ *
+ * <p>Invariant: once the log holds groups, every group whose head was ordered to open is one of them until a leader knew
+ * that the head had stopped. Immutable; safe for use from any thread.
+ */
+public final class GroupLedger {
+    private final boolean inForce;
+    private final ServiceName service;
+    private final ImmutableMap<RecordedGroup.Key, RecordedGroup> byKey;
+    private final ImmutableMap<VmName, RecordedGroup> byMember;
+
+    private GroupLedger(boolean inForce, ServiceName service, Iterable<RecordedGroup> groups) {
+        this.inForce = inForce;
+        this.service = service;
+        this.byKey = Maps.uniqueIndex(groups, RecordedGroup::key);
+        final ImmutableMap.Builder<VmName, RecordedGroup> members = ImmutableMap.builder();
+        for (final RecordedGroup group : groups) {
+            for (final RecordedMember member : group.members()) {
+                members.put(member.vm().vm(), group);
+            }
+        }
+        this.byMember = members.buildOrThrow();
+    }
+
+    /** Returns the recorded groups of the service. */
+    public static GroupLedger of(PublishedState state, ServiceName service) {
+        return new GroupLedger(
+                state.format() >= CommandFormat.GROUPS,
+                service,
+                state.groups().all().stream()
+                        .filter(group -> group.service().equals(service))
+                        .toList());
+    }
+
+    /** Returns whether the log may hold groups; with builds that do not know them it may not. */
+    boolean isInForce() {
+        return inForce;
+    }
+
+    RecordedGroup.Key key(GroupName group, long epoch) {
+        return new RecordedGroup.Key(service, group, epoch);
+    }
+
+    Map<RecordedGroup.Key, RecordedGroup> groups() {
+        return byKey;
+    }
+
+    Optional<RecordedGroup> find(GroupName group, long epoch) {
+        return Optional.ofNullable(byKey.get(key(group, epoch)));
+    }
+
+    /** Returns the recorded group that the VM, under any incarnation, is a member of. */
+    Optional<RecordedGroup> groupOf(VmName vm) {
+        return Optional.ofNullable(byMember.get(vm));
+    }
+
+    /** Returns whether the head of the group may be ordered to open. */
+    boolean permitsOpening(GroupName group, long epoch) {
+        return !inForce || find(group, epoch).isPresent();
+    }
+}
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
+import org.wigeongrade.decisions.published.RecordedMember;
 import org.wigeongrade.ids.FabricDomain;
 import org.wigeongrade.ids.VmIncarnation;
 
@@ -19,9 +20,17 @@
     private long lastRespondedNanos = Long.MIN_VALUE;
 
     GroupMember(VmHeartbeat vm) {
-        this.vm = vm.vm();
-        this.address = vm.address();
-        this.domain = vm.domain();
+        this(vm.vm(), vm.address(), vm.domain());
+    }
+
+    GroupMember(RecordedMember member) {
+        this(member.vm(), member.address(), member.domain());
+    }
+
+    private GroupMember(VmIncarnation vm, String address, Optional<FabricDomain> domain) {
+        this.vm = vm;
+        this.address = address;
+        this.domain = domain;
     }
 
     /** Returns whether to send the order: it differs from the latest one, or the resend interval has passed. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -23,7 +23,9 @@
  *
  * <p>Invariants: a VM is in at most one managed group. An epoch belongs to one group only, and epochs increase. A VM is
  * used only after a heartbeat in this term, and after an unanswered order only once a newer heartbeat has arrived. A VM
- * that reports no group is used only once no head of an earlier leader can still wait for it. Time is a parameter. Not
+ * that the log holds as a member of a group, under any incarnation, is used only once this leader knows that the head of
+ * that group has stopped. A VM that reports no group is used only once no head of a leader that did not record its groups
+ * can still wait for it. Time is a parameter. Not
  * thread safe.
  */
 public final class GroupPlanner {
@@ -35,7 +37,8 @@
     private final PlannerListener listener;
     private final ManagedGroups groups = new ManagedGroups();
     private final Map<VmIncarnation, Long> unresponsiveSinceNanos = new HashMap<>();
-    private final InheritedGroups inherited = new InheritedGroups();
+    private final InheritedGroups inherited;
+    private final GroupRecorder recorder = new GroupRecorder();
     private final WeightLoadLimiter loadLimiter = new WeightLoadLimiter();
     private final StagingTracker stagingTracker = new StagingTracker();
     private final ScaleUpPolicy scaleUpPolicy = new ScaleUpPolicy();
@@ -57,18 +60,24 @@
         this.timings = timings;
         this.listener = listener;
         this.startedNanos = nowNanos;
+        this.inherited = new InheritedGroups(nowNanos);
         this.releaseTimes = new ReleaseTimes(nowNanos, timings.headBrokenAfterNanos());
         this.nextEpoch = term * EPOCHS_PER_TERM + 1;
     }
 
     /**
-     * Runs one planning step and returns the orders to send now.
+     * Runs one planning step.
      *
      * @param vms the latest records of the service's VMs
      * @param observations what entry nodes have observed of the endpoints, by VM
+     * @param ledger the service's groups in the log, as of a time at which this leader held its lease
      */
-    public ImmutableList<GroupOrder> plan(
-            EngineProfile engine, List<VmRecord> vms, Map<VmName, EndpointObservation> observations, long nowNanos) {
+    public GroupPlan plan(
+            EngineProfile engine,
+            List<VmRecord> vms,
+            Map<VmName, EndpointObservation> observations,
+            GroupLedger ledger,
+            long nowNanos) {
         if (observations.values().stream().anyMatch(seen -> seen.inFlight() > 0)) {
             loadLimiter.recordCallersStarted();
         }
@@ -76,8 +85,8 @@
                 vms.stream().collect(ImmutableMap.toImmutableMap(vm -> vm.vm().vm(), vm -> vm));
         final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
         final PlanningContext context = new PlanningContext(
-                nowNanos, term, timings, lateHeartbeatsCount(vms, nowNanos), byName, observations, orders::add);
-        adopt(engine, vms, timings.silentNanos(), nowNanos);
+                nowNanos, term, timings, lateHeartbeatsCount(vms, nowNanos), byName, observations, ledger, orders::add);
+        adopt(engine, vms, ledger, timings.silentNanos(), nowNanos);
         groups.all().forEach(group -> step(group, context));
         removeEnded(nowNanos);
         engine.models()
@@ -89,7 +98,7 @@
         stageSecondModels(engine, context);
         CrossDomainGroups.findReplaceable(groups.all(), freeVms(context, true), context)
                 .ifPresent(group -> group.drain("a group within one fabric domain can replace it", context));
-        return orders.build();
+        return new GroupPlan(orders.build(), recorder.changes(groups, inherited::hasEnded, ledger, context.nowNanos()));
     }
 
     /**
@@ -108,8 +117,8 @@
      * Adopts the complete, open groups of earlier leaders and leaves the others alone, because heartbeats of some of
      * their VMs may not have arrived yet.
      */
-    public void adoptCompleteGroups(EngineProfile engine, List<VmRecord> vms, long nowNanos) {
-        adopt(engine, vms, Long.MAX_VALUE, nowNanos);
+    public void adoptCompleteGroups(EngineProfile engine, List<VmRecord> vms, GroupLedger ledger, long nowNanos) {
+        adopt(engine, vms, ledger, Long.MAX_VALUE, nowNanos);
     }
 
     /** Records the response to an order. */
@@ -136,8 +145,8 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    private void adopt(EngineProfile engine, List<VmRecord> vms, long maxWaitNanos, long nowNanos) {
-        inherited.adopt(engine, vms, maxWaitNanos, nowNanos).forEach(group -> {
+    private void adopt(EngineProfile engine, List<VmRecord> vms, GroupLedger ledger, long maxWaitNanos, long nowNanos) {
+        inherited.adopt(engine, vms, ledger, maxWaitNanos, nowNanos).forEach(group -> {
             groups.add(group);
             recordPhaseChange(group);
         });
@@ -413,7 +422,8 @@
                 .filter(vm -> vm.receivedNanos() - startedNanos > 0
                         && sentHeartbeatSinceUnresponsive(vm)
                         && releaseTimes.freedomOf(vm, context.nowNanos()).isPresent()
-                        && !inherited.isInUnadoptedGroup(vm))
+                        && !inherited.isInUnadoptedGroup(vm)
+                        && context.ledger().groupOf(vm.vm().vm()).stream().allMatch(inherited::hasEnded))
                 .map(VmRecord::heartbeat)
                 .toList();
     }
--- a/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.decisions.grouping;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,11 +15,12 @@
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.decisions.published.RecordedGroup;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.ModelVersionName;
 
 /**
- * Adopts the groups that an earlier leader formed, as the VMs report them in their heartbeats.
+ * Adopts the groups that an earlier leader formed, as the VMs report them in their heartbeats and as the log holds them.
  *
  * <p>Invariants: a VM that reports a group of an earlier leader is free only after that group has been adopted and has
  * ended. An order of the earlier leader may still be carried out, so a group that is incomplete or not open is
@@ -38,6 +40,13 @@
     /** Ended groups whose heads report that they serve, because a delayed order was carried out. */
     private Set<Key> reopened = Set.of();
 
+    private final long startedNanos;
+
+    /** @param startedNanos start of this leader's term */
+    InheritedGroups(long startedNanos) {
+        this.startedNanos = startedNanos;
+    }
+
     /** Records that this leader formed or adopted a group. */
     void recordOwned(GroupName group, long epoch) {
         owned.add(new Key(group, epoch));
@@ -83,19 +92,22 @@
      * Adopts complete, open groups immediately. Adopts other groups, in order to end them, after all members have had
      * time to report.
      */
-    ImmutableList<ManagedGroup> adopt(EngineProfile engine, List<VmRecord> vms, long maxWaitNanos, long nowNanos) {
+    ImmutableList<ManagedGroup> adopt(
+            EngineProfile engine, List<VmRecord> vms, GroupLedger ledger, long maxWaitNanos, long nowNanos) {
         reopened = vms.stream()
                 .flatMap(vm -> keyOf(vm).filter(key -> hasReopened(key, vm)).stream())
                 .collect(Collectors.toSet());
         final Map<Key, List<VmRecord>> byGroup = vms.stream()
                 .filter(this::isInUnadoptedGroup)
                 .collect(Collectors.groupingBy(vm -> keyOf(vm).orElseThrow()));
+        findAbandoned(vms, ledger).forEach(key -> byGroup.putIfAbsent(key, List.of()));
         firstSeenNanos.keySet().retainAll(byGroup.keySet());
         byGroup.keySet().forEach(key -> firstSeenNanos.putIfAbsent(key, nowNanos));
         final ImmutableList<ManagedGroup> adopted = byGroup.entrySet().stream()
                 .flatMap(group -> adopt(
                         group.getKey(),
                         group.getValue(),
+                        ledger.find(group.getKey().group(), group.getKey().epoch()),
                         engine,
                         nowNanos - firstSeenNanos.get(group.getKey()) > maxWaitNanos,
                         nowNanos)
@@ -109,15 +121,42 @@
         return adopted;
     }
 
+    /**
+     * Returns the recorded groups that no VM reports, although a member has been heard in this term: it has left or was
+     * restarted. A group of which nothing has been heard may be cut off and serve on.
+     */
+    private ImmutableSet<Key> findAbandoned(List<VmRecord> vms, GroupLedger ledger) {
+        return vms.stream()
+                .filter(vm -> vm.receivedNanos() - startedNanos > 0)
+                .flatMap(vm -> ledger.groupOf(vm.vm().vm()).stream())
+                .map(group -> new Key(group.name(), group.epoch()))
+                .filter(key -> !owned.contains(key))
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    /** Returns whether this leader saw the group end, and its head has not been seen to serve since. */
+    boolean hasEnded(RecordedGroup group) {
+        final Key key = new Key(group.name(), group.epoch());
+        return endedNanos.containsKey(key) && !reopened.contains(key);
+    }
+
     private Optional<ManagedGroup> adopt(
-            Key key, List<VmRecord> members, EngineProfile engine, boolean waitedLongEnough, long nowNanos) {
+            Key key,
+            List<VmRecord> members,
+            Optional<RecordedGroup> recorded,
+            EngineProfile engine,
+            boolean waitedLongEnough,
+            long nowNanos) {
         final List<VmRecord> byRank = members.stream()
                 .sorted(Comparator.comparingInt(vm -> report(vm).rank()))
                 .toList();
-        final boolean headKnown = report(byRank.get(0)).rank() == 0;
-        final boolean open = headKnown && report(byRank.get(0)).state() == GroupState.OPEN;
-        final Optional<GroupedModel> model =
-                byRank.get(0).heartbeat().loadedModel().flatMap(engine::model);
+        final boolean headHeard = !byRank.isEmpty() && report(byRank.get(0)).rank() == 0;
+        final boolean open = headHeard && report(byRank.get(0)).state() == GroupState.OPEN;
+        final Optional<GroupedModel> model = byRank.stream()
+                .findFirst()
+                .flatMap(first -> first.heartbeat().loadedModel())
+                .or(() -> recorded.map(RecordedGroup::model))
+                .flatMap(engine::model);
         // A member of a reopened group may have left it since its last heartbeat.
         final boolean completeAndOpen = open
                 && !reopened.contains(key)
@@ -125,6 +164,7 @@
         if (!completeAndOpen && !waitedLongEnough) {
             return Optional.empty();
         }
+        final boolean headKnown = headHeard || recorded.isPresent();
         final GroupPhase phase =
                 completeAndOpen ? GroupPhase.SERVING : headKnown ? GroupPhase.CLOSING : GroupPhase.BREAKING;
         // The model of a group that is about to end has no effect, so any will do if the VM reports none.
@@ -132,7 +172,7 @@
                 key.group(),
                 key.epoch(),
                 model.orElseGet(() -> engine.models().get(0)),
-                membersOf(byRank),
+                completeAndOpen || recorded.isEmpty() ? membersOf(byRank) : membersOf(recorded.get()),
                 phase,
                 true,
                 nowNanos));
@@ -149,6 +189,10 @@
         return byRank.stream().map(vm -> new GroupMember(vm.heartbeat())).toList();
     }
 
+    private static List<GroupMember> membersOf(RecordedGroup recorded) {
+        return recorded.members().stream().map(GroupMember::new).toList();
+    }
+
     private static GroupReport report(VmRecord vm) {
         return vm.heartbeat().group().orElseThrow();
     }
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -15,7 +15,7 @@
  * Manages a group from the first join until its VMs are free again.
  *
  * <p>Invariants: the head is ordered to open only after every member has reported that it is ready in this group and
- * epoch. The group ends only once its head can no longer serve: the head has closed and left, its process has ended, or
+ * epoch, and after the log holds the group. The group ends only once its head can no longer serve: the head has closed and left, its process has ended, or
  * a member left longer ago than the engines' stall time. Spares and groups that were never ordered to open end at once.
  * Time is a parameter. Not thread safe.
  */
@@ -87,6 +87,11 @@
         return phase == GroupPhase.SPARE;
     }
 
+    /** Returns whether the head is known, and may serve now or later. */
+    boolean mayServe() {
+        return headKnown && phase != GroupPhase.SPARE && phase != GroupPhase.ENDED;
+    }
+
     /** Ends a spare at once, since it was never opened; its VM becomes free. */
     void endSpare(long nowNanos) {
         end(GroupEndEvidence.NEVER_OPENED, "its VM joins a group that will serve", nowNanos);
@@ -122,7 +127,8 @@
             return;
         }
         joinMembers(context);
-        if (members.stream().allMatch(member -> reportsState(member, GroupState.READY, context))) {
+        if (members.stream().allMatch(member -> reportsState(member, GroupState.READY, context))
+                && context.ledger().permitsOpening(name, epoch)) {
             openSent = true;
             sendOrder(head(), GroupOrderKind.OPEN, context);
             enterPhase(GroupPhase.OPENING, "every member is ready", context.nowNanos());
@@ -267,7 +273,7 @@
             end(evidence.get(), cause, context.nowNanos());
             return;
         }
-        recordFirstDeparture(context.nowNanos());
+        recordFirstDeparture(context);
         members.stream()
                 .filter(member -> !hasLeft(member))
                 .filter(member ->
@@ -296,10 +302,12 @@
         return head().hasNoListener() ? Optional.of(GroupEndEvidence.HEAD_REFUSED_CONNECTIONS) : Optional.empty();
     }
 
-    private void recordFirstDeparture(long nowNanos) {
-        final boolean anyLeft = members.stream().skip(headKnown ? 1 : 0).anyMatch(ManagedGroup::hasLeft);
+    private void recordFirstDeparture(PlanningContext context) {
+        final boolean anyLeft = members.stream()
+                .skip(headKnown ? 1 : 0)
+                .anyMatch(member -> hasLeft(member) || context.hasEnded(member));
         if (anyLeft && firstDepartureNanos == Long.MIN_VALUE) {
-            firstDepartureNanos = nowNanos;
+            firstDepartureNanos = context.nowNanos();
         }
     }
 
--- a/src/main/java/org/wigeongrade/decisions/grouping/PlanningContext.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/PlanningContext.java
@@ -21,6 +21,7 @@
         boolean lateHeartbeatsCount,
         Map<VmName, VmRecord> vms,
         Map<VmName, EndpointObservation> observations,
+        GroupLedger ledger,
         Consumer<GroupOrder> orders) {
 
     EndpointObservation observationOf(GroupMember member) {
--- a/src/main/java/org/wigeongrade/decisions/published/CommandFormat.java
+++ b/src/main/java/org/wigeongrade/decisions/published/CommandFormat.java
@@ -11,8 +11,11 @@
     /** Withdrawals of VMs as well. */
     public static final int WITHDRAWALS = 2;
 
+    /** Groups whose heads may serve as well. */
+    public static final int GROUPS = 3;
+
     /** The newest format that this build supports. */
-    public static final int LATEST = WITHDRAWALS;
+    public static final int LATEST = GROUPS;
 
     private CommandFormat() {}
 }
--- a/src/main/java/org/wigeongrade/decisions/published/PublishedCommand.java
+++ b/src/main/java/org/wigeongrade/decisions/published/PublishedCommand.java
@@ -16,7 +16,9 @@
     @JsonSubTypes.Type(value = PublishedCommand.Publish.class, name = "publish"),
     @JsonSubTypes.Type(value = PublishedCommand.SetZone.class, name = "set_zone"),
     @JsonSubTypes.Type(value = PublishedCommand.UseFormat.class, name = "use_format"),
-    @JsonSubTypes.Type(value = PublishedCommand.Withdraw.class, name = "withdraw")
+    @JsonSubTypes.Type(value = PublishedCommand.Withdraw.class, name = "withdraw"),
+    @JsonSubTypes.Type(value = PublishedCommand.FormGroup.class, name = "form_group"),
+    @JsonSubTypes.Type(value = PublishedCommand.EndGroup.class, name = "end_group")
 })
 public sealed interface PublishedCommand {
     /** Publishes a document, which must have been checked before. */
@@ -31,6 +33,12 @@
     /** Takes a VM that leaves out of use; needs {@link CommandFormat#WITHDRAWALS}. */
     record Withdraw(VmWithdrawal withdrawal) implements PublishedCommand {}
 
+    /** Records a group before its head is ordered to serve; needs {@link CommandFormat#GROUPS}. */
+    record FormGroup(RecordedGroup group) implements PublishedCommand {}
+
+    /** Removes a group whose head has stopped; needs {@link CommandFormat#GROUPS}. */
+    record EndGroup(RecordedGroup.Key group) implements PublishedCommand {}
+
     /** Returns the command as JSON. */
     default byte[] encode() {
         try {
--- a/src/main/java/org/wigeongrade/decisions/published/PublishedState.java
+++ b/src/main/java/org/wigeongrade/decisions/published/PublishedState.java
@@ -15,16 +15,16 @@
 import org.wigeongrade.ids.VmName;
 
 /**
- * The published state: the configuration with the highest version, the availability zones that are out of service, and
- * the endpoint VMs that said that they leave.
+ * The published state: the configuration with the highest version, the availability zones that are out of service, the
+ * endpoint VMs that said that they leave, and the groups whose heads may serve.
  *
  * <p>Invariant: neither the version nor the format ever decreases, the document of a version never changes, and of the
  * withdrawals of a VM only the one that includes the others is kept. Immutable; safe for use from any thread.
  */
 public final class PublishedState {
     /** The state before anything was published. */
-    public static final PublishedState EMPTY =
-            new PublishedState(0, new byte[0], ImmutableSortedSet.of(), CommandFormat.BASE, ImmutableMap.of());
+    public static final PublishedState EMPTY = new PublishedState(
+            0, new byte[0], ImmutableSortedSet.of(), CommandFormat.BASE, ImmutableMap.of(), RecordedGroups.EMPTY);
 
     /** Withdrawals that are kept; several times the VMs of the largest fleet that leave before heartbeats expire. */
     private static final int MAX_WITHDRAWALS = 2_048;
@@ -36,17 +36,21 @@
     /** The latest withdrawal of each VM, in the order in which they were made. */
     private final ImmutableMap<VmName, VmWithdrawal> withdrawals;
 
+    private final RecordedGroups groups;
+
     private PublishedState(
             long version,
             byte[] document,
             ImmutableSortedSet<AvailabilityZone> zonesOut,
             int format,
-            ImmutableMap<VmName, VmWithdrawal> withdrawals) {
+            ImmutableMap<VmName, VmWithdrawal> withdrawals,
+            RecordedGroups groups) {
         this.version = version;
         this.document = document;
         this.zonesOut = zonesOut;
         this.format = format;
         this.withdrawals = withdrawals;
+        this.groups = groups;
     }
 
     static PublishedState of(
@@ -54,13 +58,15 @@
             byte[] document,
             Iterable<AvailabilityZone> zonesOut,
             int format,
-            List<VmWithdrawal> withdrawals) {
+            List<VmWithdrawal> withdrawals,
+            List<RecordedGroup> groups) {
         return new PublishedState(
                 version,
                 document.clone(),
                 ImmutableSortedSet.copyOf(zonesOut),
                 format,
-                Maps.uniqueIndex(withdrawals, withdrawal -> withdrawal.vm().vm()));
+                Maps.uniqueIndex(withdrawals, withdrawal -> withdrawal.vm().vm()),
+                RecordedGroups.of(groups));
     }
 
     /** Returns the version in force; 0 before the first one. */
@@ -86,6 +92,11 @@
         return withdrawals.values();
     }
 
+    /** Returns the groups whose heads may serve; complete only from {@link CommandFormat#GROUPS} on. */
+    public RecordedGroups groups() {
+        return groups;
+    }
+
     /** Returns whether the VM said, in the heartbeat or after it, that it leaves. */
     public boolean isWithdrawn(VmHeartbeat heartbeat) {
         return isWithdrawn(VmWithdrawal.draining(heartbeat));
@@ -109,7 +120,7 @@
 
     PublishedState publish(long newVersion, byte[] newDocument) {
         return outcomeOf(newVersion, newDocument) == PublishOutcome.IN_FORCE
-                ? new PublishedState(newVersion, newDocument.clone(), zonesOut, format, withdrawals)
+                ? new PublishedState(newVersion, newDocument.clone(), zonesOut, format, withdrawals, groups)
                 : this;
     }
 
@@ -119,11 +130,17 @@
         if (out) {
             zones.add(zone);
         }
-        return new PublishedState(version, document, zones.build(), format, withdrawals);
+        return new PublishedState(version, document, zones.build(), format, withdrawals, groups);
+    }
+
+    PublishedState withGroups(RecordedGroups newGroups) {
+        return newGroups == groups
+                ? this
+                : new PublishedState(version, document, zonesOut, format, withdrawals, newGroups);
     }
 
     PublishedState withFormat(int newFormat) {
-        return new PublishedState(version, document, zonesOut, Math.max(format, newFormat), withdrawals);
+        return new PublishedState(version, document, zonesOut, Math.max(format, newFormat), withdrawals, groups);
     }
 
     PublishedState withWithdrawal(VmWithdrawal withdrawal) {
@@ -136,6 +153,6 @@
         if (updated.size() > MAX_WITHDRAWALS) {
             updated.remove(updated.keySet().iterator().next());
         }
-        return new PublishedState(version, document, zonesOut, format, ImmutableMap.copyOf(updated));
+        return new PublishedState(version, document, zonesOut, format, ImmutableMap.copyOf(updated), groups);
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/published/PublishedStateMachine.java
+++ b/src/main/java/org/wigeongrade/decisions/published/PublishedStateMachine.java
@@ -18,13 +18,14 @@
  * {@link #state} may be read from any thread.
  */
 public final class PublishedStateMachine {
-    /** Builds that support only {@link CommandFormat#BASE} read this too, so the other fields are absent in that format. */
+    /** Builds that support only an earlier {@link CommandFormat} read this too, so fields of later formats are absent. */
     private record SnapshotContent(
             long version,
             Bytes document,
             List<AvailabilityZone> zonesOut,
             @JsonInclude(JsonInclude.Include.NON_NULL) Integer format,
-            @JsonInclude(JsonInclude.Include.NON_NULL) List<VmWithdrawal> withdrawals) {}
+            @JsonInclude(JsonInclude.Include.NON_NULL) List<VmWithdrawal> withdrawals,
+            @JsonInclude(JsonInclude.Include.NON_NULL) List<RecordedGroup> groups) {}
 
     private volatile PublishedState state = PublishedState.EMPTY;
 
@@ -48,6 +49,10 @@
             state = state.withFormat(useFormat.format());
         } else if (decoded instanceof PublishedCommand.Withdraw withdraw) {
             state = state.withWithdrawal(withdraw.withdrawal());
+        } else if (decoded instanceof PublishedCommand.FormGroup form) {
+            state = state.withGroups(state.groups().with(form.group()));
+        } else if (decoded instanceof PublishedCommand.EndGroup end) {
+            state = state.withGroups(state.groups().without(end.group()));
         }
         return encode(PublishOutcome.IN_FORCE);
     }
@@ -67,7 +72,10 @@
                     taken.document().map(Bytes::wrap).orElse(Bytes.EMPTY),
                     ImmutableList.copyOf(taken.zonesOut()),
                     baseFormat ? null : taken.format(),
-                    baseFormat ? null : taken.withdrawals().asList()));
+                    baseFormat ? null : taken.withdrawals().asList(),
+                    taken.format() < CommandFormat.GROUPS
+                            ? null
+                            : taken.groups().all().asList()));
         } catch (IOException e) {
             throw new UncheckedIOException("published state cannot be encoded as JSON", e);
         }
@@ -82,7 +90,8 @@
                     stored.document().array(),
                     stored.zonesOut(),
                     Objects.requireNonNullElse(stored.format(), CommandFormat.BASE),
-                    Objects.requireNonNullElse(stored.withdrawals(), ImmutableList.of()));
+                    Objects.requireNonNullElse(stored.withdrawals(), ImmutableList.of()),
+                    Objects.requireNonNullElse(stored.groups(), ImmutableList.of()));
         } catch (IOException e) {
             throw new UncheckedIOException("published state in the snapshot cannot be decoded", e);
         }
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -8,9 +8,12 @@
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.grouping.GroupOrder;
+import org.wigeongrade.decisions.grouping.GroupPlan;
 import org.wigeongrade.decisions.grouping.GroupTimings;
+import org.wigeongrade.decisions.published.PublishedCommand;
 import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.decisions.published.RecordedGroups;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.ids.NodeName;
@@ -143,9 +146,10 @@
                 .toList();
         final long discoveryNanos = (long) (DISCOVERY_HEARTBEATS * timings.heartbeatNanos());
         final boolean vmsKnown = nowNanos - startedNanos > discoveryNanos && !vms.isEmpty();
-        final List<GroupOrder> plannedOrders =
-                term.plan(configurations.get(state.version(), state.document().get()), vms, vmsKnown, nowNanos);
-        for (final GroupOrder order : plannedOrders) {
+        final GroupPlan plan =
+                term.plan(configurations.get(state.version(), state.document().get()), state, vms, vmsKnown, nowNanos);
+        plan.commands().forEach(this::propose);
+        for (final GroupOrder order : plan.orders()) {
             // Checked before each order, because this thread may have been paused since the one before.
             if (!log.holdsLease(term.term())) {
                 return;
@@ -157,6 +161,16 @@
         }
     }
 
+    /** Proposes a change of the recorded groups. One of a term that has ended is harmless: see {@link RecordedGroups}. */
+    private void propose(PublishedCommand change) {
+        final var unused = log.submit(change.encode()).whenComplete((result, failure) -> {
+            if (failure != null) {
+                events.write(LogEvent.GROUP_NOT_RECORDED, change, failure.getMessage());
+            }
+            wake();
+        });
+    }
+
     private void endTerm(String cause) {
         currentTerm.ifPresent(term -> events.write(LogEvent.LEADER_LOST, self, term.term(), cause));
         currentTerm = Optional.empty();
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,7 +10,9 @@
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.grouping.EndpointObservation;
+import org.wigeongrade.decisions.grouping.GroupLedger;
 import org.wigeongrade.decisions.grouping.GroupOrder;
+import org.wigeongrade.decisions.grouping.GroupPlan;
 import org.wigeongrade.decisions.grouping.GroupPlanner;
 import org.wigeongrade.decisions.grouping.GroupTimings;
 import org.wigeongrade.decisions.grouping.OrderResponse;
@@ -18,6 +21,7 @@
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
+import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.reachability.RelayDirectory;
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.thrift.PullReply;
@@ -34,7 +38,7 @@
 /**
  * The in-memory state of a leader for one term: groups, routable endpoints, reports of entry nodes and quarantine.
  *
- * <p>Invariant: nothing here outlives the term; a new leader rebuilds everything from heartbeats and pulls. Thread
+ * <p>Invariant: nothing here outlives the term; a new leader rebuilds everything from the log, heartbeats and pulls. Thread
  * safe; its lock is acquired before that of the registry.
  */
 final class LeaderTerm {
@@ -70,11 +74,19 @@
         return term;
     }
 
-    /** Runs one planning step and returns the orders to send. */
-    synchronized ImmutableList<GroupOrder> plan(
-            PublishedConfiguration configuration, List<VmRecord> vms, boolean vmsKnown, long nowNanos) {
+    /**
+     * Runs one planning step.
+     *
+     * @param state the published state, read while this node held its lease
+     */
+    synchronized GroupPlan plan(
+            PublishedConfiguration configuration,
+            PublishedState state,
+            List<VmRecord> vms,
+            boolean vmsKnown,
+            long nowNanos) {
         settled = settled || vmsKnown;
-        final ImmutableList.Builder<GroupOrder> orders = ImmutableList.builder();
+        final List<GroupPlan> plans = new ArrayList<>();
         final Map<VmName, RoutableEndpointTable.RoutableEndpoint> routableByVm = new HashMap<>();
         final Map<VmName, EndpointObservation> evidence = entryReports.evidenceByVm(nowNanos);
         for (final PublishedService service : configuration.services()) {
@@ -82,13 +94,14 @@
                     .filter(vm -> vm.heartbeat().service().equals(service.name()))
                     .collect(ImmutableList.toImmutableList());
             if (service.engine().isPresent()) {
-                orders.addAll(planGroups(service, serviceVms, evidence, routableByVm, nowNanos));
+                final GroupLedger ledger = GroupLedger.of(state, service.name());
+                plans.add(planGroups(service, serviceVms, evidence, ledger, routableByVm, nowNanos));
             } else {
                 addPlainEndpoints(serviceVms, evidence, routableByVm, nowNanos);
             }
         }
         routableEndpoints.replace(routableByVm, nowNanos);
-        return orders.build();
+        return GroupPlan.concat(plans);
     }
 
     /** Passes the outcome of an order to every planner. */
@@ -112,20 +125,21 @@
         reply.setRelayAddresses(relays.addressesFor(node, zone, nowNanos));
     }
 
-    private ImmutableList<GroupOrder> planGroups(
+    private GroupPlan planGroups(
             PublishedService service,
             ImmutableList<VmRecord> serviceVms,
             Map<VmName, EndpointObservation> evidence,
+            GroupLedger ledger,
             Map<VmName, RoutableEndpointTable.RoutableEndpoint> routableByVm,
             long nowNanos) {
         final GroupPlanner planner = planners.computeIfAbsent(
                 service.name(), name -> new GroupPlanner(term, timings, new GroupLog(events), startedNanos));
         final EngineProfile engine = service.engine().orElseThrow();
         if (!settled) {
-            planner.adoptCompleteGroups(engine, serviceVms, nowNanos);
+            planner.adoptCompleteGroups(engine, serviceVms, ledger, nowNanos);
         }
-        final ImmutableList<GroupOrder> orders =
-                settled ? planner.plan(engine, serviceVms, evidence, nowNanos) : ImmutableList.of();
+        final GroupPlan plan =
+                settled ? planner.plan(engine, serviceVms, evidence, ledger, nowNanos) : GroupPlan.NOTHING;
         final ImmutableMap<VmIncarnation, VmRecord> byIncarnation =
                 serviceVms.stream().collect(ImmutableMap.toImmutableMap(VmRecord::vm, vm -> vm));
         for (final ServingGroup group : planner.serving(engine)) {
@@ -135,7 +149,7 @@
                             new RoutableEndpointTable.RoutableEndpoint(
                                     head, Optional.of(group.model()), group.paceFactor(), group.suspect())));
         }
-        return orders;
+        return plan;
     }
 
     private void addPlainEndpoints(
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -54,6 +54,7 @@
     GROUP_PHASE_CHANGED(1409, Level.INFO, "group {group} of model {model} is {phase} with VMs {members}: {cause}"),
     GROUP_ENDED(1410, Level.INFO, "group {group} ended, so that VMs {members} are free: {evidence}"),
     VM_TAKEN(1411, Level.INFO, "VM {vm} is taken for {group}: {evidence}; latest ended group {ended_group}"),
+    GROUP_NOT_RECORDED(1412, Level.WARNING, "change {change} of the recorded groups may not have been stored: {cause}"),
 
     ENDPOINT_COLD(1501, Level.WARNING, "endpoint {endpoint} is cold: {cause}; its load is limited to {slots} requests"),
     ENDPOINT_WARM(1502, Level.INFO, "endpoint {endpoint} is warm; its load may reach {slots} requests"),
--- a/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/GroupPlannerTest.java
@@ -6,11 +6,15 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
+import org.wigeongrade.decisions.published.CommandFormat;
+import org.wigeongrade.decisions.published.RecordedGroup;
+import org.wigeongrade.ids.GroupName;
 
 /** Tests the planner against simulated engine VMs in virtual time, with VMs and leaders lost in many patterns. */
 final class GroupPlannerTest {
@@ -298,6 +302,55 @@
         assertThat(fleet.violations).isEmpty();
     }
 
+    /** A head that served before the log held its group could be unknown to the next leader, who then used its members. */
+    @Test
+    void headOpensOnlyOnceTheLogHoldsItsGroup() {
+        fleet.commits = false;
+        fleet.run(LOADED_MS / 4);
+        assertThat(fleet.vms.stream().filter(SimulatedVm::mayServe).toList()).isEmpty();
+
+        fleet.commits = true;
+        fleet.run(LOADED_MS / 4);
+        assertThat(fleet.serving(LARGE) + fleet.serving(SMALL)).isEqualTo(12);
+        assertThat(fleet.published.state().groups().all()).hasSize(12);
+    }
+
+    /** Groups that were formed while an older build ran beside this one stayed unknown to later leaders. */
+    @ParameterizedTest
+    @ValueSource(longs = {3_500, 5_500, 8_000})
+    void groupsFormedBeforeTheLogCouldHoldThemAreRecorded(long afterMs) {
+        final SimulatedFleet upgraded = new SimulatedFleet(6, 8, 1, CommandFormat.WITHDRAWALS);
+        upgraded.run(LOADED_MS);
+        upgraded.useCommandFormat(CommandFormat.GROUPS);
+        upgraded.run(1_000);
+        assertThat(upgraded.published.state().groups().all()).hasSize(12);
+
+        final List<SimulatedVm> members = upgraded.membersOf(upgraded.anyHead());
+        members.forEach(member -> member.partitioned = true);
+        upgraded.restartControl();
+        upgraded.run(afterMs);
+        upgraded.restart(members.get(1));
+        upgraded.run(12_000);
+        assertThat(upgraded.violations).isEmpty();
+    }
+
+    /** The log must not keep groups that have ended, or their VMs stay unused under the next leader. */
+    @Test
+    void endedGroupsAreRemovedFromTheLog() {
+        fleet.run(LOADED_MS);
+        fleet.anyHead().partitioned = true;
+        fleet.run(12_000);
+        final Set<GroupName> serving = fleet.vms.stream()
+                .filter(vm -> vm.mayServe() && !vm.partitioned)
+                .map(vm -> vm.group)
+                .collect(Collectors.toSet());
+
+        assertThat(fleet.published.state().groups().all().stream()
+                        .map(RecordedGroup::name)
+                        .toList())
+                .containsExactlyElementsIn(serving);
+    }
+
     @Test
     void leavingMemberEndsItsGroupAndIsReplaced() {
         fleet.run(LOADED_MS);
--- a/src/test/java/org/wigeongrade/decisions/grouping/InheritedGroupsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/InheritedGroupsTest.java
@@ -12,6 +12,7 @@
 import org.wigeongrade.decisions.discovery.GroupState;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRecord;
+import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.ModelVersionName;
@@ -23,6 +24,7 @@
     private static final ModelVersionName MODEL = ModelVersionName.of("large");
     private static final GroupName GROUP = GroupName.of("g1");
     private static final long EPOCH = 1;
+    private static final GroupLedger NO_RECORDS = GroupLedger.of(PublishedState.EMPTY, SimulatedFleet.POOL);
     private static final long MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     /** A group that only a lost VM has reported must not keep the leader from forming another one. */
@@ -33,7 +35,7 @@
         final VmRecord lost =
                 new VmRecord(heartbeat(), nowNanos - TimeUnit.MILLISECONDS.toNanos(silentMs), 0, false, false, false);
 
-        assertThat(new InheritedGroups().countPending(MODEL, List.of(lost), MAX_SILENCE_NANOS, nowNanos))
+        assertThat(new InheritedGroups(0).countPending(MODEL, List.of(lost), MAX_SILENCE_NANOS, nowNanos))
                 .isEqualTo(pending);
     }
 
@@ -44,11 +46,11 @@
         final long endedNanos = TimeUnit.SECONDS.toNanos(100);
         final VmRecord head = record("head", 0, stateOfHead, endedNanos + 1);
         final VmRecord member = record("member", 1, GroupState.READY, endedNanos + 1);
-        final InheritedGroups groups = new InheritedGroups();
+        final InheritedGroups groups = new InheritedGroups(0);
         groups.recordOwned(GROUP, EPOCH);
         groups.recordEnded(GROUP, EPOCH, endedNanos);
-        final List<ManagedGroup> adopted =
-                groups.adopt(SimulatedFleet.ENGINE, List.of(head, member), MAX_SILENCE_NANOS, endedNanos + 2);
+        final List<ManagedGroup> adopted = groups.adopt(
+                SimulatedFleet.ENGINE, List.of(head, member), NO_RECORDS, MAX_SILENCE_NANOS, endedNanos + 2);
 
         assertThat(adopted).isEmpty();
         assertThat(groups.isInUnadoptedGroup(member)).isEqualTo(inGroup);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -15,11 +15,15 @@
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRegistry;
+import org.wigeongrade.decisions.published.CommandFormat;
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.GroupedModel;
+import org.wigeongrade.decisions.published.PublishedCommand;
+import org.wigeongrade.decisions.published.PublishedStateMachine;
 import org.wigeongrade.ids.FabricDomain;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.ids.VmName;
 
@@ -37,6 +41,8 @@
     static final GroupedModel SMALL = new GroupedModel(ModelVersionName.of("small"), 2, 0.33, 0.6, 12_000, 1_100);
     static final EngineProfile ENGINE = new EngineProfile(
             18, 5, ImmutableList.of(LARGE, SMALL), 6.07, 0.35, 0.007, 46_000, 0.7, 2_048, 4, 6, 300, 2.5);
+    static final ServiceName POOL = ServiceName.of("pool");
+    private static final long COMMIT_MS = 10;
     private static final long ORDER_TIMEOUT_MS = 450;
     private static final long PROBE_TIMEOUT_MS = 250;
     /** One request in flight at an endpoint that belongs to no group; it shows the leader that callers are active. */
@@ -70,6 +76,9 @@
     };
     private final List<ReceivedHeartbeat> receivedHeartbeats = new ArrayList<>();
     final Random random;
+    /** Whether the log takes what leaders propose. */
+    boolean commits = true;
+
     /** Fraction of orders that get no response and are carried out 2 to 12 s later. */
     double lateOrderFraction;
 
@@ -83,6 +92,9 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
     private VmRegistry registry = new VmRegistry();
+    /** The replicated log's state, which outlives every leader. */
+    final PublishedStateMachine published = new PublishedStateMachine();
+
     private GroupPlanner planner;
     private boolean callersActive;
     /** Whether each open group has a request, so that entry nodes see whether the group makes progress. */
@@ -102,7 +114,12 @@
     private long sequence;
 
     SimulatedFleet(int domains, int vmsInDomain, long seed) {
+        this(domains, vmsInDomain, seed, CommandFormat.LATEST);
+    }
+
+    SimulatedFleet(int domains, int vmsInDomain, long seed, int commandFormat) {
         this.random = new Random(seed);
+        useCommandFormat(commandFormat);
         for (int domain = 0; domain < domains; domain++) {
             for (int vm = 0; vm < vmsInDomain; vm++) {
                 add("vm-" + domain + "-" + vm, "domain-" + domain);
@@ -117,6 +134,11 @@
         return vm;
     }
 
+    /** Lets the log hold the commands of a format, as once all control VMs run a build that supports it. */
+    void useCommandFormat(int commandFormat) {
+        published.apply(new PublishedCommand.UseFormat(commandFormat).encode());
+    }
+
     /** Replaces the leader by one that knows all heartbeats but not the groups that the earlier leader planned. */
     void newLeader() {
         term++;
@@ -159,8 +181,16 @@
 
     private void plan() {
         final GroupPlanner leader = planner;
-        leader.plan(ENGINE, registry.records(nanos(nowMs)), observations(), nanos(nowMs))
-                .forEach(order -> deliver(leader, order));
+        final GroupPlan plan = leader.plan(
+                ENGINE,
+                registry.records(nanos(nowMs)),
+                observations(),
+                GroupLedger.of(published.state(), POOL),
+                nanos(nowMs));
+        if (commits) {
+            plan.commands().forEach(command -> schedule(COMMIT_MS, () -> published.apply(command.encode())));
+        }
+        plan.orders().forEach(order -> deliver(leader, order));
     }
 
     private Map<VmName, EndpointObservation> observations() {
