Do not take refused connections for the end of a group's head

A cut between control VMs and endpoint VMs may refuse connections while callers still reach the head; two refusals in a row ended the group, and its other VMs were free within 20 ms, whether or not they had left it by then. Class of fault: the absence of a listener counts as proof.

A head now counts as stopped only if it answers that it has left, reports that it is broken, was replaced by a later process, or a member left it longer ago than its stall time.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupEndEvidence.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupEndEvidence.java
@@ -6,7 +6,6 @@
     HEAD_LEFT("its head answered that it is not in the group"),
     HEAD_REPLACED("a later process has the name or the address of its head"),
     HEAD_BROKEN("its head reported that it is broken"),
-    HEAD_REFUSED_CONNECTIONS("the address of its head refused connections"),
     STALL_TIME_PASSED("a member left it longer ago than the time after which its head stops");
 
     private final String text;
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
@@ -15,7 +15,6 @@
     private Optional<OrderResponse> lastResponse = Optional.empty();
     private long lastSentNanos;
     private int unansweredOrders;
-    private int refusedConnections;
     /** Time at which the member last responded to an order or probe; {@link Long#MIN_VALUE} if never. */
     private long lastRespondedNanos = Long.MIN_VALUE;
 
@@ -53,7 +52,6 @@
         if (response.isFromLiveVm()) {
             lastRespondedNanos = nowNanos;
         }
-        refusedConnections = response == OrderResponse.NO_LISTENER ? refusedConnections + 1 : 0;
         if (lastOrderKind.filter(kind::equals).isEmpty()) {
             return;
         }
@@ -76,11 +74,6 @@
         return unansweredOrders;
     }
 
-    /** Returns whether the address refused two connections in a row, which means that the process has ended. */
-    boolean hasNoListener() {
-        return refusedConnections > 1;
-    }
-
     boolean respondedSince(long sinceNanos) {
         return lastRespondedNanos != Long.MIN_VALUE && lastRespondedNanos - sinceNanos >= 0;
     }
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -296,10 +296,7 @@
         if (reportsState(head(), GroupState.BROKEN, context) && !context.isHeartbeatLate(head())) {
             return Optional.of(GroupEndEvidence.HEAD_BROKEN);
         }
-        if (hasLeft(head())) {
-            return Optional.of(GroupEndEvidence.HEAD_LEFT);
-        }
-        return head().hasNoListener() ? Optional.of(GroupEndEvidence.HEAD_REFUSED_CONNECTIONS) : Optional.empty();
+        return hasLeft(head()) ? Optional.of(GroupEndEvidence.HEAD_LEFT) : Optional.empty();
     }
 
     private void recordFirstDeparture(PlanningContext context) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/OrderResponse.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/OrderResponse.java
@@ -12,7 +12,7 @@
     INCONCLUSIVE,
     /** Another VM responded at the address, so the addressed one has ended. */
     ENDED,
-    /** The address refused the connection. */
+    /** The address refused the connection: the process has ended, has stopped listening, or is cut off. */
     NO_LISTENER,
     /** No response came in time; the order may still be carried out later. */
     NONE;
