Propose the newest format of log commands that every control VM supports

Beside a control VM whose build knows withdrawals but no groups, a fleet would have stayed at the first format, so that a VM's statement that it leaves was kept in memory only. The leader now proposes the newest common format.

PeerFormatsTest.usesTheNewestFormatThatEveryControlVmSupports (9 cases; it does not compile on the code before).

--- a/src/main/java/org/wigeongrade/fleet/control/FormatUpgrade.java
+++ b/src/main/java/org/wigeongrade/fleet/control/FormatUpgrade.java
@@ -12,7 +12,7 @@
 import org.wigeongrade.nodes.log.RaftReplicatedLog;
 
 /**
- * Lets the replicated log use the newest format of commands once all control VMs run a build that supports it.
+ * Lets the replicated log use the newest format of commands that all control VMs support.
  *
  * <p>Invariant: at most one proposal is pending. Thread safe.
  */
@@ -47,23 +47,23 @@
         this.firstProposalNanos = startedNanos + ANNOUNCEMENT_WAIT_NANOS;
     }
 
-    /** Proposes the newest format if it is not used yet and every control VM supports it; called by the leader. */
+    /** Proposes the newest format that every control VM supports, if it is not used yet; called by the leader. */
     void proposeIfSupported(long nowNanos) {
-        if (stateMachine.state().format() >= CommandFormat.LATEST
-                || nowNanos - firstProposalNanos < 0
-                || !peerFormats.allSupport(
-                        CommandFormat.LATEST,
-                        self,
-                        log.membership().incarnations().keySet())
-                || !pending.compareAndSet(false, true)) {
+        final int formatInUse = stateMachine.state().format();
+        if (formatInUse >= CommandFormat.LATEST || nowNanos - firstProposalNanos < 0) {
             return;
         }
-        final var unused = log.submit(new PublishedCommand.UseFormat(CommandFormat.LATEST).encode())
+        final int format = peerFormats.newestCommon(
+                formatInUse, self, log.membership().incarnations().keySet());
+        if (format == formatInUse || !pending.compareAndSet(false, true)) {
+            return;
+        }
+        final var unused = log.submit(new PublishedCommand.UseFormat(format).encode())
                 .whenComplete((result, failure) -> {
                     pending.set(false);
                     events.write(
                             LogEvent.COMMAND_FORMAT_PROPOSED,
-                            CommandFormat.LATEST,
+                            format,
                             failure == null ? "in use" : "outcome unknown: " + failure.getMessage());
                 });
     }
--- a/src/main/java/org/wigeongrade/fleet/control/PeerFormats.java
+++ b/src/main/java/org/wigeongrade/fleet/control/PeerFormats.java
@@ -20,6 +20,18 @@
         byPeer.put(peer, announced ? format : CommandFormat.BASE);
     }
 
+    /**
+     * Returns the newest format of this build that all voters and every other control VM that was heard support; {@code
+     * formatInUse} if there is no newer one.
+     */
+    int newestCommon(int formatInUse, NodeName self, Set<NodeName> voters) {
+        int format = CommandFormat.LATEST;
+        while (format > formatInUse && !allSupport(format, self, voters)) {
+            format--;
+        }
+        return Math.max(format, formatInUse);
+    }
+
     /** Returns whether all voters and every other control VM that was heard support a format. */
     boolean allSupport(int format, NodeName self, Set<NodeName> voters) {
         return voters.stream().allMatch(voter -> voter.equals(self) || byPeer.containsKey(voter))
--- a/src/test/java/org/wigeongrade/fleet/control/PeerFormatsTest.java
+++ b/src/test/java/org/wigeongrade/fleet/control/PeerFormatsTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableSet;
+import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wigeongrade.decisions.published.CommandFormat;
@@ -33,6 +34,29 @@
                 .isEqualTo(used);
     }
 
+    /** Beside builds that know no groups, a VM's statement that it leaves was kept in memory only. */
+    @ParameterizedTest
+    @CsvSource({
+        // format in use, formats that the voters a and b announced, format to use
+        "1, 3 3, 3",
+        "1, 3 2, 2",
+        "1, 2 2, 2",
+        "1, 1 3, 1",
+        "2, 2 3, 2",
+        "2, 1 3, 2",
+        "2, 3 3, 3",
+        "3, 2 3, 3",
+        "1, 9 9, 3",
+    })
+    void usesTheNewestFormatThatEveryControlVmSupports(int inUse, String announced, int expected) {
+        final PeerFormats formats = new PeerFormats();
+        final List<String> byPeer = Splitter.on(' ').splitToList(announced);
+        formats.record(NodeName.of("a"), true, Integer.parseInt(byPeer.get(0)));
+        formats.record(NodeName.of("b"), true, Integer.parseInt(byPeer.get(1)));
+
+        assertThat(formats.newestCommon(inUse, SELF, names("self a b"))).isEqualTo(expected);
+    }
+
     private static ImmutableSet<NodeName> names(String text) {
         return Splitter.on(' ')
                 .omitEmptyStrings()
