--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupLedger.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupLedger.java
@@ -1,6 +1,9 @@
 package org.wigeongrade.decisions.grouping;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Iterables;
 import com.google.common.collect.Maps;
 import java.util.Map;
 import java.util.Optional;
@@ -22,29 +25,26 @@
     private final boolean inForce;
     private final ServiceName service;
     private final ImmutableMap<RecordedGroup.Key, RecordedGroup> byKey;
-    private final ImmutableMap<VmName, RecordedGroup> byMember;
+    private final ImmutableListMultimap<VmName, RecordedGroup> byMember;
 
-    private GroupLedger(boolean inForce, ServiceName service, Iterable<RecordedGroup> groups) {
+    private GroupLedger(boolean inForce, ServiceName service, Iterable<RecordedGroup> ofAllServices) {
         this.inForce = inForce;
         this.service = service;
-        this.byKey = Maps.uniqueIndex(groups, RecordedGroup::key);
-        final ImmutableMap.Builder<VmName, RecordedGroup> members = ImmutableMap.builder();
-        for (final RecordedGroup group : groups) {
+        this.byKey = Maps.uniqueIndex(
+                Iterables.filter(ofAllServices, group -> group.service().equals(service)), RecordedGroup::key);
+        final ImmutableListMultimap.Builder<VmName, RecordedGroup> members = ImmutableListMultimap.builder();
+        for (final RecordedGroup group : ofAllServices) {
             for (final RecordedMember member : group.members()) {
                 members.put(member.vm().vm(), group);
             }
         }
-        this.byMember = members.buildOrThrow();
+        this.byMember = members.build();
     }
 
     /** Returns the recorded groups of the service. */
     public static GroupLedger of(PublishedState state, ServiceName service) {
         return new GroupLedger(
-                state.format() >= CommandFormat.GROUPS,
-                service,
-                state.groups().all().stream()
-                        .filter(group -> group.service().equals(service))
-                        .toList());
+                state.format() >= CommandFormat.GROUPS, service, state.groups().all());
     }
 
     /** Returns whether the log may hold groups; with builds that do not know them it may not. */
@@ -64,9 +64,14 @@
         return Optional.ofNullable(byKey.get(key(group, epoch)));
     }
 
-    /** Returns the recorded group that the VM, under any incarnation, is a member of. */
-    Optional<RecordedGroup> groupOf(VmName vm) {
-        return Optional.ofNullable(byMember.get(vm));
+    /** Returns the recorded groups of all services that the VM, under any incarnation, is a member of. */
+    ImmutableList<RecordedGroup> groupsOf(VmName vm) {
+        return byMember.get(vm);
+    }
+
+    /** Returns whether the group is one of this service, whose leader knows when it has ended. */
+    boolean isOfService(RecordedGroup group) {
+        return group.service().equals(service);
     }
 
     /** Returns whether the head of the group may be ordered to open. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupMember.java
@@ -74,6 +74,11 @@
         return unansweredOrders;
     }
 
+    /** Returns whether the member last responded before the given time. */
+    boolean respondedBefore(long nowNanos) {
+        return lastRespondedNanos != Long.MIN_VALUE && nowNanos - lastRespondedNanos > 0;
+    }
+
     boolean respondedSince(long sinceNanos) {
         return lastRespondedNanos != Long.MIN_VALUE && lastRespondedNanos - sinceNanos >= 0;
     }
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -339,6 +339,7 @@
                 vms.stream().map(GroupMember::new).toList(),
                 phase,
                 false,
+                false,
                 context.nowNanos());
         reportTaken(group, context);
         groups.add(group);
@@ -423,7 +424,8 @@
                         && sentHeartbeatSinceUnresponsive(vm)
                         && releaseTimes.freedomOf(vm, context.nowNanos()).isPresent()
                         && !inherited.isInUnadoptedGroup(vm)
-                        && context.ledger().groupOf(vm.vm().vm()).stream().allMatch(inherited::hasEnded))
+                        && context.ledger().groupsOf(vm.vm().vm()).stream()
+                                .allMatch(group -> context.ledger().isOfService(group) && inherited.hasEnded(group)))
                 .map(VmRecord::heartbeat)
                 .toList();
     }
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupRecorder.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupRecorder.java
@@ -27,8 +27,7 @@
         }
         final Map<RecordedGroup.Key, PublishedCommand> missing = Stream.concat(
                         managed.stream()
-                                .filter(group -> group.mayServe()
-                                        && ledger.find(group.name, group.epoch).isEmpty())
+                                .filter(group -> group.mayServe() && !isRecorded(group, ledger))
                                 .map(group -> toRecord(group, ledger))
                                 .map(PublishedCommand.FormGroup::new),
                         ledger.groups().values().stream()
@@ -43,6 +42,12 @@
         return due.stream().map(missing::get).collect(ImmutableList.toImmutableList());
     }
 
+    private static boolean isRecorded(ManagedGroup group, GroupLedger ledger) {
+        return ledger.find(group.name, group.epoch)
+                .filter(recorded -> recorded.opened() || !group.hasOpened())
+                .isPresent();
+    }
+
     private boolean isDue(RecordedGroup.Key key, long nowNanos) {
         final Long sinceNanos = proposedNanos.get(key);
         return sinceNanos == null || nowNanos - sinceNanos >= GroupTimings.RECORD_RESEND_NANOS;
@@ -63,6 +68,7 @@
                 group.model.name(),
                 group.members.stream()
                         .map(member -> RecordedMember.of(member.vm, member.address, member.domain))
-                        .toList());
+                        .toList(),
+                group.hasOpened());
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/InheritedGroups.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
+import com.google.common.collect.Sets;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,6 +20,7 @@
 import org.wigeongrade.decisions.published.RecordedGroup;
 import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.ModelVersionName;
+import org.wigeongrade.ids.VmName;
 
 /**
  * Adopts the groups that an earlier leader formed, as the VMs report them in their heartbeats and as the log holds them.
@@ -32,6 +35,10 @@
     /** Name prefix of warm spares: groups of one VM that are never opened. */
     static final String SPARE_PREFIX = "s";
 
+    /** States of a head that has served. */
+    private static final ImmutableSet<GroupState> OPENED_STATES =
+            Sets.immutableEnumSet(GroupState.OPEN, GroupState.CLOSING, GroupState.BROKEN);
+
     private record Key(GroupName group, long epoch) {}
 
     private final Set<Key> owned = new HashSet<>();
@@ -103,11 +110,13 @@
         findAbandoned(vms, ledger).forEach(key -> byGroup.putIfAbsent(key, List.of()));
         firstSeenNanos.keySet().retainAll(byGroup.keySet());
         byGroup.keySet().forEach(key -> firstSeenNanos.putIfAbsent(key, nowNanos));
+        final Map<VmName, VmRecord> byName = Maps.uniqueIndex(vms, vm -> vm.vm().vm());
         final ImmutableList<ManagedGroup> adopted = byGroup.entrySet().stream()
                 .flatMap(group -> adopt(
                         group.getKey(),
                         group.getValue(),
                         ledger.find(group.getKey().group(), group.getKey().epoch()),
+                        byName,
                         engine,
                         nowNanos - firstSeenNanos.get(group.getKey()) > maxWaitNanos,
                         nowNanos)
@@ -128,7 +137,8 @@
     private ImmutableSet<Key> findAbandoned(List<VmRecord> vms, GroupLedger ledger) {
         return vms.stream()
                 .filter(vm -> vm.receivedNanos() - startedNanos > 0)
-                .flatMap(vm -> ledger.groupOf(vm.vm().vm()).stream())
+                .flatMap(vm -> ledger.groupsOf(vm.vm().vm()).stream())
+                .filter(ledger::isOfService)
                 .map(group -> new Key(group.name(), group.epoch()))
                 .filter(key -> !owned.contains(key))
                 .collect(ImmutableSet.toImmutableSet());
@@ -144,6 +154,7 @@
             Key key,
             List<VmRecord> members,
             Optional<RecordedGroup> recorded,
+            Map<VmName, VmRecord> vms,
             EngineProfile engine,
             boolean waitedLongEnough,
             long nowNanos) {
@@ -164,9 +175,10 @@
         if (!completeAndOpen && !waitedLongEnough) {
             return Optional.empty();
         }
-        final boolean headKnown = headHeard || recorded.isPresent();
+        final boolean opened = recorded.filter(RecordedGroup::opened).isPresent()
+                || (headHeard && OPENED_STATES.contains(report(byRank.get(0)).state()));
         final GroupPhase phase =
-                completeAndOpen ? GroupPhase.SERVING : headKnown ? GroupPhase.CLOSING : GroupPhase.BREAKING;
+                completeAndOpen ? GroupPhase.SERVING : phaseOfIncomplete(key, recorded, vms, headHeard, open);
         // The model of a group that is about to end has no effect, so any will do if the VM reports none.
         return Optional.of(new ManagedGroup(
                 key.group(),
@@ -175,9 +187,30 @@
                 completeAndOpen || recorded.isEmpty() ? membersOf(byRank) : membersOf(recorded.get()),
                 phase,
                 true,
+                opened,
                 nowNanos));
     }
 
+    /**
+     * Returns the phase of a group of which not all members have reported in time. If the log names the others, and nothing
+     * heard in this term contradicts it, probes decide whether it serves on.
+     */
+    private GroupPhase phaseOfIncomplete(
+            Key key, Optional<RecordedGroup> recorded, Map<VmName, VmRecord> vms, boolean headHeard, boolean open) {
+        if (recorded.isEmpty()) {
+            return headHeard ? GroupPhase.CLOSING : GroupPhase.BREAKING;
+        }
+        final boolean contradicted = recorded.get().members().stream()
+                .flatMap(member -> Optional.ofNullable(vms.get(member.vm().vm()))
+                        .filter(vm -> vm.receivedNanos() - startedNanos > 0)
+                        .filter(vm -> !vm.vm().equals(member.vm()) || !keyOf(vm).equals(Optional.of(key)))
+                        .stream())
+                .findAny()
+                .isPresent();
+        final boolean mayServe = !contradicted && !reopened.contains(key) && (open || !headHeard);
+        return mayServe ? GroupPhase.CHECKING : GroupPhase.CLOSING;
+    }
+
     private static Optional<Key> keyOf(VmRecord vm) {
         return vm.heartbeat()
                 .group()
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -32,6 +32,11 @@
     private final boolean headKnown;
 
     private boolean openSent;
+    /** Time at which this leader, or possibly an earlier one, last ordered the head to open. */
+    private long lastOpenSentNanos;
+    /** Whether the head is known to have served. */
+    private boolean opened;
+
     private boolean headClosed;
     private String cause = "formed";
     private Optional<GroupEndEvidence> endEvidence = Optional.empty();
@@ -43,6 +48,7 @@
             List<GroupMember> members,
             GroupPhase phase,
             boolean openSent,
+            boolean opened,
             long nowNanos) {
         this.name = name;
         this.epoch = epoch;
@@ -50,6 +56,8 @@
         this.members = ImmutableList.copyOf(members);
         this.phase = phase;
         this.openSent = openSent;
+        this.opened = opened;
+        this.lastOpenSentNanos = nowNanos;
         this.headKnown = phase != GroupPhase.BREAKING;
         this.phaseSinceNanos = nowNanos;
         this.nextCheckNanos = nowNanos;
@@ -87,6 +95,11 @@
         return phase == GroupPhase.SPARE;
     }
 
+    /** Returns whether the head is known to have served. */
+    boolean hasOpened() {
+        return opened;
+    }
+
     /** Returns whether the head is known, and may serve now or later. */
     boolean mayServe() {
         return headKnown && phase != GroupPhase.SPARE && phase != GroupPhase.ENDED;
@@ -130,7 +143,7 @@
         if (members.stream().allMatch(member -> reportsState(member, GroupState.READY, context))
                 && context.ledger().permitsOpening(name, epoch)) {
             openSent = true;
-            sendOrder(head(), GroupOrderKind.OPEN, context);
+            sendOpen(context);
             enterPhase(GroupPhase.OPENING, "every member is ready", context.nowNanos());
         }
     }
@@ -153,6 +166,7 @@
 
     private void open(PlanningContext context) {
         if (reportsState(head(), GroupState.OPEN, context)) {
+            opened = true;
             enterPhase(GroupPhase.SERVING, "the head serves", context.nowNanos());
             return;
         }
@@ -163,10 +177,15 @@
             return;
         }
         if (head().isDue(GroupOrderKind.OPEN, GroupTimings.ORDER_RESEND_NANOS, context.nowNanos())) {
-            sendOrder(head(), GroupOrderKind.OPEN, context);
+            sendOpen(context);
         }
     }
 
+    private void sendOpen(PlanningContext context) {
+        lastOpenSentNanos = context.nowNanos();
+        sendOrder(head(), GroupOrderKind.OPEN, context);
+    }
+
     private void serve(PlanningContext context) {
         final Optional<String> fault = findFault(context);
         if (fault.isPresent()) {
@@ -238,7 +257,7 @@
             end(GroupEndEvidence.HEAD_REPLACED, cause, context.nowNanos());
             return;
         }
-        if (hasLeft(head())) {
+        if (isOut(head(), context)) {
             end(GroupEndEvidence.HEAD_LEFT, cause, context.nowNanos());
             return;
         }
@@ -275,7 +294,7 @@
         }
         recordFirstDeparture(context);
         members.stream()
-                .filter(member -> !hasLeft(member))
+                .filter(member -> !isOut(member, context))
                 .filter(member ->
                         member.isDue(GroupOrderKind.LEAVE, GroupTimings.ORDER_RESEND_NANOS, context.nowNanos()))
                 .forEach(member -> sendOrder(member, GroupOrderKind.LEAVE, context));
@@ -283,8 +302,7 @@
 
     /** Returns why the head cannot serve any more; empty if it may. */
     private Optional<GroupEndEvidence> findHeadStopped(PlanningContext context) {
-        if (firstDepartureNanos != Long.MIN_VALUE
-                && context.nowNanos() - firstDepartureNanos >= context.timings().headBrokenAfterNanos()) {
+        if (hasStallTimePassed(context)) {
             return Optional.of(GroupEndEvidence.STALL_TIME_PASSED);
         }
         if (!headKnown) {
@@ -296,18 +314,45 @@
         if (reportsState(head(), GroupState.BROKEN, context) && !context.isHeartbeatLate(head())) {
             return Optional.of(GroupEndEvidence.HEAD_BROKEN);
         }
-        return hasLeft(head()) ? Optional.of(GroupEndEvidence.HEAD_LEFT) : Optional.empty();
+        return isOut(head(), context) ? Optional.of(GroupEndEvidence.HEAD_LEFT) : Optional.empty();
     }
 
     private void recordFirstDeparture(PlanningContext context) {
-        final boolean anyLeft = members.stream()
+        final boolean anyOut = members.stream()
                 .skip(headKnown ? 1 : 0)
-                .anyMatch(member -> hasLeft(member) || context.hasEnded(member));
-        if (anyLeft && firstDepartureNanos == Long.MIN_VALUE) {
+                .anyMatch(member -> isOut(member, context) || context.hasEnded(member));
+        if (!anyOut) {
+            firstDepartureNanos = Long.MIN_VALUE;
+        } else if (firstDepartureNanos == Long.MIN_VALUE) {
             firstDepartureNanos = context.nowNanos();
         }
     }
 
+    /**
+     * Returns whether the head has stalled for so long that it is broken. A head that was not open when the member left does
+     * not stall before it opens, which a late order may still cause.
+     */
+    private boolean hasStallTimePassed(PlanningContext context) {
+        if (firstDepartureNanos == Long.MIN_VALUE) {
+            return false;
+        }
+        final long mayOpenUntilNanos = lastOpenSentNanos + GroupTimings.MAX_ORDER_DELAY_NANOS;
+        final long stalledSinceNanos = opened
+                ? firstDepartureNanos
+                : firstDepartureNanos + Math.max(0, mayOpenUntilNanos - firstDepartureNanos);
+        return context.nowNanos() - stalledSinceNanos >= context.timings().headBrokenAfterNanos();
+    }
+
+    /** Returns whether the member has left and has not reported the group since, as a join that is carried out late makes it. */
+    private boolean isOut(GroupMember member, PlanningContext context) {
+        final boolean reportedSince = context.record(member)
+                .filter(vm -> member.respondedBefore(vm.receivedNanos()))
+                .flatMap(vm -> vm.heartbeat().group())
+                .filter(this::matches)
+                .isPresent();
+        return hasLeft(member) && !reportedSince;
+    }
+
     private static boolean hasLeft(GroupMember member) {
         return member.responseTo(GroupOrderKind.LEAVE)
                 .filter(OrderResponse::isFromLiveVm)
@@ -317,7 +362,7 @@
     /** Returns a message about the fault that keeps the group from serving; empty if there is none. */
     private Optional<String> findFault(PlanningContext context) {
         for (final GroupMember member : members) {
-            if (context.record(member).isEmpty()) {
+            if (context.hasEnded(member)) {
                 return Optional.of("member " + member.vm + " ended");
             }
             if (reportsOtherGroup(member, context)) {
--- a/src/main/java/org/wigeongrade/decisions/published/RecordedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/published/RecordedGroup.java
@@ -12,9 +12,15 @@
  *
  * @param epoch number of the group's formation; larger in later terms
  * @param members members of the group, head first
+ * @param opened whether the head is known to have served, so that no order to open it can be under way
  */
 public record RecordedGroup(
-        ServiceName service, GroupName name, long epoch, ModelVersionName model, List<RecordedMember> members) {
+        ServiceName service,
+        GroupName name,
+        long epoch,
+        ModelVersionName model,
+        List<RecordedMember> members,
+        boolean opened) {
     /** Identifies a group: its name is unique within a service and epoch. */
     public record Key(ServiceName service, GroupName name, long epoch) {}
 
--- a/src/main/java/org/wigeongrade/decisions/published/RecordedGroups.java
+++ b/src/main/java/org/wigeongrade/decisions/published/RecordedGroups.java
@@ -10,7 +10,7 @@
 /**
  * The groups whose heads may serve.
  *
- * <p>Invariant: a VM, under any incarnation, is a member of at most one of them. Immutable; safe for use from any thread.
+ * <p>Invariant: a VM, under any incarnation, is a member of at most one of them in each service. Immutable; safe for use from any thread.
  */
 public final class RecordedGroups {
     static final RecordedGroups EMPTY = new RecordedGroups(ImmutableMap.of());
@@ -34,11 +34,17 @@
     }
 
     /**
-     * Adds a group in place of earlier ones that share a VM with it: the leader that formed it knew that these had ended.
-     * Changes nothing if a later group shares a VM with it, because the leader that formed it has been replaced.
+     * Adds a group in place of earlier ones of its service that share a VM with it: the leader that formed it knew that these
+     * had ended. Changes nothing if a later group shares a VM with it, because the leader that formed it has been replaced.
      */
     public RecordedGroups with(RecordedGroup group) {
+        final RecordedGroup same = byKey.get(group.key());
+        if (same != null && (same.opened() || !group.opened())) {
+            return this;
+        }
         final ImmutableList<RecordedGroup> sharing = byKey.values().stream()
+                .filter(other ->
+                        other.service().equals(group.service()) && !other.key().equals(group.key()))
                 .filter(other -> other.members().stream()
                         .anyMatch(member -> group.hasMember(member.vm().vm())))
                 .collect(ImmutableList.toImmutableList());
--- a/src/test/java/org/wigeongrade/decisions/published/RecordedGroupsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/published/RecordedGroupsTest.java
@@ -86,6 +86,7 @@
                         Splitter.on('+').splitToList(parts.get(1)).stream()
                                 .map(vm -> RecordedMember.of(
                                         new VmIncarnation(VmName.of(vm), epoch), "10.0.0.1:80", Optional.empty()))
-                                .toList()));
+                                .toList(),
+                        false));
     }
 }
