--- a/src/main/java/org/wigeongrade/standin/Journal.java
+++ b/src/main/java/org/wigeongrade/standin/Journal.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.standin;
 
+import com.google.common.primitives.Bytes;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
@@ -45,11 +46,18 @@
         }
     }
 
-    /** Reads a journal file. Skips an incomplete last line, which a killed process may leave. */
+    /**
+     * Reads the complete lines of a journal file, which may be written meanwhile. Skips what follows the last line
+     * break: the beginning of a record that is being written, or that a killed process left.
+     */
     public static List<JournalEntry> read(Path path) {
         try {
-            return Files.readAllLines(path).stream()
-                    .filter(line -> line.endsWith("}"))
+            // Not line by line: a line reader returns the rest of a record that grew after the end of the file was
+            // reached as a line of its own.
+            final byte[] bytes = Files.readAllBytes(path);
+            final int end = Bytes.lastIndexOf(bytes, (byte) '\n') + 1;
+            return new String(bytes, 0, end, StandardCharsets.UTF_8)
+                    .lines()
                     .map(Journal::parse)
                     .toList();
         } catch (IOException e) {
