Check the lease of the term before each change of the recorded groups

By reading (review): a thread that is paused over a loss and a return of leadership would submit a change of its old term in the new one. A removal that is submitted so late can take out a group that was adopted again, until its leader records it 0.4 s later. No test: nothing can be paused there, as for the check before each order.

--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -13,7 +13,6 @@
 import org.wigeongrade.decisions.published.PublishedCommand;
 import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
-import org.wigeongrade.decisions.published.RecordedGroups;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.ids.NodeName;
@@ -148,7 +147,12 @@
         final boolean vmsKnown = nowNanos - startedNanos > discoveryNanos && !vms.isEmpty();
         final GroupPlan plan =
                 term.plan(configurations.get(state.version(), state.document().get()), state, vms, vmsKnown, nowNanos);
-        plan.commands().forEach(this::propose);
+        for (final PublishedCommand change : plan.commands()) {
+            if (!log.holdsLease(term.term())) {
+                return;
+            }
+            propose(change);
+        }
         for (final GroupOrder order : plan.orders()) {
             // Checked before each order, because this thread may have been paused since the one before.
             if (!log.holdsLease(term.term())) {
@@ -161,7 +165,7 @@
         }
     }
 
-    /** Proposes a change of the recorded groups. One of a term that has ended is harmless: see {@link RecordedGroups}. */
+    /** Proposes a change of the recorded groups; a later step proposes it again if it does not take effect. */
     private void propose(PublishedCommand change) {
         final var unused = log.submit(change.encode()).whenComplete((result, failure) -> {
             if (failure != null) {
