Wait for the stand-ins of CrashPrefixProcessTest before its first change

Twelve JVMs of stand-ins start right before it and share the processors with the three nodes.

ProcessFleet.awaitStandins waits until the last VM of each stand-in process listens, within the bound that starting nodes has; the 10 s are unchanged.

--- a/src/test/java/org/wigeongrade/proof/CrashPrefixProcessTest.java
+++ b/src/test/java/org/wigeongrade/proof/CrashPrefixProcessTest.java
@@ -44,6 +44,7 @@
             for (final String vm : vms) {
                 final var unused = fleet.startEngines(vm, "--cold-requests", "2");
             }
+            fleet.awaitStandins();
             final long unused = fleet.apply(
                     DeclaredSetToml.base() + DeclaredSetToml.pool(ENGINES, 1, 8, 2, "zone-a"), 0, "change-1");
             try (ClientThreads clients = new ClientThreads(fleet.entryAddresses(), recorder)) {
--- a/src/test/java/org/wigeongrade/proof/ProcessFleet.java
+++ b/src/test/java/org/wigeongrade/proof/ProcessFleet.java
@@ -7,6 +7,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,6 +32,7 @@
 final class ProcessFleet implements AutoCloseable {
     private static final String NODE_MAIN = "org.wigeongrade.command.Main";
     private static final String STANDIN_MAIN = "org.wigeongrade.standin.StandinMain";
+    private static final long START_TIMEOUT_MS = 25_000;
 
     private final Path folder;
     private final boolean proxied;
@@ -42,6 +44,8 @@
     private final Map<String, FaultInjectionProxy> proxies = new HashMap<>();
     private final Map<String, String> standinAddresses = new HashMap<>();
     private final Map<String, Path> journals = new LinkedHashMap<>();
+    /** Port of the last VM of each stand-in process, which starts its VMs one after another. */
+    private final List<Integer> lastStandinPorts = new ArrayList<>();
 
     private record NodePorts(boolean control, int listen, int peer, int log) {}
 
@@ -91,7 +95,7 @@
         }
         Await.until(
                 "all nodes healthy\n" + recentOutputs(),
-                25_000,
+                START_TIMEOUT_MS,
                 () -> entryAddresses().stream().allMatch(Http::isHealthy));
     }
 
@@ -224,9 +228,26 @@
         processes.put(vms, process);
         journals.put(vms, journal);
         standinAddresses.put(vms, "127.0.0.1:" + port);
+        lastStandinPorts.add(port + count - 1);
         return process;
     }
 
+    /** Waits until all VMs of the stand-ins listen, so that the start of their processes delays nothing later. */
+    void awaitStandins() {
+        Await.until(
+                "all stand-ins listening\n" + recentOutputs(),
+                START_TIMEOUT_MS,
+                () -> lastStandinPorts.stream().allMatch(ProcessFleet::isListening));
+    }
+
+    private static boolean isListening(int port) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Returns the HTTP addresses of all nodes. */
     List<String> entryAddresses() {
         return nodes.values().stream()
