Do not read a continuation whose caller does not read

Callers' view: an entry node ran out of memory, and other requests ended with it, while an endpoint sent a stream without end to a caller that did not read. Pausing a connection held for the attempt that was running. While it was paused, the node took its own pause for a stall of the endpoint and failed over; the next endpoint was read as fast as it sent, and everything was held in the caller's write buffer. The same followed a stream that broke in the piece that filled the buffer.

An attempt now begins paused while the caller does not read, also before its connection is open, and a paused attempt does not stall.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -45,6 +45,7 @@
     private int receivedBodyBytes;
     private int unreadTokens;
     private int events;
+    private boolean reading = true;
     private EndpointCall call;
 
     EndpointAttempt(
@@ -89,6 +90,7 @@
 
     @Override
     public void setReading(boolean enabled) {
+        reading = enabled;
         call.setReading(enabled);
     }
 
@@ -332,7 +334,7 @@
 
     private void checkForStall() {
         final long nowNanos = services.nowNanos();
-        if (nowNanos - stallCheckDueNanos > LOCAL_PAUSE_NANOS || body.isPaused()) {
+        if (nowNanos - stallCheckDueNanos > LOCAL_PAUSE_NANOS || !reading || body.isPaused()) {
             lastProgressNanos = nowNanos;
         }
         final long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(stallTimeoutMs());
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
@@ -13,6 +13,7 @@
     private Optional<Channel> channel = Optional.empty();
     private boolean reused;
     private boolean finished;
+    private boolean reading = true;
 
     EndpointCall(Optional<String> attemptId, FullHttpRequest message, EndpointListener listener) {
         this.attemptId = attemptId;
@@ -52,6 +53,7 @@
 
     void markSent(Channel connection) {
         channel = Optional.of(connection);
+        connection.config().setAutoRead(reading);
     }
 
     /**
@@ -63,8 +65,12 @@
         channel.ifPresent(NettyFutures::reset);
     }
 
-    /** Resumes reading from the endpoint, or pauses it while the caller does not read (back pressure). */
+    /**
+     * Resumes reading from the endpoint, or pauses it while the caller does not read (back pressure). It holds for a
+     * connection that is opened later, too.
+     */
     void setReading(boolean enabled) {
+        reading = enabled;
         if (!finished) {
             channel.ifPresent(open -> open.config().setAutoRead(enabled));
         }
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -69,6 +69,7 @@
     private int attemptsThatMayHaveRun;
 
     private boolean ended;
+    private boolean callerReads = true;
 
     Exchange(EntryServices services, CallerRequest request, ResponseWriter responseWriter, Runnable onEnd) {
         this(services, request, Optional.empty(), responseWriter, onEnd);
@@ -156,6 +157,7 @@
 
     /** Pauses reading from the endpoint while the caller's connection is not writable. */
     void onCallerWritabilityChanged(boolean writable) {
+        callerReads = writable;
         currentAttempt.ifPresent(attempt -> attempt.setReading(writable));
     }
 
@@ -249,6 +251,7 @@
                 services.codec().encodeForEntryNode(request, remainingMs, stream.resumeAfter(request));
         RelayHeaders.mark(message.headers(), attemptsThatMayHaveRun);
         attempt.start(message, route.orElseThrow().mayRetry());
+        pauseUnlessCallerReads(attempt);
     }
 
     private static ErrorKind kindOf(Placement.Refusal refusal) {
@@ -320,6 +323,14 @@
         attempt.start(
                 services.codec().encode(request, metadata, endpoint.address()),
                 route.get().mayRetry());
+        pauseUnlessCallerReads(attempt);
+    }
+
+    /** A stream that another endpoint continues is not read while the caller does not read its first part. */
+    private void pauseUnlessCallerReads(Attempt attempt) {
+        if (!callerReads) {
+            attempt.setReading(false);
+        }
     }
 
     private Optional<ModelVersionName> model() {
