Close endpoints' connections that send no part of a response

Callers' view: a replica sends bytes that are no answer until the node closes. Two kinds were read, though not held, until the deadline: bytes after a chunk where the end of its line is due, and empty responses to other requests.

The decoder now fails after 64 KiB in a row that are no part of a response, and 64 responses to other requests end the connection.

EndpointResponseHandlerTest.bytesWithoutEndCloseTheConnection: cases 7 and 14 of 15 failed on and pass; seven other new cases passed before.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseDecoder.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,11 +17,15 @@
  * Decodes the responses on one connection to an endpoint. Used on the event loop only.
  *
  * <p>Invariant: no byte that arrived while no response was awaited is part of a decoded response; such a byte closes
- * the connection.
+ * the connection. At most {@link #MAX_UNDECODED_BYTES} in a row are read without being part of a decoded response.
  */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
+    /** Bytes between decoded parts of a response; beyond the limits of a head and of a chunk's size. */
+    private static final long MAX_UNDECODED_BYTES = 64 * 1024;
+
     private Optional<HttpMethod> awaitedMethod = Optional.empty();
     private boolean closed;
+    private long undecodedBytes;
 
     /** Starts to decode; {@code method} is that of the request, since a response to HEAD has no body. */
     void start(HttpMethod method) {
@@ -44,6 +49,17 @@
         super.decodeLast(context, bytes, decoded);
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
+        final int readableBytes = bytes.readableBytes();
+        final int decodedParts = decoded.size();
+        super.decode(context, bytes, decoded);
+        undecodedBytes = decoded.size() > decodedParts ? 0 : undecodedBytes + readableBytes - bytes.readableBytes();
+        if (undecodedBytes > MAX_UNDECODED_BYTES) {
+            throw new TooLongFrameException(undecodedBytes + " bytes in a row are not part of a response");
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (awaitedMethod.isEmpty()) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -28,6 +28,8 @@
     private static final int MAX_INTERIM_RESPONSES = 8;
     /** Maximum of bytes of responses to other requests that are skipped; beyond it a new connection is cheaper. */
     private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
+    /** Responses to other requests that are skipped before the awaited one. */
+    private static final int MAX_SKIPPED_RESPONSES = 64;
     /** Refusals after which a connection is closed, so that their ids need not be kept. */
     private static final int MAX_REFUSALS = 16;
 
@@ -46,6 +48,7 @@
     private boolean reused;
     private int interimResponses;
     private long skippedBytes;
+    private int skippedResponses;
     private boolean skipping;
     private boolean hasBody;
 
@@ -69,6 +72,8 @@
         currentCall = Optional.of(call);
         head = Optional.empty();
         interimResponses = 0;
+        skippedResponses = 0;
+        skippedBytes = 0;
         skipping = false;
         hasBody = false;
         decoder.start(call.message().method());
@@ -111,6 +116,10 @@
         final EndpointCall call = currentCall.orElseThrow();
         skipping = decoded.attemptId().isPresent() && !decoded.attemptId().equals(call.attemptId());
         if (skipping) {
+            skippedResponses++;
+            if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+                fail(context, "more than " + MAX_SKIPPED_RESPONSES + " responses to other requests");
+            }
             return;
         }
         if (reused && decoded.attemptId().isEmpty()) {
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -255,6 +255,15 @@
                 "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n | 0",
                 "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n | X-Trailer: aaaaaaaaaaaaaaaaaaaa\\r\\n",
                 "HTTP/1.1 200 OK\\r\\nX-Attempt-Id: other\\r\\n\\r\\n | aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+                "'' | HTTP/1.1 200 OK\\r\\nX-Attempt-Id: other\\r\\nContent-Length: 0\\r\\n\\r\\n",
+                "'' | \\r\\n",
+                "'' | \\0",
+                "'' | a",
+                "HTTP/1.1 200 OK\\r\\nX-Pad: | a",
+                "HTTP/1.1 200 OK\\r\\nX-Pad: a\\r\\n | \\sa\\r\\n",
+                "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1;x= | a",
+                "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1\\r\\na | a",
+                "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\nX-Trailer: | a",
             })
     void bytesWithoutEndCloseTheConnection(String begin, String repeated) {
         sendRequest();
