Limit what is held of a generation without end

Callers' view: a node ran out of memory while an engine sent events without end. Events were held back from the finish reason until [DONE], and the whole text was kept for a continuation, both without a limit.

Beyond 1 Mi characters held back the attempt fails as a stream that goes on after its finish reason. Beyond 2 Mi characters of text the stream is forwarded as before, but no longer kept, and so not resumable.

--- a/src/main/java/org/wigeongrade/decisions/outcomes/StreamAssembler.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/StreamAssembler.java
@@ -14,7 +14,9 @@
  * <p>Invariants: {@link #text()} is exactly the text that was forwarded to the caller, so a continuation after it
  * neither loses nor repeats text. Events of an abandoned attempt have no effect. The caller's stream ends as complete
  * only after an attempt sent both a finish reason and the {@code [DONE]} marker. The finish event and the events after
- * it are held back until that marker arrives, since the stream may still break off between them.
+ * it are held back until that marker arrives, since the stream may still break off between them. Held are at most
+ * {@link #MAX_HELD_CHARS} of such events, and {@link #MAX_TEXT_CHARS} of text; a longer text is forwarded, but is no
+ * longer kept, so that no other attempt can continue it.
  *
  * <p>Not thread-safe: used by one request's worker.
  */
@@ -22,6 +24,11 @@
     /** Data of the event that ends a complete stream. */
     public static final String DONE_MARKER = "[DONE]";
 
+    /** Longest text that is kept so that another attempt can continue it, in characters. */
+    static final int MAX_TEXT_CHARS = 2 * 1024 * 1024;
+    /** Longest events that are held back from the finish event on, in characters of all together. */
+    static final int MAX_HELD_CHARS = 1024 * 1024;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final String responseId;
@@ -33,6 +40,7 @@
     private boolean complete;
     private Optional<String> upstreamId = Optional.empty();
     private final List<String> heldFinishEvents = new ArrayList<>();
+    private long heldChars;
 
     /** @param responseId the id that all events forwarded to the caller carry */
     public StreamAssembler(String responseId) {
@@ -47,6 +55,7 @@
         attemptOpen = true;
         upstreamId = Optional.empty();
         heldFinishEvents.clear();
+        heldChars = 0;
         return attempt;
     }
 
@@ -77,7 +86,10 @@
         return Optional.of(fail(AttemptEvent.CUT_SHORT, "the stream ended before its [DONE] marker"));
     }
 
-    /** Returns the text forwarded so far, which the next attempt must carry in {@code continue_from}. */
+    /**
+     * Returns the text forwarded so far, which the next attempt must carry in {@code continue_from}; of use only while
+     * the response is resumable.
+     */
     public String text() {
         return text.toString();
     }
@@ -89,7 +101,7 @@
 
     /**
      * Returns whether another attempt may continue: the response is not complete, has one choice and consists only of
-     * text.
+     * text that is short enough to be kept.
      */
     public boolean isResumable() {
         return resumable && !complete;
@@ -128,12 +140,16 @@
 
     private StreamAction holdBack(ObjectNode chunk) {
         String content = StreamChunk.content(chunk);
-        if (content.isEmpty()) {
-            heldFinishEvents.add(chunk.toString());
-            return new StreamAction.Nothing();
+        String held = (content.isEmpty() ? chunk : StreamChunk.withoutContent(chunk)).toString();
+        heldChars += held.length();
+        if (heldChars > MAX_HELD_CHARS) {
+            heldFinishEvents.clear();
+            return fail(
+                    AttemptEvent.ANSWER_MISMATCHED,
+                    "the events from the finish reason on exceed " + MAX_HELD_CHARS + " characters");
         }
-        heldFinishEvents.add(StreamChunk.withoutContent(chunk).toString());
-        return forward(StreamChunk.withoutFinish(chunk));
+        heldFinishEvents.add(held);
+        return content.isEmpty() ? new StreamAction.Nothing() : forward(StreamChunk.withoutFinish(chunk));
     }
 
     private StreamAction forward(ObjectNode chunk) {
@@ -142,11 +158,23 @@
         if (repeatsRoleEvent) {
             return new StreamAction.Nothing();
         }
-        text.append(content);
+        keep(content);
         forwardedAny = true;
         return new StreamAction.Forward(chunk.toString());
     }
 
+    private void keep(String content) {
+        if (text.length() + content.length() > MAX_TEXT_CHARS) {
+            resumable = false;
+        }
+        if (resumable) {
+            text.append(content);
+        } else {
+            text.setLength(0);
+            text.trimToSize();
+        }
+    }
+
     private boolean isOfSameResponse(ObjectNode chunk) {
         Optional<String> id = Optional.ofNullable(chunk.get("id")).map(JsonNode::asText);
         if (id.isEmpty() || upstreamId.isEmpty()) {
