Give up endpoints' bodies that are too long to be held

In the node with fixed peers the body of an error to a streamed generation was held without a limit (found by reading), the body of a refusal was read without end, and so was what followed [DONE]; a claimed call whose body was too long kept its connection until the read timeout, and an event that was too long ended in an exception outside the exchange.

HeldBody holds at most 8 MiB for all of them, a refusal is read up to 1 MiB, and the connection is closed. The attempt counts as cut short or mismatched, never as not run, since its response is not complete. After [DONE], 64 KiB are read, and the connection is left to time out.

--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -1,8 +1,8 @@
 package org.wigeongrade.callers;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
@@ -42,7 +42,9 @@
 final class GenerationExchange {
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_EVENT_BYTES = 256 * 1024;
-    private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+    /** Bytes that are read after the end of a complete stream; beyond them the connection is left to time out. */
+    private static final int MAX_BYTES_AFTER_END = 64 * 1024;
+
     private static final long DISPATCH_RETRY_DELAY_MS = 100;
     private static final int HTTP_OK = 200;
 
@@ -223,6 +225,15 @@
                 .ifPresentOrElse(this::endWithError, this::startAttempt);
     }
 
+    /** Ends an attempt whose response is too long to be held. */
+    private void giveUp(AttemptProgress attempt) {
+        attempts.cancelConnection();
+        attemptFailed(
+                attempt,
+                attempt.failedOutcome(SendFailure.CONNECTION_LOST),
+                "the response exceeds " + HeldBody.MAX_BYTES + " bytes");
+    }
+
     private void endWithError(WigeongradeException failure) {
         final WigeongradeException reported = attempts.withCorrectRunStatus(failure, ErrorKind.ENDPOINT_FAILED);
         dependencies.metrics().countRefusal(reported.kind());
@@ -251,7 +262,8 @@
         private final AttemptProgress attempt;
         private final int attemptNumber;
         private final EventStreamDecoder decoder = new EventStreamDecoder(MAX_EVENT_BYTES);
-        private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
+        private final HeldBody errorBody = new HeldBody();
+        private long bytesAfterEnd;
 
         StreamingListener(AttemptProgress attempt, int attemptNumber) {
             this.attempt = attempt;
@@ -272,7 +284,10 @@
                     acceptEvents(bytes, readMore);
                     return;
                 }
-                errorBody.writeBytes(bytes);
+                if (!errorBody.append(bytes)) {
+                    giveUp(attempt);
+                    return;
+                }
             }
             readMore.run();
         }
@@ -309,8 +324,22 @@
         }
 
         private void acceptEvents(byte[] bytes, Runnable readMore) {
+            if (assembler.isComplete()) {
+                bytesAfterEnd += bytes.length;
+                if (bytesAfterEnd > MAX_BYTES_AFTER_END) {
+                    return;
+                }
+            }
+            final ImmutableList<String> decoded;
+            try {
+                decoded = decoder.accept(bytes);
+            } catch (IllegalArgumentException e) {
+                attempts.cancelConnection();
+                attemptFailed(attempt, attempt.failedOutcome(SendFailure.CONNECTION_LOST), e.getMessage());
+                return;
+            }
             final StringBuilder events = new StringBuilder();
-            for (final String data : decoder.accept(bytes)) {
+            for (final String data : decoded) {
                 final StreamAction action = assembler.accept(attemptNumber, data);
                 if (action instanceof StreamAction.Forward event) {
                     append(events, event.data());
@@ -386,7 +415,7 @@
     /** Buffers the response of one attempt that is not streamed and sends it to the caller when it is complete. */
     private final class BufferingListener implements ResponseListener {
         private final AttemptProgress attempt;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final HeldBody body = new HeldBody();
 
         BufferingListener(AttemptProgress attempt) {
             this.attempt = attempt;
@@ -402,10 +431,8 @@
         @Override
         public void onBytes(byte[] bytes, Runnable readMore) {
             synchronized (GenerationExchange.this) {
-                body.writeBytes(bytes);
-                if (body.size() > MAX_BUFFERED_BYTES) {
-                    attempts.cancelConnection();
-                    attemptFailed(attempt, new AttemptOutcome(AttemptEvent.CUT_SHORT), "the response is too large");
+                if (!body.append(bytes)) {
+                    giveUp(attempt);
                     return;
                 }
             }
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -1,7 +1,6 @@
 package org.wigeongrade.callers;
 
 import com.google.common.collect.ImmutableListMultimap;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -36,7 +35,8 @@
  */
 final class ServiceExchange {
     private static final int MAX_ATTEMPTS = 3;
-    private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+    /** Longest body of a refusal, in bytes, that is read to its end; it is not forwarded. */
+    private static final int MAX_REFUSAL_BYTES = 1024 * 1024;
 
     private final CallerDependencies dependencies;
     private final Dispatcher dispatcher;
@@ -184,6 +184,15 @@
                 .ifPresentOrElse(this::endWithError, this::startAttempt);
     }
 
+    /** Ends an attempt whose response is longer than {@code maxBytes}, and closes its connection. */
+    private synchronized void giveUp(AttemptProgress attempt, int maxBytes) {
+        attempts.cancelConnection();
+        attemptFailed(
+                attempt,
+                attempt.failedOutcome(SendFailure.CONNECTION_LOST),
+                "the response exceeds " + maxBytes + " bytes");
+    }
+
     /** Ends the call with an error; a claim is finished first, so that a repeated call gets the same outcome. */
     private void endWithError(WigeongradeException failure) {
         final WigeongradeException reported = attempts.withCorrectRunStatus(failure, ErrorKind.OUTCOME_UNKNOWN);
@@ -240,6 +249,7 @@
     private final class StreamingListener implements ResponseListener {
         private final AttemptProgress attempt;
         private boolean refusedBeforeRun;
+        private long refusalBytes;
 
         StreamingListener(AttemptProgress attempt) {
             this.attempt = attempt;
@@ -267,7 +277,12 @@
         @Override
         public void onBytes(byte[] bytes, Runnable readMore) {
             if (refusedBeforeRun) {
-                readMore.run();
+                refusalBytes += bytes.length;
+                if (refusalBytes > MAX_REFUSAL_BYTES) {
+                    giveUp(attempt, MAX_REFUSAL_BYTES);
+                } else {
+                    readMore.run();
+                }
                 return;
             }
             stream.orElseThrow().push(bytes, readMore);
@@ -301,7 +316,7 @@
     /** Buffers the response to a claimed call, commits it, then sends it to the caller. */
     private final class BufferingListener implements ResponseListener {
         private final AttemptProgress attempt;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final HeldBody body = new HeldBody();
 
         BufferingListener(AttemptProgress attempt) {
             this.attempt = attempt;
@@ -316,12 +331,11 @@
 
         @Override
         public void onBytes(byte[] bytes, Runnable readMore) {
-            body.writeBytes(bytes);
-            if (body.size() > MAX_BUFFERED_BYTES) {
-                attemptFailed(attempt, new AttemptOutcome(AttemptEvent.CUT_SHORT), "the response is too large");
-                return;
+            if (body.append(bytes)) {
+                readMore.run();
+            } else {
+                giveUp(attempt, HeldBody.MAX_BYTES);
             }
-            readMore.run();
         }
 
         @Override
