Take no undecodable head for an endpoint's answer

Callers' view: the node with fixed peers answered with status 999 or an interim status after an endpoint's head that had no end, as if that were the answer. Ratpack passes on what Netty reports for a head that it cannot decode.

A status outside 200 to 599 is now a lost connection.

After interim responses the request fails, but Ratpack leaves the connection open, unread.

--- a/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
+++ b/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
@@ -31,6 +31,9 @@
 public final class EndpointClient {
     private static final int NO_POOLED_CONNECTIONS = 0;
     private static final int CHUNK_BYTES = 16 * 1024;
+    private static final int FIRST_FINAL_STATUS = 200;
+    /** Netty reports a head that it cannot decode as a response with a status beyond those of HTTP. */
+    private static final int LAST_STATUS = 599;
 
     private final ExecController execController;
     private final HttpClient httpClient;
@@ -110,8 +113,20 @@
     }
 
     private static void streamResponse(StreamedResponse response, ResponseListener listener, SendHandle handle) {
+        final int status = response.getStatusCode();
+        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+            final boolean awaited = !handle.isCancelled();
+            handle.cancel();
+            response.getBody().subscribe(new BodySubscriber(listener, handle));
+            if (awaited) {
+                listener.onFailure(
+                        SendFailure.CONNECTION_LOST,
+                        "the head is not that of a final response, or is too long: status " + status);
+            }
+            return;
+        }
         if (!handle.isCancelled()) {
-            listener.onHead(new ResponseHead(response.getStatusCode(), withLowerCaseNames(response.getHeaders())));
+            listener.onHead(new ResponseHead(status, withLowerCaseNames(response.getHeaders())));
         }
         response.getBody().subscribe(new BodySubscriber(listener, handle));
     }
