Limit the responses that operators' commands read

Operators' view: a command that got a response without end kept all that it read, and did not end; its timeout covers the head only.

A response beyond 32 MiB is given up, its outcome unknown.

--- a/src/main/java/org/wigeongrade/command/EntryTransport.java
+++ b/src/main/java/org/wigeongrade/command/EntryTransport.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -19,6 +20,9 @@
 /** Sends one call to one entry VM and classifies the outcome. Safe for use from any thread. */
 final class EntryTransport {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    /** Longest response that is read, in bytes; those of entry VMs are limited by their messages to each other. */
+    private static final int MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpClient client = HttpClient.newBuilder()
@@ -33,7 +37,8 @@
                 .method(call.method(), HttpRequest.BodyPublishers.ofString(call.body()))
                 .build();
         try {
-            return classify(client.send(request, HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8)));
+            final HttpResponse<InputStream> response = client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+            return classify(response.statusCode(), readBody(response));
         } catch (ConnectException | HttpConnectTimeoutException e) {
             return new CallOutcome.Unreachable("no connection to " + entry);
         } catch (IOException e) {
@@ -44,11 +49,20 @@
         }
     }
 
-    private static CallOutcome classify(HttpResponse<String> response) {
-        final int status = response.statusCode();
+    private static String readBody(HttpResponse<InputStream> response) throws IOException {
+        try (InputStream body = response.body()) {
+            final byte[] bytes = body.readNBytes(MAX_RESPONSE_BYTES + 1);
+            if (bytes.length > MAX_RESPONSE_BYTES) {
+                throw new IOException("it exceeds " + MAX_RESPONSE_BYTES + " bytes");
+            }
+            return new String(bytes, StandardCharsets.UTF_8);
+        }
+    }
+
+    private static CallOutcome classify(int status, String text) {
         final JsonNode body;
         try {
-            body = JSON.readTree(response.body());
+            body = JSON.readTree(text);
         } catch (JsonProcessingException e) {
             return new CallOutcome.Unknown("the response with HTTP status " + status + " is not JSON");
         }
