--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -29,7 +29,7 @@
      * Resend interval of orders: several round trips between VMs, and longer than the retransmission of a lost packet.
      */
     static final long ORDER_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-    /** Time after which an order without an answer is no longer carried out, as the engines guarantee. */
+    /** Longest time for which an order without an answer is assumed to be under way. */
     static final long MAX_ORDER_DELAY_NANOS = TimeUnit.SECONDS.toNanos(12);
     /** Interval at which a change of the recorded groups is proposed again; several round trips between control VMs. */
     static final long RECORD_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
