Say which groups the log does not hold after an upgrade

The invariant of GroupLedger did not hold for groups that were open before the log could hold them; ReviewedPathsTest lists that case. Comments only.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupLedger.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupLedger.java
@@ -18,8 +18,9 @@
 /**
  * The groups of one service that the replicated log holds, as of one planning step.
  *
- * <p>Invariant: once the log holds groups, every group whose head was ordered to open is one of them until a leader knew
- * that the head had stopped. Immutable; safe for use from any thread.
+ * <p>Invariant: every group whose head was ordered to open since the log holds groups is one of them until a leader knew
+ * that the head had stopped. An older group is one of them only once a leader has heard of it. Immutable; safe for use
+ * from any thread.
  */
 public final class GroupLedger {
     private final boolean inForce;
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -25,8 +25,7 @@
  * used only after a heartbeat in this term, and after an unanswered order only once a newer heartbeat has arrived. A VM
  * that the log holds as a member of a group, under any incarnation, is used only once this leader knows that the head of
  * that group has stopped. A VM that reports no group is used only once no head of a leader that did not record its groups
- * can still wait for it. Time is a parameter. Not
- * thread safe.
+ * can still wait for it. Time is a parameter. Not thread safe.
  */
 public final class GroupPlanner {
     /** Number of epochs reserved for each term; a leader forms far fewer groups. */
