Let the leader know what entry nodes have in force, and log it

A pull and a short confirmation after each change now state the version and the availability zones in force; event 1305 names the nodes that lack an acknowledged change. Refusals with 404 and 401 log the version and the age of the view, and each control VM logs the elections that it takes part in. Decisions are as before.

A leader of an earlier build ignores the new field and gets no confirmations; an entry node of an earlier build states its version only.

--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -134,6 +134,7 @@
                 reader,
                 heartbeatRelay,
                 leaderLoop::wake,
+                leaderLoop::awaitInForce,
                 this::requiredVoters,
                 events,
                 clock);
--- a/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
@@ -23,6 +23,8 @@
 import org.wigeongrade.decisions.published.PublishedFault;
 import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.decisions.published.ViewChange;
+import org.wigeongrade.decisions.published.ViewConfirmations;
 import org.wigeongrade.errors.WigeongradeException;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.ids.AvailabilityZone;
@@ -50,11 +52,16 @@
     private final DocumentReader reader;
     private final HeartbeatRelay heartbeatRelay;
     private final Runnable requestPlanning;
+    private final Function<ViewChange, CompletableFuture<ViewConfirmations.Outcome>> awaitInForce;
     private final IntSupplier requiredVoters;
     private final EventLog events;
     private final LongSupplier nanoClock;
 
-    /** @param requestPlanning called when a VM appears, changes group or leaves, so that the leader plans soon */
+    /**
+     * @param requestPlanning called when a VM appears, changes group or leaves, so that the leader plans soon
+     * @param awaitInForce returns a future that completes once the entry nodes have a stored change in force, or after a
+     *     time limit, and that fails if this node stops leading before
+     */
     ControlRequestHandler(
             NodeName self,
             RaftReplicatedLog log,
@@ -64,6 +71,7 @@
             DocumentReader reader,
             HeartbeatRelay heartbeatRelay,
             Runnable requestPlanning,
+            Function<ViewChange, CompletableFuture<ViewConfirmations.Outcome>> awaitInForce,
             IntSupplier requiredVoters,
             EventLog events,
             LongSupplier nanoClock) {
@@ -75,6 +83,7 @@
         this.reader = reader;
         this.heartbeatRelay = heartbeatRelay;
         this.requestPlanning = requestPlanning;
+        this.awaitInForce = awaitInForce;
         this.requiredVoters = requiredVoters;
         this.events = events;
         this.nanoClock = nanoClock;
@@ -171,6 +180,7 @@
                         failure -> logUnknownOutcome(stateMachine.state().version(), failure))
                 .whenComplete((response, failure) -> {
                     if (response instanceof ControlResponse.Accepted) {
+                        followUntilInForce(new ViewChange.ZoneState(zone, out));
                         events.write(
                                 out ? LogEvent.ZONE_OUT : LogEvent.ZONE_IN,
                                 zone,
@@ -222,9 +232,19 @@
             return new ControlResponse.Conflict(message);
         }
         events.write(LogEvent.CONFIGURATION_APPLIED, version, self, outcome);
+        followUntilInForce(new ViewChange.Configuration(version));
         return new ControlResponse.Accepted();
     }
 
+    /** Lets the entry nodes that have the change in force be logged. */
+    private void followUntilInForce(ViewChange change) {
+        final var unused = awaitInForce.apply(change).whenComplete((outcome, failure) -> {
+            if (failure != null) {
+                logUnknownOutcome(stateMachine.state().version(), failure);
+            }
+        });
+    }
+
     private void logUnknownOutcome(long version, Throwable failure) {
         events.write(LogEvent.CONFIGURATION_REFUSED, version, self, "outcome_unknown", failure.getMessage());
     }
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.fleet.control;
 
+import com.google.common.collect.ImmutableSet;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.function.Supplier;
 import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.published.CommandFormat;
+import org.wigeongrade.decisions.published.ConfirmedView;
 import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
 import org.wigeongrade.fleet.ControlDirectory;
@@ -20,6 +22,7 @@
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
 import org.wigeongrade.fleet.thrift.UsageRecord;
+import org.wigeongrade.fleet.thrift.ViewConfirmation;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.ids.VmIncarnation;
@@ -82,12 +85,40 @@
         if (term.isEmpty()) {
             return reply;
         }
+        recordView(
+                term.get(),
+                request.getNode(),
+                request.getConfigurationVersion(),
+                Optional.ofNullable(request.getZonesOut()));
         final boolean ledBefore = log.isLeaderWithLease();
         final PublishedState state = stateMachine.state();
         writeState(state, request.getConfigurationVersion(), reply);
         recordLeaving(request.getUsage());
         term.get().handlePull(request, reply, nanoClock.getAsLong());
-        return reply.setLeads(ledBefore && log.isLeaderWithLease());
+        return reply.setTakesConfirmations(true).setLeads(ledBefore && log.isLeaderWithLease());
+    }
+
+    @Override
+    public void confirm(ViewConfirmation confirmation) {
+        leaderTerm
+                .get()
+                .ifPresent(term -> recordView(
+                        term,
+                        confirmation.getNode(),
+                        confirmation.getConfigurationVersion(),
+                        Optional.of(confirmation.getZonesOut())));
+    }
+
+    private void recordView(LeaderTerm term, String node, long version, Optional<List<String>> zonesOut) {
+        term.viewConfirmations()
+                .record(
+                        NodeName.of(node),
+                        new ConfirmedView(
+                                version,
+                                zonesOut.map(zones -> zones.stream()
+                                        .map(AvailabilityZone::of)
+                                        .collect(ImmutableSet.toImmutableSet()))),
+                        nanoClock.getAsLong());
     }
 
     /** Notes the endpoints that told an entry node that they leave, so that the next step replaces them. */
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -13,6 +14,8 @@
 import org.wigeongrade.decisions.published.PublishedCommand;
 import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.decisions.published.ViewChange;
+import org.wigeongrade.decisions.published.ViewConfirmations;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.ids.NodeName;
@@ -84,6 +87,40 @@
         return currentTerm;
     }
 
+    /**
+     * Returns a future that completes once the entry nodes have the change in force, or after a time limit; it fails if
+     * this node does not lead until then.
+     *
+     * @param change a change that this node stored
+     */
+    CompletableFuture<ViewConfirmations.Outcome> awaitInForce(ViewChange change) {
+        final Optional<LeaderTerm> term = currentTerm;
+        if (term.isEmpty()) {
+            return CompletableFuture.failedFuture(new IllegalStateException("this node does not lead any more"));
+        }
+        final ViewConfirmations confirmations = term.get().viewConfirmations();
+        final CompletableFuture<ViewConfirmations.Outcome> outcome = confirmations.await(change, nanoClock.getAsLong());
+        if (!currentTerm.equals(term)) {
+            // The waits of the term may have been failed before this one was added.
+            confirmations.failAll();
+        }
+        return outcome.whenComplete((known, failure) -> {
+            if (failure == null) {
+                logInForce(known);
+            }
+        });
+    }
+
+    private void logInForce(ViewConfirmations.Outcome outcome) {
+        events.write(
+                LogEvent.CHANGE_IN_FORCE,
+                outcome.change(),
+                outcome.entryNodes() - outcome.missing().size(),
+                outcome.entryNodes(),
+                outcome.waitedMs(),
+                outcome.missing());
+    }
+
     /** Requests a planning step soon; called after the response to an order or a change of a group. */
     void wake() {
         wakeUps.release();
@@ -126,6 +163,7 @@
             currentTerm = latestTerm;
             events.write(LogEvent.LEADER_ELECTED, self, term);
         }
+        currentTerm.get().viewConfirmations().expire(nanoClock.getAsLong());
         try {
             formatUpgrade.proposeIfSupported(nanoClock.getAsLong());
             plan(currentTerm.get());
@@ -176,8 +214,12 @@
     }
 
     private void endTerm(String cause) {
-        currentTerm.ifPresent(term -> events.write(LogEvent.LEADER_LOST, self, term.term(), cause));
+        final Optional<LeaderTerm> ended = currentTerm;
         currentTerm = Optional.empty();
+        ended.ifPresent(term -> {
+            events.write(LogEvent.LEADER_LOST, self, term.term(), cause);
+            term.viewConfirmations().failAll();
+        });
     }
 
     /** Interrupts the planning thread and waits up to one second for it to end. */
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -109,7 +109,9 @@
         }
         route = configuration.get().route(request.hostname(), request.path());
         if (route.isEmpty()) {
-            fail(ErrorKind.NOT_FOUND, "no route of host " + request.hostname() + " matches the path");
+            fail(
+                    ErrorKind.NOT_FOUND,
+                    "no route of host " + request.hostname() + " matches the path, " + describeView());
             return;
         }
         setDeadline(route.get());
@@ -184,11 +186,17 @@
         }
         organisation = request.apiKey().flatMap(configuration::organisationOf);
         if (organisation.isEmpty()) {
-            fail(ErrorKind.UNAUTHENTICATED, "the API key does not belong to an organisation");
+            fail(ErrorKind.UNAUTHENTICATED, "the API key does not belong to an organisation, " + describeView());
         }
         return organisation.isPresent();
     }
 
+    private String describeView() {
+        final EntryView view = services.registry().view();
+        return "configuration version " + view.version() + ", view "
+                + TimeUnit.NANOSECONDS.toMillis(log.arrivedNanos() - view.pullSentNanos()) + " ms old";
+    }
+
     private void send() {
         final long nowNanos = services.nowNanos();
         final long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -24,6 +24,7 @@
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
 import org.wigeongrade.fleet.thrift.UsageRecord;
+import org.wigeongrade.fleet.thrift.ViewConfirmation;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.logging.EventLog;
@@ -114,8 +115,10 @@
             final PullReply reply = client.orElseThrow().call(thriftClient -> thriftClient.pull(request));
             directory.addControlVms(reply.getControlVms());
             if (reply.isLeads()) {
-                applyReply(reply, sentNanos);
                 knownLeader = Optional.of(controlVm);
+                if (applyReply(reply, sentNanos) && reply.isTakesConfirmations()) {
+                    confirm(controlVm);
+                }
                 return true;
             }
             restoreCrashes(request.getCrashes());
@@ -129,6 +132,25 @@
         return false;
     }
 
+    /** Tells the leader what is in force on this node now; if that fails, the next pull says the same. */
+    private void confirm(String leader) {
+        final EntryView view = registry.view();
+        final ViewConfirmation confirmation = new ViewConfirmation(self.value(), view.version(), zonesOutOf(view));
+        try {
+            final boolean unused = client.orElseThrow().call(thriftClient -> {
+                thriftClient.confirm(confirmation);
+                return true;
+            });
+        } catch (TException e) {
+            knownLeader = Optional.empty();
+            logFirstFailure(leader, e);
+        }
+    }
+
+    private static List<String> zonesOutOf(EntryView view) {
+        return view.zonesOut().stream().map(AvailabilityZone::value).toList();
+    }
+
     private void connectTo(String controlVm) {
         if (connectedTo.filter(controlVm::equals).isPresent()) {
             return;
@@ -159,10 +181,12 @@
         request.setQuarantinedParts(PromptPartRecords.quarantineToThrift(parts.all(), nowNanos));
         registry.limits().drainReports(nowNanos).forEach(request::addToLimits);
         relayAddress.get().ifPresent(request::setRelayAddress);
+        request.setZonesOut(zonesOutOf(view));
         return request;
     }
 
-    private void applyReply(PullReply reply, long sentNanos) throws InterruptedException {
+    /** Applies the reply of a leader; returns whether the configuration or the availability zones have changed. */
+    private boolean applyReply(PullReply reply, long sentNanos) throws InterruptedException {
         failing = false;
         final EntryView known = registry.view();
         final Optional<PublishedConfiguration> newConfiguration = reply.isSetDocument()
@@ -191,6 +215,7 @@
             registry.limits().apply(reply, nanoClock.getAsLong());
             return ImmutableMap.of();
         });
+        return next.version() != known.version() || !next.zonesOut().equals(known.zonesOut());
     }
 
     private void restoreCrashes(List<CrashRecord> crashes) throws InterruptedException {
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -42,6 +42,11 @@
     CONFIGURATION_REFUSED(1302, Level.WARNING, "change {change} of {operator} refused with {code}: {cause}"),
     ZONE_OUT(1303, Level.INFO, "availability zone {zone} taken out at revision {revision} by {operator}"),
     ZONE_IN(1304, Level.INFO, "availability zone {zone} brought in at revision {revision} by {operator}"),
+    CHANGE_IN_FORCE(
+            1305,
+            Level.INFO,
+            "{change} is in force on {confirmed} of {entry_nodes} entry nodes {elapsed_ms} ms after it was stored, not on"
+                    + " {missing}"),
 
     GROUP_FORMED(1401, Level.INFO, "group {group} formed of VMs {members}: {cause}"),
     GROUP_DISSOLVED(1402, Level.INFO, "group {group} dissolved: {cause}"),
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -19,6 +19,7 @@
 import org.wigeongrade.decisions.log.LogMessage;
 import org.wigeongrade.decisions.log.Membership;
 import org.wigeongrade.decisions.log.RaftCore;
+import org.wigeongrade.decisions.log.Role;
 import org.wigeongrade.disk.LogStore;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
@@ -77,6 +78,9 @@
     private final long tickNanos;
     private long nextTickNanos;
     private long proposalTerm;
+    /** Used by the writer thread only. */
+    private Role loggedRole = Role.FOLLOWER;
+
     private volatile Status status;
     private volatile boolean stopping;
     /**
@@ -332,6 +336,7 @@
         if (lostLeadership) {
             pending.failAll();
         }
+        logRoleChange();
         OptionalLong leaderSinceNanos = core.leaderSinceNanos();
         status = new Status(
                 core.term(),
@@ -344,6 +349,22 @@
         pending.runCompletions();
     }
 
+    private void logRoleChange() {
+        final Role role = core.role();
+        if (role == loggedRole && core.term() == status.term()) {
+            return;
+        }
+        loggedRole = role;
+        LOGGER.log(
+                Level.INFO,
+                "replica {0} is {1} in term {2}; its log ends at {3}, committed up to {4}",
+                settings.self(),
+                role,
+                core.term(),
+                core.last().index(),
+                core.commitIndex());
+    }
+
     private void terminate() {
         status = new Status(
                 status.term(),
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -93,6 +93,8 @@
   11: optional list<EndpointLimitRecord> limits
   // Address, as ip:port, at which the entry VM takes requests that other entry VMs relay; absent while it takes none.
   12: optional string relayAddress
+  // Availability zones that the entry VM treats as out of service.
+  13: optional list<string> zonesOut
 }
 
 struct PullReply {
@@ -127,6 +129,15 @@
   19: optional list<EndpointLimitRecord> limits
   // Addresses of some entry VMs that take requests which this one cannot send to an endpoint.
   20: optional list<string> relayAddresses
+  // The leader takes confirmations of what an entry VM has in force.
+  21: optional bool takesConfirmations
+}
+
+// What an entry VM has in force.
+struct ViewConfirmation {
+  1: string node
+  2: i64 configurationVersion
+  3: list<string> zonesOut
 }
 
 // What an endpoint VM last said of itself, as one control VM heard it.
@@ -175,4 +186,6 @@
   PullReply pull(1: PullRequest request)
   // Control VM to control VM: heartbeats that the sender heard, and the control VMs that it knows.
   ExchangeReply exchange(1: ExchangeRequest request)
+  // Entry VM to the leader: the configuration or the availability zones of the last reply are in force.
+  void confirm(1: ViewConfirmation confirmation)
 }
