Show that acknowledged changes are not in force on entry nodes

Two tests of real nodes over loopback: a route of an acknowledged version is refused with 404, and a zone whose end of service was acknowledged is sent requests, until the next pull; if all control nodes end before it, for as long as they are away.

--- /dev/null
+++ b/src/test/java/org/wigeongrade/platform/AcknowledgedConfigurationTest.java
@@ -0,0 +1,59 @@
+package org.wigeongrade.platform;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tests what entry nodes have in force when an operator's change is acknowledged. */
+final class AcknowledgedConfigurationTest {
+    private static final int ENDPOINTS = 2;
+    private static final int CHANGES = 6;
+    private static final int OK = 200;
+    private static final String ZONE_OF_ENDPOINTS = "zone-a";
+
+    @TempDir
+    private Path folder;
+
+    /** Guards against an acknowledgement before the entry nodes know the route: without control, they never learn it. */
+    @Test
+    void everyEntryNodeServesTheAcknowledgedRouteWhenAllControlNodesEnd() throws InterruptedException {
+        try (LoopbackFleet fleet =
+                new LoopbackFleet(folder, ENDPOINTS, (endpoint, exchange) -> {}, exchange -> false)) {
+            for (int change = 1; change <= CHANGES; change++) {
+                final String path = "/added" + change + "/";
+                assertWithMessage("status of change %s", change)
+                        .that(fleet.publish(LoopbackFleet.FIRST_VERSION + change, List.of(path)))
+                        .isEqualTo(OK);
+                if (change == CHANGES) {
+                    fleet.stopControl();
+                }
+                for (int entry = 0; entry < LoopbackFleet.ENTRIES; entry++) {
+                    assertWithMessage("status on the route of change %s at entry node %s", change, entry)
+                            .that(fleet.send(entry, path, "added-" + change + "-" + entry, "5a5a:40,1:300")
+                                    .join())
+                            .isEqualTo(OK);
+                }
+            }
+        }
+    }
+
+    /** Guards against requests to a zone after its end of service was acknowledged and the control nodes ended. */
+    @Test
+    void noEntryNodeSendsToAZoneWhoseEndOfServiceWasAcknowledged() throws InterruptedException {
+        try (LoopbackFleet fleet =
+                new LoopbackFleet(folder, ENDPOINTS, (endpoint, exchange) -> {}, exchange -> false)) {
+            assertWithMessage("status of the order")
+                    .that(fleet.takeOut(ZONE_OF_ENDPOINTS))
+                    .isEqualTo(OK);
+            fleet.stopControl();
+            for (int entry = 0; entry < LoopbackFleet.ENTRIES; entry++) {
+                assertWithMessage("status at entry node %s", entry)
+                        .that(fleet.send(entry, "5a5a:40,1:300").join())
+                        .isNotEqualTo(OK);
+            }
+        }
+    }
+}
--- a/src/test/java/org/wigeongrade/platform/LoopbackFleet.java
+++ b/src/test/java/org/wigeongrade/platform/LoopbackFleet.java
@@ -27,6 +27,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.wigeongrade.fleet.control.ControlNode;
 import org.wigeongrade.fleet.entry.EntryNode;
 import org.wigeongrade.ids.AvailabilityZone;
@@ -55,6 +56,7 @@
     static final String NON_IDEMPOTENT_PATH = "/order/";
     private static final String ZONE = "zone-a";
     private static final long HEARTBEAT_MS = 150;
+    static final long FIRST_VERSION = 7;
 
     private final Path folder;
     private final HttpClient client = HttpClient.newHttpClient();
@@ -123,7 +125,7 @@
             node.start();
             entries.add(node);
         }
-        await("configuration accepted", () -> post("/-/configuration/replace", configuration()) == 200);
+        await("configuration accepted", () -> publish(FIRST_VERSION, List.of()) == 200);
         for (int number = 0; number < endpointCount; number++) {
             final int endpoint = number;
             endpoints.add(new CrashableEndpoint(
@@ -175,20 +177,40 @@
                 .forEach(entry -> proxies.get(entry * endpointCount + endpoint).setMode(mode));
     }
 
-    private String configuration() {
+    /** Publishes a configuration with further idempotent routes on each entry node; returns the status. */
+    int publish(long version, List<String> furtherPaths) {
+        return post("/-/configuration/replace", configuration(version, furtherPaths));
+    }
+
+    /** Takes an availability zone out of service; returns the status. */
+    int takeOut(String zone) {
+        return post("/-/evacuation/" + zone + "/begin", "");
+    }
+
+    /** Stops the control node. */
+    void stopControl() throws InterruptedException {
+        control.stop();
+        control.awaitStopped();
+    }
+
+    private String configuration(long version, List<String> furtherPaths) {
         final String routes = IntStream.range(0, entryCount)
-                .mapToObj(entry -> route(entry, IDEMPOTENT_PATH, "idempotent") + ","
-                        + route(entry, NON_IDEMPOTENT_PATH, "non_idempotent"))
+                .mapToObj(entry -> Stream.concat(
+                                Stream.of(
+                                        route(entry, IDEMPOTENT_PATH, "idempotent"),
+                                        route(entry, NON_IDEMPOTENT_PATH, "non_idempotent")),
+                                furtherPaths.stream().map(path -> route(entry, path, "idempotent")))
+                        .collect(Collectors.joining(",")))
                 .collect(Collectors.joining(","));
         return """
-                {"version":7,"routes":[%s],"services":[{"name":"app","maxConnections":400}],
-                "tenants":[{"name":"shop","apiKeys":["key-1"]}]}""".formatted(routes);
+                {"version":%d,"routes":[%s],"services":[{"name":"app","maxConnections":400}],
+                "tenants":[{"name":"shop","apiKeys":["key-1"]}]}""".formatted(version, routes);
     }
 
     private static String route(int entry, String path, String kind) {
         return """
-                {"name":"%s-%d","hostname":"%s","pathPrefix":"%s","kind":"%s","timeoutMs":4000,"maxAttempts":2,
-                "service":"app"}""".formatted(kind, entry, entryIp(entry), path, kind);
+                {"name":"r%d-%s","hostname":"%s","pathPrefix":"%s","kind":"%s","timeoutMs":4000,"maxAttempts":2,
+                "service":"app"}""".formatted(entry, path.replace("/", ""), entryIp(entry), path, kind);
     }
 
     /** What a test does when a request arrives at an endpoint or the endpoint crashes. */
