Acknowledge a change once the entry nodes have it in force

Callers saw 404 on a route of an acknowledged version, for seconds, after all control VMs had lost power; an operator's end of service of a zone was ignored in the same way.

Cause: a change was acknowledged when enough disks had it. Entry nodes get it at their next pull; if control is gone by then, nothing bounds the time until they have it.

An operator who sends a stored version again gets no earlier answer. What is acknowledged no longer needs control to come into force.

--- a/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
@@ -39,7 +39,8 @@
  * Handles requests of operators and endpoint VMs at one control node.
  *
  * <p>Invariants: a change, and a VM's statement that it leaves, is accepted only once it is on enough disks; the latter
- * waits for the disks only if the log may hold {@link CommandFormat#WITHDRAWALS}. A read is answered only by a leader that
+ * waits for the disks only if the log may hold {@link CommandFormat#WITHDRAWALS}. An operator's change is accepted only
+ * once the entry nodes that can be heard have it in force, or after a time limit. A read is answered only by a leader that
  * held its lease before the state was read, so that the response is complete, and after, so that it is never older than
  * an accepted change. Thread safe; holds no lock of its own.
  */
@@ -167,9 +168,10 @@
         }
         final long version = configuration.version();
         return submit(
-                new PublishedCommand.Publish(version, Bytes.wrap(document)),
-                outcome -> responseToPublish(version, outcome),
-                failure -> logUnknownOutcome(version, failure));
+                        new PublishedCommand.Publish(version, Bytes.wrap(document)),
+                        outcome -> responseToPublish(version, outcome),
+                        failure -> logUnknownOutcome(version, failure))
+                .thenCompose(response -> afterInForce(response, new ViewChange.Configuration(version)));
     }
 
     /** Takes an availability zone out of service or puts it back. */
@@ -178,9 +180,9 @@
                         new PublishedCommand.SetZone(zone, out),
                         outcome -> new ControlResponse.Accepted(),
                         failure -> logUnknownOutcome(stateMachine.state().version(), failure))
+                .thenCompose(response -> afterInForce(response, new ViewChange.ZoneState(zone, out)))
                 .whenComplete((response, failure) -> {
                     if (response instanceof ControlResponse.Accepted) {
-                        followUntilInForce(new ViewChange.ZoneState(zone, out));
                         events.write(
                                 out ? LogEvent.ZONE_OUT : LogEvent.ZONE_IN,
                                 zone,
@@ -232,16 +234,23 @@
             return new ControlResponse.Conflict(message);
         }
         events.write(LogEvent.CONFIGURATION_APPLIED, version, self, outcome);
-        followUntilInForce(new ViewChange.Configuration(version));
         return new ControlResponse.Accepted();
     }
 
-    /** Lets the entry nodes that have the change in force be logged. */
-    private void followUntilInForce(ViewChange change) {
-        final var unused = awaitInForce.apply(change).whenComplete((outcome, failure) -> {
-            if (failure != null) {
-                logUnknownOutcome(stateMachine.state().version(), failure);
+    /**
+     * Delays the acknowledgement of a stored change until the entry nodes have it in force: they could not learn it later
+     * if all control VMs ended now.
+     */
+    private CompletableFuture<ControlResponse> afterInForce(ControlResponse response, ViewChange change) {
+        if (!(response instanceof ControlResponse.Accepted)) {
+            return CompletableFuture.completedFuture(response);
+        }
+        return awaitInForce.apply(change).handle((outcome, failure) -> {
+            if (failure == null) {
+                return response;
             }
+            logUnknownOutcome(stateMachine.state().version(), failure);
+            return new ControlResponse.Unavailable("the change is stored but may not be in force yet; send it again");
         });
     }
 
