Send configurations as compressed differences

From 24.22 s on, all calls between the control VMs time out; the leader loses its lease at 24.29 s, the next one, from 25.11 s, at 26.19 s; the third leads from 27.02 s. For 3.4 s most of the time nobody leads, no change is accepted and entry nodes keep the version that they have.

Cause: each version went to each of 129 entry nodes as a whole and uncompressed over the leader's link, some 300 KB each, and again if a pull timed out behind it, so that the log's heartbeats were late. In storms of small changes the same flood made a commit take 0.3 to 0.4 s.

Control nodes hold the documents before the latest up to a limit, also while they do not lead. Without a common base, or after a failure, the whole document is sent, compressed. Entry nodes and leaders of earlier builds still get and send the document as it was published.

DocumentDeltaTest bounds what a change costs at 340 nodes by half of the time that it has; the whole document of 1,680 routes uncompressed exceeded that bound five times.

--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -83,6 +83,7 @@
     private final HeartbeatRelay heartbeatRelay = new HeartbeatRelay();
     private final PeerFormats peerFormats = new PeerFormats();
     private final PublishedStateMachine stateMachine = new PublishedStateMachine();
+    private final DocumentHistory documentHistory = new DocumentHistory();
     private final SharedEventLoop loop = new SharedEventLoop();
     private final ClientMemory clientMemory;
     private final Map<String, PeerExchange> exchanges = new HashMap<>();
@@ -141,6 +142,7 @@
         final ControlService service = new ControlService(
                 log,
                 stateMachine,
+                documentHistory,
                 registry,
                 directory,
                 peerFormats,
@@ -225,7 +227,10 @@
                 directory,
                 LogSettings.DEFAULT_COMPACT_AFTER_ENTRIES);
         return RaftReplicatedLog.open(
-                logSettings, new ReplicatedPublishedState(stateMachine), clock, this::haltOnLogFailure);
+                logSettings,
+                new ReplicatedPublishedState(stateMachine, documentHistory),
+                clock,
+                this::haltOnLogFailure);
     }
 
     private int toleratedLosses() {
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -15,6 +15,7 @@
 import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
 import org.wigeongrade.fleet.ControlDirectory;
+import org.wigeongrade.fleet.thrift.EncodedDocument;
 import org.wigeongrade.fleet.thrift.ExchangeReply;
 import org.wigeongrade.fleet.thrift.ExchangeRequest;
 import org.wigeongrade.fleet.thrift.FleetService;
@@ -42,6 +43,7 @@
 
     private final RaftReplicatedLog log;
     private final PublishedStateMachine stateMachine;
+    private final DocumentHistory documentHistory;
     private final VmRegistry registry;
     private final ControlDirectory directory;
     private final PeerFormats peerFormats;
@@ -54,6 +56,7 @@
     ControlService(
             RaftReplicatedLog log,
             PublishedStateMachine stateMachine,
+            DocumentHistory documentHistory,
             VmRegistry registry,
             ControlDirectory directory,
             PeerFormats peerFormats,
@@ -64,6 +67,7 @@
             LongSupplier nanoClock) {
         this.log = log;
         this.stateMachine = stateMachine;
+        this.documentHistory = documentHistory;
         this.registry = registry;
         this.directory = directory;
         this.peerFormats = peerFormats;
@@ -92,7 +96,7 @@
                 Optional.ofNullable(request.getZonesOut()));
         final boolean ledBefore = log.isLeaderWithLease();
         final PublishedState state = stateMachine.state();
-        writeState(state, request.getConfigurationVersion(), reply);
+        writeState(state, request, reply);
         recordLeaving(request.getUsage());
         term.get().handlePull(request, reply, nanoClock.getAsLong());
         return reply.setTakesConfirmations(true).setLeads(ledBefore && log.isLeaderWithLease());
@@ -163,11 +167,19 @@
         }
     }
 
-    private static void writeState(PublishedState state, long knownVersion, PullReply reply) {
+    private void writeState(PublishedState state, PullRequest request, PullReply reply) {
         reply.setConfigurationVersion(state.version())
                 .setZonesOut(
                         state.zonesOut().stream().map(AvailabilityZone::value).toList());
-        if (state.version() > knownVersion) {
+        if (state.version() <= request.getConfigurationVersion()) {
+            return;
+        }
+        final Optional<EncodedDocument> encoded = request.isSetDocumentVersion()
+                ? documentHistory.encode(state.version(), request.getDocumentVersion())
+                : Optional.empty();
+        if (encoded.isPresent()) {
+            reply.setEncodedDocument(encoded.get());
+        } else {
             state.document().ifPresent(document -> reply.setDocument(ByteBuffer.wrap(document)));
         }
     }
--- a/src/main/java/org/wigeongrade/fleet/control/ReplicatedPublishedState.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ReplicatedPublishedState.java
@@ -3,11 +3,17 @@
 import org.wigeongrade.decisions.published.PublishedStateMachine;
 import org.wigeongrade.nodes.log.ReplicatedStateMachine;
 
-/** Applies the commands of the replicated log to the published state. Called only on the log's thread. */
-record ReplicatedPublishedState(PublishedStateMachine stateMachine) implements ReplicatedStateMachine {
+/**
+ * Applies the commands of the replicated log to the published state, and records the configurations that it goes
+ * through. Called only on the log's thread.
+ */
+record ReplicatedPublishedState(PublishedStateMachine stateMachine, DocumentHistory history)
+        implements ReplicatedStateMachine {
     @Override
     public byte[] apply(long index, byte[] command) {
-        return stateMachine.apply(command);
+        final byte[] result = stateMachine.apply(command);
+        history.record(stateMachine.state());
+        return result;
     }
 
     @Override
@@ -18,5 +24,6 @@
     @Override
     public void restore(byte[] snapshot) {
         stateMachine.restore(snapshot);
+        history.record(stateMachine.state());
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.thrift.TException;
+import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.fleet.ConfigurationCache;
@@ -54,6 +55,7 @@
     /** The control VM that is believed to be the leader. */
     private Optional<String> knownLeader = Optional.empty();
 
+    private KnownDocument knownDocument = KnownDocument.NONE;
     private Optional<String> connectedTo = Optional.empty();
     private Optional<FleetClient> client = Optional.empty();
     private boolean failing;
@@ -182,6 +184,7 @@
         registry.limits().drainReports(nowNanos).forEach(request::addToLimits);
         relayAddress.get().ifPresent(request::setRelayAddress);
         request.setZonesOut(zonesOutOf(view));
+        request.setDocumentVersion(knownDocument.version());
         return request;
     }
 
@@ -189,10 +192,7 @@
     private boolean applyReply(PullReply reply, long sentNanos) throws InterruptedException {
         failing = false;
         final EntryView known = registry.view();
-        final Optional<PublishedConfiguration> newConfiguration = reply.isSetDocument()
-                ? Optional.of(configurationCache.get(reply.getConfigurationVersion(), reply.getDocument()))
-                        .filter(found -> found.version() > known.version())
-                : Optional.empty();
+        final Optional<PublishedConfiguration> newConfiguration = readDocument(reply, known.version());
         final boolean replacesAll = reply.isComplete() && reply.isSettled();
         final EntryView next = new EntryView(
                 newConfiguration.or(known::configuration),
@@ -218,6 +218,25 @@
         return next.version() != known.version() || !next.zonesOut().equals(known.zonesOut());
     }
 
+    /** Returns the configuration in a reply; empty if it contains none that is newer than the known one. */
+    private Optional<PublishedConfiguration> readDocument(PullReply reply, long knownVersion) {
+        if (reply.getConfigurationVersion() <= knownVersion) {
+            return Optional.empty();
+        }
+        if (reply.isSetEncodedDocument()) {
+            final KnownDocument base = knownDocument;
+            // Forgotten until the new one is known, so that after a failure the whole document is pulled.
+            knownDocument = KnownDocument.NONE;
+            knownDocument = base.decode(reply.getConfigurationVersion(), reply.getEncodedDocument());
+        } else if (reply.isSetDocument()) {
+            knownDocument = new KnownDocument(reply.getConfigurationVersion(), Bytes.wrap(reply.getDocument()));
+        } else {
+            return Optional.empty();
+        }
+        return Optional.of(configurationCache.get(
+                knownDocument.version(), knownDocument.document().array()));
+    }
+
     private void restoreCrashes(List<CrashRecord> crashes) throws InterruptedException {
         if (!crashes.isEmpty()) {
             callOnEventLoop(() -> {
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -95,6 +95,17 @@
   12: optional string relayAddress
   // Availability zones that the entry VM treats as out of service.
   13: optional list<string> zonesOut
+  // Version of the document to which the entry VM can apply a difference; 0 if it has none. Absent if it can apply none.
+  14: optional i64 documentVersion
+}
+
+// A configuration as its difference from an earlier one.
+struct EncodedDocument {
+  // 0 if the difference is from an empty document.
+  1: i64 baseVersion
+  2: binary delta
+  // Digest of the document.
+  3: binary sha256
 }
 
 struct PullReply {
@@ -131,6 +142,8 @@
   20: optional list<string> relayAddresses
   // The leader takes confirmations of what an entry VM has in force.
   21: optional bool takesConfirmations
+  // In place of the document, if the entry VM can apply differences.
+  22: optional EncodedDocument encodedDocument
 }
 
 // What an entry VM has in force.
