State the absence of a route or key only by a current view

Callers got 404 and 401 for routes and keys that existed: an entry node that has not reached the leader for seconds went on by its last view, however old, and stated as a fact what that view cannot know. Callers do not retry these responses.

A view that was pulled longer ago than the time in which a change must be in force (config_apply_ms) may lack a configuration that is in force. In place of 404 or 401 the node now refuses with 503 no_view_lease and when to retry: the request has not run, and another node may know. Requests on routes that the view has are served as before, so that a fleet without control goes on. The interface of nodes with fixed peers holds a lease on its view and refuses with the same code already.

--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -148,7 +148,8 @@
                 events,
                 metrics,
                 clock,
-                revokeTimeNanos(KEY_AGE_FRACTION));
+                revokeTimeNanos(KEY_AGE_FRACTION),
+                TimeUnit.MILLISECONDS.toNanos(settings.ms(FleetKey.CONFIG_APPLY_MS)));
     }
 
     /** Starts serving callers, readiness checks and metrics. */
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
@@ -14,6 +14,7 @@
  * Objects that all exchanges of an entry node share. Used on the event loop only.
  *
  * @param maxKeyAgeNanos maximum age of the view at which requests with API keys are sent
+ * @param configApplyNanos time in which an accepted configuration must be in force on every node
  */
 record EntryServices(
         AvailabilityZone zone,
@@ -32,11 +33,20 @@
         EventLog events,
         Metrics metrics,
         LongSupplier nanoClock,
-        long maxKeyAgeNanos) {
+        long maxKeyAgeNanos,
+        long configApplyNanos) {
     long nowNanos() {
         return nanoClock.getAsLong();
     }
 
+    /**
+     * Returns whether the view shows every configuration that must be in force now, so that what it does not contain is
+     * known to be absent.
+     */
+    boolean viewIsCurrent(long nowNanos) {
+        return nowNanos - registry.view().pullSentNanos() < configApplyNanos;
+    }
+
     /** Returns whether the view is so recent that no API key in it can have been revoked longer ago than allowed. */
     boolean keysAreFresh(long nowNanos) {
         return registry.view().configuration().isPresent()
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -109,7 +109,7 @@
         }
         route = configuration.get().route(request.hostname(), request.path());
         if (route.isEmpty()) {
-            fail(
+            failAsAbsent(
                     ErrorKind.NOT_FOUND,
                     "no route of host " + request.hostname() + " matches the path, " + describeView());
             return;
@@ -186,11 +186,23 @@
         }
         organisation = request.apiKey().flatMap(configuration::organisationOf);
         if (organisation.isEmpty()) {
-            fail(ErrorKind.UNAUTHENTICATED, "the API key does not belong to an organisation, " + describeView());
+            failAsAbsent(ErrorKind.UNAUTHENTICATED, "the API key does not belong to an organisation, " + describeView());
         }
         return organisation.isPresent();
     }
 
+    /**
+     * Ends a request for something that the view does not contain; refuses it if the view is so old that a configuration
+     * that must be in force may contain it.
+     */
+    private void failAsAbsent(ErrorKind kind, String cause) {
+        if (services.viewIsCurrent(log.arrivedNanos())) {
+            fail(kind, cause);
+        } else {
+            refuse(ErrorKind.NO_VIEW_LEASE, cause, ErrorKind.NO_VIEW_LEASE.retryAfterMs());
+        }
+    }
+
     private String describeView() {
         final EntryView view = services.registry().view();
         return "configuration version " + view.version() + ", view "
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -36,6 +36,7 @@
 final class EntryFixture {
     static final ServiceName SERVICE = ServiceName.of("app");
     static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
+    static final long CONFIG_APPLY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private EntryFixture() {}
 
@@ -88,6 +89,15 @@
             Map<String, Integer> inFlightElsewhere,
             List<String> relayAddresses,
             RoutableRecord... endpoints) {
+        return view(configuration, inFlightElsewhere, relayAddresses, System.nanoTime(), endpoints);
+    }
+
+    static EntryView view(
+            PublishedConfiguration configuration,
+            Map<String, Integer> inFlightElsewhere,
+            List<String> relayAddresses,
+            long pullSentNanos,
+            RoutableRecord... endpoints) {
         return new EntryView(
                 Optional.of(configuration),
                 Set.of(),
@@ -103,7 +113,7 @@
                 relayAddresses,
                 1,
                 1,
-                System.nanoTime());
+                pullSentNanos);
     }
 
     static CallerRequest request(ImmutableSet<PromptPartId> sharedPromptParts) {
@@ -150,6 +160,7 @@
                 events,
                 metrics,
                 System::nanoTime,
-                TimeUnit.SECONDS.toNanos(5));
+                TimeUnit.SECONDS.toNanos(5),
+                CONFIG_APPLY_NANOS);
     }
 }
