Let an older view not refuse or divert relayed requests

A node that reaches no endpoint relays requests to another entry node, which routed them again by its own view. With an older configuration than that of the first node, the caller got 404 or 401 for a route or key that its own node knew, or the request ran at the old service: the caller's node seemed to go back by a version.

OldViewTest: three of the seven relay cases got 404, 401 or a service of the older configuration before, by construction, as relayed requests carried no version.

The relaying node states its configuration version and the service that it chose. A node with an older version takes that choice, and if its route does not allow it, answers that it has not taken the request, so that the relaying node tries another one. Newer nodes route by their own view; nodes of earlier builds state and read neither header.

--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -132,7 +132,7 @@
     private void serve(FullHttpRequest message) {
         hasServed = true;
         keepAlive = HttpUtil.isKeepAlive(message);
-        final Optional<Integer> earlierAttempts = RelayHeaders.takeEarlierAttempts(message.headers());
+        final RelayOrigin origin = RelayHeaders.takeOrigin(message.headers());
         final CallerRequest request;
         try {
             request = services.codec().decode(message);
@@ -143,11 +143,7 @@
             return;
         }
         final Exchange exchange = new Exchange(
-                services,
-                request,
-                fromEntryNode ? Optional.of(earlierAttempts.orElse(0)) : Optional.empty(),
-                this,
-                this::onExchangeEnd);
+                services, request, fromEntryNode ? Optional.of(origin) : Optional.empty(), this, this::onExchangeEnd);
         currentExchange = Optional.of(exchange);
         if (connections.isRefusing()) {
             exchange.refuseWhileStopping();
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -41,6 +41,10 @@
     /** With less time left, in milliseconds, an attempt cannot complete before the deadline. */
     private static final long MIN_ATTEMPT_MS = 5;
 
+    /** Reasons to refuse a relayed request that depend on the node. */
+    private static final ImmutableSet<ErrorKind> OTHER_NODE_MAY_TAKE =
+            ImmutableSet.of(ErrorKind.NO_ENDPOINT_REACHABLE, ErrorKind.STOPPING, ErrorKind.NO_VIEW_LEASE);
+
     private final EntryServices services;
     private final CallerRequest request;
     private final ResponseWriter responseWriter;
@@ -49,8 +53,8 @@
     private final RequestQuarantine quarantine;
     private final Set<VmName> triedVms = new HashSet<>();
     private final Set<String> triedPeers = new HashSet<>();
-    /** Whether another entry node relayed the request, which must not be relayed again. */
-    private final boolean relayed;
+    /** Present if another entry node relayed the request, which must not be relayed again. */
+    private final Optional<RelayOrigin> origin;
 
     private Optional<Route> route = Optional.empty();
     private Optional<OrganisationName> organisation = Optional.empty();
@@ -76,24 +80,23 @@
     }
 
     /**
-     * @param earlierAttempts number of attempts that may have run before another entry node relayed the request; empty
-     *     if its caller sent it to this node
+     * @param origin what the entry node that relayed the request had decided; empty if its caller sent it to this node
      */
     Exchange(
             EntryServices services,
             CallerRequest request,
-            Optional<Integer> earlierAttempts,
+            Optional<RelayOrigin> origin,
             ResponseWriter responseWriter,
             Runnable onEnd) {
         this.services = services;
         this.request = request;
-        this.relayed = earlierAttempts.isPresent();
-        this.attemptsThatMayHaveRun = earlierAttempts.orElse(0);
+        this.origin = origin;
+        this.attemptsThatMayHaveRun = origin.map(RelayOrigin::earlierAttempts).orElse(0);
         this.responseWriter = responseWriter;
         this.onEnd = onEnd;
         this.log = new ExchangeLog(services, request);
         this.quarantine = new RequestQuarantine(services, request);
-        if (relayed) {
+        if (origin.isPresent()) {
             log.arrivedRelayed(attemptsThatMayHaveRun);
         }
     }
@@ -116,11 +119,43 @@
         }
         setDeadline(route.get());
         if (authenticate(configuration.get(), route.get())) {
-            final ServiceName target = route.get().targetAt(services.random().nextDouble());
-            service = configuration.get().service(target);
-            rank = configuration.get().rankOf(target, organisation, route.get());
-            send();
+            sendTo(configuration.get(), chooseService(configuration.get()));
+        }
+    }
+
+    private void sendTo(PublishedConfiguration configuration, Optional<ServiceName> target) {
+        if (target.isEmpty()) {
+            refuse(
+                    ErrorKind.NO_VIEW_LEASE,
+                    "the route of this view does not lead to the service that the relaying node chose, "
+                            + describeView(),
+                    ErrorKind.NO_VIEW_LEASE.retryAfterMs());
+            return;
         }
+        service = configuration.service(target.get());
+        rank = configuration.rankOf(target.get(), organisation, route.orElseThrow());
+        send();
+    }
+
+    /**
+     * Chooses a service of the route. For a request that a node with a newer configuration relayed, that is the service
+     * that it chose; empty if the older configuration does not allow it.
+     */
+    private Optional<ServiceName> chooseService(PublishedConfiguration configuration) {
+        final Optional<ServiceName> chosenByOrigin =
+                isOlderThanOrigin() ? origin.flatMap(RelayOrigin::service) : Optional.empty();
+        return chosenByOrigin.isPresent()
+                ? chosenByOrigin.filter(chosen -> configuration.service(chosen).isPresent()
+                        && route.orElseThrow().targets().stream()
+                                .anyMatch(target -> target.service().equals(chosen)))
+                : Optional.of(route.orElseThrow().targetAt(services.random().nextDouble()));
+    }
+
+    /** Returns whether an entry node with a newer configuration relayed the request. */
+    private boolean isOlderThanOrigin() {
+        return origin.filter(known -> known.configurationVersion()
+                        > services.registry().view().version())
+                .isPresent();
     }
 
     /** Sets when the node ends. The request is not sent to an endpoint that would respond later. */
@@ -186,17 +221,18 @@
         }
         organisation = request.apiKey().flatMap(configuration::organisationOf);
         if (organisation.isEmpty()) {
-            failAsAbsent(ErrorKind.UNAUTHENTICATED, "the API key does not belong to an organisation, " + describeView());
+            failAsAbsent(
+                    ErrorKind.UNAUTHENTICATED, "the API key does not belong to an organisation, " + describeView());
         }
         return organisation.isPresent();
     }
 
     /**
-     * Ends a request for something that the view does not contain; refuses it if the view is so old that a configuration
-     * that must be in force may contain it.
+     * Ends a request for something that the view does not contain; refuses it if a configuration that must be in force,
+     * or by which the request was relayed, may contain it.
      */
     private void failAsAbsent(ErrorKind kind, String cause) {
-        if (services.viewIsCurrent(log.arrivedNanos())) {
+        if (services.viewIsCurrent(log.arrivedNanos()) && !isOlderThanOrigin()) {
             fail(kind, cause);
         } else {
             refuse(ErrorKind.NO_VIEW_LEASE, cause, ErrorKind.NO_VIEW_LEASE.retryAfterMs());
@@ -251,7 +287,7 @@
     /** Sends the request to an entry node that reaches endpoints, or refuses it if there is none. */
     private void relay(long remainingMs, long nowNanos) {
         final List<String> peers = services.registry().view().relayAddresses();
-        final Optional<String> peer = relayed || triedPeers.size() >= MAX_RELAYS
+        final Optional<String> peer = origin.isPresent() || triedPeers.size() >= MAX_RELAYS
                 ? Optional.empty()
                 : services.relayPeers().choose(peers, triedPeers, nowNanos);
         if (peer.isEmpty()) {
@@ -269,7 +305,12 @@
         currentAttempt = Optional.of(attempt);
         final FullHttpRequest message =
                 services.codec().encodeForEntryNode(request, remainingMs, stream.resumeAfter(request));
-        RelayHeaders.mark(message.headers(), attemptsThatMayHaveRun);
+        RelayHeaders.mark(
+                message.headers(),
+                new RelayOrigin(
+                        attemptsThatMayHaveRun,
+                        services.registry().view().version(),
+                        service.map(PublishedService::name)));
         attempt.start(message, route.orElseThrow().mayRetry());
         pauseUnlessCallerReads(attempt);
     }
@@ -483,7 +524,7 @@
 
     private boolean hasAlternative(long remainingMs, long nowNanos) {
         if (services.endpointLinks().areCut()) {
-            return !relayed
+            return origin.isEmpty()
                     && triedPeers.size() < MAX_RELAYS
                     && !triedPeers.containsAll(services.registry().view().relayAddresses());
         }
@@ -593,8 +634,7 @@
     private void refuse(ErrorKind kind, String cause, long retryAfterMs) {
         log.refused(organisation, kind, cause, retryAfterMs);
         final HttpReply reply = services.codec().error(request, kind, cause, retryAfterMs);
-        final boolean anotherNodeMayTakeIt =
-                relayed && (kind == ErrorKind.NO_ENDPOINT_REACHABLE || kind == ErrorKind.STOPPING);
+        final boolean anotherNodeMayTakeIt = origin.isPresent() && OTHER_NODE_MAY_TAKE.contains(kind);
         responseWriter.writeResponse(anotherNodeMayTakeIt ? reply.withHeader(RelayHeaders.notTaken(), "1") : reply);
         end();
     }
--- a/src/test/java/org/wigeongrade/fleet/entry/OldViewTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/OldViewTest.java
@@ -22,6 +22,7 @@
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.RouteName;
+import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.logging.EventLog;
 
 /** Tests what an entry node responds while its view may lack a configuration that is in force. */
@@ -56,16 +57,41 @@
         registry.apply(
                 EntryFixture.view(configuration(pathPrefix), Map.of(), List.of(), pullSentNanos), System.nanoTime());
 
-        assertThat(responseTo()).contains("status=" + status + ",");
+        assertThat(responseTo(Optional.empty())).contains("status=" + status + ",");
     }
 
-    private String responseTo() throws Exception {
+    /**
+     * Guards against a relayed request that is refused, or sent to an old service, by a node that does not know the
+     * configuration by which it was routed.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // path prefix of the only route, version of the relaying node, service that it chose, response
+        "/b/, 1, app, 404",
+        "/b/, 2, app, not taken",
+        "/, 1, app, 401",
+        "/, 2, app, not taken",
+        "/anonymous, 1, other, 503",
+        "/anonymous, 2, other, not taken",
+        "/anonymous, 2, app, 503",
+    })
+    void relayedRequestIsNotTakenByAnOlderView(String pathPrefix, long version, String service, String response)
+            throws Exception {
+        registry.apply(EntryFixture.view(configuration(pathPrefix), Map.of()), System.nanoTime());
+
+        final String written =
+                responseTo(Optional.of(new RelayOrigin(0, version, Optional.of(ServiceName.of(service)))));
+        assertThat(written.contains(RelayHeaders.notTaken())).isEqualTo(response.equals("not taken"));
+        assertThat(written).contains("status=" + (response.equals("not taken") ? "503" : response) + ",");
+    }
+
+    private String responseTo(Optional<RelayOrigin> origin) throws Exception {
         final EntryServices services = loop.eventLoop()
                 .submit(() -> EntryFixture.services(loop, registry))
                 .get();
         loop.eventLoop()
                 .submit(() -> new Exchange(
-                                services, EntryFixture.request(ImmutableSet.of()), writer, ended::countDown)
+                                services, EntryFixture.request(ImmutableSet.of()), origin, writer, ended::countDown)
                         .start())
                 .get();
         assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
@@ -73,10 +99,11 @@
     }
 
     private static PublishedConfiguration configuration(String pathPrefix) {
+        final boolean anonymous = pathPrefix.equals("/anonymous");
         final Route route = new Route(
                 RouteName.of("read"),
                 "host",
-                pathPrefix,
+                anonymous ? "/" : pathPrefix,
                 RouteKind.IDEMPOTENT,
                 5_000,
                 100,
@@ -84,7 +111,7 @@
                 1,
                 List.of(new WeightedTarget(EntryFixture.SERVICE, 1)),
                 2,
-                false,
+                anonymous,
                 false);
         return new PublishedConfiguration(
                 1,
