Refuse a configuration that the log cannot hold as invalid

An operator whose configuration takes more than 1 MiB in the log, some 780 KB of document, got 503 "send it again" each time, for ever. The limit on bodies is 4 MiB, and the log refuses longer commands; that refusal was taken for an unknown outcome.

Found by reading while looking for changes that are never acknowledged. Such a configuration is now invalid (400 on the platform's interface), with its size, the limit and what to do. Raising the limit is another matter: the log keeps its entries in memory.

--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -46,7 +46,7 @@
 public final class ControlNode implements AutoCloseable {
     /** Threads that serve calls from other nodes; each call takes a few milliseconds. */
     private static final int WORKER_THREADS = 4;
-    /** Largest accepted configuration, in bytes: what fits into one log command, less the overhead of its JSON form. */
+    /** Largest body of a call, in bytes; of a configuration, the log accepts less. */
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private static final int MAX_HEADER_BYTES = 16 * 1024;
--- a/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
@@ -167,8 +167,16 @@
                     errors.stream().map(PublishedFault::toString).toList());
         }
         final long version = configuration.version();
+        final PublishedCommand command = new PublishedCommand.Publish(version, Bytes.wrap(document));
+        final int commandBytes = command.encode().length;
+        if (commandBytes > RaftReplicatedLog.MAX_COMMAND_BYTES) {
+            return reject(
+                    version,
+                    ImmutableList.of("the configuration takes " + commandBytes + " bytes in the log, more than "
+                            + RaftReplicatedLog.MAX_COMMAND_BYTES + "; publish fewer routes or organisations"));
+        }
         return submit(
-                        new PublishedCommand.Publish(version, Bytes.wrap(document)),
+                        command,
                         outcome -> responseToPublish(version, outcome),
                         failure -> logUnknownOutcome(version, failure))
                 .thenCompose(response -> afterInForce(response, new ViewChange.Configuration(version)));
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -34,11 +34,13 @@
  * waiting for the queue or a peer, so there is no lock order to follow.
  */
 public final class RaftReplicatedLog implements ReplicatedLog {
+    /** Largest command that the log accepts, in bytes. */
+    public static final int MAX_COMMAND_BYTES = 1024 * 1024;
+
     private static final System.Logger LOGGER = System.getLogger(RaftReplicatedLog.class.getName());
     private static final int QUEUE_CAPACITY = 16_384;
     private static final int MAX_INPUTS_PER_SYNC = 1_024;
     private static final int MAX_UNCOMMITTED_ENTRIES = 4_096;
-    private static final int MAX_COMMAND_BYTES = 1024 * 1024;
     private static final long STOP_TIMEOUT_MS = 5_000;
     private static final int TICKS_PER_HEARTBEAT = 5;
     /** Time between two attempts to write to a full disk; a fraction of an election timeout. */
--- a/src/test/java/org/wigeongrade/platform/AcknowledgedConfigurationTest.java
+++ b/src/test/java/org/wigeongrade/platform/AcknowledgedConfigurationTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -12,6 +13,10 @@
     private static final int ENDPOINTS = 2;
     private static final int CHANGES = 6;
     private static final int OK = 200;
+    private static final int INVALID = 400;
+    /** Routes for each entry node; the document has 1.4 MB. */
+    private static final int ROUTES_OF_TOO_LARGE_CONFIGURATION = 4_500;
+
     private static final String ZONE_OF_ENDPOINTS = "zone-a";
 
     @TempDir
@@ -40,6 +45,23 @@
         }
     }
 
+    /** Guards against an operator who is told for ever to send a configuration again that the log cannot hold. */
+    @Test
+    void configurationThatTheLogCannotHoldIsInvalid() {
+        try (LoopbackFleet fleet =
+                new LoopbackFleet(folder, ENDPOINTS, (endpoint, exchange) -> {}, exchange -> false)) {
+            final List<String> paths = IntStream.range(0, ROUTES_OF_TOO_LARGE_CONFIGURATION)
+                    .mapToObj(number -> "/many" + number + "/")
+                    .toList();
+            assertWithMessage("status of the large configuration")
+                    .that(fleet.publish(LoopbackFleet.FIRST_VERSION + 1, paths))
+                    .isEqualTo(INVALID);
+            assertWithMessage("status of the next one")
+                    .that(fleet.publish(LoopbackFleet.FIRST_VERSION + 2, List.of()))
+                    .isEqualTo(OK);
+        }
+    }
+
     /** Guards against requests to a zone after its end of service was acknowledged and the control nodes ended. */
     @Test
     void noEntryNodeSendsToAZoneWhoseEndOfServiceWasAcknowledged() throws InterruptedException {
