Keep waiting for a change that is stored just before its term is known

A change that was stored within 50 ms of an election was answered with 503 "may not be in force yet", as the planning thread had not begun the term: seen once in a run of AcknowledgedConfigurationTest (event 1302, "this node does not lead any more"), an error of the wait for entry nodes.

The confirmations belong to the node now and forget the entry nodes when a term begins, so that a wait that was added before goes on.

--- a/src/main/java/org/wigeongrade/decisions/published/ViewConfirmations.java
+++ b/src/main/java/org/wigeongrade/decisions/published/ViewConfirmations.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.ids.NodeName;
@@ -47,13 +48,16 @@
 
     private record Ended(Awaited awaited, Outcome outcome) {}
 
-    private final long nodesKnownNanos;
+    /** When entry nodes have had the time to find this leader; empty before its first term. */
+    private OptionalLong nodesKnownNanos = OptionalLong.empty();
+
     private final Map<NodeName, Heard> heardFrom = new HashMap<>();
     private final List<Awaited> awaited = new ArrayList<>();
 
-    /** @param ledSinceNanos when this node began to lead */
-    public ViewConfirmations(long ledSinceNanos) {
-        this.nodesKnownNanos = ledSinceNanos + TimeUnit.MILLISECONDS.toNanos(DISCOVERY_MS);
+    /** Forgets the entry nodes, because this node begins to lead. Waits that were added shortly before go on. */
+    public synchronized void beginTerm(long nowNanos) {
+        heardFrom.clear();
+        nodesKnownNanos = OptionalLong.of(nowNanos + TimeUnit.MILLISECONDS.toNanos(DISCOVERY_MS));
     }
 
     /** Records what an entry node has in force. */
@@ -122,7 +126,8 @@
                 .filter(entry -> !wait.change().isInForce(entry.getValue().view()))
                 .map(Map.Entry::getKey)
                 .collect(ImmutableSet.toImmutableSet());
-        final boolean confirmed = missing.isEmpty() && nowNanos - nodesKnownNanos >= 0;
+        final boolean nodesKnown = nodesKnownNanos.isPresent() && nowNanos - nodesKnownNanos.getAsLong() >= 0;
+        final boolean confirmed = missing.isEmpty() && nodesKnown;
         if (!confirmed && nowNanos - wait.deadlineNanos() < 0) {
             return Optional.empty();
         }
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -17,6 +17,7 @@
 import org.wigeongrade.decisions.log.LogTimings;
 import org.wigeongrade.decisions.log.VoterPolicy;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.decisions.published.ViewConfirmations;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
@@ -84,6 +85,7 @@
     private final PeerFormats peerFormats = new PeerFormats();
     private final PublishedStateMachine stateMachine = new PublishedStateMachine();
     private final DocumentHistory documentHistory = new DocumentHistory();
+    private final ViewConfirmations viewConfirmations = new ViewConfirmations();
     private final SharedEventLoop loop = new SharedEventLoop();
     private final ClientMemory clientMemory;
     private final Map<String, PeerExchange> exchanges = new HashMap<>();
@@ -123,6 +125,7 @@
                 new ConfigurationCache(reader),
                 new OrderSender(new OneShotHttpClient(loop), orderCodec, events),
                 new FormatUpgrade(self, log, stateMachine, peerFormats, events, clock.getAsLong()),
+                viewConfirmations,
                 timings,
                 events,
                 clock);
@@ -147,6 +150,7 @@
                 directory,
                 peerFormats,
                 leaderLoop::currentTerm,
+                viewConfirmations,
                 this::addControlVms,
                 leaderLoop::wake,
                 events,
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -14,6 +14,7 @@
 import org.wigeongrade.decisions.published.ConfirmedView;
 import org.wigeongrade.decisions.published.PublishedState;
 import org.wigeongrade.decisions.published.PublishedStateMachine;
+import org.wigeongrade.decisions.published.ViewConfirmations;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.thrift.EncodedDocument;
 import org.wigeongrade.fleet.thrift.ExchangeReply;
@@ -48,6 +49,7 @@
     private final ControlDirectory directory;
     private final PeerFormats peerFormats;
     private final Supplier<Optional<LeaderTerm>> leaderTerm;
+    private final ViewConfirmations viewConfirmations;
     private final Consumer<List<String>> onControlVmsLearned;
     private final Runnable requestPlanning;
     private final EventLog events;
@@ -61,6 +63,7 @@
             ControlDirectory directory,
             PeerFormats peerFormats,
             Supplier<Optional<LeaderTerm>> leaderTerm,
+            ViewConfirmations viewConfirmations,
             Consumer<List<String>> onControlVmsLearned,
             Runnable requestPlanning,
             EventLog events,
@@ -72,6 +75,7 @@
         this.directory = directory;
         this.peerFormats = peerFormats;
         this.leaderTerm = leaderTerm;
+        this.viewConfirmations = viewConfirmations;
         this.onControlVmsLearned = onControlVmsLearned;
         this.requestPlanning = requestPlanning;
         this.events = events;
@@ -89,11 +93,7 @@
         if (term.isEmpty()) {
             return reply;
         }
-        recordView(
-                term.get(),
-                request.getNode(),
-                request.getConfigurationVersion(),
-                Optional.ofNullable(request.getZonesOut()));
+        recordView(request.getNode(), request.getConfigurationVersion(), Optional.ofNullable(request.getZonesOut()));
         final boolean ledBefore = log.isLeaderWithLease();
         final PublishedState state = stateMachine.state();
         writeState(state, request, reply);
@@ -104,25 +104,20 @@
 
     @Override
     public void confirm(ViewConfirmation confirmation) {
-        leaderTerm
-                .get()
-                .ifPresent(term -> recordView(
-                        term,
-                        confirmation.getNode(),
-                        confirmation.getConfigurationVersion(),
-                        Optional.of(confirmation.getZonesOut())));
+        recordView(
+                confirmation.getNode(),
+                confirmation.getConfigurationVersion(),
+                Optional.of(confirmation.getZonesOut()));
     }
 
-    private void recordView(LeaderTerm term, String node, long version, Optional<List<String>> zonesOut) {
-        term.viewConfirmations()
-                .record(
-                        NodeName.of(node),
-                        new ConfirmedView(
-                                version,
-                                zonesOut.map(zones -> zones.stream()
-                                        .map(AvailabilityZone::of)
-                                        .collect(ImmutableSet.toImmutableSet()))),
-                        nanoClock.getAsLong());
+    private void recordView(String node, long version, Optional<List<String>> zonesOut) {
+        viewConfirmations.record(
+                NodeName.of(node),
+                new ConfirmedView(
+                        version,
+                        zonesOut.map(zones ->
+                                zones.stream().map(AvailabilityZone::of).collect(ImmutableSet.toImmutableSet()))),
+                nanoClock.getAsLong());
     }
 
     /** Notes the endpoints that told an entry node that they leave, so that the next step replaces them. */
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -43,6 +43,7 @@
     private final ConfigurationCache configurations;
     private final OrderSender orderSender;
     private final FormatUpgrade formatUpgrade;
+    private final ViewConfirmations viewConfirmations;
     private final GroupTimings timings;
     private final EventLog events;
     private final LongSupplier nanoClock;
@@ -61,6 +62,7 @@
             ConfigurationCache configurations,
             OrderSender orderSender,
             FormatUpgrade formatUpgrade,
+            ViewConfirmations viewConfirmations,
             GroupTimings timings,
             EventLog events,
             LongSupplier nanoClock) {
@@ -71,6 +73,7 @@
         this.configurations = configurations;
         this.orderSender = orderSender;
         this.formatUpgrade = formatUpgrade;
+        this.viewConfirmations = viewConfirmations;
         this.timings = timings;
         this.events = events;
         this.nanoClock = nanoClock;
@@ -94,17 +97,7 @@
      * @param change a change that this node stored
      */
     CompletableFuture<ViewConfirmations.Outcome> awaitInForce(ViewChange change) {
-        final Optional<LeaderTerm> term = currentTerm;
-        if (term.isEmpty()) {
-            return CompletableFuture.failedFuture(new IllegalStateException("this node does not lead any more"));
-        }
-        final ViewConfirmations confirmations = term.get().viewConfirmations();
-        final CompletableFuture<ViewConfirmations.Outcome> outcome = confirmations.await(change, nanoClock.getAsLong());
-        if (!currentTerm.equals(term)) {
-            // The waits of the term may have been failed before this one was added.
-            confirmations.failAll();
-        }
-        return outcome.whenComplete((known, failure) -> {
+        return viewConfirmations.await(change, nanoClock.getAsLong()).whenComplete((known, failure) -> {
             if (failure == null) {
                 logInForce(known);
             }
@@ -160,10 +153,11 @@
             latestTerm = latestTerm
                     .filter(led -> led.term() == term)
                     .or(() -> Optional.of(new LeaderTerm(term, timings, events, nanoClock.getAsLong())));
+            viewConfirmations.beginTerm(nanoClock.getAsLong());
             currentTerm = latestTerm;
             events.write(LogEvent.LEADER_ELECTED, self, term);
         }
-        currentTerm.get().viewConfirmations().expire(nanoClock.getAsLong());
+        viewConfirmations.expire(nanoClock.getAsLong());
         try {
             formatUpgrade.proposeIfSupported(nanoClock.getAsLong());
             plan(currentTerm.get());
@@ -214,12 +208,9 @@
     }
 
     private void endTerm(String cause) {
-        final Optional<LeaderTerm> ended = currentTerm;
+        currentTerm.ifPresent(term -> events.write(LogEvent.LEADER_LOST, self, term.term(), cause));
         currentTerm = Optional.empty();
-        ended.ifPresent(term -> {
-            events.write(LogEvent.LEADER_LOST, self, term.term(), cause);
-            term.viewConfirmations().failAll();
-        });
+        viewConfirmations.failAll();
     }
 
     /** Interrupts the planning thread and waits up to one second for it to end. */
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -22,7 +22,6 @@
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
 import org.wigeongrade.decisions.published.PublishedState;
-import org.wigeongrade.decisions.published.ViewConfirmations;
 import org.wigeongrade.decisions.reachability.RelayDirectory;
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.thrift.PullReply;
@@ -60,7 +59,6 @@
     private final RelayDirectory relays =
             new RelayDirectory(TimeUnit.MILLISECONDS.toNanos(FleetTimings.PULL_INTERVAL_MS));
     private final CrashQuarantine quarantine;
-    private final ViewConfirmations viewConfirmations;
     /** Whether heartbeats have come in for long enough to plan; until then, existing groups are only taken over. */
     private boolean settled;
 
@@ -69,7 +67,6 @@
         this.timings = timings;
         this.events = events;
         this.startedNanos = nowNanos;
-        this.viewConfirmations = new ViewConfirmations(nowNanos);
         this.quarantine = new CrashQuarantine(TimeUnit.MILLISECONDS.toNanos(FleetTimings.PULL_INTERVAL_MS), events);
     }
 
@@ -77,11 +74,6 @@
         return term;
     }
 
-    /** Returns what the entry nodes have in force; it has a lock of its own. */
-    ViewConfirmations viewConfirmations() {
-        return viewConfirmations;
-    }
-
     /**
      * Runs one planning step.
      *
--- a/src/test/java/org/wigeongrade/decisions/published/ViewConfirmationsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/published/ViewConfirmationsTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,7 +18,12 @@
     private static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
     private static final long STORED_MS = 60_000;
 
-    private final ViewConfirmations confirmations = new ViewConfirmations(0);
+    private final ViewConfirmations confirmations = new ViewConfirmations();
+
+    @BeforeEach
+    void beginTerm() {
+        confirmations.beginTerm(0);
+    }
 
     /** Guards against an acknowledgement while an entry node that pulls still has an older version. */
     @ParameterizedTest
@@ -60,6 +66,19 @@
         assertThat(wait.join().waitedMs()).isEqualTo(waitedMs);
     }
 
+    /** Guards against a change that is stored just before the term is known here and whose outcome is then called open. */
+    @Test
+    void waitThatIsAddedBeforeTheTermGoesOn() {
+        final ViewConfirmations beforeTerm = new ViewConfirmations();
+        final CompletableFuture<ViewConfirmations.Outcome> wait =
+                beforeTerm.await(new ViewChange.Configuration(5), nanos(0));
+        beforeTerm.beginTerm(nanos(20));
+        beforeTerm.expire(nanos(ViewConfirmations.MAX_WAIT_MS - 1));
+        assertThat(wait.isDone()).isFalse();
+        beforeTerm.expire(nanos(ViewConfirmations.MAX_WAIT_MS));
+        assertThat(wait.join().missing()).isEmpty();
+    }
+
     /** Guards against an order to a zone that is acknowledged while an entry node does the opposite. */
     @ParameterizedTest
     @CsvSource({"true, true, true", "true, false, false", "false, true, false", "false, false, true"})
