--- a/src/main/java/org/wigeongrade/decisions/published/ViewConfirmations.java
+++ b/src/main/java/org/wigeongrade/decisions/published/ViewConfirmations.java
@@ -64,8 +64,10 @@
     public void record(NodeName node, ConfirmedView view, long nowNanos) {
         final ImmutableList<Ended> ended;
         synchronized (this) {
-            heardFrom.put(node, new Heard(view, nowNanos + TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MS)));
-            ended = removeEnded(nowNanos);
+            final Heard before =
+                    heardFrom.put(node, new Heard(view, nowNanos + TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MS)));
+            final boolean confirmsMore = before != null && !before.view().equals(view);
+            ended = confirmsMore ? removeEnded(nowNanos) : ImmutableList.of();
         }
         complete(ended);
     }
