--- a/src/main/java/org/wigeongrade/decisions/published/DocumentDelta.java
+++ b/src/main/java/org/wigeongrade/decisions/published/DocumentDelta.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.zip.DeflaterOutputStream;
@@ -20,15 +21,66 @@
  * <p>Invariant: decoding an encoded document with the same base returns the document. Stateless.
  */
 public final class DocumentDelta {
+    /** Byte that ends the operations. */
     private static final byte END = 0;
-    private static final byte COPY = 1;
-    private static final byte INSERT = 2;
 
     /** Shortest range that is copied, in bytes; a copy operation takes nine. */
     private static final int MIN_CHUNK_BYTES = 24;
     /** Longest range that is compared as one, in bytes, for documents without the usual ends of ranges. */
     private static final int MAX_CHUNK_BYTES = 4_096;
 
+    /** What is appended to the document next. */
+    private enum Operation {
+        /** A range of the base. */
+        COPY(1) {
+            @Override
+            void apply(byte[] base, DataInputStream in, ByteArrayOutputStream target, int maxBytes) throws IOException {
+                final int offset = in.readInt();
+                final int length = readLength(in, target, maxBytes);
+                if (offset < 0 || offset > base.length - length) {
+                    throw new IllegalArgumentException("the encoded document refers to byte " + offset
+                            + " of a base that has " + base.length + " bytes");
+                }
+                target.write(base, offset, length);
+            }
+        },
+        /** Bytes that follow. */
+        INSERT(2) {
+            @Override
+            void apply(byte[] base, DataInputStream in, ByteArrayOutputStream target, int maxBytes) throws IOException {
+                final byte[] inserted = new byte[readLength(in, target, maxBytes)];
+                ByteStreams.readFully(in, inserted);
+                target.write(inserted, 0, inserted.length);
+            }
+        };
+
+        private final byte code;
+
+        Operation(int code) {
+            this.code = (byte) code;
+        }
+
+        abstract void apply(byte[] base, DataInputStream in, ByteArrayOutputStream target, int maxBytes)
+                throws IOException;
+
+        static Operation of(byte code) {
+            return Arrays.stream(values())
+                    .filter(operation -> operation.code == code)
+                    .findFirst()
+                    .orElseThrow(() ->
+                            new IllegalArgumentException("the encoded document has an unknown operation " + code));
+        }
+
+        private static int readLength(DataInputStream in, ByteArrayOutputStream target, int maxBytes)
+                throws IOException {
+            final int length = in.readInt();
+            if (length < 0 || length > maxBytes - target.size()) {
+                throw new IllegalArgumentException("the encoded document is larger than " + maxBytes + " bytes");
+            }
+            return length;
+        }
+    }
+
     private DocumentDelta() {}
 
     /** Returns the encoded difference. */
@@ -51,8 +103,8 @@
     public static byte[] decode(byte[] base, byte[] encoded, int maxBytes) {
         final ByteArrayOutputStream target = new ByteArrayOutputStream();
         try (DataInputStream in = new DataInputStream(new InflaterInputStream(new ByteArrayInputStream(encoded)))) {
-            for (byte operation = in.readByte(); operation != END; operation = in.readByte()) {
-                apply(operation, base, in, target, maxBytes);
+            for (byte code = in.readByte(); code != END; code = in.readByte()) {
+                Operation.of(code).apply(base, in, target, maxBytes);
             }
         } catch (IOException e) {
             throw new IllegalArgumentException("the encoded document cannot be read: " + e.getMessage(), e);
@@ -60,31 +112,6 @@
         return target.toByteArray();
     }
 
-    private static void apply(
-            byte operation, byte[] base, DataInputStream in, ByteArrayOutputStream target, int maxBytes)
-            throws IOException {
-        final int offset = operation == COPY ? in.readInt() : 0;
-        final int length = in.readInt();
-        if (length < 0 || length > maxBytes - target.size()) {
-            throw new IllegalArgumentException("the encoded document is larger than " + maxBytes + " bytes");
-        }
-        switch (operation) {
-            case COPY -> {
-                if (offset < 0 || offset > base.length - length) {
-                    throw new IllegalArgumentException("the encoded document refers to byte " + offset
-                            + " of a base that has " + base.length + " bytes");
-                }
-                target.write(base, offset, length);
-            }
-            case INSERT -> {
-                final byte[] inserted = new byte[length];
-                ByteStreams.readFully(in, inserted);
-                target.write(inserted, 0, length);
-            }
-            default -> throw new IllegalArgumentException("the encoded document has an unknown operation " + operation);
-        }
-    }
-
     /** Returns the end of the chunk that begins at {@code start}: after an object or a line, so that equal ones match. */
     private static int chunkEnd(byte[] bytes, int start) {
         final int limit = Math.min(bytes.length, start + MAX_CHUNK_BYTES);
@@ -144,7 +171,7 @@
         /** Writes the pending copy, if any; what follows it is inserted from {@code end} on. */
         private void flushCopy(int end) throws IOException {
             if (copyLength > 0) {
-                out.writeByte(COPY);
+                out.writeByte(Operation.COPY.code);
                 out.writeInt(copyOffset);
                 out.writeInt(copyLength);
                 copyLength = 0;
@@ -154,7 +181,7 @@
 
         private void flushInsert(int end) throws IOException {
             if (end > insertStart) {
-                out.writeByte(INSERT);
+                out.writeByte(Operation.INSERT.code);
                 out.writeInt(end - insertStart);
                 out.write(target, insertStart, end - insertStart);
             }
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -56,6 +56,9 @@
     /** Present if another entry node relayed the request, which must not be relayed again. */
     private final Optional<RelayOrigin> origin;
 
+    /** Version of the configuration by which the request is routed. */
+    private long configurationVersion;
+
     private Optional<Route> route = Optional.empty();
     private Optional<OrganisationName> organisation = Optional.empty();
     private Optional<PublishedService> service = Optional.empty();
@@ -110,6 +113,7 @@
             refuse(ErrorKind.NO_VIEW_LEASE, "no configuration has been received yet", STARTUP_RETRY_AFTER_MS);
             return;
         }
+        configurationVersion = configuration.get().version();
         route = configuration.get().route(request.hostname(), request.path());
         if (route.isEmpty()) {
             failAsAbsent(
@@ -119,11 +123,11 @@
         }
         setDeadline(route.get());
         if (authenticate(configuration.get(), route.get())) {
-            sendTo(configuration.get(), chooseService(configuration.get()));
+            sendToService(configuration.get(), chooseService(configuration.get()));
         }
     }
 
-    private void sendTo(PublishedConfiguration configuration, Optional<ServiceName> target) {
+    private void sendToService(PublishedConfiguration configuration, Optional<ServiceName> target) {
         if (target.isEmpty()) {
             refuse(
                     ErrorKind.NO_VIEW_LEASE,
@@ -153,8 +157,7 @@
 
     /** Returns whether an entry node with a newer configuration relayed the request. */
     private boolean isOlderThanOrigin() {
-        return origin.filter(known -> known.configurationVersion()
-                        > services.registry().view().version())
+        return origin.filter(known -> known.configurationVersion() > configurationVersion)
                 .isPresent();
     }
 
@@ -240,9 +243,9 @@
     }
 
     private String describeView() {
-        final EntryView view = services.registry().view();
-        return "configuration version " + view.version() + ", view "
-                + TimeUnit.NANOSECONDS.toMillis(log.arrivedNanos() - view.pullSentNanos()) + " ms old";
+        final long ageNanos = log.arrivedNanos() - services.registry().view().pullSentNanos();
+        return "configuration version " + configurationVersion + ", view " + TimeUnit.NANOSECONDS.toMillis(ageNanos)
+                + " ms old";
     }
 
     private void send() {
@@ -307,10 +310,7 @@
                 services.codec().encodeForEntryNode(request, remainingMs, stream.resumeAfter(request));
         RelayHeaders.mark(
                 message.headers(),
-                new RelayOrigin(
-                        attemptsThatMayHaveRun,
-                        services.registry().view().version(),
-                        service.map(PublishedService::name)));
+                new RelayOrigin(attemptsThatMayHaveRun, configurationVersion, service.map(PublishedService::name)));
         attempt.start(message, route.orElseThrow().mayRetry());
         pauseUnlessCallerReads(attempt);
     }
