Log and count each response that is cut, with its cause

Event 1611 of an aborted stream did not tell whether the response had begun, which endpoint was left and why, or how much time was left, and an error on a caller's connection closed it without a line. Each response that has begun and is ended early is now logged as event 1619 with request, cause, events, time left, configuration and sends, and counted by cause, on both request paths; faults of a caller's connection are event 1620.

ErrorTableTest and LogEventTest pass. No logic is changed.

--- a/src/main/java/org/wigeongrade/callers/Attempts.java
+++ b/src/main/java/org/wigeongrade/callers/Attempts.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.outcomes.AttemptEvent;
 import org.wigeongrade.decisions.outcomes.AttemptOutcome;
 import org.wigeongrade.decisions.routing.EndpointView;
@@ -21,6 +22,7 @@
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.RequestId;
 import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.CutCause;
 
 /**
  * The sequential attempts of one exchange.
@@ -44,6 +46,7 @@
     private AvailabilityZone lastZone;
     private int count;
     private boolean mayHaveRun;
+    private Optional<AttemptEvent> lastFailure = Optional.empty();
     private Optional<AttemptProgress> current = Optional.empty();
     private Optional<SendHandle> currentHandle = Optional.empty();
 
@@ -123,6 +126,7 @@
     Optional<WigeongradeException> recordFailure(
             AttemptProgress attempt, AttemptOutcome outcome, String detail, boolean resumable, boolean resumed) {
         end(attempt, outcome);
+        lastFailure = Optional.of(outcome.event());
         mayHaveRun |= outcome.runStatus() != RunStatus.NOT_RUN;
         final String endpoint = attempt.dispatch().endpoint().id().value();
         final Optional<RetryRefusal> refusal = retries.refusal(new RetryFacts(
@@ -162,6 +166,33 @@
         }
     }
 
+    /** Logs and counts that the response, of which the caller has a part, is ended before it is complete. */
+    void recordCut(WigeongradeException failure, long events) {
+        final long remainingNanos = deadlineNanos - dependencies.entry().nowNanos();
+        final CutCause cause = remainingNanos <= 0 ? CutCause.DEADLINE_PASSED : cutCauseOf(failure.kind());
+        dependencies.metrics().countCutResponse(cause);
+        dependencies
+                .events()
+                .write(
+                        LogEvent.RESPONSE_CUT,
+                        requestId,
+                        cause.code(),
+                        events,
+                        TimeUnit.NANOSECONDS.toMillis(remainingNanos),
+                        dependencies.entry().view().revision(),
+                        count,
+                        failure.getMessage());
+    }
+
+    private CutCause cutCauseOf(ErrorKind kind) {
+        if (kind == ErrorKind.REQUEST_QUARANTINED) {
+            return CutCause.REQUEST_QUARANTINED;
+        }
+        return lastFailure.filter(event -> event == AttemptEvent.STALLED).isPresent()
+                ? CutCause.ENDPOINT_SILENT
+                : CutCause.ENDPOINT_BROKE_OFF;
+    }
+
     /**
      * Returns the failure, or one of kind {@code unknownKind} if the failure would tell the caller that the request did
      * not run although an earlier attempt may have run it.
--- a/src/main/java/org/wigeongrade/callers/GenerationExchange.java
+++ b/src/main/java/org/wigeongrade/callers/GenerationExchange.java
@@ -242,6 +242,7 @@
                 .events()
                 .write(LogEvent.REQUEST_REFUSED, requestId, "-", reported.kind().code(), reported.getMessage());
         if (stream.isPresent()) {
+            attempts.recordCut(reported, tokens);
             final String event = "data: " + ErrorJson.render(reported, requestId.value()) + "\n\n";
             stream.get().push(event.getBytes(StandardCharsets.UTF_8), () -> {});
             stream.get().complete();
--- a/src/main/java/org/wigeongrade/callers/ServiceExchange.java
+++ b/src/main/java/org/wigeongrade/callers/ServiceExchange.java
@@ -224,6 +224,7 @@
                         failure.kind().code(),
                         failure.getMessage());
         if (stream.isPresent()) {
+            attempts.recordCut(failure, 0);
             stream.get().fail(new IOException(failure.getMessage()));
         } else {
             result.accept(new CallerResult.Failed(failure));
--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -29,6 +30,7 @@
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.fleet.net.RequestIntake;
 import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.CutCause;
 
 /**
  * A connection from a caller. Used on the event loop only.
@@ -56,6 +58,7 @@
     private Optional<Exchange> currentExchange = Optional.empty();
     private boolean keepAlive = true;
     private boolean willClose;
+    private boolean failedOnThisNode;
     private boolean hasServed;
     private int unflushedWrites;
     private long openedNanos;
@@ -256,11 +259,26 @@
         connections.remove(this);
         pipelined.forEach(FullHttpRequest::release);
         pipelined.clear();
-        currentExchange.ifPresent(Exchange::onCallerDisconnected);
+        currentExchange.ifPresent(exchange -> exchange.onCallerDisconnected(closingCause()));
     }
 
+    /** Returns why this node closes the connection while a request is being served; empty if the caller does. */
+    private Optional<CutCause> closingCause() {
+        if (failedOnThisNode) {
+            return Optional.of(CutCause.CONNECTION_FAILED);
+        }
+        return intake.isShed() ? Optional.of(CutCause.MEMORY_SHORT) : Optional.empty();
+    }
+
+    /** An I/O error says that the caller has closed the connection; any other one is a fault of this node. */
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        failedOnThisNode = failedOnThisNode || !(cause instanceof IOException);
+        if (failedOnThisNode) {
+            currentExchange.ifPresentOrElse(
+                    exchange -> exchange.onCallerConnectionFailed(cause),
+                    () -> services.events().write(LogEvent.CALLER_CONNECTION_FAILED, "-", cause));
+        }
         NettyFutures.logFailure(failed.close());
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -23,6 +23,7 @@
 import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmName;
+import org.wigeongrade.metrics.CutCause;
 import org.wigeongrade.metrics.RetryReason;
 
 /**
@@ -77,6 +78,8 @@
 
     private boolean ended;
     private boolean callerReads = true;
+    /** Whether the last endpoint was left for its silence, and no other one has sent anything since. */
+    private boolean leftSilentEndpoint;
 
     Exchange(EntryServices services, CallerRequest request, ResponseWriter responseWriter, Runnable onEnd) {
         this(services, request, Optional.empty(), responseWriter, onEnd);
@@ -175,7 +178,12 @@
     void failWhileStopping() {
         final ErrorKind kindIfSent =
                 route.filter(Route::mayRetry).isPresent() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN;
-        endUnfinished(kindIfSent, ErrorKind.STOPPING, ErrorKind.STOPPING.retryAfterMs(), "this node ends");
+        endUnfinished(
+                CutCause.NODE_STOPPED,
+                kindIfSent,
+                ErrorKind.STOPPING,
+                ErrorKind.STOPPING.retryAfterMs(),
+                "this node ends");
     }
 
     /** Of the nodes that handle a request, the first that may send it to an endpoint counts it for the budget. */
@@ -186,9 +194,20 @@
         }
     }
 
-    /** Cancels the request after the caller disconnected. */
-    void onCallerDisconnected() {
+    /** Logs that the connection to the caller fails on this node; {@link #onCallerDisconnected} follows. */
+    void onCallerConnectionFailed(Throwable cause) {
+        log.callerConnectionFailed(cause);
+    }
+
+    /**
+     * Cancels the request after the connection to the caller has closed.
+     *
+     * @param cause why this node closed it; empty if the caller did
+     */
+    void onCallerDisconnected(Optional<CutCause> cause) {
         if (!ended) {
+            cause.filter(known -> stream.hasBegun())
+                    .ifPresent(known -> logCut(known, "the connection to the caller was closed"));
             currentAttempt.ifPresent(Attempt::cancel);
             log.cancelled();
             end();
@@ -502,6 +521,7 @@
     void failOver(Attempt attempt, RetryReason reason, String cause) {
         currentAttempt = Optional.empty();
         attemptsThatMayHaveRun++;
+        leftSilentEndpoint = true;
         retry(attempt, reason, cause);
     }
 
@@ -562,6 +582,7 @@
     /** Forwards an event of a stream to the caller. */
     void forwardEvent(ResponseHead head, ServerSentEventSplitter.Event event) {
         log.firstBytesSent();
+        leftSilentEndpoint = false;
         stream.begin(head, responseWriter);
         stream.relay(event, responseWriter);
     }
@@ -575,11 +596,13 @@
     }
 
     private void onDeadline() {
-        endUnfinished(ErrorKind.ENDPOINT_TIMEOUT, ErrorKind.NO_FREE_SLOT, 0, "the deadline passed");
+        endUnfinished(
+                CutCause.DEADLINE_PASSED, ErrorKind.ENDPOINT_TIMEOUT, ErrorKind.NO_FREE_SLOT, 0, "the deadline passed");
     }
 
     /** Ends the request without waiting for its endpoint any longer. */
-    private void endUnfinished(ErrorKind kindIfSent, ErrorKind kindIfUnsent, long retryAfterMs, String reason) {
+    private void endUnfinished(
+            CutCause cutCause, ErrorKind kindIfSent, ErrorKind kindIfUnsent, long retryAfterMs, String reason) {
         if (ended) {
             return;
         }
@@ -589,7 +612,7 @@
                 reason + "; " + currentAttempt.map(Attempt::describe).orElse("no attempt was running");
         currentAttempt = Optional.empty();
         if (sent) {
-            fail(kindIfSent, cause, 0);
+            fail(cutCause, kindIfSent, cause, 0);
         } else {
             refuse(kindIfUnsent, reason + " before the request was sent", retryAfterMs);
         }
@@ -598,6 +621,7 @@
     private void failOrRefuse(ErrorKind kind, String cause, long retryAfterMs) {
         if (attemptsThatMayHaveRun > 0) {
             fail(
+                    cutCauseOf(kind),
                     route.orElseThrow().mayRetry() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN,
                     kind.code() + ", " + cause,
                     0);
@@ -611,7 +635,19 @@
     }
 
     private void fail(ErrorKind kind, String cause, long retryAfterMs) {
+        fail(cutCauseOf(kind), kind, cause, retryAfterMs);
+    }
+
+    private CutCause cutCauseOf(ErrorKind kind) {
+        if (kind == ErrorKind.SUSPECT_WAITING) {
+            return CutCause.REQUEST_QUARANTINED;
+        }
+        return leftSilentEndpoint ? CutCause.ENDPOINT_SILENT : CutCause.ENDPOINT_BROKE_OFF;
+    }
+
+    private void fail(CutCause cutCause, ErrorKind kind, String cause, long retryAfterMs) {
         if (stream.hasBegun()) {
+            logCut(cutCause, cause);
             log.failed(kind, cause);
             responseWriter.abort();
         } else if (errorResponse.isPresent()) {
@@ -626,6 +662,10 @@
         end();
     }
 
+    private void logCut(CutCause cause, String detail) {
+        log.cut(cause, stream.events(), deadlineNanos, configurationVersion, attempts, detail);
+    }
+
     private void fail(ErrorKind kind, String cause) {
         fail(kind, cause, 0);
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -8,6 +8,7 @@
 import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.RouteName;
 import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.CutCause;
 import org.wigeongrade.metrics.RequestOutcome;
 import org.wigeongrade.metrics.RetryReason;
 
@@ -134,6 +135,26 @@
         ended(RequestOutcome.FAILED);
     }
 
+    /** Logs that a response that has begun is ended before it is complete. */
+    void cut(CutCause cause, int events, long deadlineNanos, long configurationVersion, int sends, String detail) {
+        services.metrics().countCutResponse(cause);
+        services.events()
+                .write(
+                        LogEvent.RESPONSE_CUT,
+                        requestLogId,
+                        cause.code(),
+                        events,
+                        TimeUnit.NANOSECONDS.toMillis(deadlineNanos - services.nowNanos()),
+                        configurationVersion,
+                        sends,
+                        detail);
+    }
+
+    /** Logs that the connection to the caller failed on this node. */
+    void callerConnectionFailed(Throwable cause) {
+        services.events().write(LogEvent.CALLER_CONNECTION_FAILED, requestLogId, cause);
+    }
+
     /** Logs that the error response of an endpoint was forwarded to the caller. */
     void failedAtEndpoint(int status, String cause) {
         services.events().write(LogEvent.REQUEST_FAILED, requestLogId, status, elapsedMs(), cause);
--- a/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
+++ b/src/main/java/org/wigeongrade/fleet/net/RequestIntake.java
@@ -66,6 +66,7 @@
     private long unreadResponseBytes;
     private long waitingSinceNanos = System.nanoTime();
     private boolean served;
+    private boolean shed;
     private ChannelHandlerContext context;
     private long deadlineNanos;
     private boolean timerRuns;
@@ -214,12 +215,18 @@
         return served;
     }
 
+    /** Returns whether the connection was closed because memory was short. */
+    public boolean isShed() {
+        return shed;
+    }
+
     @Override
     public void shed(ClientClosing cause, String detail) {
         if (isReceiving() && unreadResponseBytes == 0) {
             refuse(context, cause, detail);
         } else {
             state = State.REFUSED;
+            shed = true;
             closings.recordClosed(cause, detail);
             NettyFutures.logFailure(context.channel().close());
         }
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -133,6 +133,12 @@
             1618,
             Level.INFO,
             "request {request} was relayed by another entry node after {attempts} attempts that may have run"),
+    RESPONSE_CUT(
+            1619,
+            Level.WARNING,
+            "response to request {request} cut with {cause} after {events} events, {remaining_ms} ms before its deadline,"
+                    + " configuration {version}, {sends} sends: {detail}"),
+    CALLER_CONNECTION_FAILED(1620, Level.WARNING, "connection to the caller of request {request} failed: {cause}"),
 
     PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
--- a/src/main/java/org/wigeongrade/metrics/MetricName.java
+++ b/src/main/java/org/wigeongrade/metrics/MetricName.java
@@ -6,6 +6,9 @@
     CLIENT_CLOSINGS(
             "wigeongrade_client_closings_total",
             "Connections of clients that were closed before their next request was complete, by cause."),
+    CUT_RESPONSES(
+            "wigeongrade_responses_cut_total",
+            "Responses that had begun and that this node ended before they were complete, by cause."),
     RETRIES("wigeongrade_retries_total", "Requests retried or resumed, by reason."),
     LOST_IN_FLIGHT(
             "wigeongrade_requests_lost_total",
--- a/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
+++ b/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
@@ -48,6 +48,15 @@
                 .inOrder();
     }
 
+    @Test
+    void metricsPageListsEveryCauseOfACutResponse() throws IOException {
+        assertThat(rowsOf(METRICS_PAGE, "\\| `[a-z_]+` \\| (?!wigeongrade)[a-z].*"))
+                .containsExactlyElementsIn(Arrays.stream(CutCause.values())
+                        .map(cause -> "| `%s` | %s |".formatted(cause.code(), cause.meaning()))
+                        .toList())
+                .inOrder();
+    }
+
     @Test
     void metricsPageListsEveryMetric() throws IOException {
         assertThat(rowsOf(METRICS_PAGE, "\\| `wigeongrade_[a-z_]+` \\|.*"))
@@ -81,6 +90,18 @@
         assertThat(metrics.render()).contains(series + "1.0\n");
     }
 
+    @ParameterizedTest
+    @EnumSource(CutCause.class)
+    void cutResponseCounterStartsAtZeroAndCounts(CutCause cause) {
+        final Metrics metrics = new Metrics();
+        final String series = "wigeongrade_responses_cut_total{cause=\"" + cause.code() + "\"} ";
+
+        assertThat(metrics.render()).contains(series + "0.0\n");
+        metrics.countCutResponse(cause);
+
+        assertThat(metrics.render()).contains(series + "1.0\n");
+    }
+
     @ParameterizedTest
     @EnumSource(ConnectionOutcome.class)
     void connectionCounterStartsAtZeroAndCounts(ConnectionOutcome outcome) {
