Show that streams of silent endpoints are cut, and check each cut response in the soak

The views of EntryFixture get a change number of their own, since a view with the number of the one before changes no endpoints.

The fault soak counted incomplete responses and never failed for one. Each begun response that ends early is now compared with the cause that the node logged, the endpoints that broke off, cut links and killed processes; without an allowed reason it is a violation, as is a node that ends by itself. Some streams last 1.8 s.

--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
 import org.wigeongrade.decisions.log.Bytes;
@@ -38,6 +39,9 @@
     static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
     static final long CONFIG_APPLY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** Each view has another change number, so that its endpoints are applied. */
+    private static final AtomicLong CHANGE_NUMBER = new AtomicLong();
+
     private EntryFixture() {}
 
     static PublishedConfiguration configuration() {
@@ -112,7 +116,7 @@
                 1,
                 relayAddresses,
                 1,
-                1,
+                CHANGE_NUMBER.incrementAndGet(),
                 pullSentNanos);
     }
 
--- a/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
@@ -9,11 +9,15 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.wigeongrade.proof.Await;
 
 /**
@@ -26,6 +30,8 @@
     private static final int NOT_RUN_STATUS = 503;
     private static final int MISDIRECTED = 421;
     private static final int EVENTS = 12;
+    private static final int LONG_EVENTS = 120;
+    private static final String LONG_SUFFIX = "-long";
     private static final long EVENT_INTERVAL_MS = 15;
     private static final int MAX_WORK_MS = 25;
     private static final long PORT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -40,6 +46,9 @@
     private final ControlLink controlLink;
     private HttpServer server;
     private ExecutorService workers;
+    /** Requests whose streams run now. */
+    private final Set<String> runningStreams = ConcurrentHashMap.newKeySet();
+
     private volatile long startedMs;
     private final AtomicLong sequence = new AtomicLong();
     private volatile boolean running;
@@ -53,6 +62,9 @@
     /** Requests a second that this VM states it takes from all nodes together; 0 if it states none. */
     private volatile double statedLimit;
 
+    /** Until then this VM sends nothing, and goes on afterwards; in the past unless it is silent. */
+    private volatile long silentUntilNanos = System.nanoTime();
+
     private volatile boolean closed;
     /** Fraction of requests whose response is dropped after they ran. */
     private volatile double lostResponseRatio;
@@ -102,6 +114,22 @@
         unresponsive = isUnresponsive;
     }
 
+    /** Sends nothing for {@code forMs}: no event of a running stream, no response and no heartbeat. */
+    void fallSilent(long forMs) {
+        silentUntilNanos = System.nanoTime() + forMs * 1_000_000;
+        Await.sleepMs(forMs);
+    }
+
+    private boolean isSilent() {
+        return System.nanoTime() - silentUntilNanos < 0;
+    }
+
+    private void awaitEndOfSilence() {
+        while (isSilent()) {
+            Await.sleepMs(5);
+        }
+    }
+
     /** Starts a new incarnation. */
     synchronized void start() {
         server = openServer();
@@ -150,6 +178,7 @@
     synchronized void crash() {
         if (running) {
             running = false;
+            runningStreams.forEach(fleet.guarantees().cutResponses()::recordBrokenOff);
             workers.shutdownNow();
             server.stop(0);
         }
@@ -194,7 +223,7 @@
 
     private void sendHeartbeats() {
         while (!closed) {
-            if (running && !unresponsive) {
+            if (running && !unresponsive && !isSilent()) {
                 sendHeartbeat();
             }
             final long changes = engine.map(FakeEngine::changes).orElse(0L);
@@ -224,6 +253,7 @@
         while (unresponsive) {
             Await.sleepMs(20);
         }
+        awaitEndOfSilence();
         if (saysLeaving) {
             exchange.getResponseHeaders().set("Server-Leaving", "1");
         }
@@ -283,11 +313,17 @@
         fleet.guarantees().recordRun(attemptId, !path.startsWith("/charge/"));
         fleet.checkRun(path, service, exchange.getRequestHeaders().getFirst("X-Tenant"), attemptId);
         if (ThreadLocalRandom.current().nextDouble() < lostResponseRatio) {
+            fleet.guarantees().cutResponses().recordBrokenOff(attemptId);
             throw new IOException("injected loss of the response");
         }
         exchange.getResponseHeaders().set("X-Server-Seal", "seal-" + attemptId);
         if (engine.isPresent()) {
-            stream(exchange, engine.get());
+            runningStreams.add(attemptId);
+            try {
+                stream(exchange, engine.get());
+            } finally {
+                runningStreams.remove(attemptId);
+            }
         } else {
             Await.sleepMs(ThreadLocalRandom.current().nextInt(MAX_WORK_MS));
             respond(exchange, 200, "ran " + attemptId + " " + path + " " + body);
@@ -312,32 +348,44 @@
     }
 
     private void stream(HttpExchange exchange, FakeEngine groupMember) throws IOException {
+        final String attempt = exchange.getRequestHeaders().getFirst("X-Attempt-Id");
         final String lastEventId = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+        final long incarnation = startedMs;
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
         exchange.sendResponseHeaders(200, 0);
-        for (int event = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1; event <= EVENTS; event++) {
+        for (int event = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1;
+                event <= events(attempt);
+                event++) {
             Await.sleepMs(EVENT_INTERVAL_MS);
-            if (!running || !groupMember.awaitProgress()) {
+            awaitEndOfSilence();
+            if (!running || incarnation != startedMs || !groupMember.awaitProgress()) {
+                fleet.guarantees().cutResponses().recordBrokenOff(attempt);
                 throw new IOException("the VM stopped or its group broke");
             }
-            exchange.getResponseBody()
-                    .write(("id: " + event + "\ndata: event-" + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+            exchange.getResponseBody().write(event(event).getBytes(StandardCharsets.UTF_8));
             exchange.getResponseBody().flush();
         }
         exchange.close();
     }
 
+    /** Returns the id of a request for a stream that takes some seconds. */
+    static String longStream(String attempt) {
+        return attempt + LONG_SUFFIX;
+    }
+
+    private static int events(String attempt) {
+        return attempt.endsWith(LONG_SUFFIX) ? LONG_EVENTS : EVENTS;
+    }
+
+    private static String event(int number) {
+        return "id: " + number + "\ndata: event-" + number + "\n\n";
+    }
+
     /** Returns the body of a complete stream. */
-    static String expectedStream() {
-        final StringBuilder events = new StringBuilder();
-        for (int event = 1; event <= EVENTS; event++) {
-            events.append("id: ")
-                    .append(event)
-                    .append("\ndata: event-")
-                    .append(event)
-                    .append("\n\n");
-        }
-        return events.toString();
+    static String expectedStream(String attempt) {
+        return IntStream.rangeClosed(1, events(attempt))
+                .mapToObj(FakeEndpointVm::event)
+                .collect(Collectors.joining());
     }
 
     private static void respond(HttpExchange exchange, int status, String body) throws IOException {
--- a/src/test/java/org/wigeongrade/platform/soak/FaultInjector.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FaultInjector.java
@@ -34,6 +34,8 @@
     private final GroupFaults groupFaults;
     private final IncidentSeries incident;
     private final boolean onlyIncident;
+    private final SilenceSeries silence;
+    private final boolean onlySilence;
     /** Apart from {@link #random}, so that a seed keeps the order of its other faults. */
     private final Random groupFaultRandom;
 
@@ -46,6 +48,8 @@
         this.random = new Random(seed);
         this.groupFaultRandom = new Random(~seed);
         this.incident = new IncidentSeries(nodes, endpoints, seed);
+        this.silence = new SilenceSeries(nodes, endpoints, seed);
+        this.onlySilence = seed >= FleetSoakTest.FIRST_SILENCE_SEED;
         this.onlyIncident = seed >= FleetSoakTest.FIRST_INCIDENT_SEED;
         this.groupFaults = new GroupFaults(nodes, endpoints, groupFaultRandom);
     }
@@ -56,6 +60,11 @@
 
     /** Injects faults for {@code forMs}, then waits until all have ended. */
     void run(long forMs) {
+        if (onlySilence) {
+            silence.run(forMs);
+            injected.addAll(silence.injected());
+            return;
+        }
         if (onlyIncident) {
             incident.run(forMs);
             injected.addAll(incident.injected());
@@ -134,9 +143,11 @@
             final int cut = entry;
             start("cut entry-" + cut + " from endpoints, " + mode, () -> {
                 excuseCut(cut);
+                final long startNanos = System.nanoTime();
                 endpoints.proxies().setMode(cut, mode);
                 Await.sleepMs(forMs);
                 endpoints.proxies().setMode(cut, FaultInjectionProxy.Mode.FORWARD);
+                endpoints.guarantees().cutResponses().recordLinkFault(cut, startNanos);
                 excuseCut(cut);
             });
         }
@@ -187,9 +198,9 @@
     /** Starts a fault of a process, which is excused from what endpoints told it before and meanwhile. */
     private void startAtNode(String fault, int node, Runnable action) {
         start(fault + nodes.name(node), () -> {
-            nodes.excuse(node, endpoints.guarantees());
+            nodes.excuse(node);
             action.run();
-            nodes.excuse(node, endpoints.guarantees());
+            nodes.excuse(node);
         });
     }
 
--- a/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
@@ -38,6 +38,12 @@
     /** Seeds from here on run {@link IncidentSeries}; every fifth of them has {@link #MANY_CONTROLS} control VMs. */
     static final long FIRST_INCIDENT_SEED = 100;
 
+    /** Seeds from here on run {@link SilenceSeries}, with an operator who publishes without a pause. */
+    static final long FIRST_SILENCE_SEED = 1_000;
+
+    private static final int OPERATOR_PAUSE_MS = 400;
+    private static final int SHORT_OPERATOR_PAUSE_MS = 20;
+
     private static final int FEW_CONTROLS = 3;
     private static final int MANY_CONTROLS = 5;
     private static final int MANY_CONTROLS_EVERY = 5;
@@ -62,12 +68,14 @@
         final SoakAddresses addresses = SoakAddresses.free(controls(seed), ENTRIES);
         final ControlClient control = new ControlClient(addresses.controlAddresses());
         final SoakOperator operator = new SoakOperator(control, guarantees);
-        try (SoakNodes nodes = new SoakNodes(folder, addresses);
+        try (SoakNodes nodes = new SoakNodes(folder, addresses, guarantees);
                 EndpointProxies proxies = new EndpointProxies(addresses);
                 FakeEndpointFleet endpoints = new FakeEndpointFleet(guarantees, control, operator, proxies)) {
             final FaultInjector faults = new FaultInjector(nodes, endpoints, seed);
             try {
                 runScenario(seed, forMs, guarantees, addresses, operator, endpoints, faults);
+                guarantees.cutResponses().check(nodes.entryLogs());
+                nodes.endedNodes().forEach(ended -> guarantees.reportViolation("no node ends by itself", ended));
             } finally {
                 report(seed, guarantees, faults, nodes);
             }
@@ -81,6 +89,10 @@
         return seed >= FIRST_INCIDENT_SEED && seed % MANY_CONTROLS_EVERY == 0 ? MANY_CONTROLS : FEW_CONTROLS;
     }
 
+    private static int operatorPauseMs(long seed) {
+        return seed >= FIRST_SILENCE_SEED ? SHORT_OPERATOR_PAUSE_MS : OPERATOR_PAUSE_MS;
+    }
+
     private static void runScenario(
             long seed,
             long forMs,
@@ -95,7 +107,8 @@
         final AtomicBoolean stopped = new AtomicBoolean();
         final List<Thread> clients = startClients(seed, addresses, guarantees, operator, stopped);
         awaitResponses(guarantees, "requests served after the start", START_TIMEOUT_MS);
-        final Thread publishing = start("operator", () -> operator.run(new Random(seed + 1), forMs));
+        final Thread publishing =
+                start("operator", () -> operator.run(new Random(seed + 1), forMs, operatorPauseMs(seed)));
         faults.run(forMs);
         publishing.join();
         awaitResponses(guarantees, "requests served again after the faults " + faults.injected(), RECOVERY_TIMEOUT_MS);
--- a/src/test/java/org/wigeongrade/platform/soak/GroupFaults.java
+++ b/src/test/java/org/wigeongrade/platform/soak/GroupFaults.java
@@ -111,9 +111,9 @@
 
     private void restartInTurn(List<Integer> restarted) {
         restarted.forEach(node -> {
-            nodes.excuse(node, endpoints.guarantees());
+            nodes.excuse(node);
             nodes.stopAndRestart(node, 0);
-            nodes.excuse(node, endpoints.guarantees());
+            nodes.excuse(node);
             Await.sleepMs(ROLLING_INTERVAL_MS);
         });
     }
--- a/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
+++ b/src/test/java/org/wigeongrade/platform/soak/GuaranteeChecker.java
@@ -20,11 +20,15 @@
     private final List<String> violations = new CopyOnWriteArrayList<>();
     private final List<String> observations = new CopyOnWriteArrayList<>();
     private final Map<Integer, AtomicInteger> responsesByStatus = new ConcurrentHashMap<>();
-    private final AtomicInteger incompleteResponses = new AtomicInteger();
+    /** Connections that could not be opened, or that ended before the status of a response. */
+    private final AtomicInteger unansweredCalls = new AtomicInteger();
+
     private final LongSummaryStatistics servingGroups = new LongSummaryStatistics();
 
     private final SendRestrictionChecker sendRestrictions = new SendRestrictionChecker(this);
 
+    private final CutResponseChecker cutResponses = new CutResponseChecker(this);
+
     private final StatedLimitChecker limits = new StatedLimitChecker(this);
 
     StatedLimitChecker limits() {
@@ -93,9 +97,14 @@
         }
     }
 
-    /** Records that a client did not receive a complete response. */
-    void recordIncompleteResponse() {
-        incompleteResponses.incrementAndGet();
+    /** Records that a client could not open a connection, or that it ended before the status of a response. */
+    void recordUnansweredCall() {
+        unansweredCalls.incrementAndGet();
+    }
+
+    /** Returns the check of responses that began and ended early. */
+    CutResponseChecker cutResponses() {
+        return cutResponses;
     }
 
     /** Records how many groups serve now; called at equal intervals. */
@@ -121,7 +130,7 @@
 
     @Override
     public String toString() {
-        return "responses by status " + responsesByStatus + ", incomplete responses " + incompleteResponses + ", runs "
-                + runs.size() + ", " + servingGroupsText();
+        return "responses by status " + responsesByStatus + ", unanswered calls " + unansweredCalls + ", "
+                + cutResponses + ", runs " + runs.size() + ", " + servingGroupsText();
     }
 }
--- a/src/test/java/org/wigeongrade/platform/soak/HttpConnection.java
+++ b/src/test/java/org/wigeongrade/platform/soak/HttpConnection.java
@@ -24,6 +24,7 @@
     private final Socket socket = new Socket();
     private final InputStream input;
     private boolean open = true;
+    private boolean responseBegun;
 
     /** A complete response. */
     record Response(int status, Map<String, String> headers, String body) {}
@@ -40,9 +41,15 @@
         return open;
     }
 
+    /** Returns whether the status of the last request's response has arrived. */
+    boolean hasResponseBegun() {
+        return responseBegun;
+    }
+
     /** Sends a request with a body and returns the complete response. */
     Response call(String method, String target, Map<String, String> headers, String body) throws IOException {
         open = false;
+        responseBegun = false;
         final StringBuilder head =
                 new StringBuilder(method).append(' ').append(target).append(" HTTP/1.1\r\n");
         headers.forEach(
@@ -58,6 +65,7 @@
 
     private Response readResponse() throws IOException {
         final String[] statusLine = readLine().split(" ", 3);
+        responseBegun = true;
         final Map<String, String> headers = new HashMap<>();
         for (String line = readLine(); !line.isEmpty(); line = readLine()) {
             final int colon = line.indexOf(':');
--- a/src/test/java/org/wigeongrade/platform/soak/IncidentSeries.java
+++ b/src/test/java/org/wigeongrade/platform/soak/IncidentSeries.java
@@ -203,9 +203,9 @@
     private void restartEntries() {
         nodes.entries().forEach(entry -> {
             injected.add("restart " + nodes.name(entry));
-            nodes.excuse(entry, endpoints.guarantees());
+            nodes.excuse(entry);
             nodes.stopAndRestart(entry, 0);
-            nodes.excuse(entry, endpoints.guarantees());
+            nodes.excuse(entry);
         });
     }
 
--- a/src/test/java/org/wigeongrade/platform/soak/SoakClient.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakClient.java
@@ -15,6 +15,8 @@
 final class SoakClient implements Runnable {
     private static final int READ_TIMEOUT_MS = 6_000;
     private static final int OK = 200;
+    /** Every so many requests, one asks for a stream of some seconds if it asks for a stream. */
+    private static final int LONG_STREAM_EVERY = 3;
 
     private final int index;
     private final SoakAddresses addresses;
@@ -51,7 +53,7 @@
                     Await.sleepMs(random.nextInt(30));
                 }
             } catch (IOException e) {
-                guarantees.recordIncompleteResponse();
+                guarantees.recordUnansweredCall();
                 Await.sleepMs(50);
             }
         }
@@ -65,7 +67,9 @@
             default -> "move";
         };
         final boolean asGuest = random.nextInt(5) == 0;
-        final String attempt = SendRestrictionChecker.attemptPrefix(entry) + "c" + index + "-" + ++requests;
+        final String id = SendRestrictionChecker.attemptPrefix(entry) + "c" + index + "-" + ++requests;
+        final boolean isLong = kind.equals("gen") && requests % LONG_STREAM_EVERY == 0;
+        final String attempt = isLong ? FakeEndpointVm.longStream(id) : id;
         final Map<String, String> headers = new HashMap<>(Map.of(
                 "Host",
                 "soak.example",
@@ -81,7 +85,16 @@
             headers.put("X-Prompt-Prefix", "ab:100");
         }
         guarantees.recordSent(attempt);
-        final HttpConnection.Response response = connection.call("POST", "/" + kind + "/" + attempt, headers, attempt);
+        final HttpConnection.Response response;
+        try {
+            response = connection.call("POST", "/" + kind + "/" + attempt, headers, attempt);
+        } catch (IOException e) {
+            if (!connection.hasResponseBegun()) {
+                throw e;
+            }
+            guarantees.cutResponses().recordCut(attempt, entry, e.toString());
+            return;
+        }
         guarantees.recordResponse(attempt, response, !kind.equals("charge"));
         check(attempt, kind, asGuest, response);
     }
@@ -89,7 +102,7 @@
     private void check(String attempt, String kind, boolean asGuest, HttpConnection.Response response) {
         if (response.status() == OK) {
             final String expected = kind.equals("gen")
-                    ? FakeEndpointVm.expectedStream()
+                    ? FakeEndpointVm.expectedStream(attempt)
                     : "ran " + attempt + " /" + kind + "/" + attempt + " " + attempt;
             if (!response.body().equals(expected)) {
                 guarantees.reportViolation("each response is complete", attempt + " got: " + response.body());
--- a/src/test/java/org/wigeongrade/platform/soak/SoakNodes.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakNodes.java
@@ -33,12 +33,14 @@
 
     private final Path folder;
     private final SoakAddresses addresses;
+    private final GuaranteeChecker guarantees;
     private final List<ManagedProcess> processes = new CopyOnWriteArrayList<>();
     private final Deque<Integer> oldBuilds = new ConcurrentLinkedDeque<>();
     private final List<Object> locks = new ArrayList<>();
     private final List<List<FaultInjectionProxy>> proxies = new ArrayList<>();
 
-    SoakNodes(Path folder, SoakAddresses addresses) throws IOException {
+    SoakNodes(Path folder, SoakAddresses addresses, GuaranteeChecker guarantees) throws IOException {
+        this.guarantees = guarantees;
         this.folder = folder;
         this.addresses = addresses;
         for (int control = 0; control < addresses.controls(); control++) {
@@ -118,7 +120,7 @@
     }
 
     /** Excuses a node whose process a fault affects from what endpoints told it. */
-    void excuse(int node, GuaranteeChecker guarantees) {
+    void excuse(int node) {
         guarantees.sendRestrictions().excuse(node - addresses.controls());
         guarantees.limits().excuse(node - addresses.controls());
     }
@@ -150,10 +152,33 @@
         setProxyMode(control, FaultInjectionProxy.Mode.FORWARD);
     }
 
+    /** Lets a node read its settings again, as SIGHUP does. */
+    void reload(int node) {
+        synchronized (locks.get(node)) {
+            processes.get(node).hangUp();
+        }
+    }
+
+    /** Returns the nodes whose process has ended by itself. */
+    List<String> endedNodes() {
+        return processes.stream()
+                .filter(process -> !process.isAlive())
+                .map(ManagedProcess::name)
+                .toList();
+    }
+
+    private void kill(int node) {
+        final long startNanos = System.nanoTime();
+        processes.get(node).kill();
+        if (!isControl(node)) {
+            guarantees.cutResponses().recordKill(node - addresses.controls(), startNanos);
+        }
+    }
+
     /** Kills a node and restarts it after {@code downMs}, with an empty disk if {@code loseDisk}. */
     void killAndRestart(int node, long downMs, boolean loseDisk) {
         synchronized (locks.get(node)) {
-            processes.get(node).kill();
+            kill(node);
             if (loseDisk) {
                 deleteData(node);
             }
@@ -166,7 +191,7 @@
         synchronized (locks.get(node)) {
             processes.get(node).terminate();
             if (!processes.get(node).awaitEnd(GRACE_S * 1_000L)) {
-                processes.get(node).kill();
+                kill(node);
             }
             restartAfter(node, downMs);
         }
@@ -269,6 +294,11 @@
         }
     }
 
+    /** Returns the output of the entry nodes. */
+    String entryLogs() {
+        return entries().stream().map(entry -> processes.get(entry).output()).collect(Collectors.joining("\n"));
+    }
+
     /** Returns the output of every node, to trace a violation. */
     String logs() {
         return processes.stream()
--- a/src/test/java/org/wigeongrade/platform/soak/SoakOperator.java
+++ b/src/test/java/org/wigeongrade/platform/soak/SoakOperator.java
@@ -144,8 +144,8 @@
                 "anonymous":false,"sessionAffinity":true,"resumable":true}""".formatted(name, name, kind, service);
     }
 
-    /** Publishes and reads at random times for {@code forMs}. */
-    void run(Random random, long forMs) {
+    /** Publishes and reads for {@code forMs}, with random pauses below {@code pauseMs}. */
+    void run(Random random, long forMs, int pauseMs) {
         final long startNanos = System.nanoTime();
         while (System.nanoTime() - startNanos < forMs * 1_000_000) {
             switch (random.nextInt(4)) {
@@ -158,7 +158,7 @@
                     final Optional<Long> unused = read();
                 }
             }
-            Await.sleepMs(random.nextInt(400));
+            Await.sleepMs(random.nextInt(pauseMs));
         }
     }
 }
--- a/src/test/java/org/wigeongrade/proof/ManagedProcess.java
+++ b/src/test/java/org/wigeongrade/proof/ManagedProcess.java
@@ -115,6 +115,11 @@
         process.destroy();
     }
 
+    /** Sends SIGHUP, which asks the process to read its settings again. */
+    public void hangUp() {
+        signal("-HUP");
+    }
+
     /** Freezes the process with SIGSTOP. */
     public void freeze() {
         signal("-STOP");
