Keep a begun stream of a silent endpoint until another one continues it

Whether the other one refused, could not be reached, failed or was silent too, the response was aborted at once: the failover had assumed that what it had found would also take the stream.

Now the silent attempt stays open beside the new one; the first of both that takes the stream further produces the rest of it and the other is cancelled. If the new attempt fails, the stream returns to the silent one. StreamContinuation is the only place that gives up a begun stream before its deadline; the place of events is kept for each attempt, as two may run.

--- a/src/main/java/org/wigeongrade/fleet/entry/Attempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Attempt.java
@@ -5,6 +5,14 @@
     /** Ends the attempt without reporting to the exchange. */
     void cancel();
 
+    /**
+     * Stops looking for another endpoint because of silence, while one is being tried; what arrives is still reported.
+     */
+    void suspendSilenceCheck();
+
+    /** Looks for another endpoint again once this one has been silent for long enough from now on. */
+    void resumeSilenceCheck();
+
     /** Pauses or resumes reading the response. */
     void setReading(boolean enabled);
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -37,6 +37,7 @@
     private final long startedNanos;
     private final ServerSentEventSplitter eventSplitter = new ServerSentEventSplitter();
     private final BufferedBody body;
+    private final StreamPart streamPart = new StreamPart();
     private Optional<ResponseHead> head = Optional.empty();
     private Optional<ScheduledFuture<?>> stallCheck = Optional.empty();
     private long stallCheckDueNanos;
@@ -88,6 +89,17 @@
         services.connectionPool().send(endpoint, call, retryable);
     }
 
+    @Override
+    public void suspendSilenceCheck() {
+        stallCheck.ifPresent(timer -> timer.cancel(false));
+    }
+
+    @Override
+    public void resumeSilenceCheck() {
+        lastProgressNanos = services.nowNanos();
+        scheduleStallCheck(stallTimeoutMs());
+    }
+
     @Override
     public void setReading(boolean enabled) {
         reading = enabled;
@@ -122,7 +134,7 @@
         if (unusable) {
             rejectResponse("the response is not signed by the endpoint or its body was encoded in transit");
         } else if (isStream()) {
-            exchange.stream().startPart(received).ifPresent(this::rejectResponse);
+            exchange.stream().startPart(streamPart, received).ifPresent(this::rejectResponse);
         }
     }
 
@@ -150,12 +162,11 @@
         for (final ServerSentEventSplitter.Event event : eventSplitter.accept(bytes)) {
             recordProgress();
             recordEvent();
-            final Optional<String> fault = exchange.stream().findFault(event);
+            final Optional<String> fault = exchange.acceptEvent(this, streamPart, head.orElseThrow(), event);
             if (fault.isPresent()) {
                 rejectResponse(fault.get());
                 return;
             }
-            exchange.forwardEvent(head.orElseThrow(), event);
         }
         if (eventSplitter.partialBytes() > MAX_EVENT_BYTES) {
             rejectResponse("an event of the stream exceeds " + MAX_EVENT_BYTES + " bytes");
@@ -350,14 +361,13 @@
     }
 
     private void failOver(long sinceProgressMs) {
-        final boolean sent = call.isSent();
-        cancel();
         endpoint.recordFailure(services.nowNanos());
         services.endpointLinks().recordFailure(endpoint);
         final String cause = "no bytes received for " + sinceProgressMs + " ms";
-        if (sent) {
+        if (call.isSent()) {
             exchange.failOver(this, RetryReason.STREAM_STALLED, cause);
         } else {
+            cancel();
             exchange.onNotRun(this, RetryReason.CONNECT_FAILED, cause);
         }
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -12,6 +12,7 @@
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.Placement;
 import org.wigeongrade.decisions.balancing.PlacementRequest;
+import org.wigeongrade.decisions.outcomes.StreamContinuation;
 import org.wigeongrade.decisions.overload.RequestUrgency;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
@@ -19,6 +20,7 @@
 import org.wigeongrade.decisions.published.Route;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.net.HttpReply;
+import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.ids.ModelVersionName;
 import org.wigeongrade.ids.OrganisationName;
 import org.wigeongrade.ids.ServiceName;
@@ -30,7 +32,9 @@
  * A caller's request and its response, with all attempts at endpoints. Used on the event loop only.
  *
  * <p>Invariants: a request that may have run is retried only if its route allows it; a request is refused only if no
- * endpoint can have run it; exactly one response is written, unless the caller disconnects before.
+ * endpoint can have run it; exactly one response is written, unless the caller disconnects before; a stream that has begun
+ * leaves a silent endpoint only for one that continues it, and is given up only as {@link StreamContinuation} decides, at
+ * its deadline, when the node ends or when its caller leaves.
  */
 final class Exchange {
     /** Maximum of attempts for one request, including those that no endpoint ran. */
@@ -46,6 +50,14 @@
     private static final ImmutableSet<ErrorKind> OTHER_NODE_MAY_TAKE =
             ImmutableSet.of(ErrorKind.NO_ENDPOINT_REACHABLE, ErrorKind.STOPPING, ErrorKind.NO_VIEW_LEASE);
 
+    /** Reasons for which a begun stream finds no endpoint now, and may find one soon. */
+    private static final ImmutableSet<ErrorKind> MAY_SUCCEED_LATER = ImmutableSet.of(
+            ErrorKind.NO_WHOLE_GROUP,
+            ErrorKind.ENDPOINTS_PAUSED,
+            ErrorKind.NO_FREE_SLOT,
+            ErrorKind.NO_ENDPOINT_REACHABLE,
+            ErrorKind.NO_VIEW_LEASE);
+
     private final EntryServices services;
     private final CallerRequest request;
     private final ResponseWriter responseWriter;
@@ -67,8 +79,12 @@
     private Optional<RequestRank> rank = Optional.empty();
 
     private Optional<Attempt> currentAttempt = Optional.empty();
+    /** The attempt of a begun stream that was left for its silence, until another one has continued the stream. */
+    private Optional<Attempt> silentAttempt = Optional.empty();
+
     private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
     private final RelayedStream stream = new RelayedStream();
+    private final StreamContinuation continuation = new StreamContinuation();
     private Optional<BufferedResponse> errorResponse = Optional.empty();
     private OptionalLong latestDeadlineNanos = OptionalLong.empty();
     private long deadlineNanos;
@@ -78,8 +94,6 @@
 
     private boolean ended;
     private boolean callerReads = true;
-    /** Whether the last endpoint was left for its silence, and no other one has sent anything since. */
-    private boolean leftSilentEndpoint;
 
     Exchange(EntryServices services, CallerRequest request, ResponseWriter responseWriter, Runnable onEnd) {
         this(services, request, Optional.empty(), responseWriter, onEnd);
@@ -218,6 +232,7 @@
     void onCallerWritabilityChanged(boolean writable) {
         callerReads = writable;
         currentAttempt.ifPresent(attempt -> attempt.setReading(writable));
+        silentAttempt.ifPresent(attempt -> attempt.setReading(writable));
     }
 
     private void setDeadline(Route matched) {
@@ -459,6 +474,9 @@
 
     /** Handles an attempt whose request the endpoint did not run: retries the request or ends it with an error. */
     void onNotRun(Attempt attempt, RetryReason reason, String cause) {
+        if (dropSilent(attempt)) {
+            return;
+        }
         currentAttempt = Optional.empty();
         if (attempts >= MAX_ATTEMPTS && !services.endpointLinks().areCut()) {
             failOrRefuse(ErrorKind.ENDPOINT_REFUSED, cause, ErrorKind.ENDPOINT_REFUSED.retryAfterMs());
@@ -473,6 +491,9 @@
 
     /** Handles an attempt that ended without a complete response, although the endpoint may have run the request. */
     void onMayHaveRun(Attempt attempt, RetryReason reason, String cause) {
+        if (dropSilent(attempt)) {
+            return;
+        }
         currentAttempt = Optional.empty();
         attemptsThatMayHaveRun++;
         final boolean retryable = route.orElseThrow().mayRetry()
@@ -486,6 +507,15 @@
         failOrRefuse(route.get().mayRetry() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN, cause, 0);
     }
 
+    /** Forgets an attempt that was left for its silence and has failed since; returns whether it was one. */
+    private boolean dropSilent(Attempt attempt) {
+        final boolean dropped = silentAttempt.filter(attempt::equals).isPresent();
+        if (dropped) {
+            silentAttempt = Optional.empty();
+        }
+        return dropped;
+    }
+
     /** Handles an error response of another entry node that does not know all attempts of the request. */
     void onRelayFailed(Attempt attempt, String cause) {
         currentAttempt = Optional.empty();
@@ -517,11 +547,19 @@
         return canFailOver() && tryReserveRetry();
     }
 
-    /** Sends the request to another endpoint after {@link #tryReserveFailover}. */
+    /**
+     * Sends the request to another endpoint after {@link #tryReserveFailover}. The attempt at the silent one is cancelled
+     * only once the other one has continued a stream that has begun, or at once if none has.
+     */
     void failOver(Attempt attempt, RetryReason reason, String cause) {
         currentAttempt = Optional.empty();
         attemptsThatMayHaveRun++;
-        leftSilentEndpoint = true;
+        if (stream.hasBegun() && silentAttempt.isEmpty()) {
+            attempt.suspendSilenceCheck();
+            silentAttempt = Optional.of(attempt);
+        } else {
+            attempt.cancel();
+        }
         retry(attempt, reason, cause);
     }
 
@@ -568,7 +606,7 @@
         currentAttempt = Optional.empty();
         if (stream.hasBegun()) {
             response.body().release();
-            fail(
+            continueOrCut(
                     ErrorKind.ENDPOINT_FAILED,
                     attempt.target() + " responded with status " + response.status() + " to a stream that has begun");
             return;
@@ -579,16 +617,53 @@
         end();
     }
 
-    /** Forwards an event of a stream to the caller. */
-    void forwardEvent(ResponseHead head, ServerSentEventSplitter.Event event) {
+    /**
+     * Forwards an event of a stream to the caller. If two attempts run, the first one that takes the stream further
+     * produces the rest of it, and the other one is cancelled.
+     *
+     * @return why the event cannot follow; empty if it can
+     */
+    Optional<String> acceptEvent(
+            Attempt attempt, StreamPart part, ResponseHead head, ServerSentEventSplitter.Event event) {
+        final boolean fromSilent = silentAttempt.filter(attempt::equals).isPresent();
+        final Optional<String> fault = stream.findFault(part, event);
+        if (fault.isPresent() || (fromSilent && !stream.isProgress(event))) {
+            return fault;
+        }
+        if (stream.isProgress(event)) {
+            continuation.recordProgress();
+            if (fromSilent) {
+                currentAttempt.ifPresent(Attempt::cancel);
+                returnToSilentAttempt("it goes on");
+            } else {
+                cancelSilentAttempt();
+            }
+        }
         log.firstBytesSent();
-        leftSilentEndpoint = false;
         stream.begin(head, responseWriter);
-        stream.relay(event, responseWriter);
+        stream.relay(part, event, responseWriter);
+        return Optional.empty();
+    }
+
+    private void cancelSilentAttempt() {
+        silentAttempt.ifPresent(Attempt::cancel);
+        silentAttempt = Optional.empty();
+    }
+
+    private void returnToSilentAttempt(String cause) {
+        final Attempt attempt = silentAttempt.orElseThrow();
+        silentAttempt = Optional.empty();
+        currentAttempt = Optional.of(attempt);
+        attemptsThatMayHaveRun--;
+        log.kept("it returns to " + attempt.target(), cause);
+        attempt.resumeSilenceCheck();
     }
 
     /** Ends a stream whose last event was forwarded. */
     void onStreamEnd(Attempt attempt) {
+        if (dropSilent(attempt)) {
+            currentAttempt.ifPresent(Attempt::cancel);
+        }
         currentAttempt = Optional.empty();
         responseWriter.endStream();
         log.responded(attempt.target(), stream.status(), attempts, stream.events());
@@ -618,16 +693,58 @@
         }
     }
 
+    /** Looks for a way to go on with a stream that has begun, and gives it up if there is none. */
+    private void continueOrCut(ErrorKind kind, String cause) {
+        switch (continuation.next(
+                silentAttempt.isPresent(), endpointMayAppear(kind), deadlineNanos, services.nowNanos())) {
+            case RETURN_TO_SILENT_ENDPOINT -> returnToSilentAttempt(kind.code() + ", " + cause);
+            case AWAIT_ENDPOINT -> awaitEndpoint(kind.code() + ", " + cause);
+            case CUT ->
+                fail(
+                        kind == ErrorKind.SUSPECT_WAITING ? CutCause.REQUEST_QUARANTINED : CutCause.ENDPOINT_BROKE_OFF,
+                        route.orElseThrow().mayRetry() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN,
+                        kind.code() + ", " + cause,
+                        0);
+        }
+    }
+
+    private boolean endpointMayAppear(ErrorKind kind) {
+        return MAY_SUCCEED_LATER.contains(kind)
+                && route.orElseThrow().mayRetry()
+                && attemptsThatMayHaveRun < route.get().maxAttempts()
+                && attempts < MAX_ATTEMPTS
+                && stream.isResumable();
+    }
+
+    private void awaitEndpoint(String cause) {
+        log.kept("it waits for an endpoint", cause);
+        NettyFutures.logFailure(services.loop()
+                .eventLoop()
+                .schedule(this::lookForEndpointAgain, StreamContinuation.RETRY_DELAY_MS, TimeUnit.MILLISECONDS));
+    }
+
+    /** The endpoints that were tried may have formed another group since. */
+    private void lookForEndpointAgain() {
+        if (!ended) {
+            triedVms.clear();
+            triedPeers.clear();
+            send();
+        }
+    }
+
     private void failOrRefuse(ErrorKind kind, String cause, long retryAfterMs) {
+        if (stream.hasBegun()) {
+            continueOrCut(kind, cause);
+            return;
+        }
         if (attemptsThatMayHaveRun > 0) {
             fail(
-                    cutCauseOf(kind),
                     route.orElseThrow().mayRetry() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN,
                     kind.code() + ", " + cause,
                     0);
             return;
         }
-        if (stream.hasBegun() || kind.httpStatus() != ErrorKind.NO_FREE_SLOT.httpStatus()) {
+        if (kind.httpStatus() != ErrorKind.NO_FREE_SLOT.httpStatus()) {
             fail(kind, cause, retryAfterMs);
             return;
         }
@@ -635,14 +752,7 @@
     }
 
     private void fail(ErrorKind kind, String cause, long retryAfterMs) {
-        fail(cutCauseOf(kind), kind, cause, retryAfterMs);
-    }
-
-    private CutCause cutCauseOf(ErrorKind kind) {
-        if (kind == ErrorKind.SUSPECT_WAITING) {
-            return CutCause.REQUEST_QUARANTINED;
-        }
-        return leftSilentEndpoint ? CutCause.ENDPOINT_SILENT : CutCause.ENDPOINT_BROKE_OFF;
+        fail(CutCause.ENDPOINT_BROKE_OFF, kind, cause, retryAfterMs);
     }
 
     private void fail(CutCause cutCause, ErrorKind kind, String cause, long retryAfterMs) {
@@ -685,6 +795,7 @@
 
     private void end() {
         ended = true;
+        cancelSilentAttempt();
         releaseErrorResponse();
         deadlineTimer.ifPresent(timer -> timer.cancel(false));
         onEnd.run();
--- a/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -135,6 +135,11 @@
         ended(RequestOutcome.FAILED);
     }
 
+    /** Logs that a stream is not given up although its last attempt failed. */
+    void kept(String step, String cause) {
+        services.events().write(LogEvent.STREAM_KEPT, requestLogId, step, cause);
+    }
+
     /** Logs that a response that has begun is ended before it is complete. */
     void cut(CutCause cause, int events, long deadlineNanos, long configurationVersion, int sends, String detail) {
         services.metrics().countCutResponse(cause);
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
@@ -24,6 +24,7 @@
     private final String address;
     private final ServerSentEventSplitter eventSplitter = new ServerSentEventSplitter();
     private final BufferedBody body;
+    private final StreamPart streamPart = new StreamPart();
     private Optional<ResponseHead> head = Optional.empty();
     private Optional<ScheduledFuture<?>> silenceCheck = Optional.empty();
     private long lastBytesNanos;
@@ -64,6 +65,17 @@
         call.cancel();
     }
 
+    @Override
+    public void suspendSilenceCheck() {
+        silenceCheck.ifPresent(timer -> timer.cancel(false));
+    }
+
+    @Override
+    public void resumeSilenceCheck() {
+        lastBytesNanos = services.nowNanos();
+        scheduleSilenceCheck(SILENCE_TIMEOUT_MS);
+    }
+
     @Override
     public void setReading(boolean enabled) {
         reading = enabled;
@@ -86,7 +98,9 @@
         lastBytesNanos = services.nowNanos();
         head = Optional.of(received);
         if (isStream()) {
-            exchange.stream().startPart(received).ifPresent(fault -> fail(fault, RetryReason.ANSWER_MISMATCHED));
+            exchange.stream()
+                    .startPart(streamPart, received)
+                    .ifPresent(fault -> fail(fault, RetryReason.ANSWER_MISMATCHED));
         }
     }
 
@@ -98,12 +112,11 @@
             return;
         }
         for (final ServerSentEventSplitter.Event event : eventSplitter.accept(bytes)) {
-            final Optional<String> fault = exchange.stream().findFault(event);
+            final Optional<String> fault = exchange.acceptEvent(this, streamPart, head.orElseThrow(), event);
             if (fault.isPresent()) {
                 fail(fault.get(), RetryReason.ANSWER_MISMATCHED);
                 return;
             }
-            exchange.forwardEvent(head.orElseThrow(), event);
         }
         if (eventSplitter.partialBytes() > EndpointAttempt.MAX_EVENT_BYTES) {
             fail("an event of the stream is too long", RetryReason.ANSWER_MISMATCHED);
@@ -184,7 +197,6 @@
         }
         services.relayPeers().recordFailure(address, services.nowNanos());
         if (exchange.tryReserveFailover()) {
-            cancel();
             exchange.failOver(this, RetryReason.STREAM_STALLED, "no bytes received for " + silentMs + " ms");
         } else {
             scheduleSilenceCheck(SILENCE_TIMEOUT_MS);
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayedStream.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayedStream.java
@@ -19,8 +19,6 @@
     private int events;
     private OptionalLong lastEventId = OptionalLong.empty();
     private Optional<String> mediaType = Optional.empty();
-    /** Whether the place of the current response's events in the stream is known. */
-    private boolean placed = true;
 
     boolean hasBegun() {
         return begun;
@@ -63,8 +61,10 @@
      * Starts the part that comes from another response. Returns why that response cannot continue the stream; empty if it
      * can, or if the stream has not begun.
      */
-    Optional<String> startPart(ResponseHead head) {
-        placed = !begun;
+    Optional<String> startPart(StreamPart part, ResponseHead head) {
+        if (begun) {
+            part.continueUnplaced();
+        }
         final boolean fits =
                 !begun || (head.status() == status && mediaTypeOf(head).equals(mediaType));
         return fits
@@ -78,8 +78,8 @@
      * Returns why an event cannot follow; empty if it can. The first event of a continuation has to name its id, or its
      * place in the stream is unknown.
      */
-    Optional<String> findFault(ServerSentEventSplitter.Event event) {
-        return placed || event.id().isPresent() || event.isComment()
+    Optional<String> findFault(StreamPart part, ServerSentEventSplitter.Event event) {
+        return part.isPlaced() || event.id().isPresent() || event.isComment()
                 ? Optional.empty()
                 : Optional.of("the first event of the continuation names no id");
     }
@@ -90,12 +90,21 @@
                 .map(type -> Ascii.toLowerCase(type.toString().strip()));
     }
 
+    /** Returns whether the event takes the stream further: it is no comment and was not forwarded before. */
+    boolean isProgress(ServerSentEventSplitter.Event event) {
+        return !event.isComment() && !wasRelayed(event);
+    }
+
+    private boolean wasRelayed(ServerSentEventSplitter.Event event) {
+        return event.id().isPresent() && lastEventId.isPresent() && event.id().getAsLong() <= lastEventId.getAsLong();
+    }
+
     /** Forwards an event unless it was forwarded before. */
-    void relay(ServerSentEventSplitter.Event event, ResponseWriter responseWriter) {
-        placed = placed || event.id().isPresent();
-        final boolean alreadyRelayed =
-                event.id().isPresent() && lastEventId.isPresent() && event.id().getAsLong() <= lastEventId.getAsLong();
-        if (alreadyRelayed) {
+    void relay(StreamPart part, ServerSentEventSplitter.Event event, ResponseWriter responseWriter) {
+        if (event.id().isPresent()) {
+            part.recordPlace();
+        }
+        if (wasRelayed(event)) {
             return;
         }
         lastEventId = event.id();
