Keep a starting node alive when SIGHUP reaches it

SIGHUP came before the node had installed its handler, and ends a JVM by default: a planned signal took the node away. Nothing had recorded it, as the soak did not look for nodes that end by themselves.

A fleet node now holds SIGHUP as the first thing that it does and reads its settings again once it can. A JVM that has not yet run any of its code still ends; the soak sends the signal to nodes that have logged their start.

--- a/src/main/java/org/wigeongrade/command/FleetNodeCommand.java
+++ b/src/main/java/org/wigeongrade/command/FleetNodeCommand.java
@@ -43,6 +43,7 @@
 
     @Override
     protected ExitCode run(CommandIo io) {
+        StopSignals.holdSighup();
         final FleetSettings settings = FleetSettingsReader.read(settingsFile);
         if (checkOnly) {
             io.out().println("settings of node " + settings.name() + " are valid");
--- a/src/main/java/org/wigeongrade/command/StopSignals.java
+++ b/src/main/java/org/wigeongrade/command/StopSignals.java
@@ -12,6 +12,8 @@
 final class StopSignals {
     private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
 
+    private static final AtomicBoolean HELD_SIGHUP = new AtomicBoolean();
+
     private StopSignals() {}
 
     /**
@@ -30,8 +32,20 @@
         STOP_SIGNALS.forEach(name -> installHandler(name, handler));
     }
 
-    /** Installs a handler that runs on each SIGHUP. */
+    /** Holds a SIGHUP until {@link #onSighup}; without a handler, it would end a process that is still starting. */
+    static void holdSighup() {
+        installSighupHandler(() -> HELD_SIGHUP.set(true));
+    }
+
+    /** Installs a handler that runs on each SIGHUP, and now if one was held. */
     static void onSighup(Runnable action) {
+        installSighupHandler(action);
+        if (HELD_SIGHUP.getAndSet(false)) {
+            action.run();
+        }
+    }
+
+    private static void installSighupHandler(Runnable action) {
         installHandler("HUP", (proxy, method, arguments) -> {
             if (!method.getName().equals("handle")) {
                 return method.invoke(action, arguments);
--- a/src/test/java/org/wigeongrade/proof/ManagedProcess.java
+++ b/src/test/java/org/wigeongrade/proof/ManagedProcess.java
@@ -34,6 +34,7 @@
     private final Path output;
     private final List<String> command;
     private Process process;
+    private int outputCharsBeforeStart;
 
     private ManagedProcess(String name, Path output, List<String> command) {
         this.name = name;
@@ -94,6 +95,7 @@
         if (process != null && process.isAlive()) {
             throw new IllegalStateException(name + " is still running; stop it before starting it again");
         }
+        outputCharsBeforeStart = output().length();
         try {
             process = new ProcessBuilder(commandToRun)
                     .redirectErrorStream(true)
@@ -196,6 +198,11 @@
         return process.exitValue();
     }
 
+    /** Returns the output of the process since it was started last. */
+    public synchronized String outputSinceStart() {
+        return output().substring(outputCharsBeforeStart);
+    }
+
     /** Returns the output of the process, including that of earlier starts. */
     public String output() {
         try {
