Let a group keep its requests while a member is silent for a second

What callers saw: streams broke off at sound replicas, up to eight at one entry node at a time.

A member that leaves probes unanswered now counts as lost after 750 ms, counted from the first probe or its latest heartbeat; with the time until a busy group is probed, that covers a second. A process that has ended, or a head that refuses callers' connections, counts as lost as before, since silence explains neither. So that a VM that is lost for good is still replaced within 2 s, a group that begins to close gets its first order in the same step.

--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPhase.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPhase.java
@@ -25,6 +25,11 @@
         return this == SERVING || this == CHECKING;
     }
 
+    /** Returns whether the group no longer serves and has not ended, so that its next order is due at once. */
+    public boolean isEnding() {
+        return this == CLOSING || this == BREAKING;
+    }
+
     /** Returns whether the group serves or is starting to. */
     public boolean isServingOrStarting() {
         return this == FORMING || this == OPENING || isRoutable();
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupPlanner.java
@@ -162,11 +162,14 @@
     }
 
     private void step(ManagedGroup group, PlanningContext context) {
-        final GroupPhase before = group.phase();
-        group.step(context);
-        if (group.phase() != before) {
-            recordPhaseChange(group);
-        }
+        GroupPhase before;
+        do {
+            before = group.phase();
+            group.step(context);
+            if (group.phase() != before) {
+                recordPhaseChange(group);
+            }
+        } while (group.phase() != before && group.phase().isEnding());
     }
 
     private void recordPhaseChange(ManagedGroup group) {
--- a/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/GroupTimings.java
@@ -53,6 +53,11 @@
     static final long PROBE_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Number of consecutive unanswered probes after which a VM counts as lost. */
     static final int MAX_UNANSWERED_PROBES = 2;
+    /**
+     * Time after the first probe for which a member may leave probes unanswered and still go on. With the time until a busy
+     * group is probed, it covers a second of silence.
+     */
+    static final long MAX_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
     /** Bytes received from the group within this time show that every member works. */
     static final long RECENT_PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
     /** Minimum time between two rounds of probes to a group, which limits the number of probes. */
--- a/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
+++ b/src/main/java/org/wigeongrade/decisions/grouping/ManagedGroup.java
@@ -38,6 +38,9 @@
     private boolean opened;
 
     private boolean headClosed;
+    /** Whether the group is checked since connections to its head are refused, which silence does not explain. */
+    private boolean connectionsRefused;
+
     private String cause = "formed";
     private Optional<GroupEndEvidence> endEvidence = Optional.empty();
 
@@ -199,6 +202,7 @@
             return;
         }
         if (isSuspect(context) && context.nowNanos() - nextCheckNanos >= 0) {
+            connectionsRefused = context.observationOf(head()).refusedConnection();
             members.forEach(GroupMember::resetUnansweredOrders);
             members.forEach(member -> sendOrder(member, GroupOrderKind.PROBE, context));
             enterPhase(
@@ -212,6 +216,7 @@
             enterPhase(GroupPhase.CLOSING, fault.get(), context.nowNanos());
             return;
         }
+        connectionsRefused |= context.observationOf(head()).refusedConnection();
         final boolean progressed = context.observationOf(head()).progressedSince(phaseSinceNanos);
         if (progressed || members.stream().allMatch(member -> member.respondedSince(phaseSinceNanos))) {
             nextCheckNanos = context.nowNanos() + GroupTimings.PROBE_PAUSE_NANOS;
@@ -219,7 +224,7 @@
             return;
         }
         final Optional<GroupMember> lost = members.stream()
-                .filter(member -> !member.respondedSince(phaseSinceNanos) && isLost(member))
+                .filter(member -> !member.respondedSince(phaseSinceNanos) && isLost(member, context))
                 .findFirst();
         if (lost.isPresent()) {
             enterPhase(GroupPhase.CLOSING, "member " + lost.get().vm + " does not answer", context.nowNanos());
@@ -232,12 +237,21 @@
                 .forEach(member -> sendOrder(member, GroupOrderKind.PROBE, context));
     }
 
-    private static boolean isLost(GroupMember member) {
+    private boolean isLost(GroupMember member, PlanningContext context) {
         final Optional<OrderResponse> response = member.responseTo(GroupOrderKind.PROBE);
         final boolean processGone = response.filter(
                         given -> given == OrderResponse.NO_LISTENER || given == OrderResponse.ENDED)
                 .isPresent();
-        return processGone || member.unansweredOrders() >= GroupTimings.MAX_UNANSWERED_PROBES;
+        return processGone
+                || (member.unansweredOrders() >= GroupTimings.MAX_UNANSWERED_PROBES
+                        && (connectionsRefused || isSilentForTooLong(member, context)));
+    }
+
+    private boolean isSilentForTooLong(GroupMember member, PlanningContext context) {
+        final long heardNanos =
+                context.record(member).map(VmRecord::receivedNanos).orElse(phaseSinceNanos);
+        final long silentSinceNanos = phaseSinceNanos + Math.max(0, heardNanos - phaseSinceNanos);
+        return context.nowNanos() - silentSinceNanos >= GroupTimings.MAX_SILENCE_NANOS;
     }
 
     private void drain(PlanningContext context) {
