--- a/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FakeEndpointVm.java
@@ -120,6 +120,11 @@
         Await.sleepMs(forMs);
     }
 
+    /** Returns whether the last silence ended at least {@code forMs} ago. */
+    boolean hasWorkedFor(long forMs) {
+        return System.nanoTime() - silentUntilNanos >= forMs * 1_000_000;
+    }
+
     private boolean isSilent() {
         return System.nanoTime() - silentUntilNanos < 0;
     }
--- a/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
+++ b/src/test/java/org/wigeongrade/platform/soak/FleetSoakTest.java
@@ -66,6 +66,9 @@
     void guaranteesHoldUnderFaults(long seed) throws Exception {
         final long forMs = Integer.getInteger("soak.seconds", CI_SECONDS) * 1_000L;
         final GuaranteeChecker guarantees = new GuaranteeChecker();
+        if (seed >= FIRST_SILENCE_SEED) {
+            guarantees.cutResponses().expectSoundEndpoints();
+        }
         final SoakAddresses addresses = SoakAddresses.free(controls(seed), ENTRIES);
         final ControlClient control = new ControlClient(addresses.controlAddresses());
         final SoakOperator operator = new SoakOperator(control, guarantees);
