--- a/src/test/java/org/wigeongrade/fleet/entry/PausedNodeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/PausedNodeTest.java
@@ -42,7 +42,7 @@
         loop.close();
     }
 
-    /** A node that stood still took sound endpoints for silent and its links for cut, and cut the streams that it had begun. */
+    /** Guards against a node that stood still and takes sound endpoints for silent or its links for cut. */
     @ParameterizedTest
     @CsvSource({
         // delay of the pause after the requests in ms, length in ms
