--- a/review/src-2/review2/Fleet.java
+++ b/review/src-2/review2/Fleet.java
@@ -182,17 +182,32 @@
         return false;
     }
 
+    /** Sends a call, and follows redirects twice; returns the response, if there was one in time. */
     Optional<HttpResponse<String>> call(int control, String method, String path, String body, long timeoutMs) {
-        String uri = "http://" + controlIp(control) + ":" + controlPort() + path;
+        return call(controlUri(control, path), method, body, timeoutMs, 3);
+    }
+
+    Optional<HttpResponse<String>> callWithoutRedirect(
+            int control, String method, String path, String body, long timeoutMs) {
+        return call(controlUri(control, path), method, body, timeoutMs, 1);
+    }
+
+    private String controlUri(int control, String path) {
+        return "http://" + controlIp(control) + ":" + controlPort() + path;
+    }
+
+    private Optional<HttpResponse<String>> call(
+            String firstUri, String method, String body, long timeoutMs, int maxHops) {
+        String uri = firstUri;
         try {
-            for (int hop = 0; hop < 3; hop++) {
+            for (int hop = 1; ; hop++) {
                 final HttpRequest request = HttpRequest.newBuilder(URI.create(uri))
                         .timeout(Duration.ofMillis(timeoutMs))
                         .header("Content-Type", "application/json")
                         .method(method, HttpRequest.BodyPublishers.ofString(body))
                         .build();
                 final HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
-                if (response.statusCode() != 307) {
+                if (response.statusCode() != 307 || hop == maxHops) {
                     return Optional.of(response);
                 }
                 uri = response.headers().firstValue("location").orElseThrow();
@@ -201,8 +216,8 @@
             return Optional.empty();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return Optional.empty();
         }
-        return Optional.empty();
     }
 
     /** Publishes the first configuration and waits until every entry node is ready. */
--- a/review/src-2/review2/Replica.java
+++ b/review/src-2/review2/Replica.java
@@ -9,7 +9,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 /**
  * A replica of a plain service: it sends heartbeats every 1.2 s and serves one request at a time on a connection. What it
@@ -45,9 +50,26 @@
     private final CaseRecord record;
     private final long born = System.currentTimeMillis();
     private final AtomicLong sequence = new AtomicLong();
+    /** Further fields of the heartbeat, each with a comma before it. */
+    private final Supplier<String> furtherFields;
+
+    private final Semaphore changes = new Semaphore(0);
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
 
     Replica(Fleet fleet, int number, String service, CaseRecord record, Behaviour behaviour) throws IOException {
+        this(fleet, number, service, record, behaviour, () -> "");
+    }
+
+    Replica(
+            Fleet fleet,
+            int number,
+            String service,
+            CaseRecord record,
+            Behaviour behaviour,
+            Supplier<String> furtherFields)
+            throws IOException {
+        this.furtherFields = furtherFields;
         this.fleet = fleet;
         this.id = "i-" + number;
         this.service = service;
@@ -71,6 +93,7 @@
             try {
                 final Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
+                open.add(socket);
                 daemon(() -> serve(socket), id + "-connection");
             } catch (IOException e) {
                 return;
@@ -88,7 +111,11 @@
                 goesOn = head != null && serveOne(connection, head);
             }
         } catch (Exception e) {
-            record.line(id + ": connection ended: " + e);
+            if (!closed) {
+                record.line(id + ": connection ended: " + e);
+            }
+        } finally {
+            open.remove(socket);
         }
     }
 
@@ -107,9 +134,8 @@
         int control = 0;
         while (!closed) {
             final String body = "{\"service\":\"" + service + "\",\"address\":\""
-                    + server.getInetAddress().getHostAddress() + ":" + server.getLocalPort()
-                    + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":18,\"state\":\"ready\",\"coldRemainingMs\":0,"
-                    + "\"sequence\":" + sequence.incrementAndGet() + ",\"born\":" + born + "}";
+                    + address() + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":18,\"state\":\"ready\",\"coldRemainingMs\":0,"
+                    + "\"sequence\":" + sequence.incrementAndGet() + ",\"born\":" + born + furtherFields.get() + "}";
             final int tried = control;
             for (int next = 0; next < fleet.controls; next++) {
                 control = (tried + next) % fleet.controls;
@@ -120,13 +146,33 @@
                 }
             }
             try {
-                Thread.sleep(HEARTBEAT_MS);
+                changes.tryAcquire(HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+                changes.drainPermits();
             } catch (InterruptedException e) {
                 return;
             }
         }
     }
 
+    /** Sends the next heartbeat at once, because what it reports has changed. */
+    void reportChange() {
+        changes.release();
+    }
+
+    /** Returns the address of this replica, as its heartbeats state it. */
+    String address() {
+        return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
+    }
+
+    /** Ends this life at once, as a crash does: every connection is reset, and nothing more is sent. */
+    void crash() throws IOException {
+        close();
+        for (final Socket socket : open) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         closed = true;
