--- a/review/src-2/review2/CrashingRequest.java
+++ b/review/src-2/review2/CrashingRequest.java
@@ -53,6 +53,7 @@
     }
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoIfMainFails();
         final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
         try (CaseRecord record = new CaseRecord(Path.of(arguments[0], "record.txt"));
--- a/review/src-2/review2/EarlyAnswers.java
+++ b/review/src-2/review2/EarlyAnswers.java
@@ -37,6 +37,7 @@
     private EarlyAnswers() {}
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoIfMainFails();
         final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         final AtomicInteger otherBytes = new AtomicInteger();
         final AtomicInteger ran = new AtomicInteger();
--- a/review/src-2/review2/Fleet.java
+++ b/review/src-2/review2/Fleet.java
@@ -55,6 +55,14 @@
         }
     }
 
+    /** Lets this process exit with 2 if its main thread fails: a case that could not run is neither broken nor held. */
+    static void exitWithTwoIfMainFails() {
+        Thread.currentThread().setUncaughtExceptionHandler((thread, failure) -> {
+            failure.printStackTrace();
+            System.exit(2);
+        });
+    }
+
     String controlIp(int control) {
         return "127." + network + ".1." + (control + 1);
     }
--- a/review/src-2/review2/OddHeartbeat.java
+++ b/review/src-2/review2/OddHeartbeat.java
@@ -27,6 +27,7 @@
     private OddHeartbeat() {}
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoIfMainFails();
         final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         final AtomicInteger violations = new AtomicInteger();
         int status = 2;
--- a/review/src-2/review2/TruncatedAnswer.java
+++ b/review/src-2/review2/TruncatedAnswer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A replica answers before it has read a long body; the answer has no length and is reset on the way. The requester must
@@ -19,11 +20,13 @@
     private static final int REQUESTS = 600;
     private static final int REPLICAS = 4;
     /**
-     * Two of the four replicas answer one of their requests in 20 early and without a length, from the fifth on; with
+     * Two of the four replicas answer one of their requests in 20 early and without a length, from the third on; with
      * trouble, they reset these answers.
      */
     private static final int SPOIL_ONE_IN = 20;
-    private static final int FIRST_SPOILED = 5;
+    private static final int FIRST_SPOILED = 3;
+    /** No answer is spoiled later than this after the first one; the pages' longest "garble" lasts 5.5 s. */
+    private static final long SPOIL_FOR_NANOS = 5_000_000_000L;
     private static final String CONFIGURATION = "{\"version\":7,\"routes\":[{\"name\":\"r-upload\",\"hostname\":\""
             + Requester.HOST + "\",\"pathPrefix\":\"/upload/\",\"kind\":\"%s\",\"timeoutMs\":6000,"
             + "\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"ledger\",\"maxAttempts\":2,\"anonymous\":true}],"
@@ -43,6 +46,7 @@
     }
 
     public static void main(String[] arguments) throws Exception {
+        Fleet.exitWithTwoIfMainFails();
         final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         final Map<String, byte[]> whole = new ConcurrentHashMap<>();
         int status = 2;
@@ -50,18 +54,24 @@
                 Fleet fleet = new Fleet(3, 1, 1, record)) {
             fleet.publishAndAwaitReady(String.format(CONFIGURATION, "non_idempotent"));
             final Map<String, AtomicInteger> answers = new ConcurrentHashMap<>();
+            final AtomicLong firstSpoiledNanos = new AtomicLong();
             final AtomicInteger spoiledAnswers = new AtomicInteger();
             final Replica.Behaviour behaviour = (connection, head) -> {
                 final String attempt = head.header("x-attempt-id");
                 final byte[] answer = new byte[ANSWER_BYTES];
                 Arrays.fill(answer, (byte) ('a' + number(attempt) % 26));
                 whole.put(attempt, answer);
+                final long nowNanos = System.nanoTime();
                 final boolean spoiled =
                         Integer.parseInt(connection.replica().id.substring(2)) < REPLICAS / 2
                                 && answers.computeIfAbsent(connection.replica().id, id -> new AtomicInteger())
                                                         .incrementAndGet()
                                                 % SPOIL_ONE_IN
-                                        == FIRST_SPOILED;
+                                        == FIRST_SPOILED
+                                && nowNanos
+                                                - firstSpoiledNanos.updateAndGet(
+                                                        first -> first == 0 ? nowNanos : first)
+                                        < SPOIL_FOR_NANOS;
                 if (!spoiled) {
                     connection.in().readNBytes(head.contentLength());
                     connection.write(head(attempt) + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n");
