--- a/review/src-2/review2/TruncatedAnswer.java
+++ b/review/src-2/review2/TruncatedAnswer.java
@@ -18,13 +18,13 @@
     private static final int BODY_BYTES = 4_190_000;
     private static final int ANSWER_BYTES = 40_000;
     private static final int REQUESTS = 600;
+    private static final int REQUESTERS = 4;
     private static final int REPLICAS = 4;
     /**
-     * Two of the four replicas answer one of their requests in 20 early and without a length, from the third on; with
-     * trouble, they reset these answers.
+     * Two of the four replicas answer each 20th of their requests early and without a length; with trouble, they reset
+     * these answers.
      */
     private static final int SPOIL_ONE_IN = 20;
-    private static final int FIRST_SPOILED = 3;
     /** No answer is spoiled later than this after the first one; the pages' longest "garble" lasts 5.5 s. */
     private static final long SPOIL_FOR_NANOS = 5_000_000_000L;
     private static final String CONFIGURATION = "{\"version\":7,\"routes\":[{\"name\":\"r-upload\",\"hostname\":\""
@@ -36,6 +36,29 @@
 
     private TruncatedAnswer() {}
 
+    private static void upload(
+            Fleet fleet,
+            CaseRecord record,
+            String attempt,
+            Map<String, byte[]> whole,
+            AtomicInteger served,
+            AtomicInteger mixed) {
+        try (Requester requester = new Requester(fleet.entryAddress(0), 9_000)) {
+            requester.send("POST", "/upload/" + attempt, attempt, 6_000, new byte[BODY_BYTES]);
+            final Http.Answer answer = requester.read();
+            record.line("answer to " + attempt + ": " + answer.head().status() + ", " + answer.body().length + " bytes, "
+                    + answer.end());
+            final boolean success = answer.head().status() / 100 == 2 && answer.isComplete();
+            if (success && !Arrays.equals(answer.body(), whole.get(attempt))) {
+                record.line("MIXED: a success whose body is not the replica's whole body");
+                mixed.incrementAndGet();
+            }
+            served.addAndGet(success ? 1 : 0);
+        } catch (java.io.IOException e) {
+            record.line("no answer to " + attempt + ": " + e);
+        }
+    }
+
     private static int number(String attempt) {
         return Integer.parseInt(attempt.substring(attempt.indexOf('-') + 1));
     }
@@ -67,7 +90,7 @@
                                 && answers.computeIfAbsent(connection.replica().id, id -> new AtomicInteger())
                                                         .incrementAndGet()
                                                 % SPOIL_ONE_IN
-                                        == FIRST_SPOILED
+                                        == 0
                                 && nowNanos
                                                 - firstSpoiledNanos.updateAndGet(
                                                         first -> first == 0 ? nowNanos : first)
@@ -106,27 +129,25 @@
             try {
                 Thread.sleep(4_000);
                 status = 0;
-                int served = 0;
-                for (int number = 0; number < REQUESTS; number++) {
-                    final String attempt = "upload-" + number;
-                    try (Requester requester = new Requester(fleet.entryAddress(0), 9_000)) {
-                        record.line("sent " + attempt + ", " + BODY_BYTES + " bytes");
-                        requester.send("POST", "/upload/" + number, attempt, 6_000, new byte[BODY_BYTES]);
-                        final Http.Answer answer = requester.read();
-                        record.line("answer to " + attempt + ": " + answer.head().status() + ", "
-                                + answer.body().length + " bytes, " + answer.end());
-                        final boolean success = answer.head().status() / 100 == 2 && answer.isComplete();
-                        if (success && !Arrays.equals(answer.body(), whole.get(attempt))) {
-                            record.line("MIXED: a success whose body is not the replica's whole body");
-                            status = 1;
+                final AtomicInteger served = new AtomicInteger();
+                final AtomicInteger mixed = new AtomicInteger();
+                final List<Thread> requesters = new ArrayList<>();
+                for (int first = 0; first < REQUESTERS; first++) {
+                    final int start = first;
+                    final Thread thread = new Thread(() -> {
+                        for (int number = start; number < REQUESTS; number += REQUESTERS) {
+                            upload(fleet, record, "upload-" + number, whole, served, mixed);
                         }
-                        served += success ? 1 : 0;
-                    } catch (java.io.IOException e) {
-                        record.line("no answer to " + attempt + ": " + e);
-                    }
+                    });
+                    thread.start();
+                    requesters.add(thread);
+                }
+                for (final Thread thread : requesters) {
+                    thread.join();
                 }
+                status = mixed.get() > 0 ? 1 : 0;
                 record.line(served + " of " + REQUESTS + " got a complete success");
-                if (served < REQUESTS / 2 || spoiledAnswers.get() == 0) {
+                if (served.get() < REQUESTS / 2 || spoiledAnswers.get() == 0) {
                     status = 2;
                 }
                 record.line(spoiledAnswers + " answers were sent early and without a length");
