Close a caller's connection when a write to it fails

Callers saw a stream that went on without one of its events, or the head of a response and then nothing, on a connection that stayed open.

Cause: a write can fail while the connection stays open, for example for want of direct memory. CallerConnection and HttpRequestHandler handed the failed future to NettyFutures.logFailure, which logs at debug level, so that the next write took the place of the failed one.

WriteFailureHandler, added before and behind the encoder of every listener, reports a failed write as an exception. The handlers of both kinds of connections close on one already, and event 1620 and the counter of cut responses name it. Behind the encoder alone it is not enough: a chunk is written in pieces, and the encoder's future completes after the last one.

--- a/src/main/java/org/wigeongrade/fleet/net/HttpListener.java
+++ b/src/main/java/org/wigeongrade/fleet/net/HttpListener.java
@@ -15,7 +15,11 @@
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
 
-/** Listens for HTTP connections on one address. Thread safe. */
+/**
+ * Listens for HTTP connections on one address. Thread safe.
+ *
+ * <p>Invariant: the handlers of a connection get each failure of a write as an exception.
+ */
 public final class HttpListener implements AutoCloseable {
     /** Maximum of connections that wait to be accepted; many clients reconnect at once after an outage. */
     private static final int BACKLOG = 1_024;
@@ -69,8 +73,10 @@
                     @Override
                     protected void initChannel(SocketChannel child) {
                         child.pipeline()
+                                .addLast(new WriteFailureHandler())
                                 .addLast(new HttpServerCodec(
-                                        MAX_INITIAL_LINE_BYTES, maxHeaderBytes.getAsInt(), MAX_CHUNK_BYTES));
+                                        MAX_INITIAL_LINE_BYTES, maxHeaderBytes.getAsInt(), MAX_CHUNK_BYTES))
+                                .addLast(new WriteFailureHandler());
                         handlers.accept(child.pipeline());
                     }
                 });
