Take a failed write of a request for the end of its response

Cause: the reset makes the write fail, not a read. Netty then closes the connection with channelInactive alone, and the decoder takes that for the end of a response without a length. A write that failed without closing the connection was not noticed at all.

WriteFailureHandler reports the failure before the connection is seen as closed. A write that is dropped since the endpoint has closed in order is still no failure. What fails on this node, such as memory that runs out, no longer counts as a loss of the endpoint or of the request (onFailedHere).

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -220,10 +220,18 @@
         stopTracking();
         body.release();
         recordLoss(cause);
-        exchange.onMayHaveRun(
-                this,
-                exchange.stream().hasBegun() ? RetryReason.STREAM_CUT_SHORT : RetryReason.ANSWER_CUT_SHORT,
-                cause);
+        exchange.onMayHaveRun(this, reasonForCut(), cause);
+    }
+
+    @Override
+    public void onFailedHere(String cause) {
+        stopTracking();
+        body.release();
+        exchange.onMayHaveRun(this, reasonForCut(), cause);
+    }
+
+    private RetryReason reasonForCut() {
+        return exchange.stream().hasBegun() ? RetryReason.STREAM_CUT_SHORT : RetryReason.ANSWER_CUT_SHORT;
     }
 
     /** Records a failure that a crash of the endpoint would explain. */
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
@@ -114,4 +114,11 @@
             listener.onFailedAfterSend(cause);
         }
     }
+
+    void reportFailedHere(String cause) {
+        if (!finished) {
+            finished = true;
+            listener.onFailedHere(cause);
+        }
+    }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -29,6 +29,7 @@
 import org.wigeongrade.decisions.reachability.EndpointReachability;
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.fleet.net.SharedEventLoop;
+import org.wigeongrade.fleet.net.WriteFailureHandler;
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
@@ -184,8 +185,10 @@
                     protected void initChannel(SocketChannel child) {
                         final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
                         child.pipeline()
+                                .addLast(new WriteFailureHandler())
                                 .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
+                                .addLast(new WriteFailureHandler())
                                 .addLast(new EndpointResponseHandler(decoder, codec, releaser));
                     }
                 })
@@ -202,9 +205,7 @@
     }
 
     private static void write(Channel channel, EndpointCall call) {
-        call.markSent(channel);
-        channel.pipeline().get(EndpointResponseHandler.class).awaitResponse(call);
-        NettyFutures.logFailure(channel.writeAndFlush(call.message()));
+        channel.pipeline().get(EndpointResponseHandler.class).send(channel, call);
     }
 
     private Optional<Channel> takeIdle(VmIncarnation vm, EndpointCall call) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointListener.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointListener.java
@@ -24,4 +24,10 @@
      * Called when the response or its connection failed after the request was sent, so that the request may have run.
      */
     void onFailedAfterSend(String cause);
+
+    /**
+     * Called when this node failed to write the request or to take the response, so that the request may have run. It
+     * tells nothing about the endpoint.
+     */
+    void onFailedHere(String cause);
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -4,10 +4,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -67,8 +69,14 @@
         return call.attemptId().filter(id -> !refusedAttempts.contains(id)).isPresent();
     }
 
-    /** Starts waiting for the response to a request. */
-    void awaitResponse(EndpointCall call) {
+    /** Sends a request on this handler's connection and starts waiting for the response. */
+    void send(Channel channel, EndpointCall call) {
+        call.markSent(channel);
+        awaitResponse(call);
+        NettyFutures.logFailure(channel.writeAndFlush(call.message()));
+    }
+
+    private void awaitResponse(EndpointCall call) {
         currentCall = Optional.of(call);
         head = Optional.empty();
         interimResponses = 0;
@@ -182,10 +190,14 @@
     }
 
     private void fail(ChannelHandlerContext context, String cause) {
+        closeAndTakeCall(context).ifPresent(call -> call.reportFailedAfterSend(cause));
+    }
+
+    private Optional<EndpointCall> closeAndTakeCall(ChannelHandlerContext context) {
         final Optional<EndpointCall> failed = currentCall;
         currentCall = Optional.empty();
         NettyFutures.logFailure(context.close());
-        failed.ifPresent(call -> call.reportFailedAfterSend(cause));
+        return failed;
     }
 
     @Override
@@ -195,6 +207,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(context, "the connection failed: " + cause);
+        final String detail = "the connection failed: " + cause;
+        if (cause instanceof IOException || cause instanceof DecoderException) {
+            fail(context, detail);
+        } else {
+            closeAndTakeCall(context).ifPresent(call -> call.reportFailedHere(detail));
+        }
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
@@ -162,9 +162,14 @@
 
     @Override
     public void onFailedAfterSend(String cause) {
+        services.relayPeers().recordFailure(address, services.nowNanos());
+        onFailedHere(cause);
+    }
+
+    @Override
+    public void onFailedHere(String cause) {
         stopTracking();
         body.release();
-        services.relayPeers().recordFailure(address, services.nowNanos());
         exchange.onMayHaveRun(
                 this,
                 exchange.stream().hasBegun() ? RetryReason.STREAM_CUT_SHORT : RetryReason.ANSWER_CUT_SHORT,
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -4,12 +4,17 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +23,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeongrade.fleet.net.WriteFailureHandler;
 import org.wigeongrade.platform.PlatformCallerCodec;
 
 /** Tests late, duplicate, unrelated and truncated responses on one connection to an endpoint. */
@@ -40,6 +46,7 @@
         return new EmbeddedChannel(
                 decoder,
                 new HttpRequestEncoder(),
+                new WriteFailureHandler(),
                 new EndpointResponseHandler(
                         decoder, new PlatformCallerCodec(), (connection, idleMs) -> keptIdleMs.add(idleMs)));
     }
@@ -316,6 +323,37 @@
         assertThat(keptIdleMs).isEmpty();
     }
 
+    /** Half of a response without a length was complete if its reset was seen by the write of the request only. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void failedWriteOfTheRequestEndsItsResponse(boolean reset) {
+        final HeldWrite held = new HeldWrite();
+        channel.pipeline().addFirst(held);
+        sendRequest();
+        receive("HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nX-Server-Seal: s\r\n\r\nab");
+        held.fail(
+                reset
+                        ? new IOException("Connection reset by peer")
+                        : new OutOfMemoryError("Cannot reserve direct buffer memory"));
+        channel.close().syncUninterruptibly();
+
+        assertThat(reported).hasSize(3);
+        assertThat(reported.get(2)).startsWith(reset ? "failed after send" : "failed here");
+    }
+
+    /** An endpoint may close its connection after its response without reading the rest of the request. */
+    @Test
+    void closeBeforeTheRequestIsWrittenEndsAResponseWithoutLength() {
+        final HeldWrite held = new HeldWrite();
+        channel.pipeline().addFirst(held);
+        sendRequest();
+        receive("HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nX-Server-Seal: s\r\n\r\nab");
+        held.fail(new ClosedChannelException());
+        channel.close().syncUninterruptibly();
+
+        assertThat(reported).containsExactly("head 200", "ab", "end").inOrder();
+    }
+
     @Test
     void invalidHttpFails() {
         sendRequest();
@@ -338,9 +376,7 @@
                 Optional.of(attemptId),
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
                 new Recorder());
-        call.markSent(connection);
-        connection.pipeline().get(EndpointResponseHandler.class).awaitResponse(call);
-        connection.writeOutbound(call.message());
+        connection.pipeline().get(EndpointResponseHandler.class).send(connection, call);
     }
 
     private void receive(String text) {
@@ -351,6 +387,21 @@
         connection.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
+    /** Holds what is written, as a connection does whose other side does not read. */
+    private static final class HeldWrite extends ChannelOutboundHandlerAdapter {
+        private final List<ChannelPromise> promises = new ArrayList<>();
+
+        @Override
+        public void write(ChannelHandlerContext context, Object bytes, ChannelPromise promise) {
+            ReferenceCountUtil.release(bytes);
+            promises.add(promise);
+        }
+
+        void fail(Throwable cause) {
+            promises.forEach(promise -> promise.tryFailure(cause));
+        }
+    }
+
     private final class Recorder implements EndpointListener {
         @Override
         public void onHead(ResponseHead head) {
@@ -376,5 +427,10 @@
         public void onFailedAfterSend(String cause) {
             reported.add("failed after send: " + cause);
         }
+
+        @Override
+        public void onFailedHere(String cause) {
+            reported.add("failed here: " + cause);
+        }
     }
 }
