Close connections whose request is not written when its response is complete

Cause: the connection went back to the pool with the body still to be written. Up to eight bodies for each endpoint stayed in direct memory, which no limit counts, until the write of another one failed; that failure was ignored, and the next request followed.

Such a connection is closed, which frees its body. The memory for bodies is then bounded by max_held_bytes again, as requests in flight are.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
@@ -20,8 +21,8 @@
  *
  * <p>Invariant: a response that names another request is skipped; any unexpected data that cannot be told apart from
  * the awaited response closes the connection. On a connection that carried an earlier request, that includes a response
- * that names none. A connection is released only if nothing follows the response. A response that ends with its
- * connection is complete only if it has a body.
+ * that names none. A connection is released only if its request was written whole and nothing follows the response. A
+ * response that ends with its connection is complete only if it has a body.
  */
 final class EndpointResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final int FIRST_FINAL_STATUS = 200;
@@ -53,6 +54,7 @@
     private int skippedResponses;
     private boolean skipping;
     private boolean hasBody;
+    private ChannelFuture requestWritten;
 
     /** @param decoder decoder of the same connection */
     EndpointResponseHandler(EndpointResponseDecoder decoder, CallerCodec codec, ConnectionReleaser releaser) {
@@ -73,7 +75,8 @@
     void send(Channel channel, EndpointCall call) {
         call.markSent(channel);
         awaitResponse(call);
-        NettyFutures.logFailure(channel.writeAndFlush(call.message()));
+        requestWritten = channel.writeAndFlush(call.message());
+        NettyFutures.logFailure(requestWritten);
     }
 
     private void awaitResponse(EndpointCall call) {
@@ -179,6 +182,7 @@
         }
         final boolean mayReuse = decoder.stop() && refusedAttempts.size() < MAX_REFUSALS;
         if (mayReuse
+                && requestWritten.isSuccess()
                 && finishedHead.selfDelimited()
                 && finishedHead.reusableForMs().isPresent()) {
             context.channel().config().setAutoRead(true);
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -354,6 +354,18 @@
         assertThat(reported).containsExactly("head 200", "ab", "end").inOrder();
     }
 
+    /** The head of the next request arrived at the endpoint where the rest of a body was due. */
+    @Test
+    void connectionWhoseRequestIsNotWrittenIsNotKept() {
+        channel.pipeline().addFirst(new HeldWrite());
+        sendRequest();
+        receive(EXPECTED);
+
+        assertThat(reported).containsExactly("head 200", "abc", "end").inOrder();
+        assertThat(keptIdleMs).isEmpty();
+        assertThat(channel.isActive()).isFalse();
+    }
+
     @Test
     void invalidHttpFails() {
         sendRequest();
