Hold a response in small chunks in parts of 8 KB

A response in 700,000 chunks of 11 bytes used up the heap of an entry node, though it stayed within the limit for bodies.

Cause: only the bytes of the content were counted. Each chunk was an array and a list entry of its own, and one buffer and one component more while the response was written.

Pieces below 8 KB are copied into parts of that size.

BufferedBodiesTest#bodyInSmallPiecesIsHeldInFewParts: 1,048,576, 95,325 and 349 parts for 1 MB in pieces of 1, 11 and 3,000 bytes before, at most 256 now.

--- a/src/main/java/org/wigeongrade/fleet/entry/BufferedBody.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/BufferedBody.java
@@ -9,7 +9,8 @@
  * The body of a response that is not streamed, from its first bytes until it was written to the caller. Used on the
  * event loop only.
  *
- * <p>Invariant: its bytes count against the limits of {@link BufferedBodies} until it is released.
+ * <p>Invariants: its bytes count against the limits of {@link BufferedBodies} until it is released; it takes about as much
+ * memory in many small pieces as in one.
  */
 final class BufferedBody {
     /** The connection that a body is read from. */
@@ -21,9 +22,12 @@
         void giveUp(String cause);
     }
 
+    /** Smaller pieces are copied into a part of this size. */
+    private static final int PART_BYTES = 8 * 1024;
+
     private final BufferedBodies bodies;
     private final Source source;
-    private final List<byte[]> parts = new ArrayList<>();
+    private final List<ByteBuf> parts = new ArrayList<>();
     private int sizeBytes;
     private boolean reading = true;
     private boolean complete;
@@ -39,7 +43,17 @@
         if (sizeBytes + (long) bytes.length > bodies.maxBodyBytes()) {
             giveUp("the response exceeds " + bodies.maxBodyBytes() + " bytes");
         } else if (bodies.add(this, bytes.length)) {
-            parts.add(bytes);
+            hold(bytes);
+        }
+    }
+
+    private void hold(byte[] bytes) {
+        if (!parts.isEmpty() && parts.get(parts.size() - 1).maxWritableBytes() >= bytes.length) {
+            parts.get(parts.size() - 1).writeBytes(bytes);
+        } else if (bytes.length >= PART_BYTES) {
+            parts.add(Unpooled.wrappedBuffer(bytes));
+        } else {
+            parts.add(Unpooled.buffer(bytes.length, PART_BYTES).writeBytes(bytes));
         }
     }
 
@@ -67,7 +81,7 @@
 
     /** Returns the bytes without copying them; they must not be modified. */
     ByteBuf toBuffer() {
-        return Unpooled.wrappedBuffer(parts.toArray(new byte[0][]));
+        return Unpooled.wrappedBuffer(parts.toArray(new ByteBuf[0]));
     }
 
     /** Frees the bytes, once they were written or are no longer needed. May be called more than once. */
--- a/src/test/java/org/wigeongrade/fleet/entry/BufferedBodiesTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/BufferedBodiesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -83,4 +84,27 @@
         assertThat(small.reading).isTrue();
         assertThat(large.stream().filter(endpoint -> endpoint.reading).count()).isEqualTo(1);
     }
+
+    /** A long response in tiny chunks used up the heap, since each chunk took many times its bytes. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 11, 3_000, 5_000, 10_000})
+    void bodyInSmallPiecesIsHeldInFewParts(int pieceBytes) {
+        final BufferedBody body = bodies.open(new Endpoint(true));
+        int appendedBytes = 0;
+        while (appendedBytes + pieceBytes <= MAX_BODY_BYTES) {
+            final byte[] piece = new byte[pieceBytes];
+            for (int i = 0; i < pieceBytes; i++) {
+                piece[i] = (byte) ((appendedBytes + i) % 251);
+            }
+            body.append(piece);
+            appendedBytes += pieceBytes;
+        }
+        body.markComplete();
+
+        final ByteBuf buffer = body.toBuffer();
+        assertThat(buffer.readableBytes()).isEqualTo(appendedBytes);
+        assertThat(IntStream.range(0, appendedBytes).allMatch(i -> buffer.getByte(i) == (byte) (i % 251)))
+                .isTrue();
+        assertThat(buffer.nioBufferCount()).isAtMost(MAX_BODY_BYTES / 4_096);
+    }
 }
