Never refuse a request that has its endpoint's response

Cause: the exchange forgot the attempt before it handed the response to the caller's connection, without counting it. An error there ended neither the exchange nor the connection, and at the deadline the request counted as never sent.

The attempt is counted first, and CallerConnection closes the connection if the response cannot be built.

--- a/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/CallerConnection.java
@@ -179,12 +179,28 @@
     @Override
     public void writeResponse(BufferedResponse response) {
         final BufferedBody body = response.body();
-        final DefaultFullHttpResponse message = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), body.toBuffer());
-        message.headers().set(response.headers()).set(HttpHeaderNames.CONTENT_LENGTH, body.sizeBytes());
+        final FullHttpResponse message;
+        try {
+            message = toMessage(response);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            body.release();
+            exceptionCaught(context, e);
+            return;
+        }
         final var unused = write(message).addListener(written -> body.release());
     }
 
+    private static FullHttpResponse toMessage(BufferedResponse response) {
+        final DefaultFullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(response.status()),
+                response.body().toBuffer());
+        message.headers()
+                .set(response.headers())
+                .set(HttpHeaderNames.CONTENT_LENGTH, response.body().sizeBytes());
+        return message;
+    }
+
     private ChannelFuture write(FullHttpResponse message) {
         final boolean closes = closesAfterResponse();
         if (closes) {
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -89,7 +89,7 @@
     private OptionalLong latestDeadlineNanos = OptionalLong.empty();
     private long deadlineNanos;
     private int attempts;
-    /** Number of failed attempts whose request an endpoint may have run. */
+    /** Number of ended attempts whose request an endpoint may have run. */
     private int attemptsThatMayHaveRun;
 
     private boolean ended;
@@ -611,6 +611,7 @@
                     attempt.target() + " responded with status " + response.status() + " to a stream that has begun");
             return;
         }
+        attemptsThatMayHaveRun++;
         log.firstBytesSent();
         responseWriter.writeResponse(response);
         log.responded(attempt.target(), response.status(), attempts, 0);
