Keep a request at its silent endpoint until another one has answered it

Callers got 502 with seconds left for a request whose endpoint was only silent for a moment, if the endpoint that it was sent to next refused it, failed or could not be reached; and 504 if that one was silent as well.

The attempt at the silent endpoint was cancelled before another one had taken the request.

It is now kept beside the new attempt for every request that may run twice; the first response, or the first event of a stream, is forwarded, and the other attempt is cancelled. While two attempts run, a comment does not begin the stream, as its other part may come from the other endpoint. A relayed attempt that was left for its silence and fails no longer ends the one that runs.

Event 1621 is named request_kept, since it is written for any request.

Not covered: nodes with fixed peers.

--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -32,9 +32,9 @@
  * A caller's request and its response, with all attempts at endpoints. Used on the event loop only.
  *
  * <p>Invariants: a request that may have run is retried only if its route allows it; a request is refused only if no
- * endpoint can have run it; exactly one response is written, unless the caller disconnects before; a stream that has begun
- * leaves a silent endpoint only for one that continues it, and is given up only as {@link StreamContinuation} decides, at
- * its deadline, when the node ends or when its caller leaves.
+ * endpoint can have run it; exactly one response is written, unless the caller disconnects before; a request leaves a
+ * silent endpoint only for one that answers it; a stream that has begun is given up only as {@link StreamContinuation}
+ * decides, at its deadline, when the node ends or when its caller leaves.
  */
 final class Exchange {
     /** Maximum of attempts for one request, including those that no endpoint ran. */
@@ -79,7 +79,7 @@
     private Optional<RequestRank> rank = Optional.empty();
 
     private Optional<Attempt> currentAttempt = Optional.empty();
-    /** The attempt of a begun stream that was left for its silence, until another one has continued the stream. */
+    /** The attempt that was left for its silence, until another one has answered the request or continued its stream. */
     private Optional<Attempt> silentAttempt = Optional.empty();
 
     private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
@@ -518,6 +518,9 @@
 
     /** Handles an error response of another entry node that does not know all attempts of the request. */
     void onRelayFailed(Attempt attempt, String cause) {
+        if (dropSilent(attempt)) {
+            return;
+        }
         currentAttempt = Optional.empty();
         failOrRefuse(ErrorKind.ENDPOINT_FAILED, attempt.target() + ": " + cause, 0);
     }
@@ -549,12 +552,12 @@
 
     /**
      * Sends the request to another endpoint after {@link #tryReserveFailover}. The attempt at the silent one is cancelled
-     * only once the other one has continued a stream that has begun, or at once if none has.
+     * only once the other one has answered the request or continued its stream.
      */
     void failOver(Attempt attempt, RetryReason reason, String cause) {
         currentAttempt = Optional.empty();
         attemptsThatMayHaveRun++;
-        if (stream.hasBegun() && silentAttempt.isEmpty()) {
+        if (silentAttempt.isEmpty()) {
             attempt.suspendSilenceCheck();
             silentAttempt = Optional.of(attempt);
         } else {
@@ -603,14 +606,22 @@
 
     /** Forwards a complete response to the caller, unless a stream has begun, which it cannot continue. */
     void onResponse(Attempt attempt, BufferedResponse response) {
-        currentAttempt = Optional.empty();
+        final boolean fromSilent = dropSilent(attempt);
         if (stream.hasBegun()) {
             response.body().release();
+            if (fromSilent) {
+                return;
+            }
+            currentAttempt = Optional.empty();
             continueOrCut(
                     ErrorKind.ENDPOINT_FAILED,
                     attempt.target() + " responded with status " + response.status() + " to a stream that has begun");
             return;
         }
+        if (fromSilent) {
+            currentAttempt.ifPresent(Attempt::cancel);
+        }
+        currentAttempt = Optional.empty();
         attemptsThatMayHaveRun++;
         log.firstBytesSent();
         responseWriter.writeResponse(response);
@@ -628,7 +639,8 @@
             Attempt attempt, StreamPart part, ResponseHead head, ServerSentEventSplitter.Event event) {
         final boolean fromSilent = silentAttempt.filter(attempt::equals).isPresent();
         final Optional<String> fault = stream.findFault(part, event);
-        if (fault.isPresent() || (fromSilent && !stream.isProgress(event))) {
+        final boolean anotherMayBegin = fromSilent || (silentAttempt.isPresent() && !stream.hasBegun());
+        if (fault.isPresent() || (anotherMayBegin && !stream.isProgress(event))) {
             return fault;
         }
         if (stream.isProgress(event)) {
@@ -738,6 +750,10 @@
             continueOrCut(kind, cause);
             return;
         }
+        if (silentAttempt.isPresent()) {
+            returnToSilentAttempt(kind.code() + ", " + cause);
+            return;
+        }
         if (attemptsThatMayHaveRun > 0) {
             fail(
                     route.orElseThrow().mayRetry() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN,
--- a/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -135,9 +135,9 @@
         ended(RequestOutcome.FAILED);
     }
 
-    /** Logs that a stream is not given up although its last attempt failed. */
+    /** Logs that a request is not given up although its last attempt failed. */
     void kept(String step, String cause) {
-        services.events().write(LogEvent.STREAM_KEPT, requestLogId, step, cause);
+        services.events().write(LogEvent.REQUEST_KEPT, requestLogId, step, cause);
     }
 
     /** Logs that a response that has begun is ended before it is complete. */
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -139,7 +139,7 @@
             "response to request {request} cut with {cause} after {events} events, {remaining_ms} ms before its deadline,"
                     + " configuration {version}, {sends} sends: {detail}"),
     CALLER_CONNECTION_FAILED(1620, Level.WARNING, "connection to the caller of request {request} failed: {cause}"),
-    STREAM_KEPT(1621, Level.INFO, "stream of request {request} is kept: {step}, since {cause}"),
+    REQUEST_KEPT(1621, Level.INFO, "request {request} is kept: {step}, since {cause}"),
 
     PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
--- a/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
@@ -18,13 +18,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wigeongrade.decisions.published.RouteKind;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.logging.EventLog;
 
-/** Tests what the caller gets of a begun stream whose endpoint is silent for a time and then goes on. */
+/** Tests what the caller gets of a request whose endpoint is silent for a time and then goes on. */
 final class SilentEndpointStreamTest {
     private static final String HEAD = String.join(
             "\r\n",
@@ -91,6 +92,13 @@
                 sleep(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
             }
         },
+        SENDS_A_COMMENT {
+            @Override
+            void answer(Socket connection) throws IOException {
+                write(connection, HEAD.replace("event-stream", "event-stream; charset=x") + ": wait\n\n");
+                sleep(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+            }
+        },
         CONTINUES {
             @Override
             void answer(Socket connection) throws IOException {
@@ -119,7 +127,7 @@
 
     /** A stream was cut with seconds left, because the endpoint that it left for a silent one could not take it. */
     @ParameterizedTest
-    @EnumSource(Other.class)
+    @EnumSource(value = Other.class, mode = EnumSource.Mode.EXCLUDE, names = "SENDS_A_COMMENT")
     void streamGoesOnWhateverTheOtherEndpointDoes(Other other) throws Exception {
         final RoutableRecord silent = endpoint("silent", SilentEndpointStreamTest::answerWithSilence);
         final RoutableRecord second = endpoint("other", other::answer);
@@ -135,6 +143,45 @@
         assertThat(String.join(" ", writer.written())).isEqualTo(COMPLETE);
     }
 
+    /** A request was failed with seconds left, because it had left a silent endpoint for one that could not take it. */
+    @ParameterizedTest
+    @CsvSource({
+        // kind of the route, what the other endpoint does, what the caller gets
+        "STREAMING, REFUSES, stream event event event end",
+        "STREAMING, REFUSES_CONNECTIONS, stream event event event end",
+        "STREAMING, CLOSES_CONNECTION, stream event event event end",
+        "STREAMING, FAILS, stream event event event end",
+        "STREAMING, IS_SILENT_TOO, stream event event event end",
+        "STREAMING, SENDS_A_COMMENT, stream event event event end",
+        "STREAMING, ANSWERS_OTHERWISE, status 404",
+        "STREAMING, CONTINUES, stream event event end",
+        "IDEMPOTENT, REFUSES, status 200",
+        "IDEMPOTENT, REFUSES_CONNECTIONS, status 200",
+        "IDEMPOTENT, CLOSES_CONNECTION, status 200",
+        "IDEMPOTENT, FAILS, status 200",
+        "IDEMPOTENT, IS_SILENT_TOO, status 200",
+        "IDEMPOTENT, ANSWERS_OTHERWISE, status 404",
+    })
+    void requestThatHasNotBegunIsAnsweredWhateverTheOtherEndpointDoes(RouteKind kind, Other other, String expected)
+            throws Exception {
+        final String events = kind.streams() ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n" : "whole";
+        final RoutableRecord silent = endpoint("silent", connection -> {
+            sleep(SILENCE_MS);
+            write(connection, HEAD + events);
+        });
+        final RoutableRecord second = endpoint("other", other::answer);
+        if (other == Other.REFUSES_CONNECTIONS) {
+            endpoints.get(1).close();
+        }
+        show(kind, silent);
+        startStream();
+        awaitRequests(1);
+        show(kind, silent, second);
+
+        assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(String.join(" ", writer.written())).isEqualTo(expected);
+    }
+
     /** A stream whose group had just ended was cut, although the next group could be sent it a moment later. */
     @Test
     void brokenStreamGoesOnAtAnEndpointThatAppearsSoon() throws Exception {
@@ -184,9 +231,13 @@
     }
 
     private void show(RoutableRecord... routable) throws Exception {
+        show(RouteKind.STREAMING, routable);
+    }
+
+    private void show(RouteKind kind, RoutableRecord... routable) throws Exception {
         loop.eventLoop()
                 .submit(() -> registry.apply(
-                        EntryFixture.view(EntryFixture.configuration(RouteKind.STREAMING, true), Map.of(), routable),
+                        EntryFixture.view(EntryFixture.configuration(kind, true), Map.of(), routable),
                         System.nanoTime()))
                 .get();
     }
