Let a new leader keep the quarantine of requests that crash endpoints

Cause: the losses by which a request is quarantined live in the term of a leader. Entry nodes report quarantined prompt parts to the next leader, but not quarantined requests, and replaced their list by its empty one.

Replies now say when the quarantine of each request ends, and pulls report that; a new leader takes it over for the rest of that time. Both fields are optional: between an old and a new build it is as before.

A single loss, which is no reason for a quarantine yet, is still forgotten with its leader.

--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
@@ -111,6 +111,9 @@
     private final Map<PromptPartId, Map<NodeName, PartCompletions>> completions = new HashMap<>();
     private final Map<PromptPartId, Long> inQuestionSinceNanos = new HashMap<>();
     private final Map<PromptPartId, Quarantined> quarantined = new HashMap<>();
+    /** Requests that an earlier leader quarantined, with the end of the quarantine. */
+    private final Map<String, Long> adoptedRequests = new HashMap<>();
+
     private long nextUpdateNanos = Long.MIN_VALUE / 2;
 
     /** @param pullIntervalNanos time between two pulls of an entry node */
@@ -157,6 +160,15 @@
                 known.part(), unused -> new Quarantined(nowNanos, known.untilNanos(), known.failedTrials()));
     }
 
+    /** Takes over the quarantine of a request that an earlier leader decided, as an entry node knows it. */
+    public void adoptRequest(String digest, long untilNanos) {
+        adoptedRequests.merge(digest, untilNanos, CrashAttribution::later);
+    }
+
+    private static long later(long nanos, long otherNanos) {
+        return nanos - otherNanos > 0 ? nanos : otherNanos;
+    }
+
     /**
      * Releases and quarantines parts by the evidence so far, unless that was done just before; returns whether it was
      * done now.
@@ -167,6 +179,7 @@
         }
         nextUpdateNanos = nowNanos + MIN_UPDATE_INTERVAL_NANOS;
         losses.values().removeIf(loss -> nowNanos - loss.lostNanos() > LOSS_NANOS);
+        adoptedRequests.values().removeIf(untilNanos -> nowNanos - untilNanos > 0);
         releaseSoundParts(nowNanos);
         grantTrials(nowNanos);
         for (List<PromptPartId> next = nextToQuarantine(nowNanos); !next.isEmpty(); next = nextToQuarantine(nowNanos)) {
@@ -212,16 +225,24 @@
                 .count();
     }
 
-    /** Returns the digests of requests that are not sent again. */
-    public ImmutableSet<String> quarantinedRequests() {
-        final Map<String, Integer> lossesByRequest = new HashMap<>();
+    /** Returns the digests of requests that are not sent again, with the time until which they are not. */
+    public ImmutableMap<String, Long> quarantinedRequests() {
+        final Map<String, List<Long>> lostNanosByRequest = new HashMap<>();
         unexplained()
-                .forEach(loss ->
-                        loss.requests().keySet().forEach(digest -> lossesByRequest.merge(digest, 1, Integer::sum)));
-        return lossesByRequest.entrySet().stream()
-                .filter(entry -> entry.getValue() >= LOSSES_OF_REQUEST)
-                .map(Map.Entry::getKey)
-                .collect(ImmutableSet.toImmutableSet());
+                .forEach(loss -> loss.requests()
+                        .keySet()
+                        .forEach(digest -> lostNanosByRequest
+                                .computeIfAbsent(digest, unused -> new ArrayList<>())
+                                .add(loss.lostNanos())));
+        final Map<String, Long> untilNanos = new HashMap<>(adoptedRequests);
+        lostNanosByRequest.forEach((digest, lostNanos) -> {
+            if (lostNanos.size() >= LOSSES_OF_REQUEST) {
+                // The losses are in the order of their times.
+                final long decidingNanos = lostNanos.get(lostNanos.size() - LOSSES_OF_REQUEST);
+                untilNanos.merge(digest, decidingNanos + LOSS_NANOS, CrashAttribution::later);
+            }
+        });
+        return ImmutableMap.copyOf(untilNanos);
     }
 
     private void releaseSoundParts(long nowNanos) {
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -26,6 +26,7 @@
 import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.thrift.PullReply;
 import org.wigeongrade.fleet.thrift.PullRequest;
+import org.wigeongrade.fleet.thrift.QuarantinedRequestRecord;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
@@ -181,9 +182,14 @@
                 request.getPartCompletions(),
                 request.getRefusedParts(),
                 request.getQuarantinedParts(),
+                request.getQuarantinedRequests(),
                 firstOfTerm,
                 nowNanos);
-        reply.setQuarantined(quarantine.quarantinedRequests())
+        final ImmutableList<QuarantinedRequestRecord> requests = quarantine.quarantinedRequests(nowNanos);
+        reply.setQuarantinedRequests(requests)
+                .setQuarantined(requests.stream()
+                        .map(QuarantinedRequestRecord::getRequestDigest)
+                        .toList())
                 .setQuarantinedParts(quarantine.quarantinedParts(node, nowNanos))
                 .setPartsInQuestion(quarantine.partsInQuestion());
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
@@ -19,7 +19,7 @@
  *
  * @param pullSentNanos when the pull was sent; every change that was accepted before is in the view
  * @param endpoints endpoints that may receive requests
- * @param quarantined digests of requests that must not be sent
+ * @param quarantinedRequests digests of requests that must not be sent, with the time until which they must not
  * @param relayAddresses addresses of entry nodes that take requests which this node cannot send to an endpoint
  * @param partsInQuestion prompt parts for which the leader wants to know the complete responses
  */
@@ -29,7 +29,7 @@
         Map<VmName, RoutableRecord> endpoints,
         Map<String, Integer> inFlightElsewhere,
         Map<String, Integer> unreadTokensElsewhere,
-        Set<String> quarantined,
+        Map<String, Long> quarantinedRequests,
         List<PartQuarantine> quarantinedParts,
         Set<PromptPartId> partsInQuestion,
         int entryNodes,
@@ -42,7 +42,7 @@
         endpoints = ImmutableMap.copyOf(endpoints);
         inFlightElsewhere = ImmutableMap.copyOf(inFlightElsewhere);
         unreadTokensElsewhere = ImmutableMap.copyOf(unreadTokensElsewhere);
-        quarantined = ImmutableSet.copyOf(quarantined);
+        quarantinedRequests = ImmutableMap.copyOf(quarantinedRequests);
         quarantinedParts = ImmutableList.copyOf(quarantinedParts);
         partsInQuestion = ImmutableSet.copyOf(partsInQuestion);
         relayAddresses = ImmutableList.copyOf(relayAddresses);
@@ -55,7 +55,7 @@
                 Map.of(),
                 Map.of(),
                 Map.of(),
-                Set.of(),
+                Map.of(),
                 List.of(),
                 Set.of(),
                 1,
--- a/src/main/java/org/wigeongrade/fleet/entry/RequestQuarantine.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RequestQuarantine.java
@@ -19,7 +19,8 @@
 
     /** Returns why the request must not be sent, if it or a part of its prompt is known to crash endpoints. */
     Optional<String> find(Optional<OrganisationName> organisation) {
-        final Set<String> requests = services.registry().view().quarantined();
+        final Set<String> requests =
+                services.registry().view().quarantinedRequests().keySet();
         if (!requests.isEmpty() && requests.contains(digest(organisation))) {
             return Optional.of("this request has crashed endpoints");
         }
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -31,6 +31,7 @@
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.nodes.PromptPartRecords;
+import org.wigeongrade.nodes.QuarantinedRequestRecords;
 
 /**
  * Pulls the view from the leader at a fixed interval, on its own thread, and applies it on the event loop.
@@ -180,6 +181,7 @@
         request.setPartCompletions(
                 PromptPartRecords.completionsToThrift(parts.completionsInQuestion(nowNanos), nowNanos));
         request.setRefusedParts(PromptPartRecords.partsToThrift(parts.drainRefused()));
+        request.setQuarantinedRequests(QuarantinedRequestRecords.toThrift(view.quarantinedRequests(), nowNanos));
         request.setQuarantinedParts(PromptPartRecords.quarantineToThrift(parts.all(), nowNanos));
         registry.limits().drainReports(nowNanos).forEach(request::addToLimits);
         relayAddress.get().ifPresent(request::setRelayAddress);
@@ -200,7 +202,7 @@
                 EntryView.merge(known.endpoints(), reply.getChanged(), reply.getRemoved(), replacesAll),
                 Optional.ofNullable(reply.getInFlightElsewhere()).orElse(Map.of()),
                 Optional.ofNullable(reply.getUnreadTokensElsewhere()).orElse(Map.of()),
-                ImmutableSet.copyOf(reply.getQuarantined()),
+                quarantinedRequests(reply, sentNanos),
                 PromptPartRecords.quarantineFromThrift(reply.getQuarantinedParts(), sentNanos),
                 PromptPartRecords.partsFromThrift(reply.getPartsInQuestion()),
                 reply.getEntryVms(),
@@ -218,6 +220,15 @@
         return next.version() != known.version() || !next.zonesOut().equals(known.zonesOut());
     }
 
+    /** A leader of an old build does not say when the quarantine ends; the next leader does not take it over then. */
+    private static ImmutableMap<String, Long> quarantinedRequests(PullReply reply, long sentNanos) {
+        return reply.isSetQuarantinedRequests()
+                ? QuarantinedRequestRecords.fromThrift(reply.getQuarantinedRequests(), sentNanos)
+                : reply.getQuarantined().stream()
+                        .distinct()
+                        .collect(ImmutableMap.toImmutableMap(digest -> digest, digest -> sentNanos));
+    }
+
     /** Returns the configuration in a reply; empty if it contains none that is newer than the known one. */
     private Optional<PublishedConfiguration> readDocument(PullReply reply, long knownVersion) {
         if (reply.getConfigurationVersion() <= knownVersion) {
--- a/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
+++ b/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.nodes;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
 import org.wigeongrade.fleet.thrift.PartCompletionRecord;
 import org.wigeongrade.fleet.thrift.QuarantinedPartRecord;
+import org.wigeongrade.fleet.thrift.QuarantinedRequestRecord;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.logging.EventLog;
@@ -24,7 +26,7 @@
 public final class CrashQuarantine {
     private final CrashAttribution attribution;
     private final EventLog events;
-    private ImmutableSet<String> loggedRequests = ImmutableSet.of();
+    private ImmutableMap<String, Long> requests = ImmutableMap.of();
     private ImmutableSet<PromptPartId> loggedParts = ImmutableSet.of();
 
     /** @param pullIntervalNanos time between two pulls of an entry node */
@@ -40,7 +42,7 @@
     }
 
     /**
-     * Applies what an entry node reports of prompt parts, any of which may be null.
+     * Applies what an entry node reports of prompt parts and quarantined requests, any of which may be null.
      *
      * @param firstOfTerm whether the node had another leader before
      */
@@ -49,6 +51,7 @@
             List<PartCompletionRecord> completions,
             List<String> refused,
             List<QuarantinedPartRecord> quarantined,
+            List<QuarantinedRequestRecord> quarantinedRequests,
             boolean firstOfTerm,
             long nowNanos) {
         Optional.ofNullable(completions)
@@ -60,15 +63,16 @@
         if (firstOfTerm) {
             PromptPartRecords.quarantineFromThrift(quarantined, nowNanos)
                     .forEach(known -> attribution.adopt(known, nowNanos));
+            QuarantinedRequestRecords.fromThrift(quarantinedRequests, nowNanos).forEach(attribution::adoptRequest);
         }
-        if (attribution.update(nowNanos)) {
+        if (attribution.update(nowNanos) || firstOfTerm) {
             logChanges();
         }
     }
 
-    /** Returns the digests of requests that are not sent again. */
-    public synchronized ImmutableList<String> quarantinedRequests() {
-        return loggedRequests.asList();
+    /** Returns the requests that are not sent again. */
+    public synchronized ImmutableList<QuarantinedRequestRecord> quarantinedRequests(long nowNanos) {
+        return QuarantinedRequestRecords.toThrift(requests, nowNanos);
     }
 
     /** Returns the quarantined parts, with the trials of one entry node. */
@@ -82,11 +86,11 @@
     }
 
     private void logChanges() {
-        final ImmutableSet<String> requests = attribution.quarantinedRequests();
-        Sets.difference(requests, loggedRequests)
+        final ImmutableMap<String, Long> known = requests;
+        requests = attribution.quarantinedRequests();
+        Sets.difference(requests.keySet(), known.keySet())
                 .forEach(digest ->
                         events.write(LogEvent.REQUEST_QUARANTINED, digest, attribution.lossesOfRequest(digest)));
-        loggedRequests = requests;
         final ImmutableSet<PromptPartId> parts = attribution.quarantinedParts();
         Sets.difference(parts, loggedParts)
                 .forEach(part -> events.write(LogEvent.PROMPT_PART_QUARANTINED, part, attribution.lossesOfPart(part)));
--- a/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
@@ -86,6 +86,7 @@
                         request.getCrashReport().getPartCompletions(),
                         request.getCrashReport().getRefusedParts(),
                         request.getCrashReport().getQuarantinedParts(),
+                        List.of(),
                         request.getCacheCursorTerm() != leaderState.term(),
                         nowNanos);
         return leaderState.suspects().report(node, crashes, nowNanos);
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -57,6 +57,13 @@
   4: bool onTrial
 }
 
+// A request that is not sent again, because it was in flight at several endpoints that were lost.
+struct QuarantinedRequestRecord {
+  1: string requestDigest
+  // Time until it may be sent again.
+  2: i64 remainingMs
+}
+
 // What one entry VM saw of the complete responses to requests with a prompt part.
 struct PartCompletionRecord {
   1: string part
@@ -97,6 +104,8 @@
   13: optional list<string> zonesOut
   // Version of the document to which the entry VM can apply a difference; 0 if it has none. Absent if it can apply none.
   14: optional i64 documentVersion
+  // What the entry VM holds of an earlier leader's quarantine.
+  15: optional list<QuarantinedRequestRecord> quarantinedRequests
 }
 
 // A configuration as its difference from an earlier one.
@@ -128,7 +137,7 @@
   12: list<string> removed
   // Requests that other entry VMs have in flight, by VM.
   13: map<string, i32> inFlightElsewhere
-  // Request digests that must not be sent any more.
+  // Request digests that must not be sent any more, for entry VMs of old builds.
   14: list<string> quarantined
   15: i32 entryVms
   // Prompt tokens that other entry VMs have sent and that are not read yet, by VM.
@@ -144,6 +153,8 @@
   21: optional bool takesConfirmations
   // In place of the document, if the entry VM can apply differences.
   22: optional EncodedDocument encodedDocument
+  // The same requests as in quarantined; absent in the reply of an old build.
+  23: optional list<QuarantinedRequestRecord> quarantinedRequests
 }
 
 // What an entry VM has in force.
--- a/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/CrashAttributionTest.java
@@ -98,7 +98,7 @@
         private final NodeName name;
         private final QuarantinedParts parts = new QuarantinedParts();
         private final List<Runnable> reports = new ArrayList<>();
-        private ImmutableSet<String> quarantinedRequests = ImmutableSet.of();
+        private Set<String> quarantinedRequests = ImmutableSet.of();
 
         Entry(int number) {
             name = NodeName.of("entry-" + number);
@@ -114,7 +114,7 @@
             parts.confirmCompleted(
                     endpoints.stream().map(endpoint -> endpoint.listed(nowMs)).collect(Collectors.toSet()),
                     nanos() - TimeUnit.MILLISECONDS.toNanos(SURVIVED_MS));
-            quarantinedRequests = leader.quarantinedRequests();
+            quarantinedRequests = leader.quarantinedRequests().keySet();
         }
 
         /** Mirrors the decision of an exchange before each send. */
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
@@ -95,7 +95,7 @@
                                         endpoint -> VmName.of(endpoint.getVm()), endpoint -> endpoint)),
                         Map.of(),
                         Map.of(),
-                        Set.of(),
+                        Map.of(),
                         List.of(),
                         Set.of(),
                         1,
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -110,7 +110,7 @@
                                 endpoint -> VmName.of(endpoint.getVm()), endpoint -> endpoint)),
                 inFlightElsewhere,
                 Map.of(),
-                Set.of(),
+                Map.of(),
                 List.of(),
                 Set.of(),
                 1,
--- a/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
@@ -114,7 +114,7 @@
                         : Map.of(),
                 Map.of(),
                 Map.of(),
-                Set.of(),
+                Map.of(),
                 List.of(),
                 Set.of(PART),
                 1,
--- /dev/null
+++ b/src/test/java/org/wigeongrade/nodes/CrashQuarantineTest.java
@@ -0,0 +1,64 @@
+package org.wigeongrade.nodes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.fleet.thrift.QuarantinedRequestRecord;
+import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.logging.EventLog;
+
+/** Pattern: a request crashes each endpoint that runs it, and the leader changes again and again. */
+final class CrashQuarantineTest {
+    private static final long PULL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final NodeName ENTRY_NODE = NodeName.of("entry-1");
+    private static final String DIGEST = "digest";
+    /** The clocks of two leaders differ. */
+    private static final long CLOCK_DIFFERENCE_NANOS = TimeUnit.HOURS.toNanos(-3);
+
+    /** Each new leader let a quarantined request crash two more endpoints. */
+    @ParameterizedTest
+    @CsvSource({
+        // seconds from the second loss to each of the changes of leader, changes, whether it is still quarantined
+        "1, 1, true",
+        "1, 4, true",
+        "25, 2, true",
+        "31, 2, false",
+        "61, 1, false",
+    })
+    void newLeaderKeepsQuarantinedRequestsForTheirTime(long changeSeconds, int changes, boolean expected) {
+        long nowNanos = 0;
+        CrashQuarantine leader = newLeader();
+        leader.recordLoss(new EndpointIncarnation(EndpointId.of("vm-1"), 1), DIGEST, List.of(), nowNanos);
+        leader.recordLoss(new EndpointIncarnation(EndpointId.of("vm-2"), 1), DIGEST, List.of(), nowNanos);
+        List<QuarantinedRequestRecord> known = pull(leader, List.of(), nowNanos);
+        assertThat(known).hasSize(1);
+
+        for (int change = 0; change < changes; change++) {
+            nowNanos += TimeUnit.SECONDS.toNanos(changeSeconds);
+            final List<QuarantinedRequestRecord> latest = leader.quarantinedRequests(nowNanos);
+            nowNanos += CLOCK_DIFFERENCE_NANOS;
+            leader = newLeader();
+            known = pull(leader, latest, nowNanos);
+        }
+
+        assertThat(known.stream()
+                        .map(QuarantinedRequestRecord::getRequestDigest)
+                        .toList())
+                .isEqualTo(expected ? List.of(DIGEST) : List.of());
+    }
+
+    private static CrashQuarantine newLeader() {
+        return new CrashQuarantine(PULL_NANOS, new EventLog());
+    }
+
+    private static List<QuarantinedRequestRecord> pull(
+            CrashQuarantine leader, List<QuarantinedRequestRecord> known, long nowNanos) {
+        leader.recordReport(ENTRY_NODE, List.of(), List.of(), List.of(), known, true, nowNanos);
+        return leader.quarantinedRequests(nowNanos);
+    }
+}
