Take no heartbeat for a service that is not configured for evidence

Cause: a heartbeat for any service was recorded. One with the address of the head counted as proof that the head had ended, and the head's own heartbeats were dropped from then on.

Heartbeats for a service that the configuration does not name are no longer recorded, neither from VMs nor from other control nodes; the response is the same. A VM's statement that it leaves is stored as before.

A VM whose service is configured later is known from its next heartbeat on.

--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -117,12 +117,14 @@
         final GroupTimings timings = new GroupTimings(
                 TimeUnit.MILLISECONDS.toNanos(settings.ms(FleetKey.HEARTBEAT_MS)),
                 TimeUnit.MILLISECONDS.toNanos(settings.ms(FleetKey.STALL_MS)));
+        final ConfigurationCache configurations = new ConfigurationCache(reader);
+        final ConfiguredServices services = new ConfiguredServices(stateMachine, configurations);
         this.leaderLoop = new LeaderLoop(
                 self,
                 log,
                 stateMachine,
                 registry,
-                new ConfigurationCache(reader),
+                configurations,
                 new OrderSender(new OneShotHttpClient(loop), orderCodec, events),
                 new FormatUpgrade(self, log, stateMachine, peerFormats, events, clock.getAsLong()),
                 viewConfirmations,
@@ -134,6 +136,7 @@
                 log,
                 stateMachine,
                 registry,
+                services,
                 directory,
                 reader,
                 heartbeatRelay,
@@ -147,6 +150,7 @@
                 stateMachine,
                 documentHistory,
                 registry,
+                services,
                 directory,
                 peerFormats,
                 leaderLoop::currentTerm,
--- a/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
@@ -49,6 +49,7 @@
     private final RaftReplicatedLog log;
     private final PublishedStateMachine stateMachine;
     private final VmRegistry registry;
+    private final ConfiguredServices services;
     private final ControlDirectory directory;
     private final DocumentReader reader;
     private final HeartbeatRelay heartbeatRelay;
@@ -68,6 +69,7 @@
             RaftReplicatedLog log,
             PublishedStateMachine stateMachine,
             VmRegistry registry,
+            ConfiguredServices services,
             ControlDirectory directory,
             DocumentReader reader,
             HeartbeatRelay heartbeatRelay,
@@ -80,6 +82,7 @@
         this.log = log;
         this.stateMachine = stateMachine;
         this.registry = registry;
+        this.services = services;
         this.directory = directory;
         this.reader = reader;
         this.heartbeatRelay = heartbeatRelay;
@@ -90,10 +93,10 @@
         this.nanoClock = nanoClock;
     }
 
-    /** Records a heartbeat. An outdated one changes nothing but gets the same response. */
+    /** Records a heartbeat. One that is outdated or for an unknown service changes nothing but gets the same response. */
     public CompletableFuture<ControlResponse> handleHeartbeat(VmHeartbeat heartbeat) {
         final Optional<VmRecord> previous = registry.find(heartbeat.vm().vm());
-        if (registry.recordHeartbeat(heartbeat, nanoClock.getAsLong())) {
+        if (services.mayName(heartbeat.service()) && registry.recordHeartbeat(heartbeat, nanoClock.getAsLong())) {
             handleVmChange(previous, heartbeat);
             heartbeatRelay.notifyListeners(heartbeat.vm().vm());
         }
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.published.CommandFormat;
 import org.wigeongrade.decisions.published.ConfirmedView;
@@ -46,6 +47,7 @@
     private final PublishedStateMachine stateMachine;
     private final DocumentHistory documentHistory;
     private final VmRegistry registry;
+    private final ConfiguredServices services;
     private final ControlDirectory directory;
     private final PeerFormats peerFormats;
     private final Supplier<Optional<LeaderTerm>> leaderTerm;
@@ -60,6 +62,7 @@
             PublishedStateMachine stateMachine,
             DocumentHistory documentHistory,
             VmRegistry registry,
+            ConfiguredServices services,
             ControlDirectory directory,
             PeerFormats peerFormats,
             Supplier<Optional<LeaderTerm>> leaderTerm,
@@ -72,6 +75,7 @@
         this.stateMachine = stateMachine;
         this.documentHistory = documentHistory;
         this.registry = registry;
+        this.services = services;
         this.directory = directory;
         this.peerFormats = peerFormats;
         this.leaderTerm = leaderTerm;
@@ -150,8 +154,10 @@
 
     private void applyHeartbeat(HeartbeatRecord heartbeat, long nowNanos) {
         try {
-            registry.recordHeartbeat(
-                    HeartbeatCodec.decode(heartbeat), nowNanos - TimeUnit.MILLISECONDS.toNanos(heartbeat.getAgeMs()));
+            final VmHeartbeat decoded = HeartbeatCodec.decode(heartbeat);
+            if (services.mayName(decoded.service())) {
+                registry.recordHeartbeat(decoded, nowNanos - TimeUnit.MILLISECONDS.toNanos(heartbeat.getAgeMs()));
+            }
             if (heartbeat.isDeparted()) {
                 registry.markDeparted(new VmIncarnation(VmName.of(heartbeat.getVm()), heartbeat.getIncarnation()));
             }
--- a/src/test/java/org/wigeongrade/platform/OddHeartbeatsProcessTest.java
+++ b/src/test/java/org/wigeongrade/platform/OddHeartbeatsProcessTest.java
@@ -72,6 +72,33 @@
         }
     }
 
+    /** A head that served was taken for ended, and its members were used elsewhere. */
+    @Test
+    void heartbeatForAServiceThatIsNotConfiguredChangesNothing() {
+        try (FleetProcesses fleet = new FleetProcesses(folder, 3, 1)) {
+            fleet.publish(CONFIGURATION);
+            final int leader = fleet.awaitLeader();
+            Await.sleepMs(3L * FleetProcesses.HEARTBEAT_MS);
+            final String newer = SOUND.replace("1700000000000", "1700000000001");
+            int sequence = 1;
+            for (final String vm : List.of("i-odd", "i-sound")) {
+                for (int node = 0; node < 3; node++) {
+                    final String unnamed = newer.formatted(sequence).replace("ledger", "another-tool");
+                    assertThat(fleet.statusOf(node, "POST", "/-/instances/" + vm + "/heartbeat", unnamed))
+                            .isEqualTo(200);
+                    sequence++;
+                    assertThat(fleet.statusOf(
+                                    leader, "POST", "/-/instances/i-sound/heartbeat", SOUND.formatted(sequence)))
+                            .isEqualTo(200);
+                    Await.sleepMs(FleetProcesses.HEARTBEAT_MS / 2);
+                    assertWithMessage("heartbeat of %s at node %s", vm, node)
+                            .that(routable(fleet, leader))
+                            .containsExactly("i-sound");
+                }
+            }
+        }
+    }
+
     private static List<String> routable(FleetProcesses fleet, int leader) {
         return Optional.of(leader).flatMap(fleet::pull).map(PullReply::getChanged).orElse(List.of()).stream()
                 .map(RoutableRecord::getVm)
