Take a reset while an order is written for a failure of its response

An order of the leader counted as answered if the VM's response had no length and was reset while the order was being written.

Cause: the same as for responses to entry nodes: the reset makes the write fail, and the end of the connection passes for that of the body. Found by looking for that cause elsewhere; orders are short, so that it takes a VM that does not read.

OneShotHttpClientTest#resetWhileTheRequestIsWrittenIsAFailure failed before and passes now.

--- a/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
+++ b/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
@@ -60,7 +60,11 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        child.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler(result));
+                        child.pipeline()
+                                .addLast(new WriteFailureHandler())
+                                .addLast(new HttpClientCodec())
+                                .addLast(new WriteFailureHandler())
+                                .addLast(new ResponseHandler(result));
                     }
                 });
         final ChannelFuture connecting = bootstrap.connect(address);
--- a/src/test/java/org/wigeongrade/fleet/net/OneShotHttpClientTest.java
+++ b/src/test/java/org/wigeongrade/fleet/net/OneShotHttpClientTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.util.concurrent.Uninterruptibles;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpVersion;
@@ -32,6 +34,10 @@
     private static final int TIMEOUT_MS = 250;
     private static final int LOOP_BUSY_MS = 500;
     private static final int MAX_HEADER_BYTES = 8 * 1024;
+    /** More than the buffers of both sides' sockets hold. */
+    private static final int LARGE_BYTES = 16_000_000;
+
+    private static final int LARGE_TIMEOUT_MS = 5_000;
 
     private final SharedEventLoop loop = new SharedEventLoop();
     private final OneShotHttpClient client = new OneShotHttpClient(loop);
@@ -99,6 +105,33 @@
         answering.join();
     }
 
+    /** Half of a response without a length was taken for an answer if its reset made the write of the request fail. */
+    @Test
+    void resetWhileTheRequestIsWrittenIsAFailure() throws Exception {
+        final Thread answering = new Thread(this::answerHalfAndReset, "answering");
+        answering.start();
+        final FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, LARGE_BYTES);
+        final CompletableFuture<OneShotHttpClient.Response> result =
+                client.send((InetSocketAddress) server.getLocalSocketAddress(), request, LARGE_TIMEOUT_MS);
+
+        final ExecutionException failure = assertThrows(ExecutionException.class, result::get);
+        assertThat(failure).hasCauseThat().isInstanceOf(IOException.class);
+        answering.join();
+    }
+
+    private void answerHalfAndReset() {
+        try (Socket socket = server.accept()) {
+            assertThat(socket.getInputStream().read(new byte[4_096])).isGreaterThan(0);
+            socket.getOutputStream().write("HTTP/1.1 202 Accepted\r\n\r\n{\"gr".getBytes(StandardCharsets.US_ASCII));
+            Uninterruptibles.sleepUninterruptibly(LOOP_BUSY_MS, TimeUnit.MILLISECONDS);
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** An interim response was taken for the response to an order, which was then sent again. */
     @Test
     void interimResponseIsSkipped() throws Exception {
