Take only errors and failed encodings for faults of this node

Only errors of the JVM, such as memory that runs out, and messages that cannot be encoded now do. WriteFailureHandler no longer logs each failure twice.

Found by reading; EndpointResponseHandlerTest has a case for encoding.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -5,12 +5,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.IOException;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -212,10 +211,15 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         final String detail = "the connection failed: " + cause;
-        if (cause instanceof IOException || cause instanceof DecoderException) {
-            fail(context, detail);
-        } else {
+        if (isFaultOfThisNode(cause)) {
             closeAndTakeCall(context).ifPresent(call -> call.reportFailedHere(detail));
+        } else {
+            fail(context, detail);
         }
     }
+
+    /** Returns whether the failure, such as memory that runs out, says nothing about the endpoint. */
+    private static boolean isFaultOfThisNode(Throwable cause) {
+        return cause instanceof Error || cause instanceof EncoderException;
+    }
 }
--- a/src/main/java/org/wigeongrade/fleet/net/WriteFailureHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/net/WriteFailureHandler.java
@@ -20,12 +20,12 @@
 public final class WriteFailureHandler extends ChannelOutboundHandlerAdapter {
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-        NettyFutures.logFailure(context.write(message, promise.unvoid()).addListener(written -> {
+        final var unused = context.write(message, promise.unvoid()).addListener(written -> {
             final Throwable cause = written.cause();
             if (cause != null && !(cause instanceof ClosedChannelException) && isFirstReport(context, cause)) {
                 context.fireExceptionCaught(cause);
             }
-        }));
+        });
     }
 
     /** An I/O error has closed the connection by itself; after any other one, whoever was told of it has closed it. */
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -2,12 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -19,9 +21,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.fleet.net.WriteFailureHandler;
 import org.wigeongrade.platform.PlatformCallerCodec;
@@ -325,20 +330,24 @@
 
     /** Half of a response without a length was complete if its reset was seen by the write of the request only. */
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void failedWriteOfTheRequestEndsItsResponse(boolean reset) {
+    @MethodSource("failures")
+    void failedWriteOfTheRequestEndsItsResponse(Throwable failure, String expected) {
         final HeldWrite held = new HeldWrite();
         channel.pipeline().addFirst(held);
         sendRequest();
         receive("HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nX-Server-Seal: s\r\n\r\nab");
-        held.fail(
-                reset
-                        ? new IOException("Connection reset by peer")
-                        : new OutOfMemoryError("Cannot reserve direct buffer memory"));
+        held.fail(failure);
         channel.close().syncUninterruptibly();
 
         assertThat(reported).hasSize(3);
-        assertThat(reported.get(2)).startsWith(reset ? "failed after send" : "failed here");
+        assertThat(reported.get(2)).startsWith(expected);
+    }
+
+    private static Stream<Arguments> failures() {
+        return Stream.of(
+                arguments(new IOException("Connection reset by peer"), "failed after send"),
+                arguments(new OutOfMemoryError("Cannot reserve direct buffer memory"), "failed here"),
+                arguments(new EncoderException("a header that cannot be encoded"), "failed here"));
     }
 
     /** An endpoint may close its connection after its response without reading the rest of the request. */
