Check the bytes of an endpoint's response before they are decoded

Cause: Netty's decoder is lenient. It ends a name at the first blank, takes any digits for a status, skips what stands before a status line, what follows a chunk up to the next line end, and signs of a size. The check of decoded heads (MergedHeads) came when those bytes were gone.

ResponseGrammar checks the bytes first: status line, field lines, what frames the body, chunk sizes and trailers, as RFC 9110 and 9112 state them for senders. ResponseDecoder decodes only what it accepts. It is a state machine that takes a byte of syntax at a time and counts bodies, so that a broken response fails at its first wrong byte, whether or not its connection stays open. MergedHeads and the count of interim responses moved into it. The message of the failure, which events 1611 and 1613 hold, names the rule and the line without control bytes.

Why it works: no response can begin with what is rejected, and for what is accepted the grammar and the decoder agree on where the body ends.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -29,12 +28,12 @@
 import org.wigeongrade.decisions.reachability.EndpointReachability;
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.fleet.net.SharedEventLoop;
-import org.wigeongrade.fleet.net.WriteFailureHandler;
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.metrics.ConnectionOutcome;
 import org.wigeongrade.metrics.Metrics;
+import org.wigeongrade.responses.ResponseDecoder;
 
 /**
  * Pool of connections to endpoints that are kept open between requests. Used on the event loop only.
@@ -183,13 +182,8 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
-                        child.pipeline()
-                                .addLast(new WriteFailureHandler())
-                                .addLast(decoder)
-                                .addLast(new HttpRequestEncoder())
-                                .addLast(new WriteFailureHandler())
-                                .addLast(new EndpointResponseHandler(decoder, codec, releaser));
+                        final ResponseDecoder decoder = new ResponseDecoder();
+                        decoder.addTo(child.pipeline(), new EndpointResponseHandler(decoder, codec, releaser));
                     }
                 })
                 .connect(new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort()));
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -5,15 +5,18 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.wigeongrade.fleet.net.NettyFutures;
+import org.wigeongrade.responses.ResponseDecoder;
 
 /**
  * Reads the responses on one connection to an endpoint. Used on the event loop only.
@@ -24,10 +27,6 @@
  * response that ends with its connection is complete only if it has a body.
  */
 final class EndpointResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
-    private static final int FIRST_FINAL_STATUS = 200;
-    private static final int SWITCHING_PROTOCOLS = 101;
-    /** Interim responses to one request; endpoints send one at most. */
-    private static final int MAX_INTERIM_RESPONSES = 8;
     /** Maximum of bytes of responses to other requests that are skipped; beyond it a new connection is cheaper. */
     private static final long MAX_SKIPPED_BYTES = 1024 * 1024;
     /** Responses to other requests that are skipped before the awaited one. */
@@ -41,14 +40,13 @@
         void release(Channel channel, long idleMs);
     }
 
-    private final EndpointResponseDecoder decoder;
+    private final ResponseDecoder decoder;
     private final CallerCodec codec;
     private final ConnectionReleaser releaser;
     private final Set<String> refusedAttempts = new HashSet<>();
     private Optional<EndpointCall> currentCall = Optional.empty();
     private Optional<ResponseHead> head = Optional.empty();
     private boolean reused;
-    private int interimResponses;
     private long skippedBytes;
     private int skippedResponses;
     private boolean skipping;
@@ -56,7 +54,7 @@
     private ChannelFuture requestWritten;
 
     /** @param decoder decoder of the same connection */
-    EndpointResponseHandler(EndpointResponseDecoder decoder, CallerCodec codec, ConnectionReleaser releaser) {
+    EndpointResponseHandler(ResponseDecoder decoder, CallerCodec codec, ConnectionReleaser releaser) {
         this.decoder = decoder;
         this.codec = codec;
         this.releaser = releaser;
@@ -81,7 +79,6 @@
     private void awaitResponse(EndpointCall call) {
         currentCall = Optional.of(call);
         head = Optional.empty();
-        interimResponses = 0;
         skippedResponses = 0;
         skippedBytes = 0;
         skipping = false;
@@ -95,12 +92,6 @@
             NettyFutures.logFailure(context.close());
             return;
         }
-        if (message.decoderResult().isFailure()) {
-            fail(
-                    context,
-                    "the response cannot be decoded: " + message.decoderResult().cause());
-            return;
-        }
         if (message instanceof HttpResponse response) {
             readHead(context, response);
         }
@@ -110,16 +101,7 @@
     }
 
     private void readHead(ChannelHandlerContext context, HttpResponse response) {
-        final Optional<String> fault = MergedHeads.findFault(response);
-        if (fault.isPresent()) {
-            fail(context, "the head is not that of one response: " + fault.get());
-            return;
-        }
-        if (response.status().code() < FIRST_FINAL_STATUS) {
-            interimResponses++;
-            if (response.status().code() == SWITCHING_PROTOCOLS || interimResponses > MAX_INTERIM_RESPONSES) {
-                fail(context, "unexpected interim response " + response.status().code());
-            }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
         }
         final ResponseHead decoded = codec.decode(response);
@@ -210,7 +192,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        final String detail = "the connection failed: " + cause;
+        final String detail =
+                cause instanceof DecoderException ? cause.getMessage() : "the connection failed: " + cause;
         if (isFaultOfThisNode(cause)) {
             closeAndTakeCall(context).ifPresent(call -> call.reportFailedHere(detail));
         } else {
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.fleet.net.WriteFailureHandler;
 import org.wigeongrade.platform.PlatformCallerCodec;
+import org.wigeongrade.responses.ResponseDecoder;
 
 /** Tests late, duplicate, unrelated and truncated responses on one connection to an endpoint. */
 final class EndpointResponseHandlerTest {
@@ -47,7 +48,7 @@
     private final EmbeddedChannel channel = newChannel();
 
     private EmbeddedChannel newChannel() {
-        final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
+        final ResponseDecoder decoder = new ResponseDecoder();
         return new EmbeddedChannel(
                 decoder,
                 new HttpRequestEncoder(),
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeRelayTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeRelayTest.java
@@ -34,7 +34,10 @@
                     "HTTP/1.1 500 E\r\nX-Attempt-Id: attempt\r\nX-Server-Seal: s\r\nContent-Length: 1\r\n\r\nx",
             "refused", "HTTP/1.1 503 U\r\nX-Attempt-Id: attempt\r\nContent-Length: 1\r\n\r\nx",
             "not taken",
-                    "HTTP/1.1 503 U\r\nX-Attempt-Id: attempt\r\nX-Wigeongrade-Not-Taken: 1\r\nContent-Length: 1\r\n\r\nx");
+                    "HTTP/1.1 503 U\r\nX-Attempt-Id: attempt\r\nX-Wigeongrade-Not-Taken: 1\r\nContent-Length: 1\r\n\r\nx",
+            "status 600", "HTTP/1.1 600 T\r\nX-Attempt-Id: attempt\r\nX-Server-Seal: s\r\n\r\n",
+            "blank in a name",
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt\r\nX-Server-Seal: s\r\nX Pad: a\r\n\r\nid: 1\ndata: a\n\n");
     private static final long TIMEOUT_S = 10;
 
     private final SharedEventLoop loop = new SharedEventLoop();
@@ -70,6 +73,8 @@
         "cut stream:endpoint error, 'stream event aborted'",
         "cut stream:refused, 'stream event aborted'",
         "cut stream:cut stream, 'stream event aborted'",
+        "status 600:stream, 'stream event end'",
+        "blank in a name:stream, 'stream event end'",
     })
     void callerGetsOneConsistentResponse(String responses, String expected) throws Exception {
         script.addAll(ImmutableList.copyOf(responses.split(":")));
