Leave a VM's state unknown after bytes that are no response to an order

The leader took bytes that are no response for an answer of the VM: status 000, 600 and 1000 for a refusal, a head with a blank or a control byte in a name for an order that is done. A refusal shows that the VM lives (isFromLiveVm).

It uses ResponseDecoder now, so that such bytes are a failure, and the outcome is NONE.

--- a/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
+++ b/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
@@ -9,8 +9,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.responses.ResponseDecoder;
 
 /** Sends single HTTP requests, each on its own connection. Thread safe. */
 public final class OneShotHttpClient {
@@ -48,7 +49,8 @@
 
     /**
      * Sends a request and returns a future of its response. The future fails with {@link java.net.ConnectException} if
-     * the connection was refused, and with {@link TimeoutException} if no complete response arrived in time.
+     * the connection was refused or took too long to open, with {@link TimeoutException} if no complete response arrived
+     * in time, and with {@link IOException} if the connection ended early or carried bytes that are no response.
      */
     public CompletableFuture<Response> send(InetSocketAddress address, FullHttpRequest request, int timeoutMs) {
         final CompletableFuture<Response> result = new CompletableFuture<>();
@@ -60,11 +62,9 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        child.pipeline()
-                                .addLast(new WriteFailureHandler())
-                                .addLast(new HttpClientCodec())
-                                .addLast(new WriteFailureHandler())
-                                .addLast(new ResponseHandler(result));
+                        final ResponseDecoder decoder = new ResponseDecoder();
+                        decoder.start(request.method());
+                        decoder.addTo(child.pipeline(), new ResponseHandler(result));
                     }
                 });
         final ChannelFuture connecting = bootstrap.connect(address);
@@ -123,11 +123,6 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) throws IOException {
-            if (message.decoderResult().isFailure()) {
-                throw new IOException(
-                        "the response cannot be decoded",
-                        message.decoderResult().cause());
-            }
             if (message instanceof HttpResponse response) {
                 head = Optional.of(response)
                         .filter(received -> received.status().codeClass() != HttpStatusClass.INFORMATIONAL);
@@ -153,7 +148,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            result.completeExceptionally(cause);
+            result.completeExceptionally(
+                    cause instanceof DecoderException ? new IOException(cause.getMessage(), cause) : cause);
             NettyFutures.logFailure(context.close());
         }
     }
