Read responses of endpoints through the shared decoder on the own interface

What was taken on the own interface: the part of a response without a length that was reset while a long body was being written, as complete; a blank or a control byte in a field's name; a chunk longer than its size. A broken chunk size was noticed only after the stall timeout, and each interim response counted as a failure although it may precede a sound one.

Cause: Ratpack's client decodes with Netty's lenient decoder and offers no hook before it, and it does not report a write that fails.

EndpointClient opens its connections itself now, and reads them through ResponseDecoder, with WriteFailureHandler on both sides of the encoder, as the fleet path does. ResponseReader keeps the contract of ResponseListener: one chunk at a time, and nothing is read before the listener asks for more. The request's bytes are as before; a path that java.net.URI rejects is sent as it is. The limit on the length of a response was never applied to streams and is gone.

--- a/src/main/java/org/wigeongrade/command/Node.java
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -52,7 +52,6 @@
 import org.wigeongrade.settings.PeerSettings;
 import ratpack.error.ClientErrorHandler;
 import ratpack.error.ServerErrorHandler;
-import ratpack.exec.ExecController;
 import ratpack.handling.Chain;
 import ratpack.registry.RegistrySpec;
 import ratpack.server.RatpackServer;
@@ -65,7 +64,6 @@
  * flight, and finally closes the roles. Thread safe.
  */
 public final class Node implements NodeProcess {
-    private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
     private static final int THRIFT_WORKER_THREADS = 8;
     private static final int CLAIM_WORKER_THREADS = 16;
     /** Time between failing the health check and refusing requests, so that the load balancer stops sending first. */
@@ -81,6 +79,7 @@
     private final LongSupplier epochMsClock = System::currentTimeMillis;
     private final EntryRole entryRole;
     private final InFlightRequests inFlight;
+    private final EndpointClient endpointClient;
     private final ImmutableMap<NodeName, PeerClient> peers;
     private final ScheduledThreadPoolExecutor scheduler =
             new ScheduledThreadPoolExecutor(1, daemonThreadFactory("timer"));
@@ -107,6 +106,7 @@
                 settings.limits().pullIntervalMs(),
                 nanoClock);
         this.inFlight = new InFlightRequests(metrics);
+        this.endpointClient = new EndpointClient(settings.endpointGatewayIp(), nanoClock);
         this.peers = settings.otherPeers().stream()
                 .collect(ImmutableMap.toImmutableMap(
                         PeerSettings::name,
@@ -223,16 +223,13 @@
     }
 
     private void addHandlers(Chain chain, LeaderClient leaderClient) throws Exception {
-        final ExecController execController = chain.getRegistry().get(ExecController.class);
-        final EndpointClient client =
-                new EndpointClient(execController, MAX_RESPONSE_BYTES, settings.endpointGatewayIp(), nanoClock);
         final TaskScheduler taskScheduler = (task, delayMs) -> {
             final var unused = scheduler.schedule(task, delayMs, TimeUnit.MILLISECONDS);
         };
         final CallerDependencies dependencies = new CallerDependencies(
                 entryRole,
                 leaderClient,
-                client,
+                endpointClient,
                 new ColdSignBroadcaster(entryRole, peers, workers, viewPuller::requestPull, events),
                 viewPuller::requestPull,
                 taskScheduler,
@@ -241,7 +238,7 @@
                 metrics,
                 events,
                 settings.limits());
-        placementLoop = controlRole.map(role -> createPlacementLoop(role, client));
+        placementLoop = controlRole.map(role -> createPlacementLoop(role));
         chain.insert(new HealthApi(entryRole, metrics));
         chain.insert(new EndpointApi(entryRole));
         chain.insert(new OperatorApi(
@@ -254,9 +251,9 @@
         chain.insert(new CallerApi(dependencies, inFlight));
     }
 
-    private PlacementLoop createPlacementLoop(ControlRole role, EndpointClient client) {
+    private PlacementLoop createPlacementLoop(ControlRole role) {
         final OrderSender orders =
-                new OrderSender(client, events, nanoClock, Duration.ofNanos(timings.orderTimeoutNanos()));
+                new OrderSender(endpointClient, events, nanoClock, Duration.ofNanos(timings.orderTimeoutNanos()));
         return new PlacementLoop(role, orders, new FleetMetrics(metrics, events), events);
     }
 
@@ -289,6 +286,7 @@
         placementLoop.ifPresent(PlacementLoop::close);
         viewPuller.close();
         stopHttp();
+        endpointClient.close();
         nodeServer.close();
         controlRole.ifPresent(ControlRole::close);
         workers.shutdown();
--- a/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
+++ b/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
@@ -1,56 +1,50 @@
 package org.wigeongrade.endpoints;
 
-import com.google.common.base.Ascii;
-import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.net.HostAndPort;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.timeout.ReadTimeoutException;
-import java.net.ConnectException;
-import java.net.URI;
-import java.time.Duration;
-import java.util.Map;
+import com.google.common.net.InetAddresses;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import org.reactivestreams.Subscriber;
-import org.reactivestreams.Subscription;
-import ratpack.exec.ExecController;
-import ratpack.http.Headers;
-import ratpack.http.client.HttpClient;
-import ratpack.http.client.HttpClientReadTimeoutException;
-import ratpack.http.client.RequestSpec;
-import ratpack.http.client.StreamedResponse;
+import org.wigeongrade.fleet.net.NettyFutures;
+import org.wigeongrade.responses.ResponseDecoder;
 
 /**
  * Sends requests to endpoints, each on a new connection, and streams the responses to a listener.
  *
  * <p>Invariant: a connection carries one request, so bytes of one response never reach another request. Thread safe;
- * listener calls come from the event loops of the {@link ExecController}.
+ * listener calls come from this client's event loops.
  */
-public final class EndpointClient {
-    private static final int NO_POOLED_CONNECTIONS = 0;
-    private static final int CHUNK_BYTES = 16 * 1024;
-    private static final int FIRST_FINAL_STATUS = 200;
-    /** Netty reports a head that it cannot decode as a response with a status beyond those of HTTP. */
-    private static final int LAST_STATUS = 599;
+public final class EndpointClient implements AutoCloseable {
+    private static final long QUIET_PERIOD_MS = 0;
+    private static final long STOP_TIMEOUT_MS = 500;
 
-    private final ExecController execController;
-    private final HttpClient httpClient;
+    private final EventLoopGroup eventLoops = new NioEventLoopGroup(new DefaultThreadFactory("endpoint-client", true));
     private final Optional<String> gatewayIp;
     private final LongSupplier nanoClock;
 
     /** @param gatewayIp address through which every endpoint is reached, at its own port; absent if there is none */
-    public EndpointClient(
-            ExecController execController, int maxResponseBytes, Optional<String> gatewayIp, LongSupplier nanoClock)
-            throws Exception {
-        this.execController = execController;
+    public EndpointClient(Optional<String> gatewayIp, LongSupplier nanoClock) {
         this.gatewayIp = gatewayIp;
         this.nanoClock = nanoClock;
-        this.httpClient = HttpClient.of(spec -> spec.poolSize(NO_POOLED_CONNECTIONS)
-                .maxContentLength(maxResponseBytes)
-                .responseMaxChunkSize(CHUNK_BYTES)
-                .execController(execController));
     }
 
     /** Sends a request asynchronously. The listener gets every later event, including connection failures. */
@@ -74,125 +68,86 @@
 
     private SendHandle send(String address, EndpointRequest request, ResponseListener listener) {
         final SendHandle handle = new SendHandle();
-        execController
-                .fork()
-                .onError(failure -> listener.onFailure(classify(failure), describe(failure)))
-                .start(execution -> httpClient
-                        .requestStream(URI.create("http://" + address + request.pathAndQuery()), spec -> {
-                            configure(spec, request);
-                        })
-                        .onError(failure -> {
-                            if (!handle.isCancelled()) {
-                                listener.onFailure(classify(failure), describe(failure));
-                            }
-                        })
-                        .then(response -> streamResponse(response, listener, handle)));
+        // A failure is never reported from within this call, since callers may hold a lock and lack the handle.
+        eventLoops.next().execute(() -> {
+            try {
+                connect(address, request, listener, handle);
+            } catch (IllegalArgumentException e) {
+                if (!handle.isCancelled()) {
+                    listener.onFailure(SendFailure.CONNECTION_LOST, describe(e));
+                }
+            }
+        });
         return handle;
     }
 
-    private void configure(RequestSpec spec, EndpointRequest request) throws Exception {
-        final long remainingNanos = Math.max(0, request.deadlineNanos() - nanoClock.getAsLong());
-        spec.method(request.method());
-        spec.redirects(0);
-        spec.decompressResponse(false);
-        spec.connectTimeout(request.connectTimeout());
-        spec.readTimeout(min(request.stallTimeout(), Duration.ofNanos(Math.max(1, remainingNanos))));
-        spec.headers(headers -> {
-            request.headers().forEach(headers::set);
-            headers.set("X-Request-Id", request.attemptId().value());
-            headers.set("X-Request-Deadline-Ms", TimeUnit.NANOSECONDS.toMillis(remainingNanos));
-            headers.set("X-Request-Priority", request.priority());
+    private void connect(String address, EndpointRequest request, ResponseListener listener, SendHandle handle) {
+        final HostAndPort target = HostAndPort.fromString(address);
+        final FullHttpRequest message = encode(address, request);
+        final ChannelFuture connecting = new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        request.connectTimeout().toMillis())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel child) {
+                        final ResponseDecoder decoder = new ResponseDecoder();
+                        decoder.start(message.method());
+                        child.pipeline()
+                                .addLast(new ReadTimeoutHandler(stallTimeoutMs(request), TimeUnit.MILLISECONDS));
+                        decoder.addTo(child.pipeline(), new ResponseReader(listener, handle));
+                    }
+                })
+                .connect(new InetSocketAddress(InetAddresses.forString(target.getHost()), target.getPort()));
+        handle.setCloseAction(() -> NettyFutures.logFailure(connecting.channel().close()));
+        final var unused = connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                NettyFutures.logFailure(connecting.channel().writeAndFlush(message));
+                return;
+            }
+            message.release();
+            if (!handle.isCancelled()) {
+                listener.onFailure(SendFailure.CONNECT_FAILED, describe(done.cause()));
+            }
         });
-        if (request.body().length > 0) {
-            spec.getBody().bytes(request.body());
-        }
     }
 
-    private static Duration min(Duration first, Duration second) {
-        return first.compareTo(second) <= 0 ? first : second;
+    /** Returns the longest time without a byte once the connection is open, in milliseconds. */
+    private long stallTimeoutMs(EndpointRequest request) {
+        final long remainingMs = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nanoClock.getAsLong());
+        return Math.max(1, Math.min(request.stallTimeout().toMillis(), remainingMs));
     }
 
-    private static void streamResponse(StreamedResponse response, ResponseListener listener, SendHandle handle) {
-        final int status = response.getStatusCode();
-        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
-            final boolean awaited = !handle.isCancelled();
-            handle.cancel();
-            response.getBody().subscribe(new BodySubscriber(listener, handle));
-            if (awaited) {
-                listener.onFailure(
-                        SendFailure.CONNECTION_LOST,
-                        "the head is not that of a final response, or is too long: status " + status);
-            }
-            return;
-        }
-        if (!handle.isCancelled()) {
-            listener.onHead(new ResponseHead(status, withLowerCaseNames(response.getHeaders())));
-        }
-        response.getBody().subscribe(new BodySubscriber(listener, handle));
-    }
-
-    private static ImmutableListMultimap<String, String> withLowerCaseNames(Headers headers) {
-        final ImmutableListMultimap.Builder<String, String> copy = ImmutableListMultimap.builder();
-        for (Map.Entry<String, String> header : headers.getNettyHeaders()) {
-            copy.put(Ascii.toLowerCase(header.getKey()), header.getValue());
+    private FullHttpRequest encode(String address, EndpointRequest request) {
+        final long remainingNanos = Math.max(0, request.deadlineNanos() - nanoClock.getAsLong());
+        final FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(request.method()),
+                request.pathAndQuery(),
+                Unpooled.wrappedBuffer(request.body()));
+        final HttpHeaders headers = message.headers();
+        request.headers().forEach(headers::set);
+        headers.set("X-Request-Id", request.attemptId().value());
+        headers.set("X-Request-Deadline-Ms", TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+        headers.set("X-Request-Priority", request.priority());
+        headers.set(HttpHeaderNames.HOST, address);
+        headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (request.body().length > 0) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
-        return copy.build();
+        return message;
     }
 
-    private static SendFailure classify(Throwable failure) {
-        if (failure instanceof ConnectException) {
-            return SendFailure.CONNECT_FAILED;
-        }
-        if (failure instanceof HttpClientReadTimeoutException || failure instanceof ReadTimeoutException) {
-            return SendFailure.TIMED_OUT;
-        }
-        return SendFailure.CONNECTION_LOST;
+    /** Closes all connections; requests that are under way are not reported any more. */
+    @Override
+    public void close() {
+        NettyFutures.logFailure(eventLoops.shutdownGracefully(QUIET_PERIOD_MS, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS));
     }
 
-    private static String describe(Throwable failure) {
+    static String describe(Throwable failure) {
         return failure.getClass().getSimpleName() + ": " + failure.getMessage();
     }
-
-    /** Passes the body to the listener chunk by chunk. Called by one event loop. */
-    private static final class BodySubscriber implements Subscriber<ByteBuf> {
-        private final ResponseListener listener;
-        private final SendHandle handle;
-        private Subscription subscription;
-
-        BodySubscriber(ResponseListener listener, SendHandle handle) {
-            this.listener = listener;
-            this.handle = handle;
-        }
-
-        @Override
-        public void onSubscribe(Subscription newSubscription) {
-            subscription = newSubscription;
-            handle.setCloseAction(newSubscription::cancel);
-            newSubscription.request(1);
-        }
-
-        @Override
-        public void onNext(ByteBuf buffer) {
-            final byte[] bytes = ByteBufUtil.getBytes(buffer);
-            buffer.release();
-            if (handle.isCancelled()) {
-                return;
-            }
-            listener.onBytes(bytes, () -> subscription.request(1));
-        }
-
-        @Override
-        public void onError(Throwable failure) {
-            if (!handle.isCancelled()) {
-                listener.onFailure(classify(failure), describe(failure));
-            }
-        }
-
-        @Override
-        public void onComplete() {
-            if (!handle.isCancelled()) {
-                listener.onEnd();
-            }
-        }
-    }
 }
