Reset the caller's connection when a response on the own interface is cut

Callers of the own interface got the part of a response that its endpoint had broken off as a complete 200: each cut response ended like a complete one.

Cause: ResponseBodyStream#fail reported an error to Ratpack, and trusted that this closes the connection. Ratpack logs the error and writes the last chunk. To callers whose connection closes after the response, such as those of HTTP/1.0, it sends no chunks, so that an orderly close is the end of the body.

The connection is reset before Ratpack is told of the failure. Events of a cut response that the caller's system has not received yet may be lost with it.

From reading, not from a run: an entry VM that forwards a request took the cut response of the other VM for a complete one in the same way.

--- a/src/main/java/org/wigeongrade/callers/CallerApi.java
+++ b/src/main/java/org/wigeongrade/callers/CallerApi.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.hash.Hashing;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +16,7 @@
 import org.wigeongrade.decisions.routing.RouteTarget;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
+import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.ids.RequestId;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.logging.LogEvent;
@@ -306,6 +308,8 @@
         }
         final CallerResult.Streamed streamed = (CallerResult.Streamed) result;
         setHeaders(response, streamed.headers());
+        final Channel connection = request.context().getDirectChannelAccess().getChannel();
+        streamed.body().resetOnFailure(() -> NettyFutures.reset(connection));
         response.status(streamed.status()).sendStream(streamed.body());
     }
 
--- a/src/main/java/org/wigeongrade/callers/ResponseBodyStream.java
+++ b/src/main/java/org/wigeongrade/callers/ResponseBodyStream.java
@@ -21,6 +21,7 @@
 
     private final Runnable onCancel;
     private final Deque<byte[]> queue = new ArrayDeque<>();
+    private Runnable resetConnection = () -> {};
     private Optional<Subscriber<? super ByteBuf>> subscriber = Optional.empty();
     private Optional<Runnable> readMore = Optional.empty();
     private Optional<Throwable> failure = Optional.empty();
@@ -37,6 +38,14 @@
         this.onCancel = onCancel;
     }
 
+    /**
+     * Sets what resets the caller's connection if the body fails. Ratpack ends a body that fails like a complete one, and
+     * an orderly close is the end of a body that is not sent in chunks. Call it before the body is sent.
+     */
+    synchronized void resetOnFailure(Runnable resetCallerConnection) {
+        resetConnection = resetCallerConnection;
+    }
+
     /** Queues a chunk; {@code resumeSource} runs once the source may produce the next one. */
     void push(byte[] chunk, Runnable resumeSource) {
         final Optional<Runnable> callback;
@@ -64,7 +73,7 @@
         }
     }
 
-    /** Ends the body early, which closes the caller's connection. */
+    /** Ends the body early, which resets the caller's connection. */
     void fail(Throwable cause) {
         synchronized (this) {
             failure = Optional.of(cause);
@@ -123,6 +132,7 @@
         }
         if (queue.isEmpty() && failure.isPresent()) {
             ended = true;
+            resetConnection.run();
             subscriber.get().onError(failure.get());
         } else if (queue.isEmpty() && completed) {
             ended = true;
--- a/src/test/java/org/wigeongrade/proof/EndlessAnswersProcessTest.java
+++ b/src/test/java/org/wigeongrade/proof/EndlessAnswersProcessTest.java
@@ -11,7 +11,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -140,20 +139,10 @@
     }
 
     private void announce(String entry, int port, boolean engine) {
-        final Map<String, Object> fields = new HashMap<>();
-        fields.put("vm", "vm-1");
-        fields.put("incarnation", 1);
-        fields.put("address", "127.0.0.1:" + port);
-        fields.put("availability_zone", "zone-a");
-        fields.put("fabric_domain", "fabric-1");
-        fields.put("accelerators", 8);
-        fields.put("kind", engine ? "engine" : "service");
-        fields.put("running", 0);
-        fields.put("waiting", 0);
-        fields.put("sequence", System.nanoTime());
         final JsonNode order = latestOrder.get();
         final boolean joined = order.path("order").asText().equals("join");
-        fields.put("state", engine && !joined ? "idle" : "warm");
+        final Map<String, Object> fields =
+                Announcements.fields(port, engine ? "engine" : "service", engine && !joined ? "idle" : "warm");
         if (!engine) {
             fields.put("service", "notes");
         }
@@ -165,6 +154,6 @@
             fields.put("order_term", order.path("term").asLong());
             fields.put("order_sequence", order.path("sequence").asLong());
         }
-        final var unused = Http.trySend("POST", entry, "/v1/announcements", StandinJson.write(fields));
+        Announcements.send(entry, fields);
     }
 }
