Read responses to commands through the shared decoder

A command took status 600 and 999 for a refusal by the entry VM, took 14 broken heads and bodies for its result, and ended with an exception of the HTTP client for a length that is no number.

Cause: EntryTransport read with the JDK's client, which is lenient in other ways than Netty's decoder, and throws IllegalArgumentException for such a length. It uses OneShotHttpClient now, with its own limits. The timeout of a call now ends with the body instead of the head.

Status 000 and blanks and control bytes in a name were handled before; their tests are kept.

--- a/src/main/java/org/wigeongrade/command/EntryTransport.java
+++ b/src/main/java/org/wigeongrade/command/EntryTransport.java
@@ -3,60 +3,68 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
-import java.io.InputStream;
+import com.google.common.net.InetAddresses;
+import com.google.common.primitives.Ints;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.net.ConnectException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpConnectTimeoutException;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.ExecutionException;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.RunStatus;
+import org.wigeongrade.fleet.net.OneShotHttpClient;
+import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.settings.NodeAddress;
 
 /** Sends one call to one entry VM and classifies the outcome. Safe for use from any thread. */
 final class EntryTransport {
-    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
     /** Longest response that is read, in bytes; those of entry VMs are limited by their messages to each other. */
     private static final int MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private final HttpClient client = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(CONNECT_TIMEOUT)
-            .build();
-
-    /** Sends the call; {@code timeout} limits the wait for the response. */
+    /** Sends the call; {@code timeout} limits the wait for the complete response. */
     CallOutcome send(NodeAddress entry, OperatorCall call, Duration timeout) {
-        final HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + entry + call.pathAndQuery()))
-                .timeout(timeout)
-                .method(call.method(), HttpRequest.BodyPublishers.ofString(call.body()))
-                .build();
-        try {
-            final HttpResponse<InputStream> response = client.send(request, HttpResponse.BodyHandlers.ofInputStream());
-            return classify(response.statusCode(), readBody(response));
-        } catch (ConnectException | HttpConnectTimeoutException e) {
-            return new CallOutcome.Unreachable("no connection to " + entry);
-        } catch (IOException e) {
-            return new CallOutcome.Unknown("the response from " + entry + " was lost: " + e.getMessage());
+        try (SharedEventLoop loop = new SharedEventLoop()) {
+            final OneShotHttpClient.Response response = new OneShotHttpClient(
+                            loop, MAX_RESPONSE_BYTES, CONNECT_TIMEOUT_MS)
+                    .send(
+                            new InetSocketAddress(InetAddresses.forString(entry.ip()), entry.port()),
+                            encode(entry, call),
+                            Ints.saturatedCast(timeout.toMillis()))
+                    .get();
+            return classify(response.status(), new String(response.body().array(), StandardCharsets.UTF_8));
+        } catch (ExecutionException e) {
+            return e.getCause() instanceof ConnectException
+                    ? new CallOutcome.Unreachable("no connection to " + entry)
+                    : new CallOutcome.Unknown("the response from " + entry + " was lost: "
+                            + e.getCause().getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return new CallOutcome.Unknown("interrupted while waiting for " + entry);
         }
     }
 
-    private static String readBody(HttpResponse<InputStream> response) throws IOException {
-        try (InputStream body = response.body()) {
-            final byte[] bytes = body.readNBytes(MAX_RESPONSE_BYTES + 1);
-            if (bytes.length > MAX_RESPONSE_BYTES) {
-                throw new IOException("it exceeds " + MAX_RESPONSE_BYTES + " bytes");
-            }
-            return new String(bytes, StandardCharsets.UTF_8);
-        }
+    private static FullHttpRequest encode(NodeAddress entry, OperatorCall call) {
+        final byte[] body = call.body().getBytes(StandardCharsets.UTF_8);
+        final FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(call.method()),
+                call.pathAndQuery(),
+                Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set(HttpHeaderNames.HOST, entry.toString())
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+                .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        return request;
     }
 
     private static CallOutcome classify(int status, String text) {
--- a/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
+++ b/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
@@ -29,22 +29,38 @@
 
 /** Sends single HTTP requests, each on its own connection. Thread safe. */
 public final class OneShotHttpClient {
-    private static final int MAX_RESPONSE_BYTES = 64 * 1024;
+    /** Longest body of a response, in bytes, unless the creator of the client states another one. */
+    private static final int DEFAULT_MAX_RESPONSE_BYTES = 64 * 1024;
     /**
      * Time for which a call goes on after its timeout, in milliseconds. The event loop then reads what arrived while it
      * was busy, so that its own delay does not look like silence of the other side.
      */
     private static final int READ_AGAIN_MS = 20;
     /** Limit for opening a connection, in milliseconds, in case the timeout of a call is not reached. */
-    private static final int MAX_CONNECT_MS = 5_000;
+    private static final int DEFAULT_CONNECT_TIMEOUT_MS = 5_000;
 
     private final SharedEventLoop loop;
+    private final int maxResponseBytes;
+    private final int connectTimeoutMs;
 
     /** Status, headers and body of a response. */
     public record Response(int status, io.netty.handler.codec.http.HttpHeaders headers, Bytes body) {}
 
+    /** Creates a client for short responses. */
     public OneShotHttpClient(SharedEventLoop loop) {
+        this(loop, DEFAULT_MAX_RESPONSE_BYTES, DEFAULT_CONNECT_TIMEOUT_MS);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param maxResponseBytes longest body of a response; a call with a longer one fails
+     * @param connectTimeoutMs limit for opening a connection, in case the timeout of a call is not reached
+     */
+    public OneShotHttpClient(SharedEventLoop loop, int maxResponseBytes, int connectTimeoutMs) {
         this.loop = loop;
+        this.maxResponseBytes = maxResponseBytes;
+        this.connectTimeoutMs = connectTimeoutMs;
     }
 
     /**
@@ -57,14 +73,14 @@
         final Bootstrap bootstrap = new Bootstrap()
                 .group(loop.group())
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, MAX_CONNECT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
                         final ResponseDecoder decoder = new ResponseDecoder();
                         decoder.start(request.method());
-                        decoder.addTo(child.pipeline(), new ResponseHandler(result));
+                        decoder.addTo(child.pipeline(), new ResponseHandler(result, maxResponseBytes));
                     }
                 });
         final ChannelFuture connecting = bootstrap.connect(address);
@@ -114,11 +130,13 @@
      */
     private static final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
         private final CompletableFuture<Response> result;
+        private final int maxResponseBytes;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Optional<HttpResponse> head = Optional.empty();
 
-        ResponseHandler(CompletableFuture<Response> result) {
+        ResponseHandler(CompletableFuture<Response> result, int maxResponseBytes) {
             this.result = result;
+            this.maxResponseBytes = maxResponseBytes;
         }
 
         @Override
@@ -129,8 +147,8 @@
             }
             if (message instanceof HttpContent content && head.isPresent()) {
                 content.content().readBytes(body, content.content().readableBytes());
-                if (body.size() > MAX_RESPONSE_BYTES) {
-                    throw new IOException("the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
+                if (body.size() > maxResponseBytes) {
+                    throw new IOException("the response exceeds " + maxResponseBytes + " bytes");
                 }
                 if (content instanceof LastHttpContent) {
                     final HttpResponse complete = head.get();
