Count invalid responses by the rule that they break

Operators could not see that an endpoint sends bytes that are no response, other than in the lines of single requests.

ResponseFault moved to the package of the metrics, as the other closed lists of reasons.

--- a/src/main/java/org/wigeongrade/command/EntryTransport.java
+++ b/src/main/java/org/wigeongrade/command/EntryTransport.java
@@ -35,7 +35,7 @@
     CallOutcome send(NodeAddress entry, OperatorCall call, Duration timeout) {
         try (SharedEventLoop loop = new SharedEventLoop()) {
             final OneShotHttpClient.Response response = new OneShotHttpClient(
-                            loop, MAX_RESPONSE_BYTES, CONNECT_TIMEOUT_MS)
+                            loop, MAX_RESPONSE_BYTES, CONNECT_TIMEOUT_MS, fault -> {})
                     .send(
                             new InetSocketAddress(InetAddresses.forString(entry.ip()), entry.port()),
                             encode(entry, call),
--- a/src/main/java/org/wigeongrade/command/Node.java
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -106,7 +106,8 @@
                 settings.limits().pullIntervalMs(),
                 nanoClock);
         this.inFlight = new InFlightRequests(metrics);
-        this.endpointClient = new EndpointClient(settings.endpointGatewayIp(), nanoClock);
+        this.endpointClient =
+                new EndpointClient(settings.endpointGatewayIp(), nanoClock, metrics::countInvalidResponse);
         this.peers = settings.otherPeers().stream()
                 .collect(ImmutableMap.toImmutableMap(
                         PeerSettings::name,
--- a/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
+++ b/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
@@ -23,8 +23,10 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.wigeongrade.fleet.net.NettyFutures;
+import org.wigeongrade.metrics.ResponseFault;
 import org.wigeongrade.responses.ResponseDecoder;
 
 /**
@@ -40,11 +42,18 @@
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(new DefaultThreadFactory("endpoint-client", true));
     private final Optional<String> gatewayIp;
     private final LongSupplier nanoClock;
+    private final Consumer<ResponseFault> faultCounter;
 
-    /** @param gatewayIp address through which every endpoint is reached, at its own port; absent if there is none */
-    public EndpointClient(Optional<String> gatewayIp, LongSupplier nanoClock) {
+    /**
+     * Creates a client.
+     *
+     * @param gatewayIp address through which every endpoint is reached, at its own port; absent if there is none
+     * @param faultCounter counts the rule that an invalid response breaks
+     */
+    public EndpointClient(Optional<String> gatewayIp, LongSupplier nanoClock, Consumer<ResponseFault> faultCounter) {
         this.gatewayIp = gatewayIp;
         this.nanoClock = nanoClock;
+        this.faultCounter = faultCounter;
     }
 
     /** Sends a request asynchronously. The listener gets every later event, including connection failures. */
@@ -94,7 +103,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        final ResponseDecoder decoder = new ResponseDecoder();
+                        final ResponseDecoder decoder = new ResponseDecoder(faultCounter);
                         decoder.start(message.method());
                         child.pipeline()
                                 .addLast(new ReadTimeoutHandler(stallTimeoutMs(request), TimeUnit.MILLISECONDS));
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -125,7 +125,7 @@
                 stateMachine,
                 registry,
                 configurations,
-                new OrderSender(new OneShotHttpClient(loop), orderCodec, events),
+                new OrderSender(new OneShotHttpClient(loop, metrics::countInvalidResponse), orderCodec, events),
                 new FormatUpgrade(self, log, stateMachine, peerFormats, events, clock.getAsLong()),
                 viewConfirmations,
                 timings,
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -182,7 +182,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        final ResponseDecoder decoder = new ResponseDecoder();
+                        final ResponseDecoder decoder = new ResponseDecoder(metrics::countInvalidResponse);
                         decoder.addTo(child.pipeline(), new EndpointResponseHandler(decoder, codec, releaser));
                     }
                 })
--- a/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
+++ b/src/main/java/org/wigeongrade/fleet/net/OneShotHttpClient.java
@@ -24,7 +24,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.wigeongrade.decisions.log.Bytes;
+import org.wigeongrade.metrics.ResponseFault;
 import org.wigeongrade.responses.ResponseDecoder;
 
 /** Sends single HTTP requests, each on its own connection. Thread safe. */
@@ -42,13 +44,19 @@
     private final SharedEventLoop loop;
     private final int maxResponseBytes;
     private final int connectTimeoutMs;
+    private final Consumer<ResponseFault> faultCounter;
 
     /** Status, headers and body of a response. */
     public record Response(int status, io.netty.handler.codec.http.HttpHeaders headers, Bytes body) {}
 
-    /** Creates a client for short responses. */
+    /** Creates a client for short responses whose faults nobody counts. */
     public OneShotHttpClient(SharedEventLoop loop) {
-        this(loop, DEFAULT_MAX_RESPONSE_BYTES, DEFAULT_CONNECT_TIMEOUT_MS);
+        this(loop, fault -> {});
+    }
+
+    /** Creates a client for short responses; {@code faultCounter} counts the rule that an invalid one breaks. */
+    public OneShotHttpClient(SharedEventLoop loop, Consumer<ResponseFault> faultCounter) {
+        this(loop, DEFAULT_MAX_RESPONSE_BYTES, DEFAULT_CONNECT_TIMEOUT_MS, faultCounter);
     }
 
     /**
@@ -56,11 +64,14 @@
      *
      * @param maxResponseBytes longest body of a response; a call with a longer one fails
      * @param connectTimeoutMs limit for opening a connection, in case the timeout of a call is not reached
+     * @param faultCounter counts the rule that an invalid response breaks
      */
-    public OneShotHttpClient(SharedEventLoop loop, int maxResponseBytes, int connectTimeoutMs) {
+    public OneShotHttpClient(
+            SharedEventLoop loop, int maxResponseBytes, int connectTimeoutMs, Consumer<ResponseFault> faultCounter) {
         this.loop = loop;
         this.maxResponseBytes = maxResponseBytes;
         this.connectTimeoutMs = connectTimeoutMs;
+        this.faultCounter = faultCounter;
     }
 
     /**
@@ -78,7 +89,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        final ResponseDecoder decoder = new ResponseDecoder();
+                        final ResponseDecoder decoder = new ResponseDecoder(faultCounter);
                         decoder.start(request.method());
                         decoder.addTo(child.pipeline(), new ResponseHandler(result, maxResponseBytes));
                     }
--- a/src/main/java/org/wigeongrade/metrics/MetricName.java
+++ b/src/main/java/org/wigeongrade/metrics/MetricName.java
@@ -9,6 +9,9 @@
     CUT_RESPONSES(
             "wigeongrade_responses_cut_total",
             "Responses that had begun and that this node ended before they were complete, by cause."),
+    INVALID_RESPONSES(
+            "wigeongrade_invalid_responses_total",
+            "Responses to this node whose bytes break a rule of HTTP, by the rule."),
     RETRIES("wigeongrade_retries_total", "Requests retried or resumed, by reason."),
     LOST_IN_FLIGHT(
             "wigeongrade_requests_lost_total",
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -20,7 +20,7 @@
 /**
  * The metrics of one process.
  *
- * <p>Invariant: each refusal reason, closing cause, cut cause, retry reason and connection outcome has a time series from the start, at zero. Times are given in nanoseconds
+ * <p>Invariant: each refusal reason, closing cause, cut cause, response fault, retry reason and connection outcome has a time series from the start, at zero. Times are given in nanoseconds
  * or milliseconds and exposed in seconds. Safe for use from any thread.
  */
 public final class Metrics {
@@ -40,6 +40,7 @@
     private final Counter refusals = counter(MetricName.REFUSALS, "reason");
     private final Counter clientClosings = counter(MetricName.CLIENT_CLOSINGS, "cause");
     private final Counter cutResponses = counter(MetricName.CUT_RESPONSES, "cause");
+    private final Counter invalidResponses = counter(MetricName.INVALID_RESPONSES, "reason");
     private final Counter retries = counter(MetricName.RETRIES, "reason");
     private final Counter lostInFlight = counter(MetricName.LOST_IN_FLIGHT);
     private final Counter endpointConnections = counter(MetricName.ENDPOINT_CONNECTIONS, "outcome");
@@ -67,6 +68,9 @@
         for (final CutCause cause : CutCause.values()) {
             cutResponses.labelValues(cause.code());
         }
+        for (final ResponseFault fault : ResponseFault.values()) {
+            invalidResponses.labelValues(fault.code());
+        }
         for (final RetryReason reason : RetryReason.values()) {
             retries.labelValues(reason.code());
         }
@@ -99,6 +103,11 @@
         cutResponses.labelValues(cause.code()).inc();
     }
 
+    /** Counts one response whose bytes break a rule of HTTP. */
+    public void countInvalidResponse(ResponseFault fault) {
+        invalidResponses.labelValues(fault.code()).inc();
+    }
+
     /** Counts one request that was retried or resumed. */
     public void countRetry(RetryReason reason) {
         retries.labelValues(reason.code()).inc();
--- a/src/main/java/org/wigeongrade/responses/ResponseFault.java
+++ b/src/main/java/org/wigeongrade/metrics/ResponseFault.java
@@ -1,4 +1,4 @@
-package org.wigeongrade.responses;
+package org.wigeongrade.metrics;
 
 import java.util.Locale;
 
@@ -36,7 +36,7 @@
         this.rule = rule;
     }
 
-    /** Returns the code of the broken rule, as it stands in logs. */
+    /** Returns the code of the broken rule, as it stands in logs and as a metric label. */
     public String code() {
         return name().toLowerCase(Locale.ROOT);
     }
--- a/src/main/java/org/wigeongrade/responses/GrammarState.java
+++ b/src/main/java/org/wigeongrade/responses/GrammarState.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.responses;
 
+import org.wigeongrade.metrics.ResponseFault;
+
 /**
  * What is due next in a response. A state of syntax takes one byte at a time, where a line feed stands for a line end;
  * a state of a body takes bytes without looking at them. Immutable; safe for use from any thread.
--- a/src/main/java/org/wigeongrade/responses/InvalidResponseException.java
+++ b/src/main/java/org/wigeongrade/responses/InvalidResponseException.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.responses;
 
 import io.netty.handler.codec.DecoderException;
+import org.wigeongrade.metrics.ResponseFault;
 
 /** Thrown for bytes that are not an HTTP response. Immutable but for what every exception holds; thread safe. */
 public final class InvalidResponseException extends DecoderException {
--- a/src/main/java/org/wigeongrade/responses/ResponseDecoder.java
+++ b/src/main/java/org/wigeongrade/responses/ResponseDecoder.java
@@ -14,8 +14,10 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.fleet.net.WriteFailureHandler;
+import org.wigeongrade.metrics.ResponseFault;
 
 /**
  * Decodes the responses on one connection, for every client of this system. Used on one event loop only.
@@ -31,6 +33,7 @@
     private static final long MAX_UNDECODED_BYTES = 64 * 1024;
 
     private final ResponseGrammar grammar = new ResponseGrammar();
+    private final Consumer<ResponseFault> faultCounter;
     private Optional<HttpMethod> awaitedMethod = Optional.empty();
     private boolean closed;
     private boolean failed;
@@ -39,6 +42,11 @@
 
     private long undecodedBytes;
 
+    /** @param faultCounter counts the rule that an invalid response breaks */
+    public ResponseDecoder(Consumer<ResponseFault> faultCounter) {
+        this.faultCounter = faultCounter;
+    }
+
     /** Adds handlers that write requests, and those that tell {@code reader} of each response and each failed write. */
     public void addTo(ChannelPipeline pipeline, ChannelHandler reader) {
         pipeline.addLast(new WriteFailureHandler())
@@ -104,6 +112,7 @@
                     - bytes.readerIndex();
         } catch (InvalidResponseException e) {
             failed = true;
+            faultCounter.accept(e.fault());
             throw e;
         }
     }
--- a/src/main/java/org/wigeongrade/responses/ResponseGrammar.java
+++ b/src/main/java/org/wigeongrade/responses/ResponseGrammar.java
@@ -4,6 +4,7 @@
 import com.google.common.base.CharMatcher;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.ByteProcessor;
+import org.wigeongrade.metrics.ResponseFault;
 
 /**
  * Checks the bytes of the responses on one connection against the grammar of RFC 9110 and RFC 9112, before they are
--- a/src/test/java/org/wigeongrade/endpoints/BrokenResponseToClientTest.java
+++ b/src/test/java/org/wigeongrade/endpoints/BrokenResponseToClientTest.java
@@ -53,7 +53,7 @@
 
     /** Returns status and body as far as they were reported, and how the response ended. */
     private String send(ScriptedEndpoint endpoint, int bodyBytes) throws Exception {
-        final EndpointClient client = new EndpointClient(Optional.empty(), System::nanoTime);
+        final EndpointClient client = new EndpointClient(Optional.empty(), System::nanoTime, fault -> {});
         final Recorder recorder = new Recorder();
         final EndpointRequest request = new EndpointRequest(
                 new AttemptId("attempt.1"),
--- a/src/test/java/org/wigeongrade/endpoints/EndlessResponseToClientTest.java
+++ b/src/test/java/org/wigeongrade/endpoints/EndlessResponseToClientTest.java
@@ -66,7 +66,7 @@
     }
 
     private static EndpointClient client() {
-        return new EndpointClient(Optional.empty(), System::nanoTime);
+        return new EndpointClient(Optional.empty(), System::nanoTime, fault -> {});
     }
 
     private static EndpointRequest request(EndlessEndpoint endpoint) {
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointResponseHandlerTest.java
@@ -48,7 +48,7 @@
     private final EmbeddedChannel channel = newChannel();
 
     private EmbeddedChannel newChannel() {
-        final ResponseDecoder decoder = new ResponseDecoder();
+        final ResponseDecoder decoder = new ResponseDecoder(fault -> {});
         return new EmbeddedChannel(
                 decoder,
                 new HttpRequestEncoder(),
--- a/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
+++ b/src/test/java/org/wigeongrade/metrics/ErrorTableTest.java
@@ -19,6 +19,7 @@
 final class ErrorTableTest {
     private static final Path ERRORS_PAGE = Path.of("docs/ERRORS.md");
     private static final Path CLIENT_LIMITS_PAGE = Path.of("docs/operators/client-limits.md");
+    private static final Path INVALID_RESPONSES_PAGE = Path.of("docs/operators/invalid-responses.md");
     private static final Path METRICS_PAGE = Path.of("docs/operators/metrics.md");
 
     @Test
@@ -57,6 +58,15 @@
                 .inOrder();
     }
 
+    @Test
+    void invalidResponsesPageListsEveryRule() throws IOException {
+        assertThat(rowsOf(INVALID_RESPONSES_PAGE, "\\| `[a-z_]+` \\| [a-z].*"))
+                .containsExactlyElementsIn(Arrays.stream(ResponseFault.values())
+                        .map(fault -> "| `%s` | %s |".formatted(fault.code(), fault.rule()))
+                        .toList())
+                .inOrder();
+    }
+
     @Test
     void metricsPageListsEveryMetric() throws IOException {
         assertThat(rowsOf(METRICS_PAGE, "\\| `wigeongrade_[a-z_]+` \\|.*"))
@@ -102,6 +112,18 @@
         assertThat(metrics.render()).contains(series + "1.0\n");
     }
 
+    @ParameterizedTest
+    @EnumSource(ResponseFault.class)
+    void invalidResponseCounterStartsAtZeroAndCounts(ResponseFault fault) {
+        final Metrics metrics = new Metrics();
+        final String series = "wigeongrade_invalid_responses_total{reason=\"" + fault.code() + "\"} ";
+
+        assertThat(metrics.render()).contains(series + "0.0\n");
+        metrics.countInvalidResponse(fault);
+
+        assertThat(metrics.render()).contains(series + "1.0\n");
+    }
+
     @ParameterizedTest
     @EnumSource(ConnectionOutcome.class)
     void connectionCounterStartsAtZeroAndCounts(ConnectionOutcome outcome) {
--- a/src/test/java/org/wigeongrade/responses/ResponseDecoderTest.java
+++ b/src/test/java/org/wigeongrade/responses/ResponseDecoderTest.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,7 +23,8 @@
 final class ResponseDecoderTest {
     private static final int MANY_TIMES = 100_000;
 
-    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final List<String> faults = new ArrayList<>();
+    private final ResponseDecoder decoder = newDecoder();
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
     private final StringBuilder decoded = new StringBuilder();
 
@@ -38,6 +41,8 @@
                     .that(failure.fault().code())
                     .isEqualTo(broken.faultCode());
             assertThat(failure).hasMessageThat().matches("[ -~]*");
+            assertThat(faults).containsExactly(broken.faultCode());
+            faults.clear();
         }
     }
 
@@ -124,8 +129,12 @@
         assertThat(drain(channel)).isEqualTo("200:" + "a".repeat(MANY_TIMES) + "end;");
     }
 
-    private static EmbeddedChannel startedChannel(HttpMethod method) {
-        final ResponseDecoder started = new ResponseDecoder();
+    private ResponseDecoder newDecoder() {
+        return new ResponseDecoder(fault -> faults.add(fault.code()));
+    }
+
+    private EmbeddedChannel startedChannel(HttpMethod method) {
+        final ResponseDecoder started = newDecoder();
         started.start(method);
         return new EmbeddedChannel(started);
     }
