Decode what precedes the rejected byte of a response

With the check of responses, the events of a stream that had arrived in one read with a byte that is no response were dropped: UnreadContinuationTest, case 2, failed, and a caller lost events that its endpoint had sent.

Cause: ResponseGrammar threw from within the check, before the bytes that it had accepted in the same read were decoded.

It keeps the rejection now, and ResponseDecoder throws it once nothing more of what was accepted is decoded. UnreadContinuationTest and ResponseDecoderTest pass.

--- a/src/main/java/org/wigeongrade/responses/ResponseDecoder.java
+++ b/src/main/java/org/wigeongrade/responses/ResponseDecoder.java
@@ -93,8 +93,12 @@
         final int readableBytes = bytes.readableBytes();
         final int decodedParts = decoded.size();
         acceptMore(bytes);
+        final int acceptedBefore = acceptedBytes;
         decodeAccepted(context, bytes, decoded);
         rejectInvalid(decoded, decodedParts);
+        if (decoded.size() == decodedParts && acceptedBytes == acceptedBefore) {
+            throwIfRejected();
+        }
         undecodedBytes = decoded.size() > decodedParts ? 0 : undecodedBytes + readableBytes - bytes.readableBytes();
         if (undecodedBytes > MAX_UNDECODED_BYTES) {
             failed = true;
@@ -107,13 +111,16 @@
         if (acceptedBytes > 0 && grammar.isComplete()) {
             return;
         }
-        try {
-            acceptedBytes = grammar.accept(bytes, bytes.readerIndex() + acceptedBytes, bytes.writerIndex())
-                    - bytes.readerIndex();
-        } catch (InvalidResponseException e) {
+        acceptedBytes =
+                grammar.accept(bytes, bytes.readerIndex() + acceptedBytes, bytes.writerIndex()) - bytes.readerIndex();
+    }
+
+    /** Called once nothing more is decoded, since what precedes a rejected byte may hold events of a stream. */
+    private void throwIfRejected() {
+        if (grammar.rejection().isPresent()) {
             failed = true;
-            faultCounter.accept(e.fault());
-            throw e;
+            faultCounter.accept(grammar.rejection().get().fault());
+            throw grammar.rejection().get();
         }
     }
 
--- a/src/main/java/org/wigeongrade/responses/ResponseGrammar.java
+++ b/src/main/java/org/wigeongrade/responses/ResponseGrammar.java
@@ -4,6 +4,7 @@
 import com.google.common.base.CharMatcher;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.ByteProcessor;
+import java.util.Optional;
 import org.wigeongrade.metrics.ResponseFault;
 
 /**
@@ -48,6 +49,8 @@
     private boolean bodyless;
     private boolean inTrailers;
     private long remainingBytes;
+    private int acceptedSyntaxBytes;
+    private Optional<InvalidResponseException> rejection = Optional.empty();
 
     /** Starts with the responses to the next request; {@code head} is whether its method is HEAD. */
     void start(boolean head) {
@@ -65,18 +68,21 @@
         return bodyless;
     }
 
+    /** Returns why the byte behind the last accepted one was rejected, if it was; no byte is accepted after it. */
+    Optional<InvalidResponseException> rejection() {
+        return rejection;
+    }
+
     /**
-     * Accepts bytes up to the end of the present response, or of the next one if that is complete. Returns the index
-     * behind the last accepted byte.
-     *
-     * @throws InvalidResponseException if no response can begin with the bytes
+     * Accepts bytes up to the end of the present response, or of the next one if that is complete, or up to the first
+     * byte with which no response can go on. Returns the index behind the last accepted byte.
      */
     int accept(ByteBuf bytes, int from, int to) {
         if (isComplete()) {
             beginHead();
         }
         int at = from;
-        while (at < to && !isComplete()) {
+        while (at < to && !isComplete() && rejection.isEmpty()) {
             at = state.isBody() ? acceptBody(at, to) : acceptSyntax(bytes, at, to);
         }
         return at;
@@ -95,8 +101,13 @@
     }
 
     private int acceptSyntax(ByteBuf bytes, int from, int to) {
-        final int last = bytes.forEachByte(from, to - from, syntaxProcessor);
-        return last < 0 ? to : last + 1;
+        acceptedSyntaxBytes = 0;
+        try {
+            final int unused = bytes.forEachByte(from, to - from, syntaxProcessor);
+        } catch (InvalidResponseException e) {
+            rejection = Optional.of(e);
+        }
+        return from + acceptedSyntaxBytes;
     }
 
     /** Returns whether another byte of syntax may follow. */
@@ -107,12 +118,14 @@
         }
         afterCarriageReturn = value == CARRIAGE_RETURN;
         if (afterCarriageReturn) {
+            acceptedSyntaxBytes++;
             return true;
         }
         if (value != GrammarState.LINE_FEED && line.length() < MAX_KEPT_CHARACTERS) {
             line.append((char) value);
         }
         state = state.next(this, value);
+        acceptedSyntaxBytes++;
         lineBytes++;
         if (value == GrammarState.LINE_FEED) {
             beginLine();
--- a/src/test/java/org/wigeongrade/responses/ScriptedEndpoint.java
+++ b/src/test/java/org/wigeongrade/responses/ScriptedEndpoint.java
@@ -14,8 +14,8 @@
 
 /** An endpoint that answers every request with the same bytes, each on its own connection. Thread safe. */
 public final class ScriptedEndpoint implements AutoCloseable {
-    /** Long enough for a reader to take all that was sent before a reset. */
-    private static final long BEFORE_RESET_MS = 400;
+    /** Long enough for a reader to take all that was sent before. */
+    private static final long READ_WITHIN_MS = 400;
 
     private static final int BACKLOG = 50;
     private static final String LENGTH_FIELD = "content-length:";
@@ -44,7 +44,7 @@
 
             @Override
             void apply(Socket connection) throws IOException {
-                Uninterruptibles.sleepUninterruptibly(BEFORE_RESET_MS, TimeUnit.MILLISECONDS);
+                Uninterruptibles.sleepUninterruptibly(READ_WITHIN_MS, TimeUnit.MILLISECONDS);
                 connection.setSoLinger(true, 0);
                 connection.close();
             }
@@ -59,13 +59,20 @@
 
     private final ServerSocket server;
     private final byte[] response;
+    private final byte[] later;
     private final End end;
     private final AtomicInteger requests = new AtomicInteger();
 
     /** Listens on a free port of the loopback address; each character of {@code response} is sent as one byte. */
     public ScriptedEndpoint(String response, End end) throws IOException {
+        this(response, "", end);
+    }
+
+    /** Listens as above; {@code later} is sent so late that it is read after {@code response}. */
+    public ScriptedEndpoint(String response, String later, End end) throws IOException {
         this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         this.response = response.getBytes(StandardCharsets.ISO_8859_1);
+        this.later = later.getBytes(StandardCharsets.ISO_8859_1);
         this.end = end;
         startThread(this::acceptAll);
     }
@@ -113,6 +120,10 @@
                 final byte[] unused = in.readNBytes(bodyBytes);
             }
             connection.getOutputStream().write(response);
+            if (later.length > 0) {
+                Uninterruptibles.sleepUninterruptibly(READ_WITHIN_MS, TimeUnit.MILLISECONDS);
+                connection.getOutputStream().write(later);
+            }
             end.apply(connection);
         } catch (IOException e) {
             // The reader has closed the connection, which is what a broken response calls for.
