Believe nothing of a response whose body turns out to be invalid

An endpoint got no more requests of a node, and callers got 503, after a response with an invalid chunk had stated a pause, a limit, or that the endpoint leaves.

Cause: EndpointAttempt recorded these with the head, before the body was read. It records them with the head of a stream, which is forwarded as it comes, and else with the end of the response, unless that is invalid. A response that is cut is still believed, as its bytes are sound.

--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -39,6 +39,7 @@
     private final BufferedBody body;
     private final StreamPart streamPart = new StreamPart();
     private Optional<ResponseHead> head = Optional.empty();
+    private boolean restrictionsDecided;
     private Optional<ScheduledFuture<?>> stallCheck = Optional.empty();
     private long stallCheckDueNanos;
     private long lastProgressNanos;
@@ -129,7 +130,9 @@
         recordProgress();
         receivedBodyBytes = 0;
         head = Optional.of(received);
-        recordRestrictions(received);
+        if (isStream()) {
+            recordRestrictions();
+        }
         final boolean unusable = received.isSuccess() && (!received.signed() || received.contentEncoded());
         if (unusable) {
             rejectResponse("the response is not signed by the endpoint or its body was encoded in transit");
@@ -138,7 +141,16 @@
         }
     }
 
-    private void recordRestrictions(ResponseHead received) {
+    /**
+     * Records what the endpoint asks of this node, once. For a stream that is due with its head, else with its end, since
+     * the body may show that the bytes are no response.
+     */
+    private void recordRestrictions() {
+        if (head.isEmpty() || restrictionsDecided) {
+            return;
+        }
+        restrictionsDecided = true;
+        final ResponseHead received = head.get();
         if (received.leaving()) {
             services.registry().recordLeaving(endpoint);
         }
@@ -223,6 +235,12 @@
         exchange.onMayHaveRun(this, reasonForCut(), cause);
     }
 
+    @Override
+    public void onInvalidResponse(String cause) {
+        restrictionsDecided = true;
+        onFailedAfterSend(cause);
+    }
+
     @Override
     public void onFailedHere(String cause) {
         stopTracking();
@@ -333,6 +351,7 @@
     }
 
     private void stopTracking() {
+        recordRestrictions();
         recordPromptRead();
         if (events > 0) {
             endpoint.recordStreamEnded();
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointCall.java
@@ -115,6 +115,13 @@
         }
     }
 
+    void reportInvalidResponse(String cause) {
+        if (!finished) {
+            finished = true;
+            listener.onInvalidResponse(cause);
+        }
+    }
+
     void reportFailedHere(String cause) {
         if (!finished) {
             finished = true;
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointListener.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointListener.java
@@ -25,6 +25,14 @@
      */
     void onFailedAfterSend(String cause);
 
+    /**
+     * Called instead of {@link #onFailedAfterSend} when bytes arrived that are no response, so that nothing that the
+     * response stated is to be believed.
+     */
+    default void onInvalidResponse(String cause) {
+        onFailedAfterSend(cause);
+    }
+
     /**
      * Called when this node failed to write the request or to take the response, so that the request may have run. It
      * tells nothing about the endpoint.
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointResponseHandler.java
@@ -192,9 +192,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        final String detail =
-                cause instanceof DecoderException ? cause.getMessage() : "the connection failed: " + cause;
-        if (isFaultOfThisNode(cause)) {
+        final String detail = "the connection failed: " + cause;
+        if (cause instanceof DecoderException) {
+            closeAndTakeCall(context).ifPresent(call -> call.reportInvalidResponse(cause.getMessage()));
+        } else if (isFaultOfThisNode(cause)) {
             closeAndTakeCall(context).ifPresent(call -> call.reportFailedHere(detail));
         } else {
             fail(context, detail);
--- a/src/test/java/org/wigeongrade/fleet/entry/BrokenResponseToCallerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/BrokenResponseToCallerTest.java
@@ -9,11 +9,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeongrade.decisions.published.RouteKind;
 import org.wigeongrade.fleet.net.ClientClosings;
 import org.wigeongrade.fleet.net.ClientMemory;
@@ -55,6 +57,28 @@
         }
     }
 
+    /** An endpoint got no more requests after a broken response had stated a pause, a limit, or that it leaves. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nRetry-After: 60\r\n",
+                "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nServer-Limit: 0.001\r\n",
+                "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nServer-Leaving: 1\r\n",
+            })
+    void brokenResponseIsNotBelieved(String head) throws Exception {
+        final String chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        for (final String later : List.of("X Pad: a\r\n\r\n", "1\r\nab")) {
+            final String first = later.startsWith("X") ? head : chunked;
+            try (ScriptedEndpoint endpoint = new ScriptedEndpoint(first, later, ScriptedEndpoint.End.STAYS_OPEN)) {
+                final InetSocketAddress address = openListener(endpoint, RouteKind.NON_IDEMPOTENT);
+
+                assertThat(call(address, 0)).startsWith(BAD_GATEWAY);
+                assertThat(call(address, 0)).startsWith(BAD_GATEWAY);
+                assertThat(endpoint.requests()).isEqualTo(2);
+            }
+        }
+    }
+
     /** A caller got the part of a response that had arrived before the reset as a complete one. */
     @ParameterizedTest
     @EnumSource(RouteKind.class)
@@ -86,9 +110,12 @@
         }
     }
 
-    /** Returns all that a caller gets until its connection ends. */
     private String call(ScriptedEndpoint endpoint, RouteKind kind, int bodyBytes) throws Exception {
-        final InetSocketAddress address = openListener(endpoint, kind);
+        return call(openListener(endpoint, kind), bodyBytes);
+    }
+
+    /** Returns all that a caller gets until its connection ends. */
+    private static String call(InetSocketAddress address, int bodyBytes) throws Exception {
         final String head =
                 "POST /a HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: a1\r\nConnection: close\r\nContent-Length: "
                         + bodyBytes + "\r\n\r\n";
