--- a/src/main/java/org/wigeongrade/bench/LogBenchCluster.java
+++ b/src/main/java/org/wigeongrade/bench/LogBenchCluster.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.wigeongrade.clock.SuspendAwareClock;
 import org.wigeongrade.decisions.log.CoreSettings;
 import org.wigeongrade.decisions.log.LogTimings;
 import org.wigeongrade.disk.FileOperations;
@@ -112,6 +113,7 @@
                 transport,
                 new CommandCounter(),
                 System::nanoTime,
+                new SuspendAwareClock(),
                 random,
                 COMPACT_AFTER_ENTRIES,
                 failure -> {});
--- a/src/main/java/org/wigeongrade/bench/RoutingSimulation.java
+++ b/src/main/java/org/wigeongrade/bench/RoutingSimulation.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.HdrHistogram.Histogram;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.routing.EndpointView;
 import org.wigeongrade.decisions.routing.LoadReport;
 import org.wigeongrade.decisions.routing.PrefixIndex;
@@ -43,6 +44,9 @@
     private static final long RETRY_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long CALLER_DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final double LOST_EVENTS_RATIO = 0.02;
+    /** Leases do not end in the simulation. */
+    private static final LeaseTime NOW = new LeaseTime(0);
+
     private static final RouteTarget TARGET = RouteTarget.of(ModelVersionName.of("model-v1"));
 
     private final RoutingPolicy policy;
@@ -173,7 +177,7 @@
     private RouteContext routeContext(EntryVm entryVm, List<String> prompt) {
         RouteRequest request = new RouteRequest(
                 TARGET, prompt, 0, ImmutableSet.of(), AvailabilityZone.of("az-0"), entryVm.name(), false);
-        return new RouteContext(request, new IdealSlotTable(entryVm), entryVm.prefixes(), time.nowNanos());
+        return new RouteContext(request, new IdealSlotTable(entryVm), entryVm.prefixes(), time.nowNanos(), NOW);
     }
 
     private SimulatedEngine engine(EndpointId id) {
@@ -199,7 +203,7 @@
                     1,
                     false,
                     Optional.empty(),
-                    Long.MAX_VALUE,
+                    NOW.plusNanos(1),
                     new LoadReport(engine.reportedInFlight(), 0, 0),
                     FencingToken.NONE));
         }
--- a/src/main/java/org/wigeongrade/callers/CallerApi.java
+++ b/src/main/java/org/wigeongrade/callers/CallerApi.java
@@ -83,7 +83,7 @@
             if (entry.isStopping()) {
                 throw new WigeongradeException(ErrorKind.STOPPING, "this entry VM is stopping");
             }
-            if (!entry.view().hasLease(entry.nowNanos())) {
+            if (!entry.hasViewLease()) {
                 throw new WigeongradeException(ErrorKind.NO_VIEW_LEASE, "this entry VM holds no valid view lease");
             }
             final OrganisationDeclaration organisation = authenticate(context, entry.view());
--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -62,7 +62,7 @@
             DecisionRecorder decisions) {
         final long nowNanos = entry.nowNanos();
         final FleetView view = entry.view();
-        if (!view.hasLease(nowNanos)) {
+        if (!view.hasLease(entry.leaseNow())) {
             return refused(ErrorKind.NO_VIEW_LEASE, "this entry VM holds no valid view lease");
         }
         if (!links.state().sendsDirectly()) {
@@ -82,7 +82,8 @@
                 suspectDecision instanceof SuspectDecision.RunAlone ? runningAlone(originalRequest) : originalRequest;
         final List<EndpointView> reachable = entry.unreachable().reachable(view.allEndpoints(), nowNanos);
         while (true) {
-            final RouteContext context = new RouteContext(request, slots, entry.prefixIndex(), nowNanos);
+            final RouteContext context =
+                    new RouteContext(request, slots, entry.prefixIndex(), nowNanos, entry.leaseNow());
             final RouteDecision decision = router.choose(reachable, context, RandomGenerator.getDefault());
             if (decision instanceof RouteDecision.Refused refused) {
                 decisions.add("", "not routed", decision.explanation());
@@ -129,7 +130,7 @@
         final FleetView view = entry.view();
         final RouteRequest request =
                 new RouteRequest(target, List.of(), 0, Set.of(), entry.zone(), entry.self(), false);
-        final RouteContext context = new RouteContext(request, slots, entry.prefixIndex(), nowNanos);
+        final RouteContext context = new RouteContext(request, slots, entry.prefixIndex(), nowNanos, entry.leaseNow());
         final ImmutableList.Builder<String> addresses = ImmutableList.builder();
         for (final EndpointView endpoint : view.allEndpoints()) {
             final Optional<RouteReason> rejection = router.rejection(endpoint, context);
@@ -183,12 +184,12 @@
     private DispatchResult checkBeforeSend(
             DispatchResult.Ready ready, FleetView view, OptionalLong claimDeadlineNanos, long attemptDeadlineNanos) {
         final SendDeadlines deadlines = new SendDeadlines(
-                view.leaseDeadlineNanos(),
-                ready.endpoint().servingDeadlineNanos(),
+                view.leaseDeadline(),
+                ready.endpoint().servingDeadline(),
                 ready.slot().deadlineNanos(),
                 claimDeadlineNanos,
                 attemptDeadlineNanos);
-        final Optional<SendRefusal> refusal = PreSendCheck.check(deadlines, entry.nowNanos());
+        final Optional<SendRefusal> refusal = PreSendCheck.check(deadlines, entry.nowNanos(), entry.leaseNow());
         if (refusal.isEmpty()) {
             return ready;
         }
--- a/src/main/java/org/wigeongrade/command/Node.java
+++ b/src/main/java/org/wigeongrade/command/Node.java
@@ -21,6 +21,8 @@
 import org.wigeongrade.callers.HttpErrorHandler;
 import org.wigeongrade.callers.InFlightRequests;
 import org.wigeongrade.callers.TaskScheduler;
+import org.wigeongrade.clock.NodeClocks;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.endpoints.EndpointApi;
 import org.wigeongrade.endpoints.EndpointClient;
 import org.wigeongrade.endpoints.OrderSender;
@@ -75,7 +77,8 @@
     private final EventLog events;
     private final Metrics metrics;
     private final NodeTimings timings;
-    private final LongSupplier nanoClock = System::nanoTime;
+    private final NodeClocks clocks = NodeClocks.system();
+    private final WaitClock waitClock = clocks.waitClock();
     private final LongSupplier epochMsClock = System::currentTimeMillis;
     private final EntryRole entryRole;
     private final InFlightRequests inFlight;
@@ -104,10 +107,11 @@
                 settings.availabilityZone(),
                 advertisedAddress(settings),
                 settings.limits().pullIntervalMs(),
-                nanoClock);
+                waitClock,
+                clocks.leaseClock());
         this.inFlight = new InFlightRequests(metrics);
         this.endpointClient =
-                new EndpointClient(settings.endpointGatewayIp(), nanoClock, metrics::countInvalidResponse);
+                new EndpointClient(settings.endpointGatewayIp(), waitClock, metrics::countInvalidResponse);
         this.peers = settings.otherPeers().stream()
                 .collect(ImmutableMap.toImmutableMap(
                         PeerSettings::name,
@@ -142,7 +146,7 @@
 
     private void startRoles() throws Exception {
         controlRole = settings.logListen().map(this::openControlRole);
-        final LeaderClient leaderClient = new LeaderClient(settings.name(), controlRole, controlPeers(), nanoClock);
+        final LeaderClient leaderClient = new LeaderClient(settings.name(), controlRole, controlPeers(), waitClock);
         viewPuller = new ViewPuller(
                 entryRole,
                 leaderClient,
@@ -203,8 +207,9 @@
         return new ControlRole(
                 settings.name(),
                 timings,
-                stateMachine -> RaftReplicatedLog.open(logSettings, stateMachine, this::haltOnLogFailure),
-                nanoClock,
+                stateMachine -> RaftReplicatedLog.open(
+                        logSettings, stateMachine, waitClock, clocks.leaseClock(), this::haltOnLogFailure),
+                waitClock,
                 epochMsClock,
                 events);
     }
@@ -254,12 +259,12 @@
 
     private PlacementLoop createPlacementLoop(ControlRole role) {
         final OrderSender orders =
-                new OrderSender(endpointClient, events, nanoClock, Duration.ofNanos(timings.orderTimeoutNanos()));
+                new OrderSender(endpointClient, events, waitClock, Duration.ofNanos(timings.orderTimeoutNanos()));
         return new PlacementLoop(role, orders, new FleetMetrics(metrics, events), events);
     }
 
     private void stopGracefully() {
-        final long startNanos = nanoClock.getAsLong();
+        final long startNanos = waitClock.nowNanos();
         events.write(LogEvent.NODE_STOPPING, settings.name(), "an operator's request or a signal", inFlight.count());
         entryRole.leave();
         Uninterruptibles.sleepUninterruptibly(BALANCER_DRAIN_DELAY_MS, TimeUnit.MILLISECONDS);
@@ -268,7 +273,7 @@
         viewPuller.requestPull();
         Uninterruptibles.sleepUninterruptibly(settings.limits().pullIntervalMs(), TimeUnit.MILLISECONDS);
         closeRoles();
-        final long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong() - startNanos);
+        final long elapsedMs = TimeUnit.NANOSECONDS.toMillis(waitClock.nowNanos() - startNanos);
         events.write(LogEvent.NODE_STOPPED, settings.name(), elapsedMs);
         stopped.countDown();
     }
--- a/src/main/java/org/wigeongrade/decisions/log/LeaderRole.java
+++ b/src/main/java/org/wigeongrade/decisions/log/LeaderRole.java
@@ -103,16 +103,9 @@
         return nowNanos - lastQuorumContactNanos > state.settings.timings().electionMaxNanos();
     }
 
-    /** Returns when the lease ends, on this leader's clock; empty if it has none. */
-    OptionalLong leaseDeadlineNanos(long nowNanos) {
-        if (!hasCommittedInTerm()) {
-            return OptionalLong.empty();
-        }
-        OptionalLong ackedSentNanos = quorumAckedSentNanos(nowNanos);
-        return ackedSentNanos.isEmpty()
-                ? ackedSentNanos
-                : OptionalLong.of(
-                        ackedSentNanos.getAsLong() + state.settings.timings().leaseNanos());
+    /** Returns when the lease starts; empty if there is none. */
+    OptionalLong leaseStartNanos(long nowNanos) {
+        return hasCommittedInTerm() ? quorumAckedSentNanos(nowNanos) : OptionalLong.empty();
     }
 
     void onAppendReply(NodeName from, LogMessage.AppendReply reply, long nowNanos) {
--- a/src/main/java/org/wigeongrade/decisions/log/RaftCore.java
+++ b/src/main/java/org/wigeongrade/decisions/log/RaftCore.java
@@ -192,9 +192,12 @@
         return state.isVoter();
     }
 
-    /** Returns when this leader's lease ends, on its own clock; empty if it holds none. */
-    public OptionalLong leaseDeadlineNanos(long nowNanos) {
-        return leaderRole.isEmpty() ? OptionalLong.empty() : leaderRole.get().leaseDeadlineNanos(nowNanos);
+    /**
+     * Returns when this leader's lease starts: a quorum acknowledged a message that was sent then. Empty if it holds
+     * none. The caller counts the lease from then on, on a clock on which it ends no later than on the followers' ones.
+     */
+    public OptionalLong leaseStartNanos(long nowNanos) {
+        return leaderRole.isEmpty() ? OptionalLong.empty() : leaderRole.get().leaseStartNanos(nowNanos);
     }
 
     /** Returns when this replica became leader; empty if it does not lead. */
--- a/src/main/java/org/wigeongrade/decisions/outcomes/AttemptDeadlinePassed.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/AttemptDeadlinePassed.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.outcomes;
 
+import org.wigeongrade.clock.LeaseTime;
+
 /**
  * Refuses to send because the deadline of the attempt has passed: its response would arrive too late for the caller.
  */
@@ -10,7 +12,7 @@
     }
 
     @Override
-    public boolean refuses(SendDeadlines deadlines, long nowNanos) {
+    public boolean refuses(SendDeadlines deadlines, long nowNanos, LeaseTime leaseNow) {
         return SendRule.hasPassed(deadlines.attemptDeadlineNanos(), nowNanos);
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/outcomes/ClaimDeadlinePassed.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/ClaimDeadlinePassed.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.outcomes;
 
+import org.wigeongrade.clock.LeaseTime;
+
 /**
  * Refuses to send because the claim on the single send has passed its deadline: a repeated request may have claimed the
  * call again.
@@ -11,7 +13,7 @@
     }
 
     @Override
-    public boolean refuses(SendDeadlines deadlines, long nowNanos) {
+    public boolean refuses(SendDeadlines deadlines, long nowNanos, LeaseTime leaseNow) {
         return deadlines.claimDeadlineNanos().isPresent()
                 && SendRule.hasPassed(deadlines.claimDeadlineNanos().getAsLong(), nowNanos);
     }
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SendRule.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendRule.java
@@ -1,6 +1,7 @@
 package org.wigeongrade.decisions.outcomes;
 
 import com.google.common.collect.ImmutableList;
+import org.wigeongrade.clock.LeaseTime;
 
 /** A reason not to send a request that is about to be sent. Implementations are stateless. */
 interface SendRule {
@@ -15,7 +16,7 @@
     SendRefusal refusal();
 
     /** Returns whether the request must not be sent. */
-    boolean refuses(SendDeadlines deadlines, long nowNanos);
+    boolean refuses(SendDeadlines deadlines, long nowNanos, LeaseTime leaseNow);
 
     /** Returns whether a deadline has passed; a deadline equal to {@code nowNanos} counts as passed. */
     static boolean hasPassed(long deadlineNanos, long nowNanos) {
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SendServingLeaseEnded.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SendServingLeaseEnded.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.outcomes;
 
+import org.wigeongrade.clock.LeaseTime;
+
 /**
  * Refuses to send because the endpoint's serving lease ended after it was chosen: a member of the group may be missing.
  */
@@ -10,7 +12,7 @@
     }
 
     @Override
-    public boolean refuses(SendDeadlines deadlines, long nowNanos) {
-        return SendRule.hasPassed(deadlines.servingDeadlineNanos(), nowNanos);
+    public boolean refuses(SendDeadlines deadlines, long nowNanos, LeaseTime leaseNow) {
+        return deadlines.servingDeadline().hasPassed(leaseNow);
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SlotDeadlinePassed.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SlotDeadlinePassed.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.outcomes;
 
+import org.wigeongrade.clock.LeaseTime;
+
 /**
  * Refuses to send because the slot has expired since it was acquired: the leader may have granted it to another entry
  * VM.
@@ -11,7 +13,7 @@
     }
 
     @Override
-    public boolean refuses(SendDeadlines deadlines, long nowNanos) {
+    public boolean refuses(SendDeadlines deadlines, long nowNanos, LeaseTime leaseNow) {
         return SendRule.hasPassed(deadlines.slotDeadlineNanos(), nowNanos);
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/outcomes/ViewLeaseEnded.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/ViewLeaseEnded.java
@@ -1,5 +1,7 @@
 package org.wigeongrade.decisions.outcomes;
 
+import org.wigeongrade.clock.LeaseTime;
+
 /**
  * Refuses to send because the view lease of this entry VM has ended: operators may have made changes since that it does
  * not know of.
@@ -11,7 +13,7 @@
     }
 
     @Override
-    public boolean refuses(SendDeadlines deadlines, long nowNanos) {
-        return SendRule.hasPassed(deadlines.viewLeaseDeadlineNanos(), nowNanos);
+    public boolean refuses(SendDeadlines deadlines, long nowNanos, LeaseTime leaseNow) {
+        return deadlines.viewLeaseDeadline().hasPassed(leaseNow);
     }
 }
--- a/src/main/java/org/wigeongrade/decisions/routing/RouteContext.java
+++ b/src/main/java/org/wigeongrade/decisions/routing/RouteContext.java
@@ -1,7 +1,10 @@
 package org.wigeongrade.decisions.routing;
 
+import org.wigeongrade.clock.LeaseTime;
+
 /** The input of a routing decision besides the endpoints. Safe for use from any thread. */
-public record RouteContext(RouteRequest request, SlotTable slots, PrefixIndex prefixes, long nowNanos) {
+public record RouteContext(
+        RouteRequest request, SlotTable slots, PrefixIndex prefixes, long nowNanos, LeaseTime leaseNow) {
     /**
      * Estimates the requests at an endpoint as a fraction of its current capacity: this VM's own requests in flight, or
      * the endpoint's delayed report if that is higher.
--- a/src/main/java/org/wigeongrade/decisions/routing/ServingLeaseEnded.java
+++ b/src/main/java/org/wigeongrade/decisions/routing/ServingLeaseEnded.java
@@ -9,6 +9,6 @@
 
     @Override
     public boolean rejects(EndpointView endpoint, RouteContext context) {
-        return context.nowNanos() - endpoint.servingDeadlineNanos() >= 0;
+        return endpoint.servingDeadline().hasPassed(context.leaseNow());
     }
 }
--- a/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
+++ b/src/main/java/org/wigeongrade/endpoints/EndpointClient.java
@@ -24,7 +24,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.metrics.ResponseFault;
 import org.wigeongrade.responses.ResponseDecoder;
@@ -41,7 +41,7 @@
 
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(new DefaultThreadFactory("endpoint-client", true));
     private final Optional<String> gatewayIp;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final Consumer<ResponseFault> faultCounter;
 
     /**
@@ -50,9 +50,9 @@
      * @param gatewayIp address through which every endpoint is reached, at its own port; absent if there is none
      * @param faultCounter counts the rule that an invalid response breaks
      */
-    public EndpointClient(Optional<String> gatewayIp, LongSupplier nanoClock, Consumer<ResponseFault> faultCounter) {
+    public EndpointClient(Optional<String> gatewayIp, WaitClock waitClock, Consumer<ResponseFault> faultCounter) {
         this.gatewayIp = gatewayIp;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
         this.faultCounter = faultCounter;
     }
 
@@ -126,12 +126,12 @@
 
     /** Returns the longest time without a byte once the connection is open, in milliseconds. */
     private long stallTimeoutMs(EndpointRequest request) {
-        final long remainingMs = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nanoClock.getAsLong());
+        final long remainingMs = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - waitClock.nowNanos());
         return Math.max(1, Math.min(request.stallTimeout().toMillis(), remainingMs));
     }
 
     private FullHttpRequest encode(String address, EndpointRequest request) {
-        final long remainingNanos = Math.max(0, request.deadlineNanos() - nanoClock.getAsLong());
+        final long remainingNanos = Math.max(0, request.deadlineNanos() - waitClock.nowNanos());
         final FullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.method()),
--- a/src/main/java/org/wigeongrade/endpoints/OrderSender.java
+++ b/src/main/java/org/wigeongrade/endpoints/OrderSender.java
@@ -6,7 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.placement.Order;
 import org.wigeongrade.decisions.placement.OrderKind;
 import org.wigeongrade.ids.AttemptId;
@@ -25,13 +25,13 @@
 
     private final EndpointClient client;
     private final EventLog events;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final Duration timeout;
 
-    public OrderSender(EndpointClient client, EventLog events, LongSupplier nanoClock, Duration timeout) {
+    public OrderSender(EndpointClient client, EventLog events, WaitClock waitClock, Duration timeout) {
         this.client = client;
         this.events = events;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
         this.timeout = timeout;
     }
 
@@ -46,7 +46,7 @@
                 ImmutableMap.of("Content-Type", "application/json"),
                 json(order).getBytes(StandardCharsets.UTF_8),
                 0,
-                nanoClock.getAsLong() + timeout.toNanos(),
+                waitClock.nowNanos() + timeout.toNanos(),
                 timeout,
                 timeout);
         client.send(request, new ResponseLogger(order));
--- a/src/main/java/org/wigeongrade/fleet/control/ConflictInvestigator.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ConflictInvestigator.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.discovery.ConflictVerdict;
 import org.wigeongrade.decisions.discovery.IdentityConflict;
 import org.wigeongrade.decisions.discovery.IdentityResponse;
@@ -47,7 +47,7 @@
     private final long silentNanos;
     private final Consumer<VmHeartbeat> onRecorded;
     private final EventLog events;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final AtomicInteger asked = new AtomicInteger();
 
     /**
@@ -64,7 +64,7 @@
             long silentNanos,
             Consumer<VmHeartbeat> onRecorded,
             EventLog events,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.registry = registry;
         this.services = services;
         this.httpClient = httpClient;
@@ -73,14 +73,14 @@
         this.silentNanos = silentNanos;
         this.onRecorded = onRecorded;
         this.events = events;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
     }
 
     /** Asks about the conflicts that are due. */
     void investigate() {
         final boolean asks = leads.getAsBoolean();
         final int free = Math.max(0, MAX_ASKED - asked.get());
-        for (final IdentityConflict conflict : registry.takeDueConflicts(free, nanoClock.getAsLong())) {
+        for (final IdentityConflict conflict : registry.takeDueConflicts(free, waitClock.nowNanos())) {
             if (!asks) {
                 settle(conflict, ConflictVerdict.UNDECIDED, FOLLOWER_SILENT_NANOS);
                 continue;
@@ -146,7 +146,7 @@
         final VmHeartbeat heartbeat = conflict.heartbeat();
         final boolean news =
                 registry.verdictOn(heartbeat).filter(verdict::equals).isEmpty();
-        final boolean recorded = registry.settle(conflict, verdict, othersSilentNanos, nanoClock.getAsLong());
+        final boolean recorded = registry.settle(conflict, verdict, othersSilentNanos, waitClock.nowNanos());
         if (news || recorded) {
             events.write(
                     LogEvent.ENDPOINT_CONFLICT_SETTLED,
--- a/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlNode.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
+import org.wigeongrade.clock.NodeClocks;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
 import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.grouping.GroupTimings;
@@ -22,7 +24,6 @@
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
-import org.wigeongrade.fleet.SuspendAwareClock;
 import org.wigeongrade.fleet.net.CallHandlers;
 import org.wigeongrade.fleet.net.ClientClosings;
 import org.wigeongrade.fleet.net.ClientLimits;
@@ -78,7 +79,8 @@
     private final FleetSettings settings;
     private final EventLog events;
     private final Metrics metrics;
-    private final SuspendAwareClock clock = new SuspendAwareClock();
+    private final NodeClocks clocks = NodeClocks.system();
+    private final WaitClock waitClock = clocks.waitClock();
     private final NodeName self;
     private final ControlDirectory directory;
     private final VmRegistry registry;
@@ -90,7 +92,7 @@
     private final SharedEventLoop loop = new SharedEventLoop();
     private final ClientMemory clientMemory;
     private final Map<String, PeerExchange> exchanges = new HashMap<>();
-    private final long startedNanos = System.nanoTime();
+    private final long startedNanos = waitClock.nowNanos();
     private final RaftReplicatedLog log;
     private final LeaderLoop leaderLoop;
     private final ControlRequestHandler requestHandler;
@@ -113,7 +115,7 @@
         this.clientMemory = new ClientMemory(
                 ClientLimits.heldBytes(MAX_HELD_BYTES),
                 ClientLimits.connections((long) settings.number(FleetKey.MAX_DESCRIPTORS)),
-                System::nanoTime);
+                waitClock);
         this.directory = new ControlDirectory(
                 settings.logPort(),
                 settings.fleetPort(),
@@ -136,7 +138,7 @@
                 timings.silentNanos(),
                 this::handleContestedRecorded,
                 events,
-                clock);
+                waitClock);
         final HeartbeatIntake heartbeats = new HeartbeatIntake(registry, conflicts, events);
         this.leaderLoop = new LeaderLoop(
                 self,
@@ -146,11 +148,11 @@
                 configurations,
                 conflicts,
                 new OrderSender(endpointClient, orderCodec, events),
-                new FormatUpgrade(self, log, stateMachine, peerFormats, events, clock.getAsLong()),
+                new FormatUpgrade(self, log, stateMachine, peerFormats, events, waitClock.nowNanos()),
                 viewConfirmations,
                 timings,
                 events,
-                clock);
+                waitClock);
         this.requestHandler = new ControlRequestHandler(
                 self,
                 log,
@@ -165,7 +167,7 @@
                 leaderLoop::awaitInForce,
                 this::requiredVoters,
                 events,
-                clock);
+                waitClock);
         final ControlService service = new ControlService(
                 log,
                 stateMachine,
@@ -179,7 +181,7 @@
                 this::addControlVms,
                 leaderLoop::wake,
                 events,
-                clock);
+                waitClock);
         this.nodeServer = new NodeServer(
                 new InetSocketAddress(settings.bindIp(), settings.fleetPort()),
                 new FleetService.Processor<>(service),
@@ -258,7 +260,8 @@
         return RaftReplicatedLog.open(
                 logSettings,
                 new ReplicatedPublishedState(stateMachine, documentHistory),
-                clock,
+                waitClock,
+                clocks.leaseClock(),
                 this::haltOnLogFailure);
     }
 
@@ -273,7 +276,8 @@
     private int requiredVoters() {
         final int required = 2 * toleratedLosses() + 1;
         final int known = directory.controlVmIps().size();
-        final boolean undersized = known < required && System.nanoTime() - startedNanos > UNDERSIZED_FLEET_WAIT_NANOS;
+        final boolean undersized =
+                known < required && waitClock.nowNanos() - startedNanos > UNDERSIZED_FLEET_WAIT_NANOS;
         return undersized ? Math.min(known, toleratedLosses() + 1) : required;
     }
 
@@ -316,7 +320,7 @@
                 () -> log.leader().filter(leader -> leader.value().equals(ip)).isPresent(),
                 this::addControlVms,
                 events,
-                clock);
+                waitClock);
         heartbeatRelay.addListener(exchange::enqueue);
         exchange.start();
         return exchange;
@@ -338,7 +342,7 @@
         events.write(
                 LogEvent.NODE_STOPPED,
                 settings.name(),
-                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos));
+                TimeUnit.NANOSECONDS.toMillis(waitClock.nowNanos() - startedNanos));
         stopped.countDown();
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlRequestHandler.java
@@ -9,9 +9,9 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.discovery.ConflictVerdict;
 import org.wigeongrade.decisions.discovery.HeartbeatOutcome;
 import org.wigeongrade.decisions.discovery.ProcessKey;
@@ -63,7 +63,7 @@
     private final Function<ViewChange, CompletableFuture<ViewConfirmations.Outcome>> awaitInForce;
     private final IntSupplier requiredVoters;
     private final EventLog events;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
 
     /**
      * @param requestPlanning called when a VM appears, changes group or leaves, so that the leader plans soon
@@ -84,7 +84,7 @@
             Function<ViewChange, CompletableFuture<ViewConfirmations.Outcome>> awaitInForce,
             IntSupplier requiredVoters,
             EventLog events,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.self = self;
         this.log = log;
         this.stateMachine = stateMachine;
@@ -98,7 +98,7 @@
         this.awaitInForce = awaitInForce;
         this.requiredVoters = requiredVoters;
         this.events = events;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
     }
 
     /**
@@ -107,7 +107,7 @@
      */
     public CompletableFuture<ControlResponse> handleHeartbeat(VmHeartbeat heartbeat) {
         final Optional<VmRecord> previous = registry.find(heartbeat.vm().vm());
-        final HeartbeatOutcome outcome = heartbeats.record(heartbeat, nanoClock.getAsLong());
+        final HeartbeatOutcome outcome = heartbeats.record(heartbeat, waitClock.nowNanos());
         if (outcome == HeartbeatOutcome.RECORDED) {
             handleVmChange(previous, heartbeat);
         }
--- a/src/main/java/org/wigeongrade/fleet/control/ControlService.java
+++ b/src/main/java/org/wigeongrade/fleet/control/ControlService.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.discovery.HeartbeatOutcome;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.discovery.VmRegistry;
@@ -56,7 +56,7 @@
     private final Consumer<List<String>> onControlVmsLearned;
     private final Runnable requestPlanning;
     private final EventLog events;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
 
     ControlService(
             RaftReplicatedLog log,
@@ -71,7 +71,7 @@
             Consumer<List<String>> onControlVmsLearned,
             Runnable requestPlanning,
             EventLog events,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.log = log;
         this.stateMachine = stateMachine;
         this.documentHistory = documentHistory;
@@ -84,7 +84,7 @@
         this.onControlVmsLearned = onControlVmsLearned;
         this.requestPlanning = requestPlanning;
         this.events = events;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
     }
 
     @Override
@@ -103,7 +103,7 @@
         final PublishedState state = stateMachine.state();
         writeState(state, request, reply);
         recordLeaving(request.getUsage());
-        term.get().handlePull(request, reply, nanoClock.getAsLong());
+        term.get().handlePull(request, reply, waitClock.nowNanos());
         return reply.setTakesConfirmations(true).setLeads(ledBefore && log.isLeaderWithLease());
     }
 
@@ -122,7 +122,7 @@
                         version,
                         zonesOut.map(zones ->
                                 zones.stream().map(AvailabilityZone::of).collect(ImmutableSet.toImmutableSet()))),
-                nanoClock.getAsLong());
+                waitClock.nowNanos());
     }
 
     /** Notes the endpoints that told an entry node that they leave, so that the next step replaces them. */
@@ -145,7 +145,7 @@
         peerFormats.record(NodeName.of(request.getSender()), request.isSetCommandFormat(), request.getCommandFormat());
         onControlVmsLearned.accept(List.of(request.getSender()));
         onControlVmsLearned.accept(request.getControlVms());
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         request.getHeartbeats().forEach(heartbeat -> applyHeartbeat(heartbeat, nowNanos));
         if (!request.getHeartbeats().isEmpty()) {
             requestPlanning.run();
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.grouping.GroupOrder;
@@ -48,7 +48,7 @@
     private final ViewConfirmations viewConfirmations;
     private final GroupTimings timings;
     private final EventLog events;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final long startedNanos;
     private final Thread worker = new Thread(this::run, "plan");
     private final Semaphore wakeUps = new Semaphore(0);
@@ -68,7 +68,7 @@
             ViewConfirmations viewConfirmations,
             GroupTimings timings,
             EventLog events,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.self = self;
         this.log = log;
         this.stateMachine = stateMachine;
@@ -80,8 +80,8 @@
         this.viewConfirmations = viewConfirmations;
         this.timings = timings;
         this.events = events;
-        this.nanoClock = nanoClock;
-        this.startedNanos = nanoClock.getAsLong();
+        this.waitClock = waitClock;
+        this.startedNanos = waitClock.nowNanos();
         worker.setDaemon(true);
     }
 
@@ -101,7 +101,7 @@
      * @param change a change that this node stored
      */
     CompletableFuture<ViewConfirmations.Outcome> awaitInForce(ViewChange change) {
-        return viewConfirmations.await(change, nanoClock.getAsLong()).whenComplete((known, failure) -> {
+        return viewConfirmations.await(change, waitClock.nowNanos()).whenComplete((known, failure) -> {
             if (failure == null) {
                 logInForce(known);
             }
@@ -126,9 +126,9 @@
     private void run() {
         try {
             while (true) {
-                final long begunNanos = nanoClock.getAsLong();
+                final long begunNanos = waitClock.nowNanos();
                 step();
-                Thread.sleep(pauseMs(nanoClock.getAsLong() - begunNanos));
+                Thread.sleep(pauseMs(waitClock.nowNanos() - begunNanos));
                 final boolean unused = wakeUps.tryAcquire(
                         FleetTimings.PLAN_INTERVAL_MS - FleetTimings.MIN_PLAN_INTERVAL_MS, TimeUnit.MILLISECONDS);
                 wakeUps.drainPermits();
@@ -157,14 +157,14 @@
             endTerm("a newer term");
             latestTerm = latestTerm
                     .filter(led -> led.term() == term)
-                    .or(() -> Optional.of(new LeaderTerm(term, timings, events, nanoClock.getAsLong())));
-            viewConfirmations.beginTerm(nanoClock.getAsLong());
+                    .or(() -> Optional.of(new LeaderTerm(term, timings, events, waitClock.nowNanos())));
+            viewConfirmations.beginTerm(waitClock.nowNanos());
             currentTerm = latestTerm;
             events.write(LogEvent.LEADER_ELECTED, self, term);
         }
-        viewConfirmations.expire(nanoClock.getAsLong());
+        viewConfirmations.expire(waitClock.nowNanos());
         try {
-            formatUpgrade.proposeIfSupported(nanoClock.getAsLong());
+            formatUpgrade.proposeIfSupported(waitClock.nowNanos());
             plan(currentTerm.get());
         } catch (RuntimeException e) {
             events.writeWithStackTrace(LogEvent.PLACEMENT_FAILED, e, e);
@@ -173,7 +173,7 @@
 
     private void plan(LeaderTerm term) {
         final PublishedState state = stateMachine.state();
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         if (state.document().isEmpty()) {
             return;
         }
@@ -196,7 +196,7 @@
                 return;
             }
             orderSender.send(order, (sent, answer) -> {
-                term.handleOrderAnswer(sent, answer, nanoClock.getAsLong());
+                term.handleOrderAnswer(sent, answer, waitClock.nowNanos());
                 wake();
             });
         }
--- a/src/main/java/org/wigeongrade/fleet/control/PeerExchange.java
+++ b/src/main/java/org/wigeongrade/fleet/control/PeerExchange.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.apache.thrift.TException;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.published.CommandFormat;
 import org.wigeongrade.fleet.ControlDirectory;
@@ -40,7 +40,7 @@
     private final BooleanSupplier peerLeads;
     private final Consumer<List<String>> onControlVmsLearned;
     private final EventLog events;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final HeartbeatRelay.PendingVms pending = new HeartbeatRelay.PendingVms();
     private final FleetClient client;
     private final Thread worker;
@@ -57,7 +57,7 @@
             BooleanSupplier peerLeads,
             Consumer<List<String>> onControlVmsLearned,
             EventLog events,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.self = self;
         this.peer = peer;
         this.directory = directory;
@@ -66,7 +66,7 @@
         this.peerLeads = peerLeads;
         this.onControlVmsLearned = onControlVmsLearned;
         this.events = events;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
         this.client = new FleetClient(directory.fleetAddress(peer), FleetTimings.EXCHANGE_TIMEOUT_MS);
         this.worker = new Thread(this::run, "exchange-" + peer);
         worker.setDaemon(true);
@@ -108,7 +108,7 @@
     }
 
     private boolean send(ImmutableSet<VmName> vms) {
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         final List<HeartbeatRecord> heartbeats = vms.stream()
                 .flatMap(vm -> registry.reportsOf(vm).stream())
                 .map(vm -> HeartbeatCodec.encode(vm, nowNanos))
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointConnectionPool.java
@@ -23,7 +23,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.reachability.EndpointReachability;
 import org.wigeongrade.fleet.net.NettyFutures;
@@ -57,7 +57,7 @@
     private final CallerCodec codec;
     private final EventLog events;
     private final Metrics metrics;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final Optional<String> gatewayIp;
     private final Map<VmIncarnation, Deque<IdleConnection>> idleByVm = new HashMap<>();
     private final Set<ChannelFuture> connecting = new HashSet<>();
@@ -69,13 +69,13 @@
             Optional<String> gatewayIp,
             EventLog events,
             Metrics metrics,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.loop = loop;
         this.codec = codec;
         this.gatewayIp = gatewayIp;
         this.events = events;
         this.metrics = metrics;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
     }
 
     /** Sends a request; {@code mayReuse} states whether an idle connection of an earlier request may be used. */
@@ -86,7 +86,7 @@
             write(reused.get(), call);
             return;
         }
-        final long startedNanos = nanoClock.getAsLong();
+        final long startedNanos = waitClock.nowNanos();
         final ChannelFuture opening = connect(endpoint, CONNECT_TIMEOUT_MS);
         connecting.add(opening);
         final var unused = opening.addListener(done -> {
@@ -120,7 +120,7 @@
 
     /** Opens a connection to an endpoint and closes it at once; {@code result} is told whether it could be opened. */
     void probe(EndpointLoad endpoint, Consumer<Boolean> result) {
-        final long startedNanos = nanoClock.getAsLong();
+        final long startedNanos = waitClock.nowNanos();
         final ChannelFuture probing = connect(endpoint, EndpointReachability.PROBE_TIMEOUT_MS);
         final var unused = probing.addListener(done -> {
             metrics.countEndpointConnection(outcomeOf(done));
@@ -139,7 +139,7 @@
                 endpoint.vm(),
                 endpoint.address(),
                 request,
-                TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong() - startedNanos),
+                TimeUnit.NANOSECONDS.toMillis(waitClock.nowNanos() - startedNanos),
                 cause);
     }
 
@@ -204,7 +204,7 @@
 
     private Optional<Channel> takeIdle(VmIncarnation vm, EndpointCall call) {
         final Deque<IdleConnection> connections = idleByVm.getOrDefault(vm, new ArrayDeque<>());
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         while (call.attemptId().isPresent() && !connections.isEmpty()) {
             final IdleConnection latest = connections.removeLast();
             final boolean usable = latest.channel().isActive() && nowNanos - latest.usableUntilNanos() < 0;
@@ -225,7 +225,7 @@
         final Deque<IdleConnection> connections = idleByVm.computeIfAbsent(vm, unused -> new ArrayDeque<>());
         final long usableMs = Math.min(MAX_IDLE_MS, idleMs);
         connections.addLast(
-                new IdleConnection(channel, nanoClock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(usableMs)));
+                new IdleConnection(channel, waitClock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(usableMs)));
         if (connections.size() > MAX_IDLE_CONNECTIONS) {
             NettyFutures.logFailure(connections.removeFirst().channel().close());
         }
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointLinks.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointLinks.java
@@ -4,8 +4,8 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.reachability.EndpointReachability;
 import org.wigeongrade.decisions.reachability.LinkState;
@@ -30,7 +30,7 @@
     private final EndpointRegistry registry;
     private final EventLog events;
     private final Metrics metrics;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final Random random = new Random();
     private final EndpointReachability<VmIncarnation> reachability = new EndpointReachability<>();
     private long stateSinceNanos;
@@ -41,14 +41,14 @@
             EndpointRegistry registry,
             EventLog events,
             Metrics metrics,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.loop = loop;
         this.connectionPool = connectionPool;
         this.registry = registry;
         this.events = events;
         this.metrics = metrics;
-        this.nanoClock = nanoClock;
-        this.stateSinceNanos = nanoClock.getAsLong();
+        this.waitClock = waitClock;
+        this.stateSinceNanos = waitClock.nowNanos();
         metrics.setEndpointLinksCut(false);
     }
 
@@ -107,7 +107,7 @@
     }
 
     private void enterState() {
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         final LinkState state = reachability.state();
         events.write(
                 LogEvent.ENDPOINT_LINKS_CHANGED,
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -12,6 +12,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.EngineLatencyModel;
 import org.wigeongrade.decisions.balancing.LearnedOverhead;
@@ -69,12 +70,12 @@
      * @param maxPauseMs longest pause that an endpoint may ask for; longer ones are shortened to it
      * @param heartbeatMs usual time between two heartbeats of an endpoint
      */
-    EndpointRegistry(EventLog events, long maxPauseMs, long heartbeatMs, long nowNanos) {
+    EndpointRegistry(EventLog events, long maxPauseMs, long heartbeatMs, LeaseTime now, long nowNanos) {
         this.events = events;
         this.limits = new EndpointLimits(restrictions, events);
         this.maxPauseMs = maxPauseMs;
         this.crashNoticedNanos = TimeUnit.MILLISECONDS.toNanos(MISSED_HEARTBEATS_OF_CRASHED * heartbeatMs);
-        this.view = EntryView.empty(nowNanos);
+        this.view = EntryView.empty(now, nowNanos);
     }
 
     EntryView view() {
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.wigeongrade.clock.NodeClocks;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
 import org.wigeongrade.decisions.overload.RankedTargets;
@@ -17,7 +19,6 @@
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
 import org.wigeongrade.fleet.MetricsListener;
-import org.wigeongrade.fleet.SuspendAwareClock;
 import org.wigeongrade.fleet.control.DocumentReader;
 import org.wigeongrade.fleet.net.CallHandlers;
 import org.wigeongrade.fleet.net.ClientClosings;
@@ -81,7 +82,8 @@
     private final CallerCodec codec;
     private final EventLog events;
     private final Metrics metrics;
-    private final SuspendAwareClock clock = new SuspendAwareClock();
+    private final NodeClocks clocks = NodeClocks.system();
+    private final WaitClock waitClock = clocks.waitClock();
     private final SharedEventLoop loop = new SharedEventLoop();
     private final CallerConnections connections = new CallerConnections();
     private final ClientMemory clientMemory;
@@ -103,14 +105,18 @@
         this.clientMemory = new ClientMemory(
                 ClientLimits.heldBytes((long) settings.number(FleetKey.MAX_HELD_BYTES)),
                 ClientLimits.connections((long) settings.number(FleetKey.MAX_DESCRIPTORS)),
-                System::nanoTime);
+                waitClock);
         this.directory = new ControlDirectory(
                 settings.logPort(),
                 settings.fleetPort(),
                 settings.controlPort(),
                 settings.seeds().stream().map(NodeAddress::ip).toList());
         this.registry = new EndpointRegistry(
-                events, settings.ms(FleetKey.MAX_PAUSE_S), settings.ms(FleetKey.HEARTBEAT_MS), clock.getAsLong());
+                events,
+                settings.ms(FleetKey.MAX_PAUSE_S),
+                settings.ms(FleetKey.HEARTBEAT_MS),
+                clocks.leaseClock().now(),
+                waitClock.nowNanos());
         this.viewPuller = new ViewPuller(
                 settings.name(),
                 settings.availabilityZone(),
@@ -119,18 +125,19 @@
                 loop,
                 new ConfigurationCache(reader),
                 events,
-                clock,
+                waitClock,
+                clocks.leaseClock(),
                 this::relayAddress);
         final SplittableRandom random = new SplittableRandom();
         final EndpointConnectionPool connectionPool =
-                new EndpointConnectionPool(loop, codec, settings.endpointGatewayIp(), events, metrics, clock);
+                new EndpointConnectionPool(loop, codec, settings.endpointGatewayIp(), events, metrics, waitClock);
         this.services = new EntryServices(
                 settings.availabilityZone(),
                 loop,
                 codec,
                 registry,
                 connectionPool,
-                new EndpointLinks(loop, connectionPool, registry, events, metrics, clock),
+                new EndpointLinks(loop, connectionPool, registry, events, metrics, waitClock),
                 new RelayPeers(random),
                 new BufferedBodies((long) settings.number(FleetKey.MAX_HELD_BYTES), (int)
                         settings.number(FleetKey.MAX_RESPONSE_BYTES)),
@@ -147,7 +154,8 @@
                 random,
                 events,
                 metrics,
-                clock,
+                waitClock,
+                clocks.leaseClock(),
                 revokeTimeNanos(KEY_AGE_FRACTION),
                 TimeUnit.MILLISECONDS.toNanos(settings.ms(FleetKey.CONFIG_APPLY_MS)));
     }
@@ -234,7 +242,8 @@
             return HttpReply.text(NOT_FOUND, "only the readiness check is served here\n");
         }
         final boolean viewIsFresh = registry.view().configuration().isPresent()
-                && clock.getAsLong() - registry.view().pullSentNanos() < revokeTimeNanos(READY_AGE_FRACTION);
+                && clocks.leaseClock().now().nanosSince(registry.view().pullSent())
+                        < revokeTimeNanos(READY_AGE_FRACTION);
         final boolean ready = viewIsFresh && !stopRequested.get() && canServe();
         return HttpReply.text(ready ? OK : UNAVAILABLE, ready ? "ready\n" : "not ready\n");
     }
@@ -255,10 +264,10 @@
     }
 
     private void stopGracefully() {
-        final long startNanos = System.nanoTime();
+        final long startNanos = waitClock.nowNanos();
         events.write(LogEvent.NODE_STOPPING, settings.name(), "a signal", "-");
         final long graceMs = Math.round(GRACE_FRACTION * settings.ms(FleetKey.GRACE_S));
-        final long stopDeadlineNanos = clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(graceMs);
+        final long stopDeadlineNanos = waitClock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(graceMs);
         loop.eventLoop().execute(() -> {
             connections.closeAfterNextResponse();
             connections.limitNewRequests(stopDeadlineNanos);
@@ -281,7 +290,7 @@
     /** Waits until no request is in flight, until {@code untilMs} after the start of the stop at most. */
     private void awaitRequests(long startNanos, long untilMs) {
         while (awaitedRequests() > 0 && elapsedMs(startNanos) < untilMs) {
-            sleepUntil(System.nanoTime(), STOP_POLL_MS);
+            sleepUntil(waitClock.nowNanos(), STOP_POLL_MS);
         }
     }
 
@@ -296,11 +305,11 @@
         return connections.inFlight();
     }
 
-    private static long elapsedMs(long startNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    private long elapsedMs(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(waitClock.nowNanos() - startNanos);
     }
 
-    private static void sleepUntil(long startNanos, long afterMs) {
+    private void sleepUntil(long startNanos, long afterMs) {
         final long leftMs = afterMs - elapsedMs(startNanos);
         if (leftMs > 0) {
             com.google.common.util.concurrent.Uninterruptibles.sleepUninterruptibly(leftMs, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryServices.java
@@ -1,7 +1,9 @@
 package org.wigeongrade.fleet.entry;
 
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.wigeongrade.clock.LeaseClock;
+import org.wigeongrade.clock.LeaseTime;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
 import org.wigeongrade.decisions.overload.RankedTargets;
@@ -32,24 +34,29 @@
         RandomGenerator random,
         EventLog events,
         Metrics metrics,
-        LongSupplier nanoClock,
+        WaitClock waitClock,
+        LeaseClock leaseClock,
         long maxKeyAgeNanos,
         long configApplyNanos) {
     long nowNanos() {
-        return nanoClock.getAsLong();
+        return waitClock.nowNanos();
+    }
+
+    LeaseTime leaseNow() {
+        return leaseClock.now();
     }
 
     /**
      * Returns whether the view shows every configuration that must be in force now, so that what it does not contain is
      * known to be absent.
      */
-    boolean viewIsCurrent(long nowNanos) {
-        return nowNanos - registry.view().pullSentNanos() < configApplyNanos;
+    boolean viewIsCurrent(LeaseTime now) {
+        return now.nanosSince(registry.view().pullSent()) < configApplyNanos;
     }
 
     /** Returns whether the view is so recent that no API key in it can have been revoked longer ago than allowed. */
-    boolean keysAreFresh(long nowNanos) {
+    boolean keysAreFresh(LeaseTime now) {
         return registry.view().configuration().isPresent()
-                && nowNanos - registry.view().pullSentNanos() < maxKeyAgeNanos;
+                && now.nanosSince(registry.view().pullSent()) < maxKeyAgeNanos;
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.outcomes.PartQuarantine;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
@@ -17,7 +18,8 @@
 /**
  * The state of the fleet that an entry node last pulled from the leader. Immutable; safe for use from any thread.
  *
- * @param pullSentNanos when the pull was sent; every change that was accepted before is in the view
+ * @param pullSent when the pull was sent; every change that was accepted before is in the view
+ * @param pullSentNanos the same time on the wait clock
  * @param endpoints endpoints that may receive requests
  * @param quarantinedRequests digests of requests that must not be sent, with the time until which they must not
  * @param relayAddresses addresses of entry nodes that take requests which this node cannot send to an endpoint
@@ -36,6 +38,7 @@
         List<String> relayAddresses,
         long term,
         long changeNumber,
+        LeaseTime pullSent,
         long pullSentNanos) {
     EntryView {
         zonesOut = ImmutableSet.copyOf(zonesOut);
@@ -48,7 +51,7 @@
         relayAddresses = ImmutableList.copyOf(relayAddresses);
     }
 
-    static EntryView empty(long nowNanos) {
+    static EntryView empty(LeaseTime now, long nowNanos) {
         return new EntryView(
                 Optional.empty(),
                 Set.of(),
@@ -62,6 +65,7 @@
                 List.of(),
                 0,
                 0,
+                now,
                 nowNanos);
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.Placement;
 import org.wigeongrade.decisions.balancing.PlacementRequest;
@@ -87,7 +88,11 @@
     private final StreamContinuation continuation = new StreamContinuation();
     private Optional<BufferedResponse> errorResponse = Optional.empty();
     private OptionalLong latestDeadlineNanos = OptionalLong.empty();
+    /** Until when this node waits for a response. */
     private long deadlineNanos;
+    /** Until when the caller waits; an endpoint is told no later time, even if this VM was suspended. */
+    private LeaseTime callersDeadline;
+
     private int attempts;
     /** Number of ended attempts whose request an endpoint may have run. */
     private int attemptsThatMayHaveRun;
@@ -238,6 +243,7 @@
     private void setDeadline(Route matched) {
         final long waitMs = Math.min(matched.timeoutMs(), request.timeoutMs().orElse(matched.timeoutMs()));
         final long callersNanos = log.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        callersDeadline = log.arrived().plusNanos(TimeUnit.MILLISECONDS.toNanos(waitMs));
         final long latestNanos = latestDeadlineNanos.orElse(callersNanos);
         deadlineNanos = callersNanos - latestNanos < 0 ? callersNanos : latestNanos;
         deadlineTimer =
@@ -249,7 +255,7 @@
         if (matched.anonymous() || !configuration.requiresKeys()) {
             return true;
         }
-        if (!services.keysAreFresh(log.arrivedNanos())) {
+        if (!services.keysAreFresh(log.arrived())) {
             refuse(
                     ErrorKind.NO_VIEW_LEASE,
                     "the view with the API keys is too old, configuration version " + configuration.version(),
@@ -269,7 +275,7 @@
      * or by which the request was relayed, may contain it.
      */
     private void failAsAbsent(ErrorKind kind, String cause) {
-        if (services.viewIsCurrent(log.arrivedNanos()) && !isOlderThanOrigin()) {
+        if (services.viewIsCurrent(log.arrived()) && !isOlderThanOrigin()) {
             fail(kind, cause);
         } else {
             refuse(ErrorKind.NO_VIEW_LEASE, cause, ErrorKind.NO_VIEW_LEASE.retryAfterMs());
@@ -277,14 +283,15 @@
     }
 
     private String describeView() {
-        final long ageNanos = log.arrivedNanos() - services.registry().view().pullSentNanos();
+        final long ageNanos =
+                log.arrived().nanosSince(services.registry().view().pullSent());
         return "configuration version " + configurationVersion + ", view " + TimeUnit.NANOSECONDS.toMillis(ageNanos)
                 + " ms old";
     }
 
     private void send() {
         final long nowNanos = services.nowNanos();
-        final long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
+        final long remainingMs = remainingMs(nowNanos);
         if (remainingMs < MIN_ATTEMPT_MS) {
             onDeadline();
             return;
@@ -294,7 +301,7 @@
             failOrRefuse(ErrorKind.SUSPECT_WAITING, quarantined.get(), ErrorKind.SUSPECT_WAITING.retryAfterMs());
             return;
         }
-        if (!isKeyFresh(nowNanos)) {
+        if (!isKeyFresh()) {
             failOrRefuse(
                     ErrorKind.NO_VIEW_LEASE,
                     "the view with the API keys is too old",
@@ -321,6 +328,11 @@
         sendTo(placement, remainingMs, nowNanos);
     }
 
+    private long remainingMs(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(
+                Math.min(deadlineNanos - nowNanos, callersDeadline.nanosSince(services.leaseNow())));
+    }
+
     /** Sends the request to an entry node that reaches endpoints, or refuses it if there is none. */
     private void relay(long remainingMs, long nowNanos) {
         final List<String> peers = services.registry().view().relayAddresses();
@@ -366,8 +378,8 @@
     }
 
     /** Returns whether the request has no organisation, or the view that confirmed its API key is recent enough. */
-    private boolean isKeyFresh(long nowNanos) {
-        return organisation.isEmpty() || services.keysAreFresh(nowNanos);
+    private boolean isKeyFresh() {
+        return organisation.isEmpty() || services.keysAreFresh(services.leaseNow());
     }
 
     /**
@@ -572,13 +584,13 @@
      */
     private boolean canFailOver() {
         final long nowNanos = services.nowNanos();
-        final long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
+        final long remainingMs = remainingMs(nowNanos);
         return route.orElseThrow().mayRetry()
                 && attemptsThatMayHaveRun + 1 < route.get().maxAttempts()
                 && attempts < MAX_ATTEMPTS
                 && remainingMs >= MIN_ATTEMPT_MS
                 && stream.isResumable()
-                && isKeyFresh(nowNanos)
+                && isKeyFresh()
                 && quarantine.find(organisation).isEmpty()
                 && hasAlternative(remainingMs, nowNanos);
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.Placement;
 import org.wigeongrade.errors.ErrorKind;
@@ -18,16 +19,22 @@
 
     private final EntryServices services;
     private final String requestLogId;
+    private final LeaseTime arrived;
     private final long arrivedNanos;
     private long firstBytesNanos;
 
     ExchangeLog(EntryServices services, CallerRequest request) {
         this.services = services;
         this.requestLogId = request.logId();
+        this.arrived = services.leaseNow();
         this.arrivedNanos = services.nowNanos();
         services.metrics().incrementInFlight();
     }
 
+    LeaseTime arrived() {
+        return arrived;
+    }
+
     long arrivedNanos() {
         return arrivedNanos;
     }
@@ -173,7 +180,7 @@
 
     private long viewAgeMs() {
         return TimeUnit.NANOSECONDS.toMillis(
-                services.nowNanos() - services.registry().view().pullSentNanos());
+                services.leaseNow().nanosSince(services.registry().view().pullSent()));
     }
 
     private void ended(RequestOutcome outcome) {
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -10,9 +10,11 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.thrift.TException;
+import org.wigeongrade.clock.LeaseClock;
+import org.wigeongrade.clock.LeaseTime;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
@@ -47,7 +49,8 @@
     private final SharedEventLoop loop;
     private final ConfigurationCache configurationCache;
     private final EventLog events;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
+    private final LeaseClock leaseClock;
     /** Address at which this node takes relayed requests; empty while it takes none. */
     private final Supplier<Optional<String>> relayAddress;
 
@@ -69,7 +72,8 @@
             SharedEventLoop loop,
             ConfigurationCache configurationCache,
             EventLog events,
-            LongSupplier nanoClock,
+            WaitClock waitClock,
+            LeaseClock leaseClock,
             Supplier<Optional<String>> relayAddress) {
         this.self = self;
         this.zone = zone;
@@ -78,7 +82,8 @@
         this.loop = loop;
         this.configurationCache = configurationCache;
         this.events = events;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
+        this.leaseClock = leaseClock;
         this.relayAddress = relayAddress;
         pullThread.setDaemon(true);
     }
@@ -113,13 +118,14 @@
         final String controlVm = knownLeader.orElseGet(this::nextControlVm);
         connectTo(controlVm);
         final PullRequest request = callOnEventLoop(this::buildRequest);
-        final long sentNanos = nanoClock.getAsLong();
+        final LeaseTime sent = leaseClock.now();
+        final long sentNanos = waitClock.nowNanos();
         try {
             final PullReply reply = client.orElseThrow().call(thriftClient -> thriftClient.pull(request));
             directory.addControlVms(reply.getControlVms());
             if (reply.isLeads()) {
                 knownLeader = Optional.of(controlVm);
-                if (applyReply(reply, sentNanos) && reply.isTakesConfirmations()) {
+                if (applyReply(reply, sent, sentNanos) && reply.isTakesConfirmations()) {
                     confirm(controlVm);
                 }
                 return true;
@@ -172,11 +178,11 @@
 
     private PullRequest buildRequest() {
         final EntryView view = registry.view();
-        final ImmutableList<UsageRecord> usage = registry.drainUsage(nanoClock.getAsLong());
+        final ImmutableList<UsageRecord> usage = registry.drainUsage(waitClock.nowNanos());
         final ImmutableList<CrashRecord> crashes = registry.drainCrashes();
         final PullRequest request = new PullRequest(
                 self.value(), zone.value(), view.version(), view.term(), view.changeNumber(), usage, crashes);
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         final QuarantinedParts parts = registry.quarantinedParts();
         request.setPartCompletions(
                 PromptPartRecords.completionsToThrift(parts.completionsInQuestion(nowNanos), nowNanos));
@@ -191,7 +197,7 @@
     }
 
     /** Applies the reply of a leader; returns whether the configuration or the availability zones have changed. */
-    private boolean applyReply(PullReply reply, long sentNanos) throws InterruptedException {
+    private boolean applyReply(PullReply reply, LeaseTime sent, long sentNanos) throws InterruptedException {
         failing = false;
         final EntryView known = registry.view();
         final Optional<PublishedConfiguration> newConfiguration = readDocument(reply, known.version());
@@ -210,11 +216,12 @@
                 // With term 0, the next pull asks a leader that is not settled yet for its complete state again.
                 reply.isSettled() ? reply.getTerm() : 0,
                 reply.getChangeNumber(),
+                sent,
                 sentNanos);
         newConfiguration.ifPresent(configuration -> events.write(LogEvent.VIEW_CHANGED, configuration.version()));
         callOnEventLoop(() -> {
-            registry.apply(next, nanoClock.getAsLong());
-            registry.limits().apply(reply, nanoClock.getAsLong());
+            registry.apply(next, waitClock.nowNanos());
+            registry.limits().apply(reply, waitClock.nowNanos());
             return ImmutableMap.of();
         });
         return next.version() != known.version() || !next.zonesOut().equals(known.zonesOut());
--- a/src/main/java/org/wigeongrade/fleet/net/ClientMemory.java
+++ b/src/main/java/org/wigeongrade/fleet/net/ClientMemory.java
@@ -4,8 +4,8 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.metrics.ClientClosing;
 
 /**
@@ -36,7 +36,7 @@
 
     private final long maxBytes;
     private final int maxConnections;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final Set<Holder> holders = new LinkedHashSet<>();
     private long reservedBytes;
 
@@ -44,10 +44,10 @@
      * @param maxBytes largest sum of the bytes that are held for all connections
      * @param maxConnections number of connections above which some are closed
      */
-    public ClientMemory(long maxBytes, int maxConnections, LongSupplier nanoClock) {
+    public ClientMemory(long maxBytes, int maxConnections, WaitClock waitClock) {
         this.maxBytes = maxBytes;
         this.maxConnections = maxConnections;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
     }
 
     /** Returns the number of reserved bytes. */
@@ -103,7 +103,7 @@
 
     /** Returns the connection with the largest product of bytes and waiting time. */
     private Optional<Holder> mostHolding() {
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         return holders.stream()
                 .filter(holder -> holder.waitsForClient() && holder.heldBytes() > 0)
                 .max(Comparator.comparingDouble(
--- a/src/main/java/org/wigeongrade/nodes/LeaderClient.java
+++ b/src/main/java/org/wigeongrade/nodes/LeaderClient.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.control.CommandResult;
 import org.wigeongrade.decisions.control.ControlCodec;
@@ -34,7 +34,7 @@
     private final NodeName self;
     private final Optional<ControlRole> localControl;
     private final ImmutableMap<NodeName, PeerClient> controlPeers;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private volatile Optional<NodeName> leaderHint = Optional.empty();
 
     /** {@code controlPeers} are the other control VMs. */
@@ -42,11 +42,11 @@
             NodeName self,
             Optional<ControlRole> localControl,
             Map<NodeName, PeerClient> controlPeers,
-            LongSupplier nanoClock) {
+            WaitClock waitClock) {
         this.self = self;
         this.localControl = localControl;
         this.controlPeers = ImmutableMap.copyOf(controlPeers);
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
     }
 
     /** Returns the last known leader; it may be stale. */
@@ -86,7 +86,7 @@
         boolean mayTakeEffect = false;
         WigeongradeException lastFailure =
                 new WigeongradeException(ErrorKind.CONTROL_UNAVAILABLE, "no control VM replied before the deadline");
-        while (nanoClock.getAsLong() - deadlineNanos < 0) {
+        while (waitClock.nowNanos() - deadlineNanos < 0) {
             for (final NodeName node : candidates()) {
                 try {
                     final CommandResult result = ControlCodec.decodeResult(submitTo(node, encoded));
--- a/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.control.Command;
 import org.wigeongrade.decisions.control.CommandResult;
 import org.wigeongrade.decisions.control.ControlCodec;
@@ -38,7 +39,7 @@
 
     private final NodeName self;
     private final NodeTimings timings;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
     private final LongSupplier epochMsClock;
     private final EventLog events;
     private final ControlState state = new ControlState();
@@ -51,15 +52,15 @@
             NodeName self,
             NodeTimings timings,
             Function<ReplicatedStateMachine, ReplicatedLog> openLog,
-            LongSupplier nanoClock,
+            WaitClock waitClock,
             LongSupplier epochMsClock,
             EventLog events) {
         this.self = self;
         this.timings = timings;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
         this.epochMsClock = epochMsClock;
         this.events = events;
-        this.pullHandler = new PullHandler(state, timings, nanoClock);
+        this.pullHandler = new PullHandler(state, timings, waitClock);
         this.log = openLog.apply(new ControlStateMachine(state));
     }
 
@@ -139,7 +140,7 @@
     }
 
     long nowNanos() {
-        return nanoClock.getAsLong();
+        return waitClock.nowNanos();
     }
 
     long nowEpochMs() {
--- a/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.control.ControlState;
 import org.wigeongrade.decisions.limits.ShareKey;
 import org.wigeongrade.decisions.limits.ShareReport;
@@ -45,17 +45,17 @@
 final class PullHandler {
     private final ControlState state;
     private final NodeTimings timings;
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
 
-    PullHandler(ControlState state, NodeTimings timings, LongSupplier nanoClock) {
+    PullHandler(ControlState state, NodeTimings timings, WaitClock waitClock) {
         this.state = state;
         this.timings = timings;
-        this.nanoClock = nanoClock;
+        this.waitClock = waitClock;
     }
 
     /** Processes the reports in the request and returns the quarantines to propose because of them. */
     List<QuarantineProposal> processReports(PullRequest request, LeaderState leaderState) {
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         request.getAnnouncements().forEach(record -> recordAnnouncement(record, leaderState, nowNanos));
         final NodeName node = new NodeName(request.getNode());
         final EntryStatus status = new EntryStatus(
@@ -94,7 +94,7 @@
 
     /** Builds the reply. Its lease counts from the time at which the entry VM sent the pull. */
     PullReply buildReply(PullRequest request, LeaderState leaderState) {
-        final long nowNanos = nanoClock.getAsLong();
+        final long nowNanos = waitClock.nowNanos();
         final PullReply reply = new PullReply();
         reply.setLeads(true);
         reply.setTerm(leaderState.term());
--- a/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/EntryRole.java
@@ -3,7 +3,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.LeaseClock;
+import org.wigeongrade.clock.LeaseTime;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.limits.HeldShares;
 import org.wigeongrade.decisions.limits.OrganisationAdmission;
 import org.wigeongrade.decisions.limits.OrganisationUsage;
@@ -45,19 +47,26 @@
     private final EndpointLinks links = new EndpointLinks();
     private final AnnouncementInbox inbox = new AnnouncementInbox();
     private final DecisionRecords decisions = new DecisionRecords();
-    private final LongSupplier nanoClock;
+    private final WaitClock waitClock;
+    private final LeaseClock leaseClock;
 
     /**
      * {@code callerAddress} is the address, as {@code ip:port}, at which other entry VMs reach the API of this VM for
      * callers.
      */
     public EntryRole(
-            NodeName self, AvailabilityZone zone, String callerAddress, long pullIntervalMs, LongSupplier nanoClock) {
+            NodeName self,
+            AvailabilityZone zone,
+            String callerAddress,
+            long pullIntervalMs,
+            WaitClock waitClock,
+            LeaseClock leaseClock) {
         this.self = self;
         this.zone = zone;
         this.callerAddress = callerAddress;
-        this.nanoClock = nanoClock;
-        this.view = new AtomicReference<>(FleetView.empty(nanoClock.getAsLong()));
+        this.waitClock = waitClock;
+        this.leaseClock = leaseClock;
+        this.view = new AtomicReference<>(FleetView.empty(leaseClock.now()));
         this.suspects = new SuspectTable(self, pullIntervalMs);
     }
 
@@ -123,9 +132,19 @@
         return decisions;
     }
 
-    /** Returns the time on this VM's monotonic clock, in nanoseconds. */
+    /** Returns the time on the wait clock, in nanoseconds. */
     public long nowNanos() {
-        return nanoClock.getAsLong();
+        return waitClock.nowNanos();
+    }
+
+    /** Returns the time on the lease clock. */
+    public LeaseTime leaseNow() {
+        return leaseClock.now();
+    }
+
+    /** Returns whether the view lease is valid, so that new work may be sent according to the view. */
+    public boolean hasViewLease() {
+        return view().hasLease(leaseNow());
     }
 
     /** Makes the health check fail from now on; requests that still arrive are served. */
@@ -147,7 +166,7 @@
     public boolean isHealthy() {
         final boolean canServe =
                 links.state().sendsDirectly() || !view().relayAddresses().isEmpty();
-        return !leaving.get() && view().hasLease(nowNanos()) && canServe;
+        return !leaving.get() && hasViewLease() && canServe;
     }
 
     /** Drops the slots at an endpoint that showed a sign of being cold, as observed by this VM or by a peer. */
--- a/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetView.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
 import java.util.Optional;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.routing.EndpointView;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.Revision;
@@ -15,8 +16,7 @@
  * lease.
  *
  * <p>{@code relayAddresses} are those of entry VMs that take requests which this one cannot send to an endpoint. {@code
- * leaseDeadlineNanos} is on this VM's monotonic clock and is counted from the time at which the pull was
- * sent.
+ * leaseDeadline} is counted from the time at which the pull was sent.
  *
  * <p>Invariant: the revision and the term never decrease from one view to the next. Immutable; safe for use from any
  * thread.
@@ -30,9 +30,9 @@
         ImmutableList<String> relayAddresses,
         long quarantineDigest,
         ImmutableMap<String, Long> quarantinedUntilEpochMs,
-        long leaseDeadlineNanos) {
+        LeaseTime leaseDeadline) {
     /** Returns the view of a process that has not pulled one yet. */
-    public static FleetView empty(long nowNanos) {
+    public static FleetView empty(LeaseTime now) {
         return new FleetView(
                 0,
                 ConfigurationView.EMPTY,
@@ -42,12 +42,12 @@
                 ImmutableList.of(),
                 0,
                 ImmutableMap.of(),
-                nowNanos);
+                now);
     }
 
     /** Returns whether the view lease is valid, so that new work may be sent according to this view. */
-    public boolean hasLease(long nowNanos) {
-        return leaseDeadlineNanos - nowNanos > 0;
+    public boolean hasLease(LeaseTime now) {
+        return !leaseDeadline.hasPassed(now);
     }
 
     /** Returns the revision of the configuration in force. */
--- a/src/main/java/org/wigeongrade/nodes/entry/FleetViews.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/FleetViews.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.routing.EndpointKind;
 import org.wigeongrade.decisions.routing.EndpointView;
 import org.wigeongrade.decisions.routing.LoadReport;
@@ -28,9 +29,10 @@
     /**
      * Returns the view that results from a reply, or empty if the reply is older than the earlier view.
      *
-     * @param sentNanos when the pull was sent, on this VM's monotonic clock; every lease starts at that time
+     * @param sent when the pull was sent; every lease starts at that time
+     * @param sentNanos the same time on the wait clock
      */
-    static Optional<FleetView> next(FleetView earlier, PullReply reply, long sentNanos) {
+    static Optional<FleetView> next(FleetView earlier, PullReply reply, LeaseTime sent, long sentNanos) {
         if (reply.getTerm() < earlier.term()
                 || reply.getRevision() < earlier.revision().value()) {
             return Optional.empty();
@@ -48,11 +50,11 @@
                 configuration,
                 reply.getEndpointsDigest(),
                 records,
-                endpoints(earlier, records, reply, configuration, sentNanos),
+                endpoints(earlier, records, reply, configuration, sent, sentNanos),
                 reply.isSetRelayAddresses() ? ImmutableList.copyOf(reply.getRelayAddresses()) : ImmutableList.of(),
                 reply.getQuarantineDigest(),
                 quarantined,
-                sentNanos + reply.getViewLeaseNanos()));
+                sent.plusNanos(reply.getViewLeaseNanos())));
     }
 
     private static ImmutableMap<EndpointId, EndpointView> endpoints(
@@ -60,6 +62,7 @@
             ImmutableList<EndpointRecord> records,
             PullReply reply,
             ConfigurationView configuration,
+            LeaseTime sent,
             long sentNanos) {
         final Map<String, LoadRecord> loads = new HashMap<>();
         reply.getLoads().forEach(load -> loads.put(load.getEndpoint(), load));
@@ -70,8 +73,8 @@
         for (final EndpointRecord record : records) {
             final long leaseNanos =
                     reply.getShorterServingLeaseNanos().getOrDefault(record.getId(), reply.getServingLeaseNanos());
-            final EndpointView view =
-                    endpoint(record, configuration, sentNanos + leaseNanos, load(loads.get(record.getId()), sentNanos));
+            final EndpointView view = endpoint(
+                    record, configuration, sent.plusNanos(leaseNanos), load(loads.get(record.getId()), sentNanos));
             views.put(view.id(), view);
         }
         return views.buildKeepingLast();
@@ -94,13 +97,13 @@
                 view.coldCapacity(),
                 view.cold(),
                 view.coldHolder(),
-                view.servingDeadlineNanos(),
+                view.servingDeadline(),
                 view.load(),
                 view.fencingToken());
     }
 
     private static EndpointView endpoint(
-            EndpointRecord record, ConfigurationView configuration, long servingDeadlineNanos, LoadReport load) {
+            EndpointRecord record, ConfigurationView configuration, LeaseTime servingDeadline, LoadReport load) {
         final AvailabilityZone zone = new AvailabilityZone(record.getAvailabilityZone());
         final EndpointKind kind = record.getKind().equals(ENGINE) ? EndpointKind.ENGINE : EndpointKind.SERVICE;
         return new EndpointView(
@@ -115,7 +118,7 @@
                 record.getColdCapacity(),
                 record.isCold(),
                 Optional.ofNullable(Strings.emptyToNull(record.getColdHolder())).map(NodeName::new),
-                servingDeadlineNanos,
+                servingDeadline,
                 load,
                 new FencingToken(record.getFencingTerm(), record.getFencingSequence()));
     }
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.config.OrganisationDeclaration;
 import org.wigeongrade.decisions.limits.ShareGrant;
 import org.wigeongrade.decisions.limits.ShareKey;
@@ -107,13 +108,14 @@
     private boolean pullOnce() {
         final List<AnnouncementRecord> announcements = entry.inbox().drain();
         final PullRequest request = request(announcements);
+        final LeaseTime sent = entry.leaseNow();
         final long sentNanos = entry.nowNanos();
         final Optional<PullReply> reply = leaderClient.pull(request);
         if (reply.isEmpty()) {
             entry.inbox().putBack(announcements);
             return false;
         }
-        apply(reply.get(), sentNanos);
+        apply(reply.get(), sent, sentNanos);
         return true;
     }
 
@@ -131,7 +133,7 @@
         request.setAnnouncements(announcements);
         request.setStopping(entry.isStopping());
         request.setEndpointLinksCut(!entry.links().state().sendsDirectly());
-        request.setLeaseHeld(view.hasLease(nowNanos));
+        request.setLeaseHeld(view.hasLease(entry.leaseNow()));
         request.setCacheCursorTerm(cacheCursorTerm);
         request.setCacheCursor(cacheCursor);
         final SuspectTable suspects = entry.suspects();
@@ -172,9 +174,9 @@
         return ImmutableList.copyOf(reportedKeys);
     }
 
-    private void apply(PullReply reply, long sentNanos) {
+    private void apply(PullReply reply, LeaseTime sent, long sentNanos) {
         final FleetView earlier = entry.view();
-        final Optional<FleetView> next = FleetViews.next(earlier, reply, sentNanos);
+        final Optional<FleetView> next = FleetViews.next(earlier, reply, sent, sentNanos);
         if (next.isEmpty()) {
             events.write(LogEvent.VIEW_PULL_FAILED, leaderName(), "the reply is older than the view in force");
             return;
@@ -245,7 +247,7 @@
     }
 
     private void recordLeaseChange() {
-        final boolean held = entry.view().hasLease(entry.nowNanos());
+        final boolean held = entry.hasViewLease();
         metrics.setViewLease(held);
         if (held && !leaseHeld) {
             events.write(
--- a/src/main/java/org/wigeongrade/nodes/log/CoreOutputExecutor.java
+++ b/src/main/java/org/wigeongrade/nodes/log/CoreOutputExecutor.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.log.EntryKind;
 import org.wigeongrade.decisions.log.LogEntry;
@@ -56,14 +56,14 @@
      * Executes all outputs that the core has now. Then takes a snapshot if one is due, and seals the last batch if that
      * is due.
      */
-    void run(LongSupplier clock) {
-        Outputs outputs = core.drain(clock.getAsLong());
+    void run(WaitClock waitClock) {
+        Outputs outputs = core.drain(waitClock.nowNanos());
         while (!outputs.isEmpty()) {
-            execute(outputs, clock.getAsLong());
-            outputs = core.drain(clock.getAsLong());
+            execute(outputs, waitClock.nowNanos());
+            outputs = core.drain(waitClock.nowNanos());
         }
         compactIfDue();
-        sealIfDue(clock.getAsLong());
+        sealIfDue(waitClock.nowNanos());
     }
 
     private void sealIfDue(long nowNanos) {
--- a/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
+++ b/src/main/java/org/wigeongrade/nodes/log/RaftReplicatedLog.java
@@ -12,8 +12,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.wigeongrade.clock.LeaseClock;
+import org.wigeongrade.clock.LeaseTime;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.log.CoreSettings;
 import org.wigeongrade.decisions.log.LogMessage;
@@ -51,7 +53,7 @@
             long term,
             Optional<NodeName> leader,
             long leaderSinceNanos,
-            OptionalLong leaseDeadlineNanos,
+            Optional<LeaseTime> leaseDeadline,
             long appliedIndex,
             Membership membership,
             boolean voter) {}
@@ -69,7 +71,9 @@
     private final CoreSettings settings;
     private final LogStore store;
     private final LogTransport transport;
-    private final LongSupplier clock;
+    private final WaitClock waitClock;
+    private final LeaseClock leaseClock;
+    private final LeaseReadings leaseReadings;
     private final RaftCore core;
     private final CoreOutputExecutor outputExecutor;
     private final PendingCommands pending;
@@ -96,17 +100,20 @@
             LogStore store,
             LogTransport transport,
             ReplicatedStateMachine stateMachine,
-            LongSupplier clock,
+            WaitClock waitClock,
+            LeaseClock leaseClock,
             RandomGenerator random,
             long compactAfterEntries,
             Consumer<RuntimeException> onFailure) {
         this.settings = settings;
         this.store = store;
         this.transport = transport;
-        this.clock = clock;
+        this.waitClock = waitClock;
+        this.leaseClock = leaseClock;
+        this.leaseReadings = new LeaseReadings(settings.timings().leaseNanos());
         this.onFailure = onFailure;
         this.tickNanos = settings.timings().heartbeatNanos() / TICKS_PER_HEARTBEAT;
-        this.nextTickNanos = clock.getAsLong();
+        this.nextTickNanos = waitClock.nowNanos();
         this.core = new RaftCore(settings, store.recovered(), random, nextTickNanos);
         this.callbacks = Executors.newSingleThreadExecutor(task -> daemonThread(task, "log-callbacks"));
         this.pending = new PendingCommands(callbacks);
@@ -117,7 +124,7 @@
                 core.term(),
                 Optional.empty(),
                 nextTickNanos,
-                OptionalLong.empty(),
+                Optional.empty(),
                 core.appliedIndex(),
                 core.membership(),
                 core.isVoter());
@@ -128,21 +135,13 @@
      * Opens the data folder, starts listening and starts the replica. The files of a folder with data loss are moved
      * away, and a new incarnation starts as a learner.
      */
-    public static RaftReplicatedLog open(
-            LogSettings settings, ReplicatedStateMachine stateMachine, Consumer<RuntimeException> onFailure) {
-        return ReplicatedLogOpener.open(settings, stateMachine, System::nanoTime, onFailure);
-    }
-
-    /**
-     * Opens a replica like {@link #open(LogSettings, ReplicatedStateMachine, Consumer)}, but with the given monotonic
-     * clock.
-     */
     public static RaftReplicatedLog open(
             LogSettings settings,
             ReplicatedStateMachine stateMachine,
-            LongSupplier clock,
+            WaitClock waitClock,
+            LeaseClock leaseClock,
             Consumer<RuntimeException> onFailure) {
-        return ReplicatedLogOpener.open(settings, stateMachine, clock, onFailure);
+        return ReplicatedLogOpener.open(settings, stateMachine, waitClock, leaseClock, onFailure);
     }
 
     /** Starts the writer thread. */
@@ -179,17 +178,19 @@
 
     @Override
     public boolean isLeaderWithLease() {
-        OptionalLong deadlineNanos = status.leaseDeadlineNanos();
-        return !stopping && deadlineNanos.isPresent() && clock.getAsLong() - deadlineNanos.getAsLong() < 0;
+        return !stopping && holdsLease(status);
     }
 
     /** Returns whether this node leads the term and holds its lease. */
     public boolean holdsLease(long ofTerm) {
         final Status read = status;
-        return !stopping
-                && read.term() == ofTerm
-                && read.leaseDeadlineNanos().isPresent()
-                && clock.getAsLong() - read.leaseDeadlineNanos().getAsLong() < 0;
+        return !stopping && read.term() == ofTerm && holdsLease(read);
+    }
+
+    private boolean holdsLease(Status read) {
+        return read.leaseDeadline()
+                .filter(deadline -> !deadline.hasPassed(leaseClock.now()))
+                .isPresent();
     }
 
     @Override
@@ -235,7 +236,7 @@
                 processBatch();
             }
             startLeadershipTransfer();
-            outputExecutor.run(clock);
+            outputExecutor.run(waitClock);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (RuntimeException e) {
@@ -256,7 +257,7 @@
     }
 
     private void processBatch() throws InterruptedException {
-        long waitNanos = Math.max(0, nextTickNanos - clock.getAsLong());
+        long waitNanos = Math.max(0, nextTickNanos - waitClock.nowNanos());
         Input first = inputs.poll(waitNanos, TimeUnit.NANOSECONDS);
         List<Input> batch = new ArrayList<>();
         if (first != null) {
@@ -266,12 +267,14 @@
         for (Input input : batch) {
             process(input);
         }
-        long nowNanos = clock.getAsLong();
+        LeaseTime leaseTime = leaseClock.now();
+        long nowNanos = waitClock.nowNanos();
         if (nowNanos - nextTickNanos >= 0) {
+            leaseReadings.record(leaseTime, nowNanos);
             core.tick(nowNanos);
             nextTickNanos = nowNanos + tickNanos;
         }
-        outputExecutor.run(clock);
+        outputExecutor.run(waitClock);
         publishStatus();
     }
 
@@ -286,7 +289,7 @@
                 before.term(),
                 leads ? Optional.empty() : before.leader(),
                 before.leaderSinceNanos(),
-                OptionalLong.empty(),
+                Optional.empty(),
                 before.appliedIndex(),
                 before.membership(),
                 before.voter());
@@ -301,7 +304,7 @@
 
     private void process(Input input) {
         if (input instanceof Received received) {
-            core.receive(received.from(), received.message(), clock.getAsLong());
+            core.receive(received.from(), received.message(), waitClock.nowNanos());
         } else if (input instanceof Submitted submitted) {
             propose(submitted);
         } else if (input instanceof Discovered discovered) {
@@ -316,7 +319,7 @@
      * election.
      */
     private void startLeadershipTransfer() {
-        core.transferLeadership(clock.getAsLong());
+        core.transferLeadership(waitClock.nowNanos());
         publishStatus();
     }
 
@@ -344,13 +347,18 @@
                 core.term(),
                 core.leader(),
                 leaderSinceNanos.orElse(status.leaderSinceNanos()),
-                core.leaseDeadlineNanos(clock.getAsLong()),
+                leaseDeadline(),
                 core.appliedIndex(),
                 core.membership(),
                 core.isVoter());
         pending.runCompletions();
     }
 
+    private Optional<LeaseTime> leaseDeadline() {
+        OptionalLong startNanos = core.leaseStartNanos(waitClock.nowNanos());
+        return startNanos.isEmpty() ? Optional.empty() : leaseReadings.deadlineOf(startNanos.getAsLong());
+    }
+
     private void logRoleChange() {
         final Role role = core.role();
         if (role == loggedRole && core.term() == status.term()) {
@@ -372,7 +380,7 @@
                 status.term(),
                 Optional.empty(),
                 status.leaderSinceNanos(),
-                OptionalLong.empty(),
+                Optional.empty(),
                 status.appliedIndex(),
                 status.membership(),
                 status.voter());
--- a/src/main/java/org/wigeongrade/nodes/log/ReplicatedLogOpener.java
+++ b/src/main/java/org/wigeongrade/nodes/log/ReplicatedLogOpener.java
@@ -3,7 +3,8 @@
 import java.lang.System.Logger.Level;
 import java.security.SecureRandom;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import org.wigeongrade.clock.LeaseClock;
+import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.disk.DataLossException;
 import org.wigeongrade.disk.FileOperations;
 import org.wigeongrade.disk.FullDiskPolicy;
@@ -18,7 +19,8 @@
     static RaftReplicatedLog open(
             LogSettings settings,
             ReplicatedStateMachine stateMachine,
-            LongSupplier clock,
+            WaitClock waitClock,
+            LeaseClock leaseClock,
             Consumer<RuntimeException> onFailure) {
         SecureRandom random = new SecureRandom();
         FullDiskWaiter fullDiskWaiter = new FullDiskWaiter();
@@ -30,7 +32,8 @@
                 store,
                 transport,
                 stateMachine,
-                clock,
+                waitClock,
+                leaseClock,
                 random,
                 settings.compactAfterEntries(),
                 onFailure);
--- a/src/main/java/org/wigeongrade/operators/OperatorApi.java
+++ b/src/main/java/org/wigeongrade/operators/OperatorApi.java
@@ -171,7 +171,7 @@
     }
 
     private String configuration() {
-        if (!entry.view().hasLease(entry.nowNanos())) {
+        if (!entry.hasViewLease()) {
             throw new WigeongradeException(ErrorKind.NO_VIEW_LEASE, "this entry VM holds no valid view lease");
         }
         return new String(entry.view().configuration().encode(), StandardCharsets.UTF_8);
--- a/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/SimulatedFleet.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.wigeongrade.clock.NodeClocks;
 import org.wigeongrade.decisions.discovery.IdentityConflict;
 import org.wigeongrade.decisions.discovery.IdentityResponse;
 import org.wigeongrade.decisions.discovery.VmHeartbeat;
@@ -115,6 +116,14 @@
 
     private long term;
     private long nowMs;
+    /** Sum of the steps of the time of day on the leader's VM. */
+    private long steppedMs;
+    /** Time for which the leader's VM was suspended so far, and until when it is. */
+    private long suspendedMs;
+
+    private long suspendedUntilMs;
+    private final NodeClocks leaderClocks =
+            NodeClocks.of(() -> nanos(nowMs - suspendedMs), () -> nanos(nowMs + steppedMs));
     /** Time after which the leader plans; it first waits for a heartbeat of each VM. */
     private long planAfterMs = 2 * HEARTBEAT_MS;
 
@@ -153,7 +162,7 @@
     /** Replaces the leader by one that knows all heartbeats but not the groups that the earlier leader planned. */
     void newLeader() {
         term++;
-        planner = new GroupPlanner(term, TIMINGS, listener, nanos(nowMs));
+        planner = new GroupPlanner(term, TIMINGS, listener, leaderNanos());
     }
 
     /** Restarts all control VMs: the new leader knows no VM until its next heartbeat. */
@@ -172,6 +181,21 @@
         newLeader();
     }
 
+    /** Sets the time of day on the leader's VM forward, or back if negative. */
+    void stepTimeOfDay(long byMs) {
+        steppedMs += byMs;
+    }
+
+    /** Suspends the leader's VM, whose monotonic clock then stands still. */
+    void suspendLeader(long forMs) {
+        suspendedMs += forMs;
+        suspendedUntilMs = nowMs + forMs;
+    }
+
+    private long leaderNanos() {
+        return leaderClocks.waitClock().nowNanos();
+    }
+
     void run(long forMs) {
         final long endMs = nowMs + forMs;
         while (nowMs < endMs) {
@@ -179,12 +203,17 @@
             while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
                 events.poll().action().run();
             }
+            final boolean leaderRuns = nowMs >= suspendedUntilMs;
             vms.forEach(vm -> vm.tick().ifPresent(heartbeat -> {
                 receivedHeartbeats.add(new ReceivedHeartbeat(nowMs, heartbeat));
-                registry.recordHeartbeat(heartbeat, nanos(nowMs));
+                if (leaderRuns) {
+                    registry.recordHeartbeat(heartbeat, leaderNanos());
+                }
             }));
-            investigate();
-            if (nowMs > planAfterMs) {
+            if (leaderRuns) {
+                investigate();
+            }
+            if (leaderRuns && nowMs > planAfterMs) {
                 plan();
             }
         }
@@ -193,7 +222,7 @@
     /** Asks the processes at the addresses about contested heartbeats, as the leader does. */
     private void investigate() {
         final VmRegistry asking = registry;
-        for (final IdentityConflict conflict : registry.takeDueConflicts(MAX_CONFLICTS, nanos(nowMs))) {
+        for (final IdentityConflict conflict : registry.takeDueConflicts(MAX_CONFLICTS, leaderNanos())) {
             final IdentityResponse own = identityAt(conflict.heartbeat().address());
             final Optional<IdentityResponse> elsewhere = conflict.rivalElsewhere()
                     .map(rival -> identityAt(rival.heartbeat().address()));
@@ -201,7 +230,7 @@
             schedule(
                     answered ? ROUND_TRIP_MS : PROBE_TIMEOUT_MS,
                     () -> asking.settle(
-                            conflict, conflict.judge(own, elsewhere, true), TIMINGS.silentNanos(), nanos(nowMs)));
+                            conflict, conflict.judge(own, elsewhere, true), TIMINGS.silentNanos(), leaderNanos()));
         }
     }
 
@@ -219,10 +248,10 @@
         final GroupPlanner leader = planner;
         final GroupPlan plan = leader.plan(
                 ENGINE,
-                registry.records(nanos(nowMs)),
+                registry.records(leaderNanos()),
                 observations(),
                 GroupLedger.of(published.state(), POOL),
-                nanos(nowMs));
+                leaderNanos());
         if (commits) {
             plan.commands().forEach(command -> schedule(COMMIT_MS, () -> published.apply(command.encode())));
         }
@@ -240,7 +269,7 @@
                     final long progressedMs =
                             refuses ? refusedSinceMs.get(head.incarnation.vm()) : nowMs - head.stalledMs();
                     return new EndpointObservation(
-                            requestsAt(head), nowMs - progressedMs, nanos(progressedMs), refuses);
+                            requestsAt(head), nowMs - progressedMs, nanos(progressedMs - suspendedMs), refuses);
                 }));
     }
 
@@ -256,12 +285,12 @@
                 vms.stream().filter(each -> each.incarnation.equals(order.vm())).findFirst();
         if (addressed.isEmpty()) {
             // Another writer's VM.
-            schedule(timeoutMs(order), () -> leader.recordResponse(order, OrderResponse.NONE, nanos(nowMs)));
+            schedule(timeoutMs(order), () -> leader.recordResponse(order, OrderResponse.NONE, leaderNanos()));
             return;
         }
         final SimulatedVm vm = addressed.get();
         if (vm.ended && identityAt(vm.address).kind() != IdentityResponse.Kind.NONE) {
-            schedule(ROUND_TRIP_MS, () -> leader.recordResponse(order, OrderResponse.ENDED, nanos(nowMs)));
+            schedule(ROUND_TRIP_MS, () -> leader.recordResponse(order, OrderResponse.ENDED, leaderNanos()));
             return;
         }
         final boolean late = random.nextDouble() < lateOrderFraction;
@@ -269,12 +298,12 @@
             schedule(2_000 + random.nextInt(10_000), () -> executeIfReachable(vm, order));
         }
         if (late || vm.partitioned || vm.silent || vm.ended) {
-            schedule(timeoutMs(order), () -> leader.recordResponse(order, OrderResponse.NONE, nanos(nowMs)));
+            schedule(timeoutMs(order), () -> leader.recordResponse(order, OrderResponse.NONE, leaderNanos()));
             return;
         }
         schedule(5, () -> {
             final OrderResponse response = vm.ended ? OrderResponse.NONE : vm.receive(order);
-            schedule(5, () -> leader.recordResponse(order, response, nanos(nowMs)));
+            schedule(5, () -> leader.recordResponse(order, response, leaderNanos()));
         });
     }
 
--- a/src/test/java/org/wigeongrade/decisions/log/SimulatedNode.java
+++ b/src/test/java/org/wigeongrade/decisions/log/SimulatedNode.java
@@ -50,6 +50,7 @@
     boolean holdsLease(long trueNanos) {
         long localNanos = clockNanos(trueNanos);
         return core.isPresent()
-                && core.get().leaseDeadlineNanos(localNanos).stream().anyMatch(deadline -> localNanos - deadline < 0);
+                && core.get().leaseStartNanos(localNanos).stream()
+                        .anyMatch(start -> localNanos - start < LogTimings.DEFAULT.leaseNanos());
     }
 }
--- a/src/test/java/org/wigeongrade/decisions/outcomes/PreSendCheckTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/PreSendCheckTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.errors.RunStatus;
 
 /** The final check at time 100, with the deadlines of the view lease, serving lease, slot, claim and attempt. */
@@ -24,8 +25,9 @@
     })
     void refusesAPassedDeadline(long view, long serving, long slot, Long claim, long attempt, SendRefusal expected) {
         OptionalLong claimDeadline = claim == null ? OptionalLong.empty() : OptionalLong.of(claim);
-        SendDeadlines facts = new SendDeadlines(view, serving, slot, claimDeadline, attempt);
-        assertThat(PreSendCheck.check(facts, 100)).isEqualTo(Optional.ofNullable(expected));
+        SendDeadlines facts =
+                new SendDeadlines(new LeaseTime(view), new LeaseTime(serving), slot, claimDeadline, attempt);
+        assertThat(PreSendCheck.check(facts, 100, new LeaseTime(100))).isEqualTo(Optional.ofNullable(expected));
     }
 
     @ParameterizedTest
--- a/src/test/java/org/wigeongrade/decisions/routing/CandidateRulesTest.java
+++ b/src/test/java/org/wigeongrade/decisions/routing/CandidateRulesTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
@@ -53,7 +54,7 @@
                     2,
                     cold,
                     Optional.ofNullable(coldHolder),
-                    deadline,
+                    new LeaseTime(deadline),
                     new LoadReport(running, 0, 0),
                     FencingToken.NONE);
         }
@@ -80,7 +81,7 @@
 
     private static RouteContext context(ImmutableSet<EndpointId> excluded, SlotTable slots) {
         RouteRequest request = new RouteRequest(TARGET, ImmutableList.of(), 0, excluded, ZONE, SELF, false);
-        return new RouteContext(request, slots, new PrefixIndex(10), NOW);
+        return new RouteContext(request, slots, new PrefixIndex(10), NOW, new LeaseTime(NOW));
     }
 
     static Stream<Arguments> cases() {
--- a/src/test/java/org/wigeongrade/decisions/routing/UnreachableEndpointsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/routing/UnreachableEndpointsTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.FencingToken;
@@ -43,7 +44,7 @@
                 2,
                 false,
                 Optional.empty(),
-                10_000,
+                new LeaseTime(10_000),
                 new LoadReport(0, 0, 0),
                 FencingToken.NONE);
     }
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.fleet.thrift.UsageRecord;
@@ -24,7 +25,8 @@
     private static final ServiceName SERVICE = ServiceName.of("app");
     private static final long MAX_PAUSE_MS = 5_000;
 
-    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), MAX_PAUSE_MS, 1_200, 0);
+    private final EndpointRegistry registry =
+            new EndpointRegistry(new EventLog(), MAX_PAUSE_MS, 1_200, new LeaseTime(0), 0);
     private long changeNumber;
 
     @ParameterizedTest
@@ -102,6 +104,7 @@
                         List.of(),
                         1,
                         changeNumber,
+                        new LeaseTime(0),
                         0),
                 0);
     }
--- a/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EntryFixture.java
@@ -12,6 +12,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.wigeongrade.clock.LeaseClock;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.balancing.Balancer;
 import org.wigeongrade.decisions.balancing.RetryBudgetShare;
 import org.wigeongrade.decisions.log.Bytes;
@@ -38,6 +40,7 @@
     static final ServiceName SERVICE = ServiceName.of("app");
     static final AvailabilityZone ZONE = AvailabilityZone.of("zone-a");
     static final long CONFIG_APPLY_NANOS = TimeUnit.SECONDS.toNanos(2);
+    static final LeaseClock LEASE_CLOCK = () -> new LeaseTime(System.nanoTime());
 
     /** Each view has another change number, so that its endpoints are applied. */
     private static final AtomicLong CHANGE_NUMBER = new AtomicLong();
@@ -117,6 +120,7 @@
                 relayAddresses,
                 1,
                 CHANGE_NUMBER.incrementAndGet(),
+                new LeaseTime(pullSentNanos),
                 pullSentNanos);
     }
 
@@ -164,6 +168,7 @@
                 events,
                 metrics,
                 System::nanoTime,
+                LEASE_CLOCK,
                 TimeUnit.SECONDS.toNanos(5),
                 CONFIG_APPLY_NANOS);
     }
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
@@ -48,7 +48,8 @@
             throws IOException, InterruptedException, ExecutionException {
         final RoutableRecord silent = endpoint("silent");
         final RoutableRecord other = endpoint("other");
-        final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, 1_200, System.nanoTime());
+        final EndpointRegistry registry =
+                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         registry.apply(
                 EntryFixture.view(EntryFixture.configuration(), Map.of("other", SLOTS - 1), silent, other),
                 System.nanoTime());
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeRelayTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeRelayTest.java
@@ -41,7 +41,8 @@
     private static final long TIMEOUT_S = 10;
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, 1_200, System.nanoTime());
+    private final EndpointRegistry registry =
+            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
     private final RecordingWriter writer = new RecordingWriter();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Queue<String> script = new ConcurrentLinkedQueue<>();
--- a/src/test/java/org/wigeongrade/fleet/entry/PausedNodeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/PausedNodeTest.java
@@ -52,7 +52,8 @@
         "200, 2000"
     })
     void pauseCutsNoStreamAndNoLinks(long afterMs, long pauseMs) throws Exception {
-        final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, 1_200, System.nanoTime());
+        final EndpointRegistry registry =
+                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         final RoutableRecord[] records = new RoutableRecord[ENDPOINTS];
         for (int endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
             records[endpoint] = endpoint("vm-" + endpoint);
--- a/src/test/java/org/wigeongrade/fleet/entry/RefusalCopyTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/RefusalCopyTest.java
@@ -29,7 +29,8 @@
     private static final long TIMEOUT_S = 10;
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, 1_200, System.nanoTime());
+    private final EndpointRegistry registry =
+            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     @AfterEach
--- a/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
@@ -46,7 +46,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final AtomicInteger requests = new AtomicInteger();
     private final List<ServerSocket> endpoints = new ArrayList<>();
-    private final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, 1_200, System.nanoTime());
+    private final EndpointRegistry registry =
+            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
 
     /** What the other endpoint does with the stream. */
     private enum Other {
--- a/src/test/java/org/wigeongrade/fleet/entry/StreamContinuationTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/StreamContinuationTest.java
@@ -66,7 +66,8 @@
                 "200 OK\\r\\nContent-Type: text/event-stream\\r\\n\\r\\ndata: x\\n\\n | stream event aborted",
             })
     void onlyACorrectContinuationFollowsABrokenStream(String response, String expected) throws Exception {
-        final EndpointRegistry registry = new EndpointRegistry(new EventLog(), 60_000, 1_200, System.nanoTime());
+        final EndpointRegistry registry =
+                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         final String[] parts = response.translateEscapes().split("\r\n", 2);
         final String second = "HTTP/1.1 " + parts[0] + "\r\nX-Attempt-Id: attempt\r\nX-Server-Seal: s\r\n" + parts[1];
         registry.apply(
--- a/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.outcomes.PartCompletions;
 import org.wigeongrade.decisions.published.RouteKind;
 import org.wigeongrade.fleet.net.SharedEventLoop;
@@ -33,8 +34,8 @@
     private static final PromptPartId PART = PromptPartId.of("5c1e07a2");
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final EndpointRegistry registry =
-            new EndpointRegistry(new EventLog(), 60_000, HEARTBEAT_MS, System.nanoTime());
+    private final EndpointRegistry registry = new EndpointRegistry(
+            new EventLog(), 60_000, HEARTBEAT_MS, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
     private final RecordingWriter writer = new RecordingWriter();
     private final CountDownLatch ended = new CountDownLatch(1);
 
@@ -121,6 +122,7 @@
                 List.of(),
                 1,
                 pullSentNanos,
+                new LeaseTime(pullSentNanos),
                 pullSentNanos);
     }
 
--- a/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogFailureTest.java
+++ b/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogFailureTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeongrade.clock.SuspendAwareClock;
 import org.wigeongrade.decisions.log.CoreSettings;
 import org.wigeongrade.decisions.log.LogTimings;
 import org.wigeongrade.disk.FaultyFileOperations;
@@ -148,6 +149,7 @@
                 network.transportOf(name),
                 stateMachine,
                 System::nanoTime,
+                new SuspendAwareClock(),
                 new Random(name.hashCode()),
                 100,
                 failure -> failures.put(name, failure));
--- a/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogTest.java
+++ b/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.wigeongrade.clock.SuspendAwareClock;
 import org.wigeongrade.decisions.log.LogTimings;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
@@ -154,7 +155,10 @@
                 FAST,
                 COMPACT_AFTER_ENTRIES);
         stateMachines.put(name, stateMachine);
-        logs.put(name, RaftReplicatedLog.open(settings, stateMachine, failure -> {}));
+        logs.put(
+                name,
+                RaftReplicatedLog.open(
+                        settings, stateMachine, System::nanoTime, new SuspendAwareClock(), failure -> {}));
     }
 
     private void stop(NodeName name) {
