--- a/src/main/java/org/wigeongrade/callers/Attempts.java
+++ b/src/main/java/org/wigeongrade/callers/Attempts.java
@@ -234,7 +234,7 @@
         currentHandle = Optional.empty();
         dispatcher.releaseSlot(attempt.dispatch(), outcome.event());
         if (outcome.event().mayIndicateCrash()) {
-            dispatcher.recordLoss(requestDigest, attempt.dispatch(), outcome.event());
+            dispatcher.recordLoss(requestDigest, attempt.dispatch());
             return;
         }
         dependencies
--- a/src/main/java/org/wigeongrade/callers/Dispatcher.java
+++ b/src/main/java/org/wigeongrade/callers/Dispatcher.java
@@ -117,8 +117,8 @@
     }
 
     /** Records an end of an attempt that a crash of its endpoint would explain. */
-    void recordLoss(String requestDigest, DispatchResult.Ready ready, AttemptEvent event) {
-        links.recordLoss(requestDigest, ready.incarnation(), event);
+    void recordLoss(String requestDigest, DispatchResult.Ready ready) {
+        links.recordLoss(requestDigest, ready.incarnation());
     }
 
     /**
--- a/src/main/java/org/wigeongrade/callers/LinkMonitor.java
+++ b/src/main/java/org/wigeongrade/callers/LinkMonitor.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.wigeongrade.decisions.outcomes.AttemptEvent;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
 import org.wigeongrade.decisions.outcomes.SuspectTable;
 import org.wigeongrade.decisions.reachability.EndpointReachability;
@@ -22,12 +21,12 @@
 /**
  * Probes endpoints when this VM's links to all of them are in doubt, and while they are cut.
  *
- * <p>Invariant: a loss that is observed while the links are in doubt is held until the probes have decided whether it
- * counts against its request. Thread safe: holds no lock of its own.
+ * <p>Invariant: every loss is reported to the leader; one that is observed while the links are in doubt is held until the
+ * probes have decided what this VM believes of them. Thread safe: holds no lock of its own.
  */
 final class LinkMonitor {
     /** The end of an attempt that a crash of its endpoint would explain, and so would a failure of this VM's links. */
-    private record Loss(String requestDigest, EndpointIncarnation endpoint, AttemptEvent event) {}
+    private record Loss(String requestDigest, EndpointIncarnation endpoint, long lostNanos) {}
 
     private final CallerDependencies dependencies;
     private final EndpointLinks links;
@@ -53,9 +52,10 @@
     }
 
     /** Records that an endpoint was lost while it ran a request, or that this VM lost its links to it. */
-    void recordLoss(String requestDigest, EndpointIncarnation endpoint, AttemptEvent event) {
+    void recordLoss(String requestDigest, EndpointIncarnation endpoint) {
         recordFailure(endpoint);
-        undecidedLosses.add(new Loss(requestDigest, endpoint, event));
+        undecidedLosses.add(
+                new Loss(requestDigest, endpoint, dependencies.entry().nowNanos()));
         decideLosses();
     }
 
@@ -67,27 +67,20 @@
         }
     }
 
-    /** Counts the losses so far as crashes, or as none if the links are cut; leaves them while that is in doubt. */
+    /** Reports the losses so far to the leader, with what this VM believes of its links; leaves them while that is in doubt. */
     private void decideLosses() {
         final LinkState state = links.state();
         if (state == LinkState.IN_DOUBT) {
             return;
         }
         final SuspectTable suspects = dependencies.entry().suspects();
-        boolean anyCrash = false;
+        boolean any = false;
         for (Loss loss = undecidedLosses.poll(); loss != null; loss = undecidedLosses.poll()) {
-            if (state.showsEndpointFaults()) {
-                suspects.connectionLost(loss.requestDigest(), loss.endpoint());
-                anyCrash = true;
-            } else {
-                suspects.end(
-                        loss.requestDigest(),
-                        loss.endpoint(),
-                        loss.event(),
-                        dependencies.entry().nowNanos());
-            }
+            suspects.connectionLost(
+                    loss.requestDigest(), loss.endpoint(), !state.showsEndpointFaults(), loss.lostNanos());
+            any = true;
         }
-        if (anyCrash) {
+        if (any) {
             dependencies.requestViewPull().run();
         }
     }
--- a/src/main/java/org/wigeongrade/decisions/membership/AnnouncementTable.java
+++ b/src/main/java/org/wigeongrade/decisions/membership/AnnouncementTable.java
@@ -43,6 +43,11 @@
         byVm.values().removeIf(kept -> nowNanos - kept.leaseDeadlineNanos() > KEEP_EXPIRED_NANOS);
     }
 
+    /** Returns the latest announcement of a VM, even if its lease has ended. */
+    public synchronized Optional<Announcement> latest(VmName vm) {
+        return Optional.ofNullable(byVm.get(vm));
+    }
+
     /** Returns the announcement of a VM if its lease is valid at {@code nowNanos}. */
     public synchronized Optional<Announcement> live(VmName vm, long nowNanos) {
         return Optional.ofNullable(byVm.get(vm)).filter(kept -> isLive(kept, nowNanos));
--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -25,7 +26,7 @@
  * <p>Invariants: a part is quarantined only if it was in flight, in different requests, at several endpoints that were
  * lost since the last complete response to a request with it, and no other part explains more of these losses. A loss
  * that a quarantined part explains counts against nothing else. At most one request with a quarantined part is sent
- * between two extensions of its quarantine. All times are on the leader's monotonic clock. Not thread safe.
+ * between two extensions of its quarantine. All times are on the leader's wait clock. Not thread safe.
  */
 public final class CrashAttribution {
     /** Endpoints lost with a request in flight after which the same request is not sent again. */
@@ -65,7 +66,7 @@
     private static final long WANTED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** What was in flight at one lost endpoint, by request digest. */
-    private record Loss(long lostNanos, Map<String, ImmutableSet<PromptPartId>> requests) {
+    private record Loss(long lostNanos, long countedNanos, Map<String, ImmutableSet<PromptPartId>> requests) {
         boolean involves(PromptPartId part) {
             return requests.values().stream().anyMatch(parts -> parts.contains(part));
         }
@@ -81,6 +82,7 @@
     /** A quarantined part; see {@link PartQuarantine}. */
     private static final class Quarantined {
         private final long sinceNanos;
+        private final boolean adopted;
         private long untilNanos;
         private int failedTrials;
         private Optional<NodeName> trialHolder = Optional.empty();
@@ -88,13 +90,19 @@
         private Optional<NodeName> wantedBy = Optional.empty();
         private long wantedNanos;
 
-        Quarantined(long sinceNanos, long untilNanos, int failedTrials) {
+        Quarantined(long sinceNanos, long untilNanos, int failedTrials, boolean adopted) {
             this.sinceNanos = sinceNanos;
+            this.adopted = adopted;
             this.untilNanos = untilNanos;
             this.failedTrials = failedTrials;
             this.wantedNanos = sinceNanos;
         }
 
+        /** Returns whether only the losses that this leader knows speak against the part. */
+        boolean restsOnLosses() {
+            return !adopted && failedTrials == 0;
+        }
+
         void extend(long nowNanos) {
             failedTrials++;
             untilNanos = nowNanos + (QUARANTINE_NANOS << Math.min(failedTrials, MAX_QUARANTINE_DOUBLINGS));
@@ -122,9 +130,17 @@
         answeringNanos = 2 * reportingNanos;
     }
 
-    /** Records that a request was in flight at an endpoint that was lost. */
+    /** Records that a request was in flight at an endpoint that was lost just now. */
     public void recordLoss(EndpointIncarnation endpoint, String requestDigest, Set<PromptPartId> parts, long nowNanos) {
-        final Loss loss = losses.computeIfAbsent(endpoint, unused -> new Loss(nowNanos, new HashMap<>()));
+        recordLoss(new ReportedLoss(endpoint, requestDigest, parts, nowNanos, false), nowNanos);
+    }
+
+    /** Records that a request was in flight at an endpoint that was lost. */
+    public void recordLoss(ReportedLoss reported, long nowNanos) {
+        final String requestDigest = reported.requestDigest();
+        final Set<PromptPartId> parts = reported.promptParts();
+        final Loss loss = losses.computeIfAbsent(
+                reported.endpoint(), unused -> new Loss(reported.lostNanos(), nowNanos, new HashMap<>()));
         if (loss.requests().size() < MAX_REQUESTS_OF_LOSS) {
             loss.requests().put(requestDigest, ImmutableSet.copyOf(parts));
         }
@@ -139,6 +155,21 @@
                 .forEach(part -> part.extend(nowNanos));
     }
 
+    /**
+     * Forgets the loss of an endpoint that turned out to have gone on, and releases the parts against which too little
+     * is left.
+     */
+    public void withdrawLoss(EndpointIncarnation endpoint) {
+        final Loss withdrawn = losses.remove(endpoint);
+        if (withdrawn != null) {
+            quarantined
+                    .entrySet()
+                    .removeIf(entry -> withdrawn.involves(entry.getKey())
+                            && entry.getValue().restsOnLosses()
+                            && lossesOfPart(entry.getKey()) < LOSSES_OF_PART);
+        }
+    }
+
     /** Records the complete responses that an entry node has seen to requests with a part in question. */
     public void recordCompletions(NodeName entryNode, PromptPartId part, PartCompletions seen) {
         if (inQuestionSinceNanos.containsKey(part) || quarantined.containsKey(part)) {
@@ -157,7 +188,7 @@
     /** Takes over a quarantine that an earlier leader decided, as an entry node knows it. */
     public void adopt(PartQuarantine known, long nowNanos) {
         quarantined.computeIfAbsent(
-                known.part(), unused -> new Quarantined(nowNanos, known.untilNanos(), known.failedTrials()));
+                known.part(), unused -> new Quarantined(nowNanos, known.untilNanos(), known.failedTrials(), true));
     }
 
     /** Takes over the quarantine of a request that an earlier leader decided, as an entry node knows it. */
@@ -184,7 +215,7 @@
         grantTrials(nowNanos);
         for (List<PromptPartId> next = nextToQuarantine(nowNanos); !next.isEmpty(); next = nextToQuarantine(nowNanos)) {
             final long forNanos = next.size() == 1 ? QUARANTINE_NANOS : EARLY_TRIAL_NANOS;
-            next.forEach(part -> quarantined.put(part, new Quarantined(nowNanos, nowNanos + forNanos, 0)));
+            next.forEach(part -> quarantined.put(part, new Quarantined(nowNanos, nowNanos + forNanos, 0, false)));
         }
         return true;
     }
@@ -237,7 +268,7 @@
         final Map<String, Long> untilNanos = new HashMap<>(adoptedRequests);
         lostNanosByRequest.forEach((digest, lostNanos) -> {
             if (lostNanos.size() >= LOSSES_OF_REQUEST) {
-                // The losses are in the order of their times.
+                lostNanos.sort(Comparator.naturalOrder());
                 final long decidingNanos = lostNanos.get(lostNanos.size() - LOSSES_OF_REQUEST);
                 untilNanos.merge(digest, decidingNanos + LOSS_NANOS, CrashAttribution::later);
             }
@@ -305,7 +336,7 @@
     private List<Evidence> evidence(long nowNanos) {
         final Map<PromptPartId, List<Loss>> lossesByPart = new HashMap<>();
         for (final Loss loss : unexplained()) {
-            if (nowNanos - loss.lostNanos() >= reportingNanos) {
+            if (nowNanos - loss.countedNanos() >= reportingNanos) {
                 loss.requests().values().stream()
                         .flatMap(Collection::stream)
                         .distinct()
--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashReport.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashReport.java
@@ -2,26 +2,18 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.util.Set;
-import org.wigeongrade.ids.PromptPartId;
 
 /**
  * What an entry VM tells the leader in each exchange: which requests were in flight at endpoints that were lost, and
  * which suspect requests have completed since. Applying a report twice has no effect, so it is sent until it is
  * acknowledged. Immutable; safe for use from any thread.
  */
-public record CrashReport(long sequence, Set<Loss> losses, Set<Completion> completions) {
+public record CrashReport(long sequence, Set<ReportedLoss> losses, Set<Completion> completions) {
     public CrashReport {
         losses = ImmutableSet.copyOf(losses);
         completions = ImmutableSet.copyOf(completions);
     }
 
-    /** A request that was in flight at an endpoint when the endpoint was lost, with the parts that others may share. */
-    public record Loss(String requestDigest, EndpointIncarnation incarnation, Set<PromptPartId> promptParts) {
-        public Loss {
-            promptParts = ImmutableSet.copyOf(promptParts);
-        }
-    }
-
     /**
      * The digest of a suspect request for which an endpoint returned a complete response, which shows that it does not
      * crash endpoints.
--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashSuspects.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashSuspects.java
@@ -42,7 +42,7 @@
         acknowledged.put(entryVm, report.sequence());
         report.completions().forEach(completion -> suspects.remove(completion.requestDigest()));
         ImmutableList.Builder<QuarantineProposal> proposals = ImmutableList.builder();
-        for (CrashReport.Loss loss : report.losses()) {
+        for (ReportedLoss loss : report.losses()) {
             recordLoss(loss, nowNanos).ifPresent(proposals::add);
         }
         return proposals.build();
@@ -69,9 +69,15 @@
         return new SuspectList(acknowledged.getOrDefault(entryVm, 0L), listed.build(), quarantined);
     }
 
-    private Optional<QuarantineProposal> recordLoss(CrashReport.Loss loss, long nowNanos) {
+    /** Forgets the loss of an endpoint that turned out to have gone on; a request without another one is no suspect. */
+    public synchronized void withdrawLoss(EndpointIncarnation endpoint) {
+        suspects.values()
+                .removeIf(suspect -> suspect.lostEndpoints.remove(endpoint) && suspect.lostEndpoints.isEmpty());
+    }
+
+    private Optional<QuarantineProposal> recordLoss(ReportedLoss loss, long nowNanos) {
         Suspect suspect = suspects.computeIfAbsent(loss.requestDigest(), digest -> new Suspect());
-        suspect.lostEndpoints.add(loss.incarnation());
+        suspect.lostEndpoints.add(loss.endpoint());
         suspect.expiresAtNanos = nowNanos + suspectNanos;
         if (suspect.lostEndpoints.size() < LOSSES_FOR_QUARANTINE) {
             return Optional.empty();
--- a/src/main/java/org/wigeongrade/decisions/outcomes/SuspectTable.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/SuspectTable.java
@@ -7,6 +7,8 @@
 import com.google.common.collect.Multiset;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +29,9 @@
  * <p>Thread safety: every method locks this object and acquires no other lock while holding it.
  */
 public final class SuspectTable {
+    /** Losses that wait for a leader; several times what an entry VM has in flight. */
+    private static final int MAX_LOSSES = 1_024;
+
     private final NodeName self;
     private final long exchangeIntervalMs;
     private final Map<EndpointIncarnation, Multiset<String>> inFlight = new HashMap<>();
@@ -35,11 +40,14 @@
     private final Map<String, EndpointId> trials = new HashMap<>();
     private final Map<String, Long> trialDeadlinesNanos = new HashMap<>();
     private final Map<String, Long> wantedUntilNanos = new HashMap<>();
-    private final Set<CrashReport.Loss> losses = new HashSet<>();
+    /** In the order in which they occurred. */
+    private final Set<ReportedLoss> losses = new LinkedHashSet<>();
+
     private final Set<CrashReport.Completion> completions = new HashSet<>();
     private Set<String> fleetSuspects = ImmutableSet.of();
     private Set<String> quarantined = ImmutableSet.of();
     private long sequence;
+    private int droppedLosses;
 
     /** @param exchangeIntervalMs time between two exchanges with the leader, in milliseconds */
     public SuspectTable(NodeName self, long exchangeIntervalMs) {
@@ -89,23 +97,23 @@
         if (event == AttemptEvent.ANSWERED) {
             quarantinedParts.recordCompleted(partsOf(requestDigest), nowNanos);
         }
-        boolean wasSuspect = isSuspect(requestDigest);
+        boolean wasReported = isSuspect(requestDigest) || losses.stream().anyMatch(loss -> isOf(requestDigest, loss));
         removeInFlight(requestDigest, incarnation);
-        if (wasSuspect && event == AttemptEvent.ANSWERED) {
-            losses.removeIf(loss -> loss.requestDigest().equals(requestDigest));
+        if (wasReported && event == AttemptEvent.ANSWERED) {
+            losses.removeIf(loss -> isOf(requestDigest, loss));
             completions.add(new CrashReport.Completion(requestDigest, incarnation));
             sequence++;
         }
     }
 
     /** Marks each request in flight at a lost endpoint as a suspect. */
-    public synchronized void endpointLost(EndpointIncarnation incarnation) {
+    public synchronized void endpointLost(EndpointIncarnation incarnation, long nowNanos) {
         Multiset<String> digests = inFlight.remove(incarnation);
         if (digests == null) {
             return;
         }
         for (String digest : digests.elementSet()) {
-            losses.add(new CrashReport.Loss(digest, incarnation, partsOf(digest)));
+            addLoss(new ReportedLoss(incarnation, digest, partsOf(digest), nowNanos, false));
             completions.removeIf(completion -> completion.requestDigest().equals(digest));
             trials.remove(digest);
             trialDeadlinesNanos.remove(digest);
@@ -115,10 +123,12 @@
     }
 
     /**
-     * Marks one request as a suspect because its connection failed in a way that a crash of the endpoint would explain.
+     * Reports one request whose connection failed in a way that a crash of the endpoint would explain. Marks it as a
+     * suspect, unless this VM's own links may be the cause; then the leader decides.
      */
-    public synchronized void connectionLost(String requestDigest, EndpointIncarnation incarnation) {
-        losses.add(new CrashReport.Loss(requestDigest, incarnation, partsOf(requestDigest)));
+    public synchronized void connectionLost(
+            String requestDigest, EndpointIncarnation incarnation, boolean linksDoubted, long nowNanos) {
+        addLoss(new ReportedLoss(incarnation, requestDigest, partsOf(requestDigest), nowNanos, linksDoubted));
         removeInFlight(requestDigest, incarnation);
         trialDeadlinesNanos.remove(requestDigest);
         sequence++;
@@ -207,6 +217,27 @@
 
     private boolean isSuspect(String requestDigest) {
         return fleetSuspects.contains(requestDigest)
-                || losses.stream().anyMatch(loss -> loss.requestDigest().equals(requestDigest));
+                || losses.stream().anyMatch(loss -> isOf(requestDigest, loss) && !loss.linksDoubted());
+    }
+
+    private static boolean isOf(String requestDigest, ReportedLoss loss) {
+        return loss.requestDigest().equals(requestDigest);
+    }
+
+    private void addLoss(ReportedLoss loss) {
+        losses.add(loss);
+        if (losses.size() > MAX_LOSSES) {
+            final Iterator<ReportedLoss> oldest = losses.iterator();
+            final ReportedLoss unused = oldest.next();
+            oldest.remove();
+            droppedLosses++;
+        }
+    }
+
+    /** Returns how many losses were given up since the last call, as too many waited for a leader. */
+    public synchronized int drainDroppedLosses() {
+        final int dropped = droppedLosses;
+        droppedLosses = 0;
+        return dropped;
     }
 }
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderLoop.java
@@ -157,7 +157,7 @@
             endTerm("a newer term");
             latestTerm = latestTerm
                     .filter(led -> led.term() == term)
-                    .or(() -> Optional.of(new LeaderTerm(term, timings, events, waitClock.nowNanos())));
+                    .or(() -> Optional.of(new LeaderTerm(term, timings, registry, events, waitClock.nowNanos())));
             viewConfirmations.beginTerm(waitClock.nowNanos());
             currentTerm = latestTerm;
             events.write(LogEvent.LEADER_ELECTED, self, term);
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.discovery.VmRecord;
+import org.wigeongrade.decisions.discovery.VmRegistry;
 import org.wigeongrade.decisions.grouping.EndpointObservation;
 import org.wigeongrade.decisions.grouping.GroupLedger;
 import org.wigeongrade.decisions.grouping.GroupOrder;
@@ -19,6 +21,9 @@
 import org.wigeongrade.decisions.grouping.OrderResponse;
 import org.wigeongrade.decisions.grouping.ServingGroup;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.decisions.outcomes.LossEvidence;
+import org.wigeongrade.decisions.outcomes.ReportedLoss;
+import org.wigeongrade.decisions.outcomes.VmSighting;
 import org.wigeongrade.decisions.published.EngineProfile;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
@@ -36,6 +41,7 @@
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.nodes.CrashQuarantine;
+import org.wigeongrade.nodes.PromptPartRecords;
 
 /**
  * The in-memory state of a leader for one term: groups, routable endpoints, reports of entry nodes and quarantine.
@@ -52,6 +58,7 @@
 
     private final long term;
     private final GroupTimings timings;
+    private final VmRegistry registry;
     private final EventLog events;
     private final long startedNanos;
     private final Map<ServiceName, GroupPlanner> planners = new HashMap<>();
@@ -64,12 +71,17 @@
     /** Whether heartbeats have come in for long enough to plan; until then, existing groups are only taken over. */
     private boolean settled;
 
-    LeaderTerm(long term, GroupTimings timings, EventLog events, long nowNanos) {
+    LeaderTerm(long term, GroupTimings timings, VmRegistry registry, EventLog events, long nowNanos) {
         this.term = term;
         this.timings = timings;
+        this.registry = registry;
         this.events = events;
         this.startedNanos = nowNanos;
-        this.quarantine = new CrashQuarantine(TimeUnit.MILLISECONDS.toNanos(FleetTimings.PULL_INTERVAL_MS), events);
+        this.quarantine = new CrashQuarantine(
+                TimeUnit.MILLISECONDS.toNanos(FleetTimings.PULL_INTERVAL_MS),
+                new LossEvidence(timings.heartbeatNanos(), nowNanos),
+                this::sightingOf,
+                events);
     }
 
     long term() {
@@ -177,14 +189,27 @@
                         vm.vm().vm(), new RoutableEndpointTable.RoutableEndpoint(vm, Optional.empty(), 1, false)));
     }
 
+    /** Returns the latest heartbeat of an endpoint's VM, or what an entry node received from it later. */
+    private Optional<VmSighting> sightingOf(EndpointIncarnation endpoint) {
+        return registry.find(VmName.of(endpoint.endpoint().value())).map(known -> {
+            final OptionalLong progressNanos = entryReports.lastProgressNanos(known.vm());
+            final long heardNanos = progressNanos.isPresent() && progressNanos.getAsLong() - known.receivedNanos() > 0
+                    ? progressNanos.getAsLong()
+                    : known.receivedNanos();
+            return new VmSighting(known.vm().incarnation(), heardNanos, known.ended());
+        });
+    }
+
     private void handleCrashes(
             NodeName node, PullRequest request, boolean firstOfTerm, PullReply reply, long nowNanos) {
         request.getCrashes()
-                .forEach(crash -> quarantine.recordLoss(
+                .forEach(crash -> quarantine.recordLoss(new ReportedLoss(
                         new EndpointIncarnation(EndpointId.of(crash.getVm()), crash.getIncarnation()),
                         crash.getRequestDigest(),
-                        crash.getPromptParts(),
-                        nowNanos));
+                        PromptPartRecords.partsFromThrift(crash.getPromptParts()),
+                        nowNanos - TimeUnit.MILLISECONDS.toNanos(crash.getAgeMs()),
+                        crash.isLinksDoubted())));
+        final var unused = quarantine.decideLosses(nowNanos);
         quarantine.recordReport(
                 node,
                 request.getPartCompletions(),
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -258,7 +258,7 @@
         services.endpointLinks().recordFailure(endpoint);
         final String digest = exchange.digest();
         exchange.log().lost(endpoint, exchange.request(), digest, elapsedMs(), events, cause);
-        services.registry().recordCrash(digest, exchange.request().sharedPromptParts(), endpoint);
+        services.registry().recordCrash(digest, exchange.request().sharedPromptParts(), endpoint, services.nowNanos());
     }
 
     private void finishStream() {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -17,13 +17,16 @@
 import org.wigeongrade.decisions.balancing.EngineLatencyModel;
 import org.wigeongrade.decisions.balancing.LearnedOverhead;
 import org.wigeongrade.decisions.balancing.SendRestriction;
+import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
+import org.wigeongrade.decisions.outcomes.ReportedLoss;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
 import org.wigeongrade.decisions.reachability.LinkState;
 import org.wigeongrade.fleet.thrift.CrashRecord;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.fleet.thrift.UsageRecord;
+import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.ModelVersionName;
 import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.ids.ServiceName;
@@ -31,6 +34,7 @@
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
 import org.wigeongrade.logging.LogEvent;
+import org.wigeongrade.metrics.Metrics;
 
 /**
  * The endpoints of the latest view, each with the load and the failures that this node observed there. Used on the
@@ -60,18 +64,23 @@
     private final Map<VmName, EndpointLoad> routable = new HashMap<>();
     private final List<EndpointLoad> retired = new ArrayList<>();
     private final QuarantinedParts quarantinedParts = new QuarantinedParts();
-    private final List<CrashRecord> crashes = new ArrayList<>();
+    private final CrashReports crashReports;
     private final Map<VmName, String> faultyVms = new HashMap<>();
     private ImmutableMap<ModelVersionName, EngineLatencyModel> engines = ImmutableMap.of();
     private EntryView view;
+    /** Term of the latest leader that was settled; 0 before the first. */
+    private long latestTerm;
+
     private LinkState linkState = LinkState.WORKING;
 
     /**
      * @param maxPauseMs longest pause that an endpoint may ask for; longer ones are shortened to it
      * @param heartbeatMs usual time between two heartbeats of an endpoint
      */
-    EndpointRegistry(EventLog events, long maxPauseMs, long heartbeatMs, LeaseTime now, long nowNanos) {
+    EndpointRegistry(
+            EventLog events, Metrics metrics, long maxPauseMs, long heartbeatMs, LeaseTime now, long nowNanos) {
         this.events = events;
+        this.crashReports = new CrashReports(events, metrics);
         this.limits = new EndpointLimits(restrictions, events);
         this.maxPauseMs = maxPauseMs;
         this.crashNoticedNanos = TimeUnit.MILLISECONDS.toNanos(MISSED_HEARTBEATS_OF_CRASHED * heartbeatMs);
@@ -95,6 +104,13 @@
                 next.inFlightElsewhere().getOrDefault(vm.value(), 0),
                 next.unreadTokensElsewhere().getOrDefault(vm.value(), 0)));
         retired.removeIf(load -> load.inFlight() == 0);
+        crashReports.confirmSent(nowNanos);
+        if (next.isSettled()) {
+            if (latestTerm != 0 && next.term() != latestTerm) {
+                crashReports.repeatForNewLeader();
+            }
+            latestTerm = next.term();
+        }
         quarantinedParts.apply(next.quarantinedParts(), next.partsInQuestion());
         if (next.isSettled()) {
             quarantinedParts.confirmCompleted(aliveEndpoints(), next.pullSentNanos() - crashNoticedNanos);
@@ -152,13 +168,12 @@
     }
 
     /**
-     * Sets the state of this node's links. What looked like faults of endpoints while the links were cut is forgotten:
-     * lost requests are not reported as crashes, and no endpoint is avoided.
+     * Sets the state of this node's links. No endpoint is avoided for what was observed while the links were cut; lost
+     * requests are reported with that doubt.
      */
     void setLinkState(LinkState next) {
-        if (next == LinkState.CUT && !crashes.isEmpty()) {
-            events.write(LogEvent.CRASH_REPORTS_DROPPED, crashes.size());
-            crashes.clear();
+        if (next == LinkState.CUT) {
+            crashReports.doubtUnreported();
         }
         if (linkState == LinkState.CUT) {
             routable.values().forEach(EndpointLoad::forgetFailures);
@@ -167,14 +182,15 @@
     }
 
     /** Records that a request was in flight at an endpoint when the connection failed. */
-    void recordCrash(String requestDigest, Set<PromptPartId> promptParts, EndpointLoad load) {
+    void recordCrash(String requestDigest, Set<PromptPartId> promptParts, EndpointLoad load, long nowNanos) {
         quarantinedParts.recordLost(load.vm());
-        if (linkState == LinkState.CUT) {
-            return;
-        }
-        crashes.add(new CrashRecord(
-                        requestDigest, load.vm().vm().value(), load.vm().incarnation())
-                .setPromptParts(promptParts.stream().map(PromptPartId::value).toList()));
+        crashReports.add(new ReportedLoss(
+                new EndpointIncarnation(
+                        EndpointId.of(load.vm().vm().value()), load.vm().incarnation()),
+                requestDigest,
+                promptParts,
+                nowNanos,
+                linkState == LinkState.CUT));
     }
 
     /** Records that an endpoint stated that it leaves; it gets no new requests from now on. */
@@ -233,19 +249,9 @@
         return quarantinedParts;
     }
 
-    /** Returns and removes the crashes since the last call; none while this node's own links may be the cause. */
-    ImmutableList<CrashRecord> drainCrashes() {
-        if (!linkState.showsEndpointFaults()) {
-            return ImmutableList.of();
-        }
-        final ImmutableList<CrashRecord> drained = ImmutableList.copyOf(crashes);
-        crashes.clear();
-        return drained;
-    }
-
-    /** Puts back crashes whose report did not reach the leader. */
-    void restoreCrashes(List<CrashRecord> unreported) {
-        crashes.addAll(unreported);
+    /** Returns the lost requests that the leader does not have yet, for a pull. */
+    ImmutableList<CrashRecord> unreportedCrashes(long nowNanos) {
+        return crashReports.next(linkState, nowNanos);
     }
 
     private UsageRecord usageOf(EndpointLoad load, long nowNanos) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryNode.java
@@ -113,6 +113,7 @@
                 settings.seeds().stream().map(NodeAddress::ip).toList());
         this.registry = new EndpointRegistry(
                 events,
+                metrics,
                 settings.ms(FleetKey.MAX_PAUSE_S),
                 settings.ms(FleetKey.HEARTBEAT_MS),
                 clocks.leaseClock().now(),
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -130,11 +130,9 @@
                 }
                 return true;
             }
-            restoreCrashes(request.getCrashes());
             knownLeader =
                     Optional.of(reply.getLeader()).filter(leader -> !leader.isEmpty() && !leader.equals(controlVm));
         } catch (TException | IllegalArgumentException e) {
-            restoreCrashes(request.getCrashes());
             knownLeader = Optional.empty();
             logFirstFailure(controlVm, e);
         }
@@ -179,7 +177,7 @@
     private PullRequest buildRequest() {
         final EntryView view = registry.view();
         final ImmutableList<UsageRecord> usage = registry.drainUsage(waitClock.nowNanos());
-        final ImmutableList<CrashRecord> crashes = registry.drainCrashes();
+        final ImmutableList<CrashRecord> crashes = registry.unreportedCrashes(waitClock.nowNanos());
         final PullRequest request = new PullRequest(
                 self.value(), zone.value(), view.version(), view.term(), view.changeNumber(), usage, crashes);
         final long nowNanos = waitClock.nowNanos();
@@ -255,15 +253,6 @@
                 knownDocument.version(), knownDocument.document().array()));
     }
 
-    private void restoreCrashes(List<CrashRecord> crashes) throws InterruptedException {
-        if (!crashes.isEmpty()) {
-            callOnEventLoop(() -> {
-                registry.restoreCrashes(crashes);
-                return ImmutableMap.of();
-            });
-        }
-    }
-
     private void logFirstFailure(String controlVm, Exception cause) {
         if (!failing) {
             failing = true;
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -89,7 +89,9 @@
             "links to endpoints are {state}: endpoints {failed} failed since a connection was last opened; {elapsed_ms}"
                     + " ms in the state before, {peers} entry nodes take requests"),
     CRASH_REPORTS_DROPPED(
-            1513, Level.INFO, "{count} lost requests are not reported as crashes, as the links to endpoints are cut"),
+            1513,
+            Level.INFO,
+            "{count} reports of lost requests are given up, the oldest first, as too many wait for a leader"),
     ENDPOINT_WITHDRAWAL(1514, Level.INFO, "endpoint VM {vm} leaves, up to heartbeat {sequence}: {outcome}"),
     ENDPOINT_CONTESTED(
             1515,
@@ -99,6 +101,10 @@
             1516, Level.INFO, "heartbeat of {vm} at {address} is {outcome}: {verdict}; it contradicted {others}"),
     ENDPOINT_QUESTION_UNANSWERED(
             1517, Level.INFO, "the question whether {vm} is at {address} got no response: {cause}"),
+    ENDPOINT_LOSS_DECIDED(
+            1518,
+            Level.INFO,
+            "the loss of endpoint {endpoint} {outcome}: {verdict}; {requests} requests were in flight"),
 
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
     REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
--- a/src/main/java/org/wigeongrade/metrics/MetricName.java
+++ b/src/main/java/org/wigeongrade/metrics/MetricName.java
@@ -16,6 +16,9 @@
     LOST_IN_FLIGHT(
             "wigeongrade_requests_lost_total",
             "Requests in flight at an endpoint when its connection failed, which a crash of the endpoint may explain."),
+    LOST_REPORTS_DROPPED(
+            "wigeongrade_lost_reports_dropped_total",
+            "Reports of lost requests that this node gave up, because too many waited for a leader."),
     ENDPOINT_CONNECTIONS(
             "wigeongrade_endpoint_connections_total", "Attempts to open a connection to an endpoint, by outcome."),
     RELAYED("wigeongrade_requests_relayed_total", "Requests sent to another entry VM because no endpoint was reached."),
--- a/src/main/java/org/wigeongrade/metrics/Metrics.java
+++ b/src/main/java/org/wigeongrade/metrics/Metrics.java
@@ -43,6 +43,7 @@
     private final Counter invalidResponses = counter(MetricName.INVALID_RESPONSES, "reason");
     private final Counter retries = counter(MetricName.RETRIES, "reason");
     private final Counter lostInFlight = counter(MetricName.LOST_IN_FLIGHT);
+    private final Counter lostReportsDropped = counter(MetricName.LOST_REPORTS_DROPPED);
     private final Counter endpointConnections = counter(MetricName.ENDPOINT_CONNECTIONS, "outcome");
     private final Counter relayed = counter(MetricName.RELAYED);
     private final Gauge endpointLinksCut = gauge(MetricName.ENDPOINT_LINKS_CUT);
@@ -118,6 +119,11 @@
         lostInFlight.inc();
     }
 
+    /** Counts reports of lost requests that are given up. */
+    public void countLostReportsDropped(int reports) {
+        lostReportsDropped.inc(reports);
+    }
+
     /** Counts one attempt to open a connection to an endpoint. */
     public void countEndpointConnection(ConnectionOutcome outcome) {
         endpointConnections.labelValues(outcome.code()).inc();
--- a/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
+++ b/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
@@ -6,8 +6,12 @@
 import com.google.common.collect.Sets;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.wigeongrade.decisions.outcomes.CrashAttribution;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.decisions.outcomes.LossEvidence;
+import org.wigeongrade.decisions.outcomes.ReportedLoss;
+import org.wigeongrade.decisions.outcomes.VmSighting;
 import org.wigeongrade.fleet.thrift.PartCompletionRecord;
 import org.wigeongrade.fleet.thrift.QuarantinedPartRecord;
 import org.wigeongrade.fleet.thrift.QuarantinedRequestRecord;
@@ -20,25 +24,57 @@
  * Feeds what entry nodes report with their pulls to {@link CrashAttribution}, and tells them what must not be sent.
  *
  * <p>Invariant: the reply to a node's first pull from a new leader contains what that node knew of an earlier leader's
- * quarantine, so that a change of leader releases nothing. Thread safe: every method locks this object and acquires no
- * other lock while holding it.
+ * quarantine, so that a change of leader releases nothing. Thread safe: every method locks this object; the lock of what
+ * returns the sightings is acquired after it.
  */
 public final class CrashQuarantine {
+    private final LossEvidence evidence;
     private final CrashAttribution attribution;
+    private final Function<EndpointIncarnation, Optional<VmSighting>> sightings;
     private final EventLog events;
     private ImmutableMap<String, Long> requests = ImmutableMap.of();
     private ImmutableSet<PromptPartId> loggedParts = ImmutableSet.of();
 
-    /** @param pullIntervalNanos time between two pulls of an entry node */
-    public CrashQuarantine(long pullIntervalNanos, EventLog events) {
+    /**
+     * Creates the state of one leader's term.
+     *
+     * @param pullIntervalNanos time between two pulls of an entry node
+     * @param evidence decides which reported losses were crashes
+     * @param sightings the latest sign of life of an endpoint's VM
+     */
+    public CrashQuarantine(
+            long pullIntervalNanos,
+            LossEvidence evidence,
+            Function<EndpointIncarnation, Optional<VmSighting>> sightings,
+            EventLog events) {
         this.attribution = new CrashAttribution(pullIntervalNanos);
+        this.evidence = evidence;
+        this.sightings = sightings;
         this.events = events;
     }
 
-    /** Records that a request was in flight at an endpoint that was lost; {@code promptParts} may be null. */
-    public synchronized void recordLoss(
-            EndpointIncarnation endpoint, String requestDigest, List<String> promptParts, long nowNanos) {
-        attribution.recordLoss(endpoint, requestDigest, PromptPartRecords.partsFromThrift(promptParts), nowNanos);
+    /** Records that a request was in flight at an endpoint that an entry node lost. */
+    public synchronized void recordLoss(ReportedLoss loss) {
+        evidence.record(loss);
+    }
+
+    /** Decides which reported losses were crashes, and returns what has changed. */
+    public synchronized ImmutableList<LossEvidence.Decision> decideLosses(long nowNanos) {
+        final ImmutableList<LossEvidence.Decision> decisions = evidence.decide(sightings, nowNanos);
+        for (final LossEvidence.Decision decision : decisions) {
+            if (decision.verdict().isCounted()) {
+                decision.losses().forEach(loss -> attribution.recordLoss(loss, nowNanos));
+            } else {
+                attribution.withdrawLoss(decision.endpoint());
+            }
+            events.write(
+                    LogEvent.ENDPOINT_LOSS_DECIDED,
+                    decision.endpoint(),
+                    decision.verdict().isCounted() ? "counts as a crash" : "was no crash",
+                    decision.verdict().code(),
+                    decision.losses().size());
+        }
+        return decisions;
     }
 
     /**
--- a/src/main/java/org/wigeongrade/nodes/CrashRecords.java
+++ b/src/main/java/org/wigeongrade/nodes/CrashRecords.java
@@ -5,8 +5,10 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.outcomes.CrashReport;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.decisions.outcomes.ReportedLoss;
 import org.wigeongrade.decisions.outcomes.SuspectList;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
@@ -19,12 +21,14 @@
 public final class CrashRecords {
     private CrashRecords() {}
 
-    public static CrashReportRecord toThrift(CrashReport report, Collection<String> wantedTrials) {
+    public static CrashReportRecord toThrift(CrashReport report, Collection<String> wantedTrials, long nowNanos) {
         final CrashReportRecord record = new CrashReportRecord();
         record.setSequence(report.sequence());
         record.setLosses(report.losses().stream()
-                .map(loss -> runRecord(loss.requestDigest(), loss.incarnation())
-                        .setPromptParts(PromptPartRecords.partsToThrift(loss.promptParts())))
+                .map(loss -> runRecord(loss.requestDigest(), loss.endpoint())
+                        .setPromptParts(PromptPartRecords.partsToThrift(loss.promptParts()))
+                        .setAgeMs(TimeUnit.NANOSECONDS.toMillis(nowNanos - loss.lostNanos()))
+                        .setLinksDoubted(loss.linksDoubted()))
                 .toList());
         record.setCompletions(report.completions().stream()
                 .map(completion -> runRecord(completion.requestDigest(), completion.incarnation()))
@@ -33,14 +37,16 @@
         return record;
     }
 
-    public static CrashReport fromThrift(CrashReportRecord record) {
+    public static CrashReport fromThrift(CrashReportRecord record, long nowNanos) {
         return new CrashReport(
                 record.getSequence(),
                 record.getLosses().stream()
-                        .map(run -> new CrashReport.Loss(
-                                run.getRequestDigest(),
+                        .map(run -> new ReportedLoss(
                                 incarnationOf(run),
-                                PromptPartRecords.partsFromThrift(run.getPromptParts())))
+                                run.getRequestDigest(),
+                                PromptPartRecords.partsFromThrift(run.getPromptParts()),
+                                nowNanos - TimeUnit.MILLISECONDS.toNanos(run.getAgeMs()),
+                                run.isLinksDoubted()))
                         .collect(ImmutableSet.toImmutableSet()),
                 record.getCompletions().stream()
                         .map(run -> new CrashReport.Completion(run.getRequestDigest(), incarnationOf(run)))
--- a/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
+++ b/src/main/java/org/wigeongrade/nodes/control/ControlRole.java
@@ -122,7 +122,7 @@
         }
         final long term = log.term();
         if (leaderState.filter(known -> known.term() == term).isEmpty()) {
-            leaderState = Optional.of(new LeaderState(term, log.leaderSinceNanos(), timings, events));
+            leaderState = Optional.of(new LeaderState(term, log.leaderSinceNanos(), timings, state, events));
             events.write(LogEvent.LEADER_ELECTED, self, term);
         }
         return leaderState;
--- a/src/main/java/org/wigeongrade/nodes/control/LeaderState.java
+++ b/src/main/java/org/wigeongrade/nodes/control/LeaderState.java
@@ -10,6 +10,7 @@
 import org.wigeongrade.decisions.limits.ShareAllocator;
 import org.wigeongrade.decisions.membership.AnnouncementTable;
 import org.wigeongrade.decisions.outcomes.CrashSuspects;
+import org.wigeongrade.decisions.outcomes.LossEvidence;
 import org.wigeongrade.decisions.placement.PlacementReason;
 import org.wigeongrade.decisions.reachability.RelayDirectory;
 import org.wigeongrade.ids.AvailabilityZone;
@@ -44,12 +45,16 @@
     private Optional<FleetSnapshot> snapshot = Optional.empty();
     private ImmutableMap<GroupName, PlacementReason> holds = ImmutableMap.of();
 
-    LeaderState(long term, long sinceNanos, NodeTimings timings, EventLog events) {
+    LeaderState(long term, long sinceNanos, NodeTimings timings, ControlState state, EventLog events) {
         this.term = term;
         this.sinceNanos = sinceNanos;
         this.timings = timings;
         this.relays = new RelayDirectory(timings.pullIntervalNanos());
-        this.crashQuarantine = new CrashQuarantine(timings.pullIntervalNanos(), events);
+        this.crashQuarantine = new CrashQuarantine(
+                timings.pullIntervalNanos(),
+                new LossEvidence(timings.announcementLeaseNanos(), sinceNanos),
+                new EndpointSightings(state, announcements, timings.announcementLeaseNanos()),
+                events);
         this.shares = new ShareAllocator(timings.viewLeaseNanos(), sinceNanos + timings.viewLeaseNanos());
     }
 
--- a/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
@@ -15,8 +15,10 @@
 import org.wigeongrade.decisions.membership.Announcement;
 import org.wigeongrade.decisions.membership.EndpointKind;
 import org.wigeongrade.decisions.outcomes.CrashReport;
+import org.wigeongrade.decisions.outcomes.LossEvidence;
 import org.wigeongrade.decisions.outcomes.Quarantine;
 import org.wigeongrade.decisions.outcomes.QuarantineProposal;
+import org.wigeongrade.decisions.outcomes.ReportedLoss;
 import org.wigeongrade.decisions.outcomes.SuspectList;
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.EndpointId;
@@ -27,7 +29,6 @@
 import org.wigeongrade.nodes.CrashQuarantine;
 import org.wigeongrade.nodes.CrashRecords;
 import org.wigeongrade.nodes.NodeTimings;
-import org.wigeongrade.nodes.PromptPartRecords;
 import org.wigeongrade.nodes.ShareRecords;
 import org.wigeongrade.nodes.thrift.AnnouncementRecord;
 import org.wigeongrade.nodes.thrift.CacheEventRecord;
@@ -70,15 +71,9 @@
         leaderState.recordEntry(status);
         leaderState.recordRelay(
                 status, request.isLeaseHeld() && !request.isStopping() && !request.isEndpointLinksCut());
-        final CrashReport crashes = CrashRecords.fromThrift(request.getCrashReport());
-        crashes.losses()
-                .forEach(loss -> leaderState
-                        .crashQuarantine()
-                        .recordLoss(
-                                loss.incarnation(),
-                                loss.requestDigest(),
-                                PromptPartRecords.partsToThrift(loss.promptParts()),
-                                nowNanos));
+        final CrashReport crashes = CrashRecords.fromThrift(request.getCrashReport(), nowNanos);
+        crashes.losses().forEach(leaderState.crashQuarantine()::recordLoss);
+        final List<ReportedLoss> counted = decideLosses(leaderState, nowNanos);
         leaderState
                 .crashQuarantine()
                 .recordReport(
@@ -89,7 +84,26 @@
                         List.of(),
                         request.getCacheCursorTerm() != leaderState.term(),
                         nowNanos);
-        return leaderState.suspects().report(node, crashes, nowNanos);
+        return leaderState
+                .suspects()
+                .report(
+                        node,
+                        new CrashReport(crashes.sequence(), ImmutableSet.copyOf(counted), crashes.completions()),
+                        nowNanos);
+    }
+
+    /** Returns the reported losses that count as crashes from now on. */
+    private static List<ReportedLoss> decideLosses(LeaderState leaderState, long nowNanos) {
+        final List<ReportedLoss> counted = new ArrayList<>();
+        for (final LossEvidence.Decision decision :
+                leaderState.crashQuarantine().decideLosses(nowNanos)) {
+            if (decision.verdict().isCounted()) {
+                counted.addAll(decision.losses());
+            } else {
+                leaderState.suspects().withdrawLoss(decision.endpoint());
+            }
+        }
+        return counted;
     }
 
     /** Builds the reply. Its lease counts from the time at which the entry VM sent the pull. */
--- a/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/nodes/entry/ViewPuller.java
@@ -137,7 +137,12 @@
         request.setCacheCursorTerm(cacheCursorTerm);
         request.setCacheCursor(cacheCursor);
         final SuspectTable suspects = entry.suspects();
-        request.setCrashReport(CrashRecords.toThrift(suspects.report(), suspects.wantedTrials(nowNanos))
+        final int droppedLosses = suspects.drainDroppedLosses();
+        if (droppedLosses > 0) {
+            metrics.countLostReportsDropped(droppedLosses);
+            events.write(LogEvent.CRASH_REPORTS_DROPPED, droppedLosses);
+        }
+        request.setCrashReport(CrashRecords.toThrift(suspects.report(), suspects.wantedTrials(nowNanos), nowNanos)
                 .setPartCompletions(PromptPartRecords.completionsToThrift(suspects.partCompletions(nowNanos), nowNanos))
                 .setRefusedParts(PromptPartRecords.partsToThrift(suspects.drainRefusedParts()))
                 .setQuarantinedParts(PromptPartRecords.quarantineToThrift(suspects.quarantinedParts(), nowNanos)));
@@ -218,7 +223,8 @@
             final boolean restarted = before.incarnation() != after.get().incarnation();
             final boolean turnedCold = !before.cold() && after.get().cold();
             if (restarted) {
-                entry.suspects().endpointLost(new EndpointIncarnation(before.id(), before.incarnation()));
+                entry.suspects()
+                        .endpointLost(new EndpointIncarnation(before.id(), before.incarnation()), entry.nowNanos());
             }
             if (restarted || turnedCold) {
                 entry.coldSign(before.id());
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -45,6 +45,10 @@
   3: i64 incarnation
   // Parts of the request's prompt that other requests may contain as well.
   4: optional list<string> promptParts
+  // Time from the loss to the sending of this record; absent for a loss that was noticed just before.
+  5: optional i64 ageMs
+  // The entry VM's own links may be the cause, as it reached no endpoint.
+  6: optional bool linksDoubted
 }
 
 // A prompt part whose requests are not sent, because they crash endpoints.
--- a/src/main/thrift/node.thrift
+++ b/src/main/thrift/node.thrift
@@ -62,6 +62,10 @@
   3: i64 incarnation
   // Parts of the request's prompt that other requests may contain as well.
   4: optional list<string> promptParts
+  // Of a loss: the time from it to the sending of this record; absent if it was noticed just before.
+  5: optional i64 ageMs
+  // Of a loss: the entry VM's own links may be the cause, as it reached no endpoint.
+  6: optional bool linksDoubted
 }
 
 // Requests that were in flight at lost endpoints, and suspects that completed since.
--- a/src/test/java/org/wigeongrade/decisions/outcomes/SuspectsTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/SuspectsTest.java
@@ -38,7 +38,7 @@
     void twoLostEndpointsQuarantineTheDigestFleetWide() {
         a.begin(BAD, ImmutableSet.of(), E1);
         a.begin(INNOCENT, ImmutableSet.of(), E1);
-        a.endpointLost(E1);
+        a.endpointLost(E1, 0);
         assertThat(exchange(A, a, 1)).isEmpty();
         exchange(B, b, 2);
         assertThat(b.check(BAD, ImmutableSet.of(), 3)).isInstanceOf(SuspectDecision.RetryLater.class);
@@ -47,7 +47,7 @@
         b.begin(BAD, ImmutableSet.of(), E2);
         assertThat(b.isReservedForSuspect(E2.endpoint())).isTrue();
         assertThat(b.check(BAD, ImmutableSet.of(), 6)).isInstanceOf(SuspectDecision.RetryLater.class);
-        b.endpointLost(E2);
+        b.endpointLost(E2, 0);
         assertThat(exchange(B, b, 7)).hasSize(1);
         exchange(A, a, 8);
         assertThat(a.check(BAD, ImmutableSet.of(), 9)).isInstanceOf(SuspectDecision.Quarantined.class);
@@ -57,7 +57,7 @@
     @Test
     void suspectThatCompletesIsCleared() {
         a.begin(INNOCENT, ImmutableSet.of(), E1);
-        a.endpointLost(E1);
+        a.endpointLost(E1, 0);
         exchange(A, a, 1);
         a.check(INNOCENT, ImmutableSet.of(), 2);
         exchange(A, a, 3);
@@ -73,7 +73,7 @@
     @Test
     void onlyOneEntryVmHoldsTheTrialUntilItsDeadline() {
         a.begin(BAD, ImmutableSet.of(), E1);
-        a.endpointLost(E1);
+        a.endpointLost(E1, 0);
         exchange(A, a, 1);
         a.check(BAD, ImmutableSet.of(), 2);
         exchange(A, a, 3);
@@ -92,7 +92,7 @@
     @Test
     void unwantedTrialIsReleased() {
         a.begin(BAD, ImmutableSet.of(), E1);
-        a.endpointLost(E1);
+        a.endpointLost(E1, 0);
         assertThat(a.check(BAD, ImmutableSet.of(), 0)).isInstanceOf(SuspectDecision.RetryLater.class);
         exchange(A, a, 1);
         long later = TimeUnit.SECONDS.toNanos(5);
@@ -108,8 +108,8 @@
     void lossOfOneEndpointCountsOnce() {
         a.begin(BAD, ImmutableSet.of(), E1);
         b.begin(BAD, ImmutableSet.of(), E1);
-        a.endpointLost(E1);
-        b.endpointLost(E1);
+        a.endpointLost(E1, 0);
+        b.endpointLost(E1, 0);
         CrashReport report = a.report();
         assertThat(leader.report(A, report, 1)).isEmpty();
         assertThat(leader.report(A, report, 2)).isEmpty();
--- a/src/test/java/org/wigeongrade/fleet/entry/BrokenResponseToCallerTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/BrokenResponseToCallerTest.java
@@ -128,8 +128,8 @@
     }
 
     private InetSocketAddress openListener(ScriptedEndpoint endpoint, RouteKind kind) throws IOException {
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 1_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 1_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         registry.apply(
                 EntryFixture.view(
                         EntryFixture.configuration(kind), Map.of(), EntryFixture.endpoint("vm-1", endpoint.port(), 4)),
--- a/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/CallerLeftTest.java
@@ -73,8 +73,8 @@
     }
 
     private InetSocketAddress openListener(int endpointPort) throws Exception {
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 1_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 1_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         registry.apply(
                 EntryFixture.view(
                         EntryFixture.configuration(), Map.of(), EntryFixture.endpoint("vm-1", endpointPort, 4)),
--- a/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/EndpointRegistryTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -14,11 +15,14 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.balancing.EndpointLoad;
+import org.wigeongrade.decisions.reachability.LinkState;
+import org.wigeongrade.fleet.thrift.CrashRecord;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.fleet.thrift.UsageRecord;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests that a view neither brings back an endpoint that leaves nor ends the pause that an endpoint asked for. */
 final class EndpointRegistryTest {
@@ -26,8 +30,9 @@
     private static final long MAX_PAUSE_MS = 5_000;
 
     private final EndpointRegistry registry =
-            new EndpointRegistry(new EventLog(), MAX_PAUSE_MS, 1_200, new LeaseTime(0), 0);
+            new EndpointRegistry(new EventLog(), new Metrics(), MAX_PAUSE_MS, 1_200, new LeaseTime(0), 0);
     private long changeNumber;
+    private long term = 1;
 
     @ParameterizedTest
     @CsvSource({
@@ -80,6 +85,58 @@
                 .isEqualTo(leftMs);
     }
 
+    /** Losses that a node saw while it took its links for cut were dropped, though the endpoints had crashed. */
+    @ParameterizedTest
+    @CsvSource({
+        // states of the links before and after the loss, how many losses the next pull reports, whether they are
+        // doubted
+        "WORKING, WORKING, 1, false",
+        "WORKING, IN_DOUBT, 0, false",
+        "WORKING, CUT, 1, true",
+        "IN_DOUBT, WORKING, 1, false",
+        "IN_DOUBT, CUT, 1, true",
+        "CUT, CUT, 1, true",
+        "CUT, WORKING, 1, true",
+    })
+    void everyLossIsReportedWithTheStateOfTheLinks(LinkState before, LinkState after, int reported, boolean doubted) {
+        show(endpoint("a", 1));
+        registry.setLinkState(before);
+        registry.recordCrash("digest", ImmutableSet.of(), find("a").orElseThrow(), TimeUnit.MILLISECONDS.toNanos(100));
+        registry.setLinkState(after);
+
+        final List<CrashRecord> crashes = registry.unreportedCrashes(TimeUnit.MILLISECONDS.toNanos(350));
+        assertThat(crashes).hasSize(reported);
+        assertThat(crashes.stream().allMatch(crash -> crash.isLinksDoubted() == doubted && crash.getAgeMs() == 250))
+                .isTrue();
+    }
+
+    /** A new leader counted from the start, since a loss was reported once only. */
+    @Test
+    void lossIsReportedUntilALeaderHasItAndAgainToTheNextLeader() {
+        show(endpoint("a", 1));
+        registry.recordCrash("digest", ImmutableSet.of(), find("a").orElseThrow(), 0);
+        assertThat(registry.unreportedCrashes(0)).hasSize(1);
+        assertThat(registry.unreportedCrashes(0)).hasSize(1);
+        show(endpoint("a", 1));
+        assertThat(registry.unreportedCrashes(0)).isEmpty();
+        term++;
+        show(endpoint("a", 1));
+        assertThat(registry.unreportedCrashes(0)).hasSize(1);
+        show(endpoint("a", 1));
+        assertThat(registry.unreportedCrashes(0)).isEmpty();
+    }
+
+    @Test
+    void lossesThatWaitForALeaderAreLimited() {
+        show(endpoint("a", 1));
+        for (int i = 0; i < CrashReports.MAX_UNREPORTED + 10; i++) {
+            registry.recordCrash("digest-" + i, ImmutableSet.of(), find("a").orElseThrow(), 0);
+        }
+        final List<CrashRecord> crashes = registry.unreportedCrashes(0);
+        assertThat(crashes).hasSize(CrashReports.MAX_UNREPORTED);
+        assertThat(crashes.get(0).getRequestDigest()).isEqualTo("digest-10");
+    }
+
     private Optional<EndpointLoad> find(String vm) {
         return registry.candidates(SERVICE, Optional.empty(), 0).stream()
                 .filter(load -> load.vm().vm().equals(VmName.of(vm)))
@@ -102,7 +159,7 @@
                         Set.of(),
                         1,
                         List.of(),
-                        1,
+                        term,
                         changeNumber,
                         new LeaseTime(0),
                         0),
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeFailoverTest.java
@@ -19,6 +19,7 @@
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests a request at a stalled endpoint while another endpoint has free slots or is full. */
 final class ExchangeFailoverTest {
@@ -48,8 +49,8 @@
             throws IOException, InterruptedException, ExecutionException {
         final RoutableRecord silent = endpoint("silent");
         final RoutableRecord other = endpoint("other");
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         registry.apply(
                 EntryFixture.view(EntryFixture.configuration(), Map.of("other", SLOTS - 1), silent, other),
                 System.nanoTime());
--- a/src/test/java/org/wigeongrade/fleet/entry/ExchangeRelayTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ExchangeRelayTest.java
@@ -23,6 +23,7 @@
 import org.wigeongrade.decisions.reachability.LinkState;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests the requests of a node whose links to endpoints are cut, with two other entry nodes that respond as scripted. */
 final class ExchangeRelayTest {
@@ -41,8 +42,8 @@
     private static final long TIMEOUT_S = 10;
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final EndpointRegistry registry =
-            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+    private final EndpointRegistry registry = new EndpointRegistry(
+            new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
     private final RecordingWriter writer = new RecordingWriter();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Queue<String> script = new ConcurrentLinkedQueue<>();
--- a/src/test/java/org/wigeongrade/fleet/entry/FailedResponseTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/FailedResponseTest.java
@@ -40,8 +40,8 @@
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt\r\nX-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final EndpointRegistry registry =
-            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+    private final EndpointRegistry registry = new EndpointRegistry(
+            new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
 
     @AfterEach
     void close() {
--- a/src/test/java/org/wigeongrade/fleet/entry/FailedWriteTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/FailedWriteTest.java
@@ -100,8 +100,8 @@
     }
 
     private InetSocketAddress openListener(RouteKind kind, int failingWrite) throws Exception {
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 1_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 1_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         registry.apply(
                 EntryFixture.view(
                         EntryFixture.configuration(kind, true),
--- a/src/test/java/org/wigeongrade/fleet/entry/OldViewTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/OldViewTest.java
@@ -24,14 +24,15 @@
 import org.wigeongrade.ids.RouteName;
 import org.wigeongrade.ids.ServiceName;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests what an entry node responds while its view may lack a configuration that is in force. */
 final class OldViewTest {
     private static final long TIMEOUT_S = 10;
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final EndpointRegistry registry =
-            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+    private final EndpointRegistry registry = new EndpointRegistry(
+            new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
     private final RecordingWriter writer = new RecordingWriter();
     private final CountDownLatch ended = new CountDownLatch(1);
 
--- a/src/test/java/org/wigeongrade/fleet/entry/PausedNodeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/PausedNodeTest.java
@@ -22,6 +22,7 @@
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests the streams and links of an entry node that stands still for a time while its endpoints do not. */
 final class PausedNodeTest {
@@ -52,8 +53,8 @@
         "200, 2000"
     })
     void pauseCutsNoStreamAndNoLinks(long afterMs, long pauseMs) throws Exception {
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         final RoutableRecord[] records = new RoutableRecord[ENDPOINTS];
         for (int endpoint = 0; endpoint < ENDPOINTS; endpoint++) {
             records[endpoint] = endpoint("vm-" + endpoint);
--- a/src/test/java/org/wigeongrade/fleet/entry/RefusalCopyTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/RefusalCopyTest.java
@@ -19,6 +19,7 @@
 import org.wigeongrade.decisions.published.RouteKind;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests callers of an endpoint that refuses a request and writes its refusal once more when the request is repeated. */
 final class RefusalCopyTest {
@@ -29,8 +30,8 @@
     private static final long TIMEOUT_S = 10;
 
     private final SharedEventLoop loop = new SharedEventLoop();
-    private final EndpointRegistry registry =
-            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+    private final EndpointRegistry registry = new EndpointRegistry(
+            new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     @AfterEach
--- a/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
@@ -24,6 +24,7 @@
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests what the caller gets of a request whose endpoint is silent for a time and then goes on. */
 final class SilentEndpointStreamTest {
@@ -46,8 +47,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final AtomicInteger requests = new AtomicInteger();
     private final List<ServerSocket> endpoints = new ArrayList<>();
-    private final EndpointRegistry registry =
-            new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+    private final EndpointRegistry registry = new EndpointRegistry(
+            new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
 
     /** What the other endpoint does with the stream. */
     private enum Other {
--- a/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/StoppingEntryNodeTest.java
@@ -190,8 +190,8 @@
     }
 
     private Socket connect(RouteKind kind, boolean fromEntryNode) throws Exception {
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         registry.apply(
                 EntryFixture.view(
                         EntryFixture.configuration(kind),
--- a/src/test/java/org/wigeongrade/fleet/entry/StreamContinuationTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/StreamContinuationTest.java
@@ -21,6 +21,7 @@
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests what the caller gets of a stream that broke off at one endpoint and was sent to another one. */
 final class StreamContinuationTest {
@@ -66,8 +67,8 @@
                 "200 OK\\r\\nContent-Type: text/event-stream\\r\\n\\r\\ndata: x\\n\\n | stream event aborted",
             })
     void onlyACorrectContinuationFollowsABrokenStream(String response, String expected) throws Exception {
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         final String[] parts = response.translateEscapes().split("\r\n", 2);
         final String second = "HTTP/1.1 " + parts[0] + "\r\nX-Attempt-Id: attempt\r\nX-Server-Seal: s\r\n" + parts[1];
         registry.apply(
--- a/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/UnframedStreamTest.java
@@ -25,6 +25,7 @@
 import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.ids.VmName;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 
 /** Tests a stream with neither a length nor chunks, which ends with its connection. */
 final class UnframedStreamTest {
@@ -35,7 +36,7 @@
 
     private final SharedEventLoop loop = new SharedEventLoop();
     private final EndpointRegistry registry = new EndpointRegistry(
-            new EventLog(), 60_000, HEARTBEAT_MS, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+            new EventLog(), new Metrics(), 60_000, HEARTBEAT_MS, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
     private final RecordingWriter writer = new RecordingWriter();
     private final CountDownLatch ended = new CountDownLatch(1);
 
@@ -56,8 +57,9 @@
             sendRequest(endpoint, body);
 
             assertThat(String.join(" ", writer.written())).isEqualTo(expected);
-            final List<CrashRecord> crashes =
-                    loop.eventLoop().submit(registry::drainCrashes).get();
+            final List<CrashRecord> crashes = loop.eventLoop()
+                    .submit(() -> registry.unreportedCrashes(System.nanoTime()))
+                    .get();
             assertThat(crashes).hasSize(losses);
             assertThat(crashes.stream().flatMap(crash -> crash.getPromptParts().stream()))
                     .containsExactlyElementsIn(losses == 0 ? List.of() : List.of(PART.value()));
--- a/src/test/java/org/wigeongrade/fleet/entry/UnreadContinuationTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/UnreadContinuationTest.java
@@ -17,6 +17,7 @@
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.SharedEventLoop;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 import org.wigeongrade.proof.Await;
 import org.wigeongrade.proof.EndlessEndpoint;
 
@@ -45,8 +46,8 @@
                 "\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\nno size\r\n",
             })
     void continuationIsNotReadWhileTheCallerDoesNotRead(String beginning) throws Exception {
-        final EndpointRegistry registry =
-                new EndpointRegistry(new EventLog(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
+        final EndpointRegistry registry = new EndpointRegistry(
+                new EventLog(), new Metrics(), 60_000, 1_200, EntryFixture.LEASE_CLOCK.now(), System.nanoTime());
         try (ServerSocket first = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
                 EndlessEndpoint second =
                         new EndlessEndpoint(HEAD + "\r\n\r\nid: 2\ndata: b\n\n", ":" + " ".repeat(1_000) + "\n\n")) {
--- a/src/test/java/org/wigeongrade/fleet/entry/ViewLeaseTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/ViewLeaseTest.java
@@ -14,6 +14,7 @@
 import org.wigeongrade.ids.AvailabilityZone;
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.logging.EventLog;
+import org.wigeongrade.metrics.Metrics;
 import org.wigeongrade.nodes.entry.EntryRole;
 
 /** The leases of an entry node on its view, on both request paths, when its time of day is set or its VM is suspended. */
@@ -38,6 +39,7 @@
         try (SharedEventLoop loop = new SharedEventLoop()) {
             final EndpointRegistry registry = new EndpointRegistry(
                     new EventLog(),
+                    new Metrics(),
                     60_000,
                     1_200,
                     clocks.leaseClock().now(),
--- a/src/test/java/org/wigeongrade/nodes/CrashQuarantineTest.java
+++ b/src/test/java/org/wigeongrade/nodes/CrashQuarantineTest.java
@@ -2,11 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
+import org.wigeongrade.decisions.outcomes.LossEvidence;
+import org.wigeongrade.decisions.outcomes.ReportedLoss;
 import org.wigeongrade.fleet.thrift.QuarantinedRequestRecord;
 import org.wigeongrade.ids.EndpointId;
 import org.wigeongrade.ids.NodeName;
@@ -15,6 +19,7 @@
 /** Pattern: a request crashes each endpoint that runs it, and the leader changes again and again. */
 final class CrashQuarantineTest {
     private static final long PULL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
     private static final NodeName ENTRY_NODE = NodeName.of("entry-1");
     private static final String DIGEST = "digest";
     /** The clocks of two leaders differ. */
@@ -33,8 +38,9 @@
     void newLeaderKeepsQuarantinedRequestsForTheirTime(long changeSeconds, int changes, boolean expected) {
         long nowNanos = 0;
         CrashQuarantine leader = newLeader();
-        leader.recordLoss(new EndpointIncarnation(EndpointId.of("vm-1"), 1), DIGEST, List.of(), nowNanos);
-        leader.recordLoss(new EndpointIncarnation(EndpointId.of("vm-2"), 1), DIGEST, List.of(), nowNanos);
+        leader.recordLoss(loss("vm-1", nowNanos));
+        leader.recordLoss(loss("vm-2", nowNanos));
+        assertThat(leader.decideLosses(nowNanos)).hasSize(2);
         List<QuarantinedRequestRecord> known = pull(leader, List.of(), nowNanos);
         assertThat(known).hasSize(1);
 
@@ -53,7 +59,13 @@
     }
 
     private static CrashQuarantine newLeader() {
-        return new CrashQuarantine(PULL_NANOS, new EventLog());
+        return new CrashQuarantine(
+                PULL_NANOS, new LossEvidence(HEARTBEAT_NANOS, 0), endpoint -> Optional.empty(), new EventLog());
+    }
+
+    private static ReportedLoss loss(String vm, long nowNanos) {
+        return new ReportedLoss(
+                new EndpointIncarnation(EndpointId.of(vm), 1), DIGEST, ImmutableSet.of(), nowNanos, false);
     }
 
     private static List<QuarantinedRequestRecord> pull(
