Count an attempt from its sending until it is proved not to have run

Cause: Exchange counted the attempts that had ended or were left. returnToSilentAttempt took one off, for the silent attempt that was current again; but the attempt that it dropped had been sent and was counted by nobody. A relay that was left for its silence counted as one, though the other node could use all runs that were left: an idempotent request behind a cut ran on three replicas.

Change: PossibleRuns, a class of its own for both request paths, counts an attempt when its request may reach a replica. The count falls only on a proof: the request was not written, or the replica stated that it did not run it. A relaying node grants a number of runs in a header, all that are left but one, and counts the grant; the other node keeps to it and states in its own errors what it used. What failed behind a relay is retried by the relaying node, at the same node if there is no other. On the own interface, Attempts and the rule AttemptsExhausted use the same count.

A node of an earlier build does not know the grant and may use all runs that are left, as before.

--- a/src/main/java/org/wigeongrade/callers/Attempts.java
+++ b/src/main/java/org/wigeongrade/callers/Attempts.java
@@ -8,6 +8,7 @@
 import org.wigeongrade.decisions.outcomes.AttemptEvent;
 import org.wigeongrade.decisions.outcomes.AttemptOutcome;
 import org.wigeongrade.decisions.routing.EndpointView;
+import org.wigeongrade.decisions.routing.PossibleRuns;
 import org.wigeongrade.decisions.routing.Retries;
 import org.wigeongrade.decisions.routing.RetryFacts;
 import org.wigeongrade.decisions.routing.RetryRefusal;
@@ -28,7 +29,7 @@
  * The sequential attempts of one exchange.
  *
  * <p>Invariants: at most one attempt runs at a time, and its slot is held exactly while it runs; {@link #mayHaveRun} is
- * true once the request may have run in a failed attempt. Not thread safe; guarded by the exchange's lock.
+ * true while the request may have run, or may still run, in an attempt. Not thread safe; guarded by the exchange's lock.
  */
 final class Attempts {
     private final CallerDependencies dependencies;
@@ -45,7 +46,7 @@
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
     private AvailabilityZone lastZone;
     private int count;
-    private boolean mayHaveRun;
+    private final PossibleRuns<AttemptProgress> runs = new PossibleRuns<>(0);
     private Optional<AttemptEvent> lastFailure = Optional.empty();
     private Optional<AttemptProgress> current = Optional.empty();
     private Optional<SendHandle> currentHandle = Optional.empty();
@@ -80,6 +81,7 @@
         lastZone = dispatch.endpoint().zone();
         final AttemptProgress attempt = new AttemptProgress(new AttemptId(requestId.value() + "." + count), dispatch);
         current = Optional.of(attempt);
+        runs.recordSent(attempt);
         dispatcher.recordStart(requestDigest, dispatch);
         return attempt;
     }
@@ -127,7 +129,9 @@
             AttemptProgress attempt, AttemptOutcome outcome, String detail, boolean resumable, boolean resumed) {
         end(attempt, outcome);
         lastFailure = Optional.of(outcome.event());
-        mayHaveRun |= outcome.runStatus() != RunStatus.NOT_RUN;
+        if (outcome.runStatus() == RunStatus.NOT_RUN) {
+            runs.recordNotRun(attempt);
+        }
         final String endpoint = attempt.dispatch().endpoint().id().value();
         final Optional<RetryRefusal> refusal = retries.refusal(new RetryFacts(
                 target,
@@ -135,6 +139,7 @@
                 idempotent,
                 resumable,
                 count,
+                runs.total(),
                 maxAttempts,
                 deadlineNanos,
                 dependencies.entry().nowNanos()));
@@ -198,7 +203,7 @@
      * not run although an earlier attempt may have run it.
      */
     WigeongradeException withCorrectRunStatus(WigeongradeException failure, ErrorKind unknownKind) {
-        if (!mayHaveRun || failure.kind().runStatus() != RunStatus.NOT_RUN) {
+        if (!mayHaveRun() || failure.kind().runStatus() != RunStatus.NOT_RUN) {
             return failure;
         }
         return new WigeongradeException(
@@ -221,7 +226,7 @@
     }
 
     boolean mayHaveRun() {
-        return mayHaveRun;
+        return runs.total() > 0;
     }
 
     /** Returns the zone of the last attempt's endpoint, or this VM's own zone if there was no attempt. */
--- a/src/main/java/org/wigeongrade/fleet/entry/Attempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Attempt.java
@@ -5,6 +5,9 @@
     /** Ends the attempt without reporting to the exchange. */
     void cancel();
 
+    /** Returns whether the request was written, so that a replica may run it even after the attempt was cancelled. */
+    boolean isSent();
+
     /**
      * Stops looking for another endpoint because of silence, while one is being tried; what arrives is still reported.
      */
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -125,6 +125,11 @@
         call.cancel();
     }
 
+    @Override
+    public boolean isSent() {
+        return call.isSent();
+    }
+
     @Override
     public void onHead(ResponseHead received) {
         recordProgress();
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
 import org.wigeongrade.decisions.published.PublishedService;
 import org.wigeongrade.decisions.published.RequestRank;
 import org.wigeongrade.decisions.published.Route;
+import org.wigeongrade.decisions.routing.PossibleRuns;
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.NettyFutures;
@@ -94,8 +96,8 @@
     private LeaseTime callersDeadline;
 
     private int attempts;
-    /** Number of ended attempts whose request an endpoint may have run. */
-    private int attemptsThatMayHaveRun;
+    private int relays;
+    private final PossibleRuns<Attempt> runs;
 
     private boolean ended;
     private boolean callerReads = true;
@@ -116,13 +118,13 @@
         this.services = services;
         this.request = request;
         this.origin = origin;
-        this.attemptsThatMayHaveRun = origin.map(RelayOrigin::earlierAttempts).orElse(0);
+        this.runs = new PossibleRuns<>(origin.map(RelayOrigin::earlierAttempts).orElse(0));
         this.responseWriter = responseWriter;
         this.onEnd = onEnd;
         this.log = new ExchangeLog(services, request);
         this.quarantine = new RequestQuarantine(services, request);
         if (origin.isPresent()) {
-            log.arrivedRelayed(attemptsThatMayHaveRun);
+            log.arrivedRelayed(runs.total());
         }
     }
 
@@ -207,7 +209,7 @@
 
     /** Of the nodes that handle a request, the first that may send it to an endpoint counts it for the budget. */
     private void recordInRetryBudget() {
-        final boolean sentElsewhere = services.endpointLinks().areCut() || attemptsThatMayHaveRun > 0;
+        final boolean sentElsewhere = services.endpointLinks().areCut() || runs.total() > 0;
         if (!sentElsewhere) {
             services.retryBudget().recordRequest(log.arrivedNanos());
         }
@@ -312,7 +314,7 @@
             relay(remainingMs, nowNanos);
             return;
         }
-        final Placement placement = place(attemptsThatMayHaveRun > 0, remainingMs, nowNanos);
+        final Placement placement = place(runs.total() > 0, remainingMs, nowNanos);
         if (placement.endpoint().isEmpty()) {
             final Placement.Refusal refusal = placement.refusal().orElseThrow();
             failOrRefuse(
@@ -336,7 +338,7 @@
     /** Sends the request to an entry node that reaches endpoints, or refuses it if there is none. */
     private void relay(long remainingMs, long nowNanos) {
         final List<String> peers = services.registry().view().relayAddresses();
-        final Optional<String> peer = origin.isPresent() || triedPeers.size() >= MAX_RELAYS
+        final Optional<String> peer = origin.isPresent() || relays >= MAX_RELAYS
                 ? Optional.empty()
                 : services.relayPeers().choose(peers, triedPeers, nowNanos);
         if (peer.isEmpty()) {
@@ -348,15 +350,20 @@
             return;
         }
         attempts++;
+        relays++;
         triedPeers.add(peer.get());
         log.relayed(peer.get(), peers.size(), remainingMs);
         final RelayAttempt attempt = new RelayAttempt(this, peer.get());
+        final int earlier = runs.total();
+        final int granted = runs.grant(maxRuns());
+        runs.recordGranted(attempt, granted);
         currentAttempt = Optional.of(attempt);
         final FullHttpRequest message =
                 services.codec().encodeForEntryNode(request, remainingMs, stream.resumeAfter(request));
         RelayHeaders.mark(
                 message.headers(),
-                new RelayOrigin(attemptsThatMayHaveRun, configurationVersion, service.map(PublishedService::name)));
+                new RelayOrigin(
+                        earlier, OptionalInt.of(granted), configurationVersion, service.map(PublishedService::name)));
         attempt.start(message, route.orElseThrow().mayRetry());
         pauseUnlessCallerReads(attempt);
     }
@@ -420,6 +427,7 @@
         final EndpointAttempt attempt = new EndpointAttempt(
                 this, endpoint, services.registry().engine(model()), placement.predictedMs(), nowNanos);
         currentAttempt = Optional.of(attempt);
+        runs.recordSent(attempt);
         endpoint.recordSent(nowNanos);
         final ForwardingMetadata metadata = new ForwardingMetadata(
                 remainingMs,
@@ -486,6 +494,7 @@
 
     /** Handles an attempt whose request the endpoint did not run: retries the request or ends it with an error. */
     void onNotRun(Attempt attempt, RetryReason reason, String cause) {
+        runs.recordNotRun(attempt);
         if (dropSilent(attempt)) {
             return;
         }
@@ -507,9 +516,8 @@
             return;
         }
         currentAttempt = Optional.empty();
-        attemptsThatMayHaveRun++;
         final boolean retryable = route.orElseThrow().mayRetry()
-                && attemptsThatMayHaveRun < route.get().maxAttempts()
+                && runs.permitsAnother(maxRuns())
                 && attempts < MAX_ATTEMPTS
                 && stream.isResumable();
         if (retryable && tryReserveRetry()) {
@@ -542,13 +550,39 @@
         return route.orElseThrow().mayRetry();
     }
 
-    /** Returns whether an endpoint may have run the request. */
-    boolean mayHaveRun() {
-        return attemptsThatMayHaveRun > 0;
+    /** Returns whether an endpoint may have run the request in another attempt than the given one. */
+    boolean mayHaveRunBeside(Attempt attempt) {
+        return runs.totalWithout(attempt) > 0;
+    }
+
+    /** Records how many runs another node has caused, out of those that it was granted. */
+    void recordUsed(Attempt attempt, int used) {
+        runs.recordUsed(attempt, used);
+    }
+
+    /** Lets an entry node that took the request get it once more, as it may not be at fault for the failure. */
+    void allowPeerAgain(String address) {
+        triedPeers.remove(address);
+    }
+
+    /** Returns how many replicas may run the request at most. */
+    private int maxRuns() {
+        final int ofRoute = route.orElseThrow().maxAttempts();
+        final OptionalInt granted = origin.map(RelayOrigin::granted).orElse(OptionalInt.empty());
+        return granted.isEmpty()
+                ? ofRoute
+                : Math.min(ofRoute, origin.orElseThrow().earlierAttempts() + granted.getAsInt());
+    }
+
+    private void cancel(Attempt attempt) {
+        attempt.cancel();
+        if (!attempt.isSent()) {
+            runs.recordNotRun(attempt);
+        }
     }
 
     /** Handles a complete error response of an endpoint; it is forwarded to the caller if no retry succeeds. */
-    void onErrorResponse(EndpointAttempt attempt, BufferedResponse response) {
+    void onErrorResponse(Attempt attempt, BufferedResponse response) {
         releaseErrorResponse();
         errorResponse = Optional.of(response);
         onMayHaveRun(attempt, RetryReason.ENDPOINT_FAILED, "the endpoint responded with status " + response.status());
@@ -568,12 +602,11 @@
      */
     void failOver(Attempt attempt, RetryReason reason, String cause) {
         currentAttempt = Optional.empty();
-        attemptsThatMayHaveRun++;
         if (silentAttempt.isEmpty()) {
             attempt.suspendSilenceCheck();
             silentAttempt = Optional.of(attempt);
         } else {
-            attempt.cancel();
+            cancel(attempt);
         }
         retry(attempt, reason, cause);
     }
@@ -586,7 +619,7 @@
         final long nowNanos = services.nowNanos();
         final long remainingMs = remainingMs(nowNanos);
         return route.orElseThrow().mayRetry()
-                && attemptsThatMayHaveRun + 1 < route.get().maxAttempts()
+                && runs.permitsAnother(maxRuns())
                 && attempts < MAX_ATTEMPTS
                 && remainingMs >= MIN_ATTEMPT_MS
                 && stream.isResumable()
@@ -598,7 +631,7 @@
     private boolean hasAlternative(long remainingMs, long nowNanos) {
         if (services.endpointLinks().areCut()) {
             return origin.isEmpty()
-                    && triedPeers.size() < MAX_RELAYS
+                    && relays < MAX_RELAYS
                     && !triedPeers.containsAll(services.registry().view().relayAddresses());
         }
         return place(true, remainingMs, nowNanos)
@@ -631,10 +664,9 @@
             return;
         }
         if (fromSilent) {
-            currentAttempt.ifPresent(Attempt::cancel);
+            currentAttempt.ifPresent(this::cancel);
         }
         currentAttempt = Optional.empty();
-        attemptsThatMayHaveRun++;
         log.firstBytesSent();
         responseWriter.writeResponse(response);
         log.responded(attempt.target(), response.status(), attempts, 0);
@@ -658,7 +690,7 @@
         if (stream.isProgress(event)) {
             continuation.recordProgress();
             if (fromSilent) {
-                currentAttempt.ifPresent(Attempt::cancel);
+                currentAttempt.ifPresent(this::cancel);
                 returnToSilentAttempt("it goes on");
             } else {
                 cancelSilentAttempt();
@@ -679,7 +711,6 @@
         final Attempt attempt = silentAttempt.orElseThrow();
         silentAttempt = Optional.empty();
         currentAttempt = Optional.of(attempt);
-        attemptsThatMayHaveRun--;
         log.kept("it returns to " + attempt.target(), cause);
         attempt.resumeSilenceCheck();
     }
@@ -707,7 +738,7 @@
             return;
         }
         currentAttempt.ifPresent(Attempt::cancel);
-        final boolean sent = attemptsThatMayHaveRun > 0 || currentAttempt.isPresent();
+        final boolean sent = runs.total() > 0 || currentAttempt.isPresent();
         final String cause =
                 reason + "; " + currentAttempt.map(Attempt::describe).orElse("no attempt was running");
         currentAttempt = Optional.empty();
@@ -736,7 +767,7 @@
     private boolean endpointMayAppear(ErrorKind kind) {
         return MAY_SUCCEED_LATER.contains(kind)
                 && route.orElseThrow().mayRetry()
-                && attemptsThatMayHaveRun < route.get().maxAttempts()
+                && runs.permitsAnother(maxRuns())
                 && attempts < MAX_ATTEMPTS
                 && stream.isResumable();
     }
@@ -766,7 +797,7 @@
             returnToSilentAttempt(kind.code() + ", " + cause);
             return;
         }
-        if (attemptsThatMayHaveRun > 0) {
+        if (runs.total() > 0) {
             fail(
                     route.orElseThrow().mayRetry() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.OUTCOME_UNKNOWN,
                     kind.code() + ", " + cause,
@@ -796,7 +827,7 @@
             errorResponse = Optional.empty();
         } else {
             log.failed(kind, cause);
-            responseWriter.writeResponse(services.codec().error(request, kind, cause, retryAfterMs));
+            responseWriter.writeResponse(statingUse(services.codec().error(request, kind, cause, retryAfterMs)));
         }
         end();
     }
@@ -812,12 +843,17 @@
     /** Responds that the request did not run and when the caller may retry it. */
     private void refuse(ErrorKind kind, String cause, long retryAfterMs) {
         log.refused(organisation, kind, cause, retryAfterMs);
-        final HttpReply reply = services.codec().error(request, kind, cause, retryAfterMs);
+        final HttpReply reply = statingUse(services.codec().error(request, kind, cause, retryAfterMs));
         final boolean anotherNodeMayTakeIt = origin.isPresent() && OTHER_NODE_MAY_TAKE.contains(kind);
         responseWriter.writeResponse(anotherNodeMayTakeIt ? reply.withHeader(RelayHeaders.notTaken(), "1") : reply);
         end();
     }
 
+    /** Returns an error of this node with the runs that it may have caused, for the node that relayed the request. */
+    private HttpReply statingUse(HttpReply reply) {
+        return origin.isPresent() ? reply.withHeader(RelayHeaders.used(), Integer.toString(runs.own())) : reply;
+    }
+
     private void releaseErrorResponse() {
         errorResponse.ifPresent(response -> response.body().release());
     }
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.metrics.RetryReason;
 
@@ -93,6 +94,11 @@
                 + TimeUnit.NANOSECONDS.toMillis(services.nowNanos() - lastBytesNanos) + " ms";
     }
 
+    @Override
+    public boolean isSent() {
+        return call.isSent();
+    }
+
     @Override
     public void onHead(ResponseHead received) {
         lastBytesNanos = services.nowNanos();
@@ -134,18 +140,41 @@
                     this, RetryReason.RELAY_REFUSED, "the node answered that it cannot take relayed requests");
         } else if (isStream()) {
             finishStream(finishedHead);
-        } else if (!finishedHead.signed() && exchange.mayHaveRun()) {
+        } else if (!finishedHead.signed() && recordUsed(finishedHead) > 0) {
+            body.release();
+            exchange.allowPeerAgain(address);
+            exchange.onMayHaveRun(
+                    this, RetryReason.ENDPOINT_FAILED, "the node answered with status " + finishedHead.status());
+        } else if (!finishedHead.signed() && exchange.mayHaveRunBeside(this)) {
             // The other node does not know of the attempts made here, so that its refusal would not be true.
             body.release();
             exchange.onRelayFailed(this, "the node answered with status " + finishedHead.status());
         } else {
             body.markComplete();
-            exchange.onResponse(this, new BufferedResponse(finishedHead.status(), finishedHead.headers(), body));
+            respond(finishedHead, new BufferedResponse(finishedHead.status(), finishedHead.headers(), body));
+        }
+    }
+
+    /** Returns the runs that the other node states to have caused, 0 if it states none. */
+    private int recordUsed(ResponseHead finishedHead) {
+        final OptionalInt used = RelayHeaders.takeUsed(finishedHead.headers());
+        used.ifPresent(runs -> exchange.recordUsed(this, runs));
+        return used.orElse(0);
+    }
+
+    /** An error response of an endpoint is retried here, as the other node keeps to what it was granted. */
+    private void respond(ResponseHead finishedHead, BufferedResponse response) {
+        if (finishedHead.signed() && finishedHead.isServerError()) {
+            exchange.allowPeerAgain(address);
+            exchange.onErrorResponse(this, response);
+        } else {
+            exchange.onResponse(this, response);
         }
     }
 
     private void finishStream(ResponseHead finishedHead) {
         if (eventSplitter.hasPartialEvent()) {
+            exchange.allowPeerAgain(address);
             exchange.onMayHaveRun(this, RetryReason.STREAM_CUT_SHORT, "the stream ended within an event");
             return;
         }
@@ -170,6 +199,7 @@
     public void onFailedHere(String cause) {
         stopTracking();
         body.release();
+        exchange.allowPeerAgain(address);
         exchange.onMayHaveRun(
                 this,
                 exchange.stream().hasBegun() ? RetryReason.STREAM_CUT_SHORT : RetryReason.ANSWER_CUT_SHORT,
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayHeaders.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayHeaders.java
@@ -4,6 +4,7 @@
 import com.google.common.primitives.Longs;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.wigeongrade.ids.ServiceName;
 
 /** Headers that entry nodes add for each other to requests that one relays to the other. Stateless. */
@@ -11,6 +12,10 @@
     private static final System.Logger LOGGER = System.getLogger(RelayHeaders.class.getName());
     /** Earlier attempts of the request that may have run; its presence marks a relayed request. */
     private static final String EARLIER_ATTEMPTS = "x-wigeongrade-earlier-attempts";
+    /** Number of replicas that the node may send the request to, so that it may run there. */
+    private static final String GRANTED_ATTEMPTS = "x-wigeongrade-granted-attempts";
+    /** In an error response of the node itself: number of replicas that may have run the request. */
+    private static final String USED_ATTEMPTS = "x-wigeongrade-used-attempts";
     /** Version of the configuration by which the first node routed the request. */
     private static final String CONFIGURATION_VERSION = "x-wigeongrade-configuration-version";
     /** Service to which the first node routed the request. */
@@ -23,24 +28,43 @@
     static void mark(HttpHeaders request, RelayOrigin origin) {
         request.set(EARLIER_ATTEMPTS, origin.earlierAttempts())
                 .set(CONFIGURATION_VERSION, origin.configurationVersion());
+        origin.granted().ifPresent(granted -> request.set(GRANTED_ATTEMPTS, granted));
         origin.service().ifPresent(service -> request.set(SERVICE, service.value()));
     }
 
     /** Removes the mark of the node that relayed the request and returns it; what is missing or malformed is left out. */
     static RelayOrigin takeOrigin(HttpHeaders request) {
         final RelayOrigin origin = new RelayOrigin(
-                Optional.ofNullable(request.get(EARLIER_ATTEMPTS))
-                        .map(Ints::tryParse)
-                        .filter(count -> count >= 0)
-                        .orElse(0),
+                parseCount(request, EARLIER_ATTEMPTS).orElse(0),
+                parseCount(request, GRANTED_ATTEMPTS),
                 Optional.ofNullable(request.get(CONFIGURATION_VERSION))
                         .map(Longs::tryParse)
                         .orElse(0L),
                 Optional.ofNullable(request.get(SERVICE)).flatMap(RelayHeaders::parseService));
-        request.remove(EARLIER_ATTEMPTS).remove(CONFIGURATION_VERSION).remove(SERVICE);
+        request.remove(EARLIER_ATTEMPTS)
+                .remove(GRANTED_ATTEMPTS)
+                .remove(CONFIGURATION_VERSION)
+                .remove(SERVICE);
         return origin;
     }
 
+    private static OptionalInt parseCount(HttpHeaders headers, String name) {
+        final Integer count =
+                Optional.ofNullable(headers.get(name)).map(Ints::tryParse).orElse(null);
+        return count == null || count < 0 ? OptionalInt.empty() : OptionalInt.of(count);
+    }
+
+    /** Removes from an error response what its node states to have used, and returns it. */
+    static OptionalInt takeUsed(HttpHeaders response) {
+        final OptionalInt used = parseCount(response, USED_ATTEMPTS);
+        response.remove(USED_ATTEMPTS);
+        return used;
+    }
+
+    static String used() {
+        return USED_ATTEMPTS;
+    }
+
     private static Optional<ServiceName> parseService(String text) {
         try {
             return Optional.of(ServiceName.of(text));
--- a/src/test/java/org/wigeongrade/decisions/routing/RetriesTest.java
+++ b/src/test/java/org/wigeongrade/decisions/routing/RetriesTest.java
@@ -35,14 +35,15 @@
             long leftMs,
             RetryRefusal expected) {
         Retries retries = new Retries(new RetryBudget(0.1, 5));
-        RetryFacts facts = new RetryFacts(TARGET, claim, idempotent, resumable, attemptsMade, 3, leftMs * 1_000_000, 0);
+        RetryFacts facts = new RetryFacts(
+                TARGET, claim, idempotent, resumable, attemptsMade, attemptsMade, 3, leftMs * 1_000_000, 0);
         assertThat(retries.refusal(facts)).isEqualTo(Optional.ofNullable(expected));
     }
 
     @Test
     void budgetIsReservePlusFractionOfFirstAttempts() {
         Retries retries = new Retries(new RetryBudget(0.1, 2));
-        RetryFacts facts = new RetryFacts(TARGET, RunStatus.NOT_RUN, true, true, 1, 3, SECOND_NANOS, 0);
+        RetryFacts facts = new RetryFacts(TARGET, RunStatus.NOT_RUN, true, true, 1, 1, 3, SECOND_NANOS, 0);
         int taken = 0;
         for (int i = 0; i < 1_000; i++) {
             retries.recordFirstAttempt(TARGET);
--- a/src/test/java/org/wigeongrade/fleet/entry/OldViewTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/OldViewTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -81,8 +82,8 @@
             throws Exception {
         registry.apply(EntryFixture.view(configuration(pathPrefix), Map.of()), System.nanoTime());
 
-        final String written =
-                responseTo(Optional.of(new RelayOrigin(0, version, Optional.of(ServiceName.of(service)))));
+        final String written = responseTo(
+                Optional.of(new RelayOrigin(0, OptionalInt.empty(), version, Optional.of(ServiceName.of(service)))));
         assertThat(written.contains(RelayHeaders.notTaken())).isEqualTo(response.equals("not taken"));
         assertThat(written).contains("status=" + (response.equals("not taken") ? "503" : response) + ",");
     }
--- a/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/SilentEndpointStreamTest.java
@@ -41,6 +41,8 @@
     private static final long SILENCE_MS = 1_500;
 
     private static final long TIMEOUT_S = 10;
+    /** Of the route of {@link EntryFixture}. */
+    private static final int MAX_ATTEMPTS = 2;
 
     private final SharedEventLoop loop = new SharedEventLoop();
     private final RecordingWriter writer = new RecordingWriter();
@@ -184,6 +186,63 @@
         assertThat(String.join(" ", writer.written())).isEqualTo(expected);
     }
 
+    /** A stream that fell silent again and again ran on one more replica each time, beyond the maximum of its route. */
+    @ParameterizedTest
+    @CsvSource({
+        // silences of the stream's endpoint, and what the other endpoints do with the stream until they are dropped
+        "1, IS_SILENT_TOO",
+        "2, IS_SILENT_TOO",
+        "3, IS_SILENT_TOO",
+        "2, CONTINUES_LATE",
+    })
+    void silencesInSeriesKeepToTheMaximumOfReplicas(int silences, Other other) throws Exception {
+        final RoutableRecord silent = endpoint("silent", connection -> {
+            write(connection, HEAD + "id: 1\ndata: a\n\n");
+            for (int event = 2; event <= silences + 1; event++) {
+                sleep(SILENCE_MS);
+                write(connection, "id: " + event + "\ndata: b\n\n");
+            }
+        });
+        final RoutableRecord[] all = {
+            silent,
+            endpoint("other-1", other::answer),
+            endpoint("other-2", other::answer),
+            endpoint("other-3", other::answer)
+        };
+        show(silent);
+        startStream();
+        awaitRequests(1);
+        show(all);
+
+        assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(String.join(" ", writer.written())).isEqualTo("stream" + " event".repeat(silences + 1) + " end");
+        assertThat(requests.get()).isEqualTo(MAX_ATTEMPTS);
+    }
+
+    /** A replica that refused the stream, or refused its connection, has not run it and must not use up an attempt. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Other.class,
+            names = {"REFUSES", "REFUSES_CONNECTIONS"})
+    void replicaThatDidNotRunTheStreamIsNotCounted(Other other) throws Exception {
+        final RoutableRecord broken =
+                endpoint("broken", connection -> write(connection, HEAD + "id: 1\ndata: a\n\nid: 2"));
+        final RoutableRecord refusing = endpoint("other", other::answer);
+        if (other == Other.REFUSES_CONNECTIONS) {
+            endpoints.get(1).close();
+        }
+        final RoutableRecord next = endpoint("next", Other.CONTINUES::answer);
+        show(broken);
+        startStream();
+        awaitRequests(1);
+        show(refusing);
+        sleep(300);
+        show(next);
+
+        assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(String.join(" ", writer.written())).isEqualTo(COMPLETE);
+    }
+
     /** A stream whose group had just ended was cut, although the next group could be sent it a moment later. */
     @Test
     void brokenStreamGoesOnAtAnEndpointThatAppearsSoon() throws Exception {
