Heed what a relayed response states of a leaving endpoint

An entry node that was cut from the endpoints relayed a request, passed on the response with Server-Leaving, and sent the next request to that replica itself once it reached it again.

Cause: only EndpointAttempt recorded what a response states of its endpoint. RelayAttempt passed it on; it did not know which endpoint had responded.

Change: a node that got a relayed request names the endpoint and its incarnation in a header of the response that it passes on. The relaying node takes the header off and records that the endpoint leaves, also if its view does not list it at the moment. A node of an earlier build names no endpoint; then only the leader tells, as before.

Tests: RelayedAttemptsTest#leavingEndpointBehindARelayGetsNoMoreRequests and #endpointIsNamedToNodesOnly.

--- a/src/main/java/org/wigeongrade/fleet/entry/Attempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Attempt.java
@@ -1,5 +1,8 @@
 package org.wigeongrade.fleet.entry;
 
+import java.util.Optional;
+import org.wigeongrade.ids.VmIncarnation;
+
 /** One attempt of an exchange, at an endpoint or at another entry node. Used on the event loop only. */
 interface Attempt {
     /** Ends the attempt without reporting to the exchange. */
@@ -19,6 +22,9 @@
     /** Pauses or resumes reading the response. */
     void setReading(boolean enabled);
 
+    /** Returns the endpoint that the request was sent to; empty if another entry node chooses it. */
+    Optional<VmIncarnation> endpointVm();
+
     /** Returns for the log where the request was sent. */
     String target();
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -9,6 +9,7 @@
 import org.wigeongrade.decisions.balancing.EngineLatencyModel;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
 import org.wigeongrade.ids.PromptPartId;
+import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.logging.LogEvent;
 import org.wigeongrade.metrics.RetryReason;
 
@@ -107,6 +108,11 @@
         call.setReading(enabled);
     }
 
+    @Override
+    public Optional<VmIncarnation> endpointVm() {
+        return Optional.of(endpoint.vm());
+    }
+
     @Override
     public String target() {
         return endpoint.vm().toString();
@@ -275,8 +281,7 @@
         }
         recordCompletedParts();
         endpoint.recordSuccess();
-        exchange.log().firstBytesSent();
-        exchange.stream().begin(head.orElseThrow(), exchange.responseWriter());
+        exchange.beginStream(this, head.orElseThrow());
         exchange.onStreamEnd(this);
     }
 
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -200,6 +200,13 @@
         }
     }
 
+    /** Records the same of an endpoint whose response another entry node relayed, also if it is not listed now. */
+    void recordLeaving(VmIncarnation vm, long nowNanos) {
+        if (restrictions.of(vm, nowNanos).recordLeaving()) {
+            events.write(LogEvent.ENDPOINT_LEAVING, vm);
+        }
+    }
+
     /** Records that an endpoint wants no requests from this node for a time. */
     void recordPause(EndpointLoad load, long requestedMs, long nowNanos) {
         final long pauseMs = Math.min(maxPauseMs, requestedMs);
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
@@ -668,6 +669,7 @@
         }
         currentAttempt = Optional.empty();
         log.firstBytesSent();
+        nameEndpoint(attempt, response.headers());
         responseWriter.writeResponse(response);
         log.responded(attempt.target(), response.status(), attempts, 0);
         end();
@@ -697,11 +699,19 @@
             }
         }
         log.firstBytesSent();
+        nameEndpoint(attempt, head.headers());
         stream.begin(head, responseWriter);
         stream.relay(part, event, responseWriter);
         return Optional.empty();
     }
 
+    /** Names the endpoint for the node that relayed the request, which has to heed what the response states of it. */
+    private void nameEndpoint(Attempt attempt, HttpHeaders headers) {
+        if (origin.isPresent() && !stream.hasBegun()) {
+            attempt.endpointVm().ifPresent(vm -> RelayHeaders.nameEndpoint(headers, vm));
+        }
+    }
+
     private void cancelSilentAttempt() {
         silentAttempt.ifPresent(Attempt::cancel);
         silentAttempt = Optional.empty();
@@ -715,6 +725,13 @@
         attempt.resumeSilenceCheck();
     }
 
+    /** Forwards the head of a stream that ends without an event, unless the stream has begun. */
+    void beginStream(Attempt attempt, ResponseHead head) {
+        log.firstBytesSent();
+        nameEndpoint(attempt, head.headers());
+        stream.begin(head, responseWriter);
+    }
+
     /** Ends a stream whose last event was forwarded. */
     void onStreamEnd(Attempt attempt) {
         if (dropSilent(attempt)) {
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayAttempt.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.metrics.RetryReason;
 
 /**
@@ -83,6 +84,11 @@
         call.setReading(enabled);
     }
 
+    @Override
+    public Optional<VmIncarnation> endpointVm() {
+        return Optional.empty();
+    }
+
     @Override
     public String target() {
         return "entry node " + address;
@@ -103,6 +109,10 @@
     public void onHead(ResponseHead received) {
         lastBytesNanos = services.nowNanos();
         head = Optional.of(received);
+        final Optional<VmIncarnation> endpoint = RelayHeaders.takeEndpoint(received.headers());
+        if (received.leaving()) {
+            endpoint.ifPresent(vm -> services.registry().recordLeaving(vm, services.nowNanos()));
+        }
         if (isStream()) {
             exchange.stream()
                     .startPart(streamPart, received)
--- a/src/main/java/org/wigeongrade/fleet/entry/RelayHeaders.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RelayHeaders.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.wigeongrade.ids.ServiceName;
+import org.wigeongrade.ids.VmIncarnation;
+import org.wigeongrade.ids.VmName;
 
 /** Headers that entry nodes add for each other to requests that one relays to the other. Stateless. */
 final class RelayHeaders {
@@ -16,6 +18,8 @@
     private static final String GRANTED_ATTEMPTS = "x-wigeongrade-granted-attempts";
     /** In an error response of the node itself: number of replicas that may have run the request. */
     private static final String USED_ATTEMPTS = "x-wigeongrade-used-attempts";
+    /** In a response of an endpoint: its VM and incarnation, for what the response states of it. */
+    private static final String ENDPOINT = "x-wigeongrade-endpoint";
     /** Version of the configuration by which the first node routed the request. */
     private static final String CONFIGURATION_VERSION = "x-wigeongrade-configuration-version";
     /** Service to which the first node routed the request. */
@@ -23,6 +27,8 @@
     /** Present in a response if the node could not take the request, so that another one may be tried. */
     private static final String NOT_TAKEN = "x-wigeongrade-not-taken";
 
+    private static final char INCARNATION_SEPARATOR = '#';
+
     private RelayHeaders() {}
 
     static void mark(HttpHeaders request, RelayOrigin origin) {
@@ -61,6 +67,28 @@
         return used;
     }
 
+    /** Names the endpoint of a response for the node that relayed the request. */
+    static void nameEndpoint(HttpHeaders response, VmIncarnation vm) {
+        response.set(ENDPOINT, vm.vm().value() + INCARNATION_SEPARATOR + vm.incarnation());
+    }
+
+    /** Removes the name of the endpoint from a response and returns it; empty if it is missing or malformed. */
+    static Optional<VmIncarnation> takeEndpoint(HttpHeaders response) {
+        final String text = response.get(ENDPOINT, "");
+        response.remove(ENDPOINT);
+        final int separator = text.lastIndexOf(INCARNATION_SEPARATOR);
+        final Long incarnation = separator < 0 ? null : Longs.tryParse(text.substring(separator + 1));
+        if (incarnation == null) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new VmIncarnation(VmName.of(text.substring(0, separator)), incarnation));
+        } catch (IllegalArgumentException e) {
+            LOGGER.log(System.Logger.Level.WARNING, "the endpoint of a relayed response is ignored: " + e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     static String used() {
         return USED_ATTEMPTS;
     }
--- a/src/test/java/org/wigeongrade/fleet/entry/RecordingWriter.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/RecordingWriter.java
@@ -1,5 +1,6 @@
 package org.wigeongrade.fleet.entry;
 
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -9,6 +10,13 @@
 final class RecordingWriter implements ResponseWriter {
     private final List<String> written = new CopyOnWriteArrayList<>();
 
+    /** Headers of the latest response of an endpoint. */
+    private volatile HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
+
+    HttpHeaders headers() {
+        return headers;
+    }
+
     List<String> written() {
         return List.copyOf(written);
     }
@@ -20,11 +28,13 @@
 
     @Override
     public void writeResponse(BufferedResponse response) {
+        headers = response.headers();
         written.add("status " + response.status());
     }
 
     @Override
-    public void beginStream(int status, HttpHeaders headers) {
+    public void beginStream(int status, HttpHeaders received) {
+        headers = received;
         written.add("stream");
     }
 
--- a/src/test/java/org/wigeongrade/fleet/entry/RelayedAttemptsTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/RelayedAttemptsTest.java
@@ -132,6 +132,58 @@
         assertThat(requests).hasSize(replicas);
     }
 
+    /** A node went on sending to a leaving replica, since another node had relayed the response that said so. */
+    @ParameterizedTest
+    @CsvSource({
+        // headers of the relayed response, and whether the endpoint that they name gets requests
+        "'', true",
+        "'Server-Leaving: 1', true",
+        "'X-Wigeongrade-Endpoint: vm-1#1', true",
+        "'Server-Leaving: 1|X-Wigeongrade-Endpoint: vm-1#1', false",
+        "'Server-Leaving: 1|X-Wigeongrade-Endpoint: vm-1#2', true",
+        "'Server-Leaving: 1|X-Wigeongrade-Endpoint: vm-2#1', true",
+        "'Server-Leaving: 1|X-Wigeongrade-Endpoint: vm-1', true",
+        "'Server-Leaving: 1|X-Wigeongrade-Endpoint: a b#1', true",
+    })
+    void leavingEndpointBehindARelayGetsNoMoreRequests(String headers, boolean routable) throws Exception {
+        final String stated = headers.isEmpty() ? "" : headers.replace("|", "\r\n") + "\r\n";
+        final int port = serve(message -> {}, SUCCESS.replace("Content-Length", stated + "Content-Length"));
+        final Exchange exchange = exchangeOfCutNode(port);
+        loop.eventLoop().submit(exchange::start).get();
+
+        assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(writer.headers().contains("x-wigeongrade-endpoint")).isFalse();
+        assertThat(registry.candidates(EntryFixture.SERVICE, Optional.empty(), System.nanoTime()).stream()
+                        .anyMatch(load -> load.vm().vm().value().equals("vm-1")))
+                .isEqualTo(routable);
+    }
+
+    /** The other node has to name the endpoint, as only it knows which one responded. */
+    @ParameterizedTest
+    @CsvSource({"true, vm-1#1", "false, "})
+    void endpointIsNamedToNodesOnly(boolean relayed, String named) throws Exception {
+        registry.apply(
+                EntryFixture.view(
+                        EntryFixture.configuration(RouteKind.IDEMPOTENT),
+                        Map.of(),
+                        EntryFixture.endpoint("vm-1", serve(message -> {}, SUCCESS), 4)),
+                System.nanoTime());
+        final Optional<RelayOrigin> origin = Optional.of(new RelayOrigin(0, OptionalInt.of(1), 1, Optional.empty()))
+                .filter(known -> relayed);
+        loop.eventLoop()
+                .submit(() -> new Exchange(
+                                EntryFixture.services(loop, registry),
+                                EntryFixture.request(ImmutableSet.of()),
+                                origin,
+                                writer,
+                                ended::countDown)
+                        .start())
+                .get();
+
+        assertThat(ended.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(writer.headers().get("x-wigeongrade-endpoint")).isEqualTo(named);
+    }
+
     private static int runsAllowed(RelayOrigin origin) {
         return origin.granted().orElse(MAX_ATTEMPTS - origin.earlierAttempts());
     }
