--- a/src/test/java/org/wigeongrade/decisions/grouping/ClockStepTest.java
+++ b/src/test/java/org/wigeongrade/decisions/grouping/ClockStepTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -13,6 +14,7 @@
 final class ClockStepTest {
     private static final long LOADED_MS = 60_000;
     private static final long REFORMED_MS = 40_000;
+    private static final int CI_SEEDS = 20;
 
     /** A change of the leader's clocks, counted from the loss of the member. */
     private record Change(long atMs, long stepMs, long suspendMs) {
@@ -112,4 +114,32 @@
                 .isTrue();
         assertThat(fleet.violations).isEmpty();
     }
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Integer.getInteger("clock.seeds", CI_SEEDS));
+    }
+
+    /**
+     * Random steps and suspensions among other faults let VMs of a head that could not be reached join other groups. {@code
+     * -Dclock.seeds=N} runs the first N seeds.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void groupsStayCompleteAndDisjointUnderRandomSteps(long seed) {
+        final SimulatedFleet faultyFleet = new SimulatedFleet(4, 8, seed);
+        faultyFleet.run(LOADED_MS);
+        faultyFleet.keepEveryGroupBusy();
+        for (int round = 0; round < 40; round++) {
+            switch (faultyFleet.random.nextInt(8)) {
+                case 0 -> faultyFleet.restart(faultyFleet.anyMember());
+                case 1, 2 -> faultyFleet.anyMember().partitioned = true;
+                case 3 -> faultyFleet.vms.forEach(vm -> vm.partitioned = false);
+                case 4 -> faultyFleet.newLeader();
+                case 5 -> faultyFleet.suspendLeader(faultyFleet.random.nextInt(900));
+                default -> faultyFleet.stepTimeOfDay(faultyFleet.random.nextInt(5_000) - 1_500);
+            }
+            faultyFleet.run(faultyFleet.random.nextInt(1_500));
+        }
+        assertThat(faultyFleet.violations).isEmpty();
+    }
 }
