--- a/src/main/java/org/wigeongrade/callers/LinkMonitor.java
+++ b/src/main/java/org/wigeongrade/callers/LinkMonitor.java
@@ -67,7 +67,7 @@
         }
     }
 
-    /** Reports the losses so far to the leader, with what this VM believes of its links; leaves them while that is in doubt. */
+    /** Reports the losses so far to the leader, with the state of this VM's links; holds them while that is in doubt. */
     private void decideLosses() {
         final LinkState state = links.state();
         if (state == LinkState.IN_DOUBT) {
--- a/src/main/java/org/wigeongrade/decisions/outcomes/LossVerdict.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/LossVerdict.java
@@ -5,22 +5,20 @@
 /** What a leader concludes about an endpoint that entry nodes report as lost. Immutable. */
 public enum LossVerdict {
     /** The incarnation was heard well after the loss, so that the connection failed for another reason. */
-    HEARD_SINCE(false, true),
+    HEARD_SINCE(false),
     /** The incarnation has ended, or a later one of its VM was heard. */
-    INCARNATION_ENDED(true, true),
+    INCARNATION_ENDED(true),
     /** The incarnation has been silent for so long that it has ended, or is cut off from every control node. */
-    SILENT(true, false),
+    SILENT(true),
     /** A node that reached other endpoints reports it. A later heartbeat may still refute it. */
-    LINKS_WORKED(true, false),
+    LINKS_WORKED(true),
     /** Only nodes that may be cut off report it, and the incarnation may still be heard. */
-    UNDECIDED(false, false);
+    UNDECIDED(false);
 
     private final boolean counted;
-    private final boolean conclusive;
 
-    LossVerdict(boolean counted, boolean conclusive) {
+    LossVerdict(boolean counted) {
         this.counted = counted;
-        this.conclusive = conclusive;
     }
 
     /** Returns whether the loss counts as a crash for now. */
@@ -28,11 +26,6 @@
         return counted;
     }
 
-    /** Returns whether no later sign of life can change the verdict. */
-    public boolean isConclusive() {
-        return conclusive;
-    }
-
     /** Returns the value for the log. */
     public String code() {
         return name().toLowerCase(Locale.ROOT);
