Free the log's port before its transport counts as closed

Cause: closing a ServerSocket in Java only signals the thread that waits in accept. The kernel keeps the listener until that thread has run and left the call, so that close() returned with the port still taken whenever the processors were busy. Beside it: Thrift's server forgets a stop that comes before it begins to serve, so that a transport that was closed as it started accepted for ever on a closed socket, with a warning each turn.

Fix: close() waits, up to the stop timeout, until the accepting thread has left accept; a stop before the serving holds.

--- a/src/main/java/org/wigeongrade/nodes/log/ThriftLogTransport.java
+++ b/src/main/java/org/wigeongrade/nodes/log/ThriftLogTransport.java
@@ -4,6 +4,8 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.apache.thrift.protocol.TBinaryProtocol;
 import org.apache.thrift.server.TThreadPoolServer;
@@ -22,7 +24,8 @@
  * Carries log messages between control VMs over framed Thrift on a separate port.
  *
  * <p>Invariants: messages from unknown senders are dropped; an incoming connection that is silent for longer than the
- * read timeout is closed; no message that arrives after {@link #close} is acknowledged. Thread safe.
+ * read timeout is closed; no message that arrives after {@link #close} is acknowledged; the port is free once
+ * {@link #close} has returned, unless the accepting thread does not end in {@link #STOP_TIMEOUT_S}. Thread safe.
  */
 public final class ThriftLogTransport implements LogTransport {
     private static final System.Logger LOGGER = System.getLogger(ThriftLogTransport.class.getName());
@@ -34,7 +37,7 @@
     private final NodeName self;
     private final PeerDirectory directory;
     private final BiConsumer<NodeName, LogMessage> receiver;
-    private final TThreadPoolServer server;
+    private final Server server;
     private volatile boolean closed;
 
     private ThriftLogTransport(
@@ -52,7 +55,7 @@
                 .minWorkerThreads(1)
                 .maxWorkerThreads(MAX_CONNECTIONS);
         args.stopTimeoutVal = STOP_TIMEOUT_S;
-        this.server = new TThreadPoolServer(args);
+        this.server = new Server(args);
     }
 
     /**
@@ -112,5 +115,58 @@
         closed = true;
         senders.values().forEach(PeerSender::close);
         server.stop();
+        try {
+            if (!server.awaitFreePort()) {
+                LOGGER.log(Level.WARNING, "the port of the log is still open {0} s after its close", STOP_TIMEOUT_S);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Accepts connections until it is stopped, also if it is stopped before it serves.
+     *
+     * <p>A thread that waits in {@code accept} keeps the port open after the socket was closed, until it has run once
+     * more. Invariants: once {@link #stop} was called, nothing is accepted, whenever {@link #serve} begins. Thread safe.
+     */
+    private static final class Server extends TThreadPoolServer {
+        private final CountDownLatch acceptEnded = new CountDownLatch(1);
+        private volatile boolean stopRequested;
+
+        Server(TThreadPoolServer.Args args) {
+            super(args);
+        }
+
+        @Override
+        public void serve() {
+            try {
+                super.serve();
+            } finally {
+                acceptEnded.countDown();
+            }
+        }
+
+        @Override
+        protected void execute() {
+            try {
+                // The superclass forgets an earlier stop when it begins to serve.
+                if (!stopRequested) {
+                    super.execute();
+                }
+            } finally {
+                acceptEnded.countDown();
+            }
+        }
+
+        @Override
+        public void stop() {
+            stopRequested = true;
+            super.stop();
+        }
+
+        boolean awaitFreePort() throws InterruptedException {
+            return acceptEnded.await(STOP_TIMEOUT_S, TimeUnit.SECONDS);
+        }
     }
 }
