Restart the log's listeners in tests on ports outside the ephemeral range

RaftReplicatedLogTest and ThriftLogTransportTest took a port of the ephemeral range, closed it and listened on it again; between the two the system may give it to another socket of the machine, which fails the test with the message that names. Ports below the range are given to nobody by chance. What the tests check is unchanged.

--- a/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogTest.java
+++ b/src/test/java/org/wigeongrade/nodes/log/RaftReplicatedLogTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -30,6 +29,7 @@
 import org.wigeongrade.errors.ErrorKind;
 import org.wigeongrade.errors.WigeongradeException;
 import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.proof.LoopbackPorts;
 
 /** Tests three replicas in one process, with Thrift over loopback and real files. */
 final class RaftReplicatedLogTest {
@@ -44,7 +44,7 @@
     private final Map<NodeName, RecordingStateMachine> stateMachines = new TreeMap<>();
 
     @BeforeEach
-    void startAll() throws IOException {
+    void startAll() {
         for (String name : new String[] {"control-1", "control-2", "control-3"}) {
             addresses.put(NodeName.of(name), freeAddress());
         }
@@ -187,9 +187,8 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
+    /** Returns an address whose port no socket gets by chance while its listener is restarted. */
+    private static InetSocketAddress freeAddress() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), LoopbackPorts.allocate());
     }
 }
--- a/src/test/java/org/wigeongrade/nodes/log/ThriftLogTransportTest.java
+++ b/src/test/java/org/wigeongrade/nodes/log/ThriftLogTransportTest.java
@@ -4,10 +4,8 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.collect.Sets;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -16,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.wigeongrade.ids.NodeName;
+import org.wigeongrade.proof.LoopbackPorts;
 
 final class ThriftLogTransportTest {
     private static final int RESTARTS = 300;
@@ -82,9 +81,8 @@
         return threads;
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
+    /** Returns an address whose port no socket gets by chance while its listener is restarted. */
+    private static InetSocketAddress freeAddress() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), LoopbackPorts.allocate());
     }
 }
