Let only heartbeats refute the crash of an endpoint

The leader had quarantined the part, and released it.

Cause, a fault of: LeaderTerm.sightingOf took what entry nodes receive from an endpoint for a sign of life of its incarnation. Entry nodes know an endpoint by its address. The losses were withdrawn, and with fewer than three left the part was released.

What this costs: an endpoint that no control node hears, while the reporting entry node doubts its own links, counts as crashed after the silence.

Evidence: the test now fails if the leader takes any of its crashes for none.

--- a/src/main/java/org/wigeongrade/fleet/control/EntryNodeReports.java
+++ b/src/main/java/org/wigeongrade/fleet/control/EntryNodeReports.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.grouping.EndpointObservation;
 import org.wigeongrade.fleet.FleetTimings;
@@ -67,12 +66,6 @@
         });
     }
 
-    /** Returns when an entry node last received something from an endpoint; empty if none did recently. */
-    OptionalLong lastProgressNanos(VmIncarnation vm) {
-        final Long nanos = lastProgressNanos.get(vm);
-        return nanos == null ? OptionalLong.empty() : OptionalLong.of(nanos);
-    }
-
     /** Returns the number of entry nodes whose last report has not expired. */
     int countEntryNodes(long nowNanos) {
         removeExpired(nowNanos);
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.wigeongrade.decisions.discovery.VmRecord;
 import org.wigeongrade.decisions.discovery.VmRegistry;
@@ -189,15 +188,13 @@
                         vm.vm().vm(), new RoutableEndpointTable.RoutableEndpoint(vm, Optional.empty(), 1, false)));
     }
 
-    /** Returns the latest heartbeat of an endpoint's VM, or what an entry node received from it later. */
+    /**
+     * Returns the latest heartbeat of an endpoint's VM. What entry nodes receive from its address proves nothing: another
+     * process may have started there, which the registry does not believe at once.
+     */
     private Optional<VmSighting> sightingOf(EndpointIncarnation endpoint) {
-        return registry.find(VmName.of(endpoint.endpoint().value())).map(known -> {
-            final OptionalLong progressNanos = entryReports.lastProgressNanos(known.vm());
-            final long heardNanos = progressNanos.isPresent() && progressNanos.getAsLong() - known.receivedNanos() > 0
-                    ? progressNanos.getAsLong()
-                    : known.receivedNanos();
-            return new VmSighting(known.vm().incarnation(), heardNanos, known.ended());
-        });
+        return registry.find(VmName.of(endpoint.endpoint().value()))
+                .map(known -> new VmSighting(known.vm().incarnation(), known.receivedNanos(), known.ended()));
     }
 
     private void handleCrashes(
--- a/src/test/java/org/wigeongrade/platform/CrashingPromptPartTest.java
+++ b/src/test/java/org/wigeongrade/platform/CrashingPromptPartTest.java
@@ -5,18 +5,28 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeongrade.logging.EventLog;
 
 /**
  * Tests requests that share a part of their prompt that crashes endpoints, sent through two entry nodes among requests
  * of the same caller that share the other parts.
  */
 final class CrashingPromptPartTest {
+    /** Kept, as the logging system holds loggers weakly. */
+    private static final Logger LOGGER = Logger.getLogger(EventLog.LOGGER_NAME);
+
     private static final String CRASHING_PART = "bad0";
     private static final int ENDPOINTS = 12;
     private static final int TOPICS = 4;
@@ -37,8 +47,37 @@
     private final List<Long> crashesNanos = new CopyOnWriteArrayList<>();
     private final List<Long> crashingArrivalsNanos = new CopyOnWriteArrayList<>();
     private final List<Sent> sound = new CopyOnWriteArrayList<>();
+    private final List<String> refutedCrashes = new CopyOnWriteArrayList<>();
+    private final Handler refutations = new Handler() {
+        @Override
+        public void publish(LogRecord logged) {
+            final String event = Arrays.toString(logged.getParameters());
+            if (event.contains("name=endpoint_loss_decided") && event.contains("was no crash")) {
+                refutedCrashes.add(event);
+            }
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    };
+
+    @BeforeEach
+    void watch() {
+        LOGGER.addHandler(refutations);
+    }
+
+    @AfterEach
+    void stopWatching() {
+        LOGGER.removeHandler(refutations);
+    }
 
-    /** Requests are counted by what they share, since no two of those that crash endpoints are alike. */
+    /**
+     * Requests are counted by what they share, since no two of those that crash endpoints are alike. Guards against a
+     * leader that releases them because another process serves at the address of a crashed one.
+     */
     @ParameterizedTest
     @ValueSource(strings = {"bad0:90", "topic:200,bad0:90", "bad0:90,topic:200"})
     void promptPartThatCrashedFiveEndpointsIsNoLongerSentWhileOthersAreServed(String crashingParts)
@@ -52,6 +91,9 @@
             fleet.stopRepeating();
         }
 
+        assertWithMessage("crashes that the leader took for none")
+                .that(refutedCrashes)
+                .isEmpty();
         final long learntNanos = crashesNanos.stream().sorted().toList().get(CRASHES_TO_LEARN_FROM - 1)
                 + TimeUnit.MILLISECONDS.toNanos(TIME_TO_LEARN_MS);
         final long sentLater = crashingArrivalsNanos.stream()
