Try a quarantined request one node at a time while it still comes

Cause: CrashAttribution derived the quarantine of a request from the losses of the last minute only. Once they were too old, every node sent the request at once, and its retry, until two more losses were known everywhere. Prompt parts had trials.

Fix: requests have the same trials. What both share is TrialQuarantine, taken out of CrashAttribution; RequestQuarantines holds those of requests, QuarantinedRequests the view of a node. After 60 s, doubled with each crash, the leader lets one node send the request once, without a retry; a complete response releases it. A response that ended with its connection counts once the endpoint is known to be alive. A request whose trial is due waits at its node for up to four pulls, since a caller may come to another node the next time and miss the trial; a sound request would be kept back for ever.

Events 1622 and 1623.

--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
@@ -52,18 +52,10 @@
     /** Time until the first trial of a part; doubled after each trial that crashed an endpoint. */
     private static final long QUARANTINE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-    private static final int MAX_QUARANTINE_DOUBLINGS = 5;
     /**
-     * Time until the first trial of parts that were always in flight together, of which only one may be at fault, and
-     * until a trial without a result is repeated.
+     * Time until the first trial of parts that were always in flight together, of which only one may be at fault.
      */
-    private static final long EARLY_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(2);
-    /** Time within which a trial is expected to end. */
-    private static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(6);
-    /** A quarantine ends if nobody has sent a request with the part for this long after its time. */
-    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
-    /** Age of the last request with a part up to which its entry node may be granted a trial. */
-    private static final long WANTED_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long EARLY_TRIAL_NANOS = TrialQuarantine.EARLY_TRIAL_NANOS;
 
     /** What was in flight at one lost endpoint, by request digest. */
     private record Loss(long lostNanos, long countedNanos, Map<String, ImmutableSet<PromptPartId>> requests) {
@@ -79,37 +71,6 @@
         }
     }
 
-    /** A quarantined part; see {@link PartQuarantine}. */
-    private static final class Quarantined {
-        private final long sinceNanos;
-        private final boolean adopted;
-        private long untilNanos;
-        private int failedTrials;
-        private Optional<NodeName> trialHolder = Optional.empty();
-        private long trialStartedNanos;
-        private Optional<NodeName> wantedBy = Optional.empty();
-        private long wantedNanos;
-
-        Quarantined(long sinceNanos, long untilNanos, int failedTrials, boolean adopted) {
-            this.sinceNanos = sinceNanos;
-            this.adopted = adopted;
-            this.untilNanos = untilNanos;
-            this.failedTrials = failedTrials;
-            this.wantedNanos = sinceNanos;
-        }
-
-        /** Returns whether only the losses that this leader knows speak against the part. */
-        boolean restsOnLosses() {
-            return !adopted && failedTrials == 0;
-        }
-
-        void extend(long nowNanos) {
-            failedTrials++;
-            untilNanos = nowNanos + (QUARANTINE_NANOS << Math.min(failedTrials, MAX_QUARANTINE_DOUBLINGS));
-            trialHolder = Optional.empty();
-        }
-    }
-
     /** Time until every entry node has reported what it had in flight at a lost endpoint. */
     private final long reportingNanos;
     /** Time until every entry node has answered for a part in question. */
@@ -118,9 +79,8 @@
     private final Map<EndpointIncarnation, Loss> losses = new LinkedHashMap<>();
     private final Map<PromptPartId, Map<NodeName, PartCompletions>> completions = new HashMap<>();
     private final Map<PromptPartId, Long> inQuestionSinceNanos = new HashMap<>();
-    private final Map<PromptPartId, Quarantined> quarantined = new HashMap<>();
-    /** Requests that an earlier leader quarantined, with the end of the quarantine. */
-    private final Map<String, Long> adoptedRequests = new HashMap<>();
+    private final Map<PromptPartId, TrialQuarantine> quarantined = new HashMap<>();
+    private final RequestQuarantines requests = new RequestQuarantines();
 
     private long nextUpdateNanos = Long.MIN_VALUE / 2;
 
@@ -151,8 +111,9 @@
         }
         parts.stream()
                 .map(quarantined::get)
-                .filter(part -> part != null && part.trialHolder.isPresent())
+                .filter(part -> part != null && part.isOnTrial())
                 .forEach(part -> part.extend(nowNanos));
+        requests.recordLoss(requestDigest, reported.lostNanos(), nowNanos);
     }
 
     /**
@@ -179,21 +140,30 @@
 
     /** Records that an entry node refused a request because of a quarantined part. */
     public void recordRefused(NodeName entryNode, PromptPartId part, long nowNanos) {
-        Optional.ofNullable(quarantined.get(part)).ifPresent(found -> {
-            found.wantedBy = Optional.of(entryNode);
-            found.wantedNanos = nowNanos;
-        });
+        Optional.ofNullable(quarantined.get(part)).ifPresent(found -> found.recordRefused(entryNode, nowNanos));
+    }
+
+    /** Records that an entry node refused a quarantined request. */
+    public void recordRefusedRequest(NodeName entryNode, String requestDigest, long nowNanos) {
+        requests.recordRefused(entryNode, requestDigest, nowNanos);
+    }
+
+    /** Records that the trial of a quarantined request ended with a complete response. */
+    public void recordCompletedTrial(String requestDigest) {
+        requests.recordCompleted(requestDigest);
     }
 
     /** Takes over a quarantine that an earlier leader decided, as an entry node knows it. */
     public void adopt(PartQuarantine known, long nowNanos) {
         quarantined.computeIfAbsent(
-                known.part(), unused -> new Quarantined(nowNanos, known.untilNanos(), known.failedTrials(), true));
+                known.part(),
+                unused ->
+                        TrialQuarantine.adopted(nowNanos, QUARANTINE_NANOS, known.untilNanos(), known.failedTrials()));
     }
 
     /** Takes over the quarantine of a request that an earlier leader decided, as an entry node knows it. */
-    public void adoptRequest(String digest, long untilNanos) {
-        adoptedRequests.merge(digest, untilNanos, CrashAttribution::later);
+    public void adoptRequest(QuarantinedRequest known, long nowNanos) {
+        requests.adopt(known, nowNanos);
     }
 
     private static long later(long nanos, long otherNanos) {
@@ -210,13 +180,14 @@
         }
         nextUpdateNanos = nowNanos + MIN_UPDATE_INTERVAL_NANOS;
         losses.values().removeIf(loss -> nowNanos - loss.lostNanos() > LOSS_NANOS);
-        adoptedRequests.values().removeIf(untilNanos -> nowNanos - untilNanos > 0);
         releaseSoundParts(nowNanos);
-        grantTrials(nowNanos);
+        quarantined.values().forEach(part -> part.grantTrial(nowNanos));
         for (List<PromptPartId> next = nextToQuarantine(nowNanos); !next.isEmpty(); next = nextToQuarantine(nowNanos)) {
             final long forNanos = next.size() == 1 ? QUARANTINE_NANOS : EARLY_TRIAL_NANOS;
-            next.forEach(part -> quarantined.put(part, new Quarantined(nowNanos, nowNanos + forNanos, 0, false)));
+            next.forEach(part ->
+                    quarantined.put(part, TrialQuarantine.decided(nowNanos, QUARANTINE_NANOS, nowNanos + forNanos)));
         }
+        requests.update(requestsWithLosses(), nowNanos);
         return true;
     }
 
@@ -233,9 +204,9 @@
         return quarantined.entrySet().stream()
                 .map(entry -> new PartQuarantine(
                         entry.getKey(),
-                        entry.getValue().untilNanos,
-                        entry.getValue().failedTrials,
-                        entry.getValue().trialHolder.equals(Optional.of(entryNode))))
+                        entry.getValue().untilNanos(),
+                        entry.getValue().failedTrials(),
+                        entry.getValue().isHeldBy(entryNode)))
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -256,8 +227,18 @@
                 .count();
     }
 
-    /** Returns the digests of requests that are not sent again, with the time until which they are not. */
+    /** Returns the digests of requests that are not sent again, with the time at which a trial may be granted. */
     public ImmutableMap<String, Long> quarantinedRequests() {
+        return requests.untilNanos();
+    }
+
+    /** Returns the requests that are not sent again, with the trials of one entry node. */
+    public ImmutableList<QuarantinedRequest> quarantinedRequests(NodeName entryNode) {
+        return requests.list(entryNode);
+    }
+
+    /** Returns the requests against which the losses speak, with the time until which they are not sent. */
+    private ImmutableMap<String, Long> requestsWithLosses() {
         final Map<String, List<Long>> lostNanosByRequest = new HashMap<>();
         unexplained()
                 .forEach(loss -> loss.requests()
@@ -265,7 +246,7 @@
                         .forEach(digest -> lostNanosByRequest
                                 .computeIfAbsent(digest, unused -> new ArrayList<>())
                                 .add(loss.lostNanos())));
-        final Map<String, Long> untilNanos = new HashMap<>(adoptedRequests);
+        final Map<String, Long> untilNanos = new HashMap<>();
         lostNanosByRequest.forEach((digest, lostNanos) -> {
             if (lostNanos.size() >= LOSSES_OF_REQUEST) {
                 lostNanos.sort(Comparator.naturalOrder());
@@ -279,40 +260,26 @@
     private void releaseSoundParts(long nowNanos) {
         final Set<Long> releasedSinceNanos = new HashSet<>();
         quarantined.entrySet().removeIf(entry -> {
-            final Quarantined part = entry.getValue();
+            final TrialQuarantine part = entry.getValue();
             final long lastLostNanos = losses.values().stream()
                     .filter(loss -> loss.involves(entry.getKey()))
                     .mapToLong(Loss::lostNanos)
-                    .reduce(part.sinceNanos, Math::max);
+                    .reduce(part.sinceNanos(), Math::max);
             if (isCompletedAfter(entry.getKey(), lastLostNanos)) {
-                releasedSinceNanos.add(part.sinceNanos);
+                releasedSinceNanos.add(part.sinceNanos());
                 return true;
             }
-            return nowNanos - part.untilNanos > FORGET_NANOS && nowNanos - part.wantedNanos > FORGET_NANOS;
+            return part.isForgotten(nowNanos);
         });
         // A sound part was quarantined together with others, so one of those is at fault and needs no early trial.
         quarantined.values().stream()
-                .filter(part -> releasedSinceNanos.contains(part.sinceNanos))
-                .forEach(part -> part.untilNanos = Math.max(part.untilNanos, nowNanos + QUARANTINE_NANOS));
+                .filter(part -> releasedSinceNanos.contains(part.sinceNanos()))
+                .forEach(part -> part.postpone(nowNanos + QUARANTINE_NANOS));
         completions
                 .keySet()
                 .removeIf(part -> !inQuestionSinceNanos.containsKey(part) && !quarantined.containsKey(part));
     }
 
-    private void grantTrials(long nowNanos) {
-        for (final Quarantined part : quarantined.values()) {
-            if (part.trialHolder.isPresent() && nowNanos - part.trialStartedNanos > TRIAL_NANOS) {
-                part.trialHolder = Optional.empty();
-                part.untilNanos = nowNanos + EARLY_TRIAL_NANOS;
-            }
-            final boolean wanted = part.wantedBy.isPresent() && nowNanos - part.wantedNanos <= WANTED_NANOS;
-            if (part.trialHolder.isEmpty() && wanted && nowNanos - part.untilNanos >= 0) {
-                part.trialHolder = part.wantedBy;
-                part.trialStartedNanos = nowNanos;
-            }
-        }
-    }
-
     /** Returns the part that explains most losses, or several that cannot be told apart; empty if none suffices. */
     private List<PromptPartId> nextToQuarantine(long nowNanos) {
         final List<Evidence> candidates = evidence(nowNanos).stream()
--- a/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
+++ b/src/main/java/org/wigeongrade/fleet/control/LeaderTerm.java
@@ -213,9 +213,11 @@
                 request.getRefusedParts(),
                 request.getQuarantinedParts(),
                 request.getQuarantinedRequests(),
+                request.getRefusedRequests(),
+                request.getCompletedTrials(),
                 firstOfTerm,
                 nowNanos);
-        final ImmutableList<QuarantinedRequestRecord> requests = quarantine.quarantinedRequests(nowNanos);
+        final ImmutableList<QuarantinedRequestRecord> requests = quarantine.quarantinedRequests(node, nowNanos);
         reply.setQuarantinedRequests(requests)
                 .setQuarantined(requests.stream()
                         .map(QuarantinedRequestRecord::getRequestDigest)
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointAttempt.java
@@ -8,6 +8,7 @@
 import org.wigeongrade.decisions.balancing.EndpointLoad;
 import org.wigeongrade.decisions.balancing.EngineLatencyModel;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
+import org.wigeongrade.decisions.outcomes.QuarantinedRequests;
 import org.wigeongrade.ids.PromptPartId;
 import org.wigeongrade.ids.VmIncarnation;
 import org.wigeongrade.logging.LogEvent;
@@ -231,7 +232,7 @@
         services.endpointLinks().recordFailure(endpoint);
         if (connectionRefused) {
             endpoint.recordRefusedConnection(services.nowNanos());
-            services.registry().quarantinedParts().recordLost(endpoint.vm());
+            services.registry().recordPossibleLoss(endpoint.vm());
         } else {
             endpoint.recordFailure(services.nowNanos());
         }
@@ -279,7 +280,7 @@
             exchange.onMayHaveRun(this, RetryReason.STREAM_CUT_SHORT, cause);
             return;
         }
-        recordCompletedParts();
+        recordCompletion();
         endpoint.recordSuccess();
         exchange.beginStream(this, head.orElseThrow());
         exchange.onStreamEnd(this);
@@ -294,14 +295,14 @@
             exchange.onErrorResponse(this, response);
             return;
         }
-        recordCompletedParts();
+        recordCompletion();
         endpoint.recordSuccess();
         endpoint.recordLatency(elapsedMs(), predictedMs);
         exchange.onResponse(this, response);
     }
 
     /** A response that ends with its connection may have been ended by a crash, so that alone it proves nothing. */
-    private void recordCompletedParts() {
+    private void recordCompletion() {
         final ResponseHead finishedHead = head.orElseThrow();
         final Set<PromptPartId> promptParts = exchange.request().sharedPromptParts();
         final QuarantinedParts parts = services.registry().quarantinedParts();
@@ -313,6 +314,15 @@
         } else {
             parts.recordEndedWithConnection(endpoint.vm(), promptParts, services.nowNanos());
         }
+        final QuarantinedRequests requests = services.registry().quarantinedRequests();
+        if (requests.hasNoTrial()) {
+            return;
+        }
+        if (finishedHead.selfDelimited()) {
+            requests.recordCompleted(exchange.digest());
+        } else {
+            requests.recordEndedWithConnection(endpoint.vm(), exchange.digest(), services.nowNanos());
+        }
     }
 
     private void rejectResponse(String cause) {
--- a/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EndpointRegistry.java
@@ -19,6 +19,7 @@
 import org.wigeongrade.decisions.balancing.SendRestriction;
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
+import org.wigeongrade.decisions.outcomes.QuarantinedRequests;
 import org.wigeongrade.decisions.outcomes.ReportedLoss;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.decisions.published.PublishedService;
@@ -64,6 +65,7 @@
     private final Map<VmName, EndpointLoad> routable = new HashMap<>();
     private final List<EndpointLoad> retired = new ArrayList<>();
     private final QuarantinedParts quarantinedParts = new QuarantinedParts();
+    private final QuarantinedRequests quarantinedRequests = new QuarantinedRequests();
     private final CrashReports crashReports;
     private final Map<VmName, String> faultyVms = new HashMap<>();
     private ImmutableMap<ModelVersionName, EngineLatencyModel> engines = ImmutableMap.of();
@@ -112,8 +114,11 @@
             latestTerm = next.term();
         }
         quarantinedParts.apply(next.quarantinedParts(), next.partsInQuestion());
+        quarantinedRequests.apply(next.quarantinedRequests());
         if (next.isSettled()) {
-            quarantinedParts.confirmCompleted(aliveEndpoints(), next.pullSentNanos() - crashNoticedNanos);
+            final ImmutableSet<VmIncarnation> alive = aliveEndpoints();
+            quarantinedParts.confirmCompleted(alive, next.pullSentNanos() - crashNoticedNanos);
+            quarantinedRequests.confirmCompleted(alive, next.pullSentNanos() - crashNoticedNanos);
         }
         view = next;
     }
@@ -183,7 +188,7 @@
 
     /** Records that a request was in flight at an endpoint when the connection failed. */
     void recordCrash(String requestDigest, Set<PromptPartId> promptParts, EndpointLoad load, long nowNanos) {
-        quarantinedParts.recordLost(load.vm());
+        recordPossibleLoss(load.vm());
         crashReports.add(new ReportedLoss(
                 new EndpointIncarnation(
                         EndpointId.of(load.vm().vm().value()), load.vm().incarnation()),
@@ -193,6 +198,12 @@
                 linkState == LinkState.CUT));
     }
 
+    /** Records that an endpoint may have crashed, so that the responses that ended with its connections prove nothing. */
+    void recordPossibleLoss(VmIncarnation endpoint) {
+        quarantinedParts.recordLost(endpoint);
+        quarantinedRequests.recordLost(endpoint);
+    }
+
     /** Records that an endpoint stated that it leaves; it gets no new requests from now on. */
     void recordLeaving(EndpointLoad load) {
         if (load.restriction().recordLeaving()) {
@@ -256,6 +267,11 @@
         return quarantinedParts;
     }
 
+    /** Returns what this node knows of the requests that crash endpoints. */
+    QuarantinedRequests quarantinedRequests() {
+        return quarantinedRequests;
+    }
+
     /** Returns the lost requests that the leader does not have yet, for a pull. */
     ImmutableList<CrashRecord> unreportedCrashes(long nowNanos) {
         return crashReports.next(linkState, nowNanos);
--- a/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/EntryView.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.wigeongrade.clock.LeaseTime;
 import org.wigeongrade.decisions.outcomes.PartQuarantine;
+import org.wigeongrade.decisions.outcomes.QuarantinedRequest;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.fleet.thrift.RoutableRecord;
 import org.wigeongrade.ids.AvailabilityZone;
@@ -21,7 +22,7 @@
  * @param pullSent when the pull was sent; every change that was accepted before is in the view
  * @param pullSentNanos the same time on the wait clock
  * @param endpoints endpoints that may receive requests
- * @param quarantinedRequests digests of requests that must not be sent, with the time until which they must not
+ * @param quarantinedRequests requests that must not be sent, except as a trial
  * @param relayAddresses addresses of entry nodes that take requests which this node cannot send to an endpoint
  * @param partsInQuestion prompt parts for which the leader wants to know the complete responses
  */
@@ -31,7 +32,7 @@
         Map<VmName, RoutableRecord> endpoints,
         Map<String, Integer> inFlightElsewhere,
         Map<String, Integer> unreadTokensElsewhere,
-        Map<String, Long> quarantinedRequests,
+        List<QuarantinedRequest> quarantinedRequests,
         List<PartQuarantine> quarantinedParts,
         Set<PromptPartId> partsInQuestion,
         int entryNodes,
@@ -45,7 +46,7 @@
         endpoints = ImmutableMap.copyOf(endpoints);
         inFlightElsewhere = ImmutableMap.copyOf(inFlightElsewhere);
         unreadTokensElsewhere = ImmutableMap.copyOf(unreadTokensElsewhere);
-        quarantinedRequests = ImmutableMap.copyOf(quarantinedRequests);
+        quarantinedRequests = ImmutableList.copyOf(quarantinedRequests);
         quarantinedParts = ImmutableList.copyOf(quarantinedParts);
         partsInQuestion = ImmutableSet.copyOf(partsInQuestion);
         relayAddresses = ImmutableList.copyOf(relayAddresses);
@@ -58,7 +59,7 @@
                 Map.of(),
                 Map.of(),
                 Map.of(),
-                Map.of(),
+                List.of(),
                 List.of(),
                 Set.of(),
                 1,
--- a/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/Exchange.java
@@ -23,6 +23,7 @@
 import org.wigeongrade.decisions.published.Route;
 import org.wigeongrade.decisions.routing.PossibleRuns;
 import org.wigeongrade.errors.ErrorKind;
+import org.wigeongrade.fleet.FleetTimings;
 import org.wigeongrade.fleet.net.HttpReply;
 import org.wigeongrade.fleet.net.NettyFutures;
 import org.wigeongrade.ids.ModelVersionName;
@@ -300,7 +301,12 @@
             return;
         }
         final Optional<String> quarantined = quarantine.find(organisation);
-        if (quarantined.isPresent() && !quarantine.tryStartTrial(attempts, log)) {
+        if (quarantined.isPresent() && !quarantine.tryStartTrial(organisation, attempts, log)) {
+            if (remainingMs >= FleetTimings.PULL_INTERVAL_MS + MIN_ATTEMPT_MS
+                    && quarantine.tryAwaitTrial(organisation, attempts, nowNanos)) {
+                sendLater("it waits for its trial", quarantined.get(), FleetTimings.PULL_INTERVAL_MS);
+                return;
+            }
             failOrRefuse(ErrorKind.SUSPECT_WAITING, quarantined.get(), ErrorKind.SUSPECT_WAITING.retryAfterMs());
             return;
         }
@@ -790,10 +796,13 @@
     }
 
     private void awaitEndpoint(String cause) {
-        log.kept("it waits for an endpoint", cause);
-        NettyFutures.logFailure(services.loop()
-                .eventLoop()
-                .schedule(this::lookForEndpointAgain, StreamContinuation.RETRY_DELAY_MS, TimeUnit.MILLISECONDS));
+        sendLater("it waits for an endpoint", cause, StreamContinuation.RETRY_DELAY_MS);
+    }
+
+    private void sendLater(String step, String cause, long delayMs) {
+        log.kept(step, cause);
+        NettyFutures.logFailure(
+                services.loop().eventLoop().schedule(this::lookForEndpointAgain, delayMs, TimeUnit.MILLISECONDS));
     }
 
     /** The endpoints that were tried may have formed another group since. */
--- a/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ExchangeLog.java
@@ -92,6 +92,11 @@
         services.events().write(LogEvent.PROMPT_PART_TRIAL, requestLogId);
     }
 
+    /** Logs that the request is sent as the trial of its own quarantine. */
+    void ownTrialStarted() {
+        services.events().write(LogEvent.REQUEST_TRIAL, requestLogId);
+    }
+
     void retried(String target, RetryReason reason, String cause, boolean resumed) {
         services.metrics().countRetry(reason);
         services.events()
--- a/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/ViewPuller.java
@@ -17,6 +17,8 @@
 import org.wigeongrade.clock.WaitClock;
 import org.wigeongrade.decisions.log.Bytes;
 import org.wigeongrade.decisions.outcomes.QuarantinedParts;
+import org.wigeongrade.decisions.outcomes.QuarantinedRequest;
+import org.wigeongrade.decisions.outcomes.QuarantinedRequests;
 import org.wigeongrade.decisions.published.PublishedConfiguration;
 import org.wigeongrade.fleet.ConfigurationCache;
 import org.wigeongrade.fleet.ControlDirectory;
@@ -185,7 +187,10 @@
         request.setPartCompletions(
                 PromptPartRecords.completionsToThrift(parts.completionsInQuestion(nowNanos), nowNanos));
         request.setRefusedParts(PromptPartRecords.partsToThrift(parts.drainRefused()));
-        request.setQuarantinedRequests(QuarantinedRequestRecords.toThrift(view.quarantinedRequests(), nowNanos));
+        final QuarantinedRequests requests = registry.quarantinedRequests();
+        request.setRefusedRequests(List.copyOf(requests.drainRefused()));
+        request.setCompletedTrials(List.copyOf(requests.completedTrials()));
+        request.setQuarantinedRequests(QuarantinedRequestRecords.toThrift(requests.all(), nowNanos));
         request.setQuarantinedParts(PromptPartRecords.quarantineToThrift(parts.all(), nowNanos));
         registry.limits().drainReports(nowNanos).forEach(request::addToLimits);
         relayAddress.get().ifPresent(request::setRelayAddress);
@@ -226,12 +231,13 @@
     }
 
     /** A leader of an old build does not say when the quarantine ends; the next leader does not take it over then. */
-    private static ImmutableMap<String, Long> quarantinedRequests(PullReply reply, long sentNanos) {
+    private static ImmutableList<QuarantinedRequest> quarantinedRequests(PullReply reply, long sentNanos) {
         return reply.isSetQuarantinedRequests()
                 ? QuarantinedRequestRecords.fromThrift(reply.getQuarantinedRequests(), sentNanos)
                 : reply.getQuarantined().stream()
                         .distinct()
-                        .collect(ImmutableMap.toImmutableMap(digest -> digest, digest -> sentNanos));
+                        .map(digest -> new QuarantinedRequest(digest, sentNanos, 0, false))
+                        .collect(ImmutableList.toImmutableList());
     }
 
     /** Returns the configuration in a reply; empty if it contains none that is newer than the known one. */
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -154,6 +154,8 @@
                     + " configuration {version}, {sends} sends: {detail}"),
     CALLER_CONNECTION_FAILED(1620, Level.WARNING, "connection to the caller of request {request} failed: {cause}"),
     REQUEST_KEPT(1621, Level.INFO, "request {request} is kept: {step}, since {cause}"),
+    REQUEST_TRIAL(1622, Level.INFO, "request {request} is sent as the trial of its own quarantine"),
+    REQUEST_RELEASED(1623, Level.INFO, "request digest {digest} is no longer quarantined"),
 
     PEER_SILENT(1701, Level.WARNING, "connection to node {peer} is silent for {elapsed_ms} ms and was closed"),
     PEER_RECONNECTED(1702, Level.INFO, "connection to node {peer} opened again after {elapsed_ms} ms"),
--- a/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
+++ b/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
@@ -1,7 +1,6 @@
 package org.wigeongrade.nodes;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.List;
@@ -32,7 +31,7 @@
     private final CrashAttribution attribution;
     private final Function<EndpointIncarnation, Optional<VmSighting>> sightings;
     private final EventLog events;
-    private ImmutableMap<String, Long> requests = ImmutableMap.of();
+    private ImmutableSet<String> loggedRequests = ImmutableSet.of();
     private ImmutableSet<PromptPartId> loggedParts = ImmutableSet.of();
 
     /**
@@ -88,6 +87,8 @@
             List<String> refused,
             List<QuarantinedPartRecord> quarantined,
             List<QuarantinedRequestRecord> quarantinedRequests,
+            List<String> refusedRequests,
+            List<String> completedTrials,
             boolean firstOfTerm,
             long nowNanos) {
         Optional.ofNullable(completions)
@@ -99,16 +100,21 @@
         if (firstOfTerm) {
             PromptPartRecords.quarantineFromThrift(quarantined, nowNanos)
                     .forEach(known -> attribution.adopt(known, nowNanos));
-            QuarantinedRequestRecords.fromThrift(quarantinedRequests, nowNanos).forEach(attribution::adoptRequest);
+            QuarantinedRequestRecords.fromThrift(quarantinedRequests, nowNanos)
+                    .forEach(known -> attribution.adoptRequest(known, nowNanos));
         }
+        Optional.ofNullable(refusedRequests)
+                .orElse(List.of())
+                .forEach(digest -> attribution.recordRefusedRequest(entryNode, digest, nowNanos));
+        Optional.ofNullable(completedTrials).orElse(List.of()).forEach(attribution::recordCompletedTrial);
         if (attribution.update(nowNanos) || firstOfTerm) {
             logChanges();
         }
     }
 
-    /** Returns the requests that are not sent again. */
-    public synchronized ImmutableList<QuarantinedRequestRecord> quarantinedRequests(long nowNanos) {
-        return QuarantinedRequestRecords.toThrift(requests, nowNanos);
+    /** Returns the requests that are not sent again, with the trials of one entry node. */
+    public synchronized ImmutableList<QuarantinedRequestRecord> quarantinedRequests(NodeName entryNode, long nowNanos) {
+        return QuarantinedRequestRecords.toThrift(attribution.quarantinedRequests(entryNode), nowNanos);
     }
 
     /** Returns the quarantined parts, with the trials of one entry node. */
@@ -122,11 +128,12 @@
     }
 
     private void logChanges() {
-        final ImmutableMap<String, Long> known = requests;
-        requests = attribution.quarantinedRequests();
-        Sets.difference(requests.keySet(), known.keySet())
+        final ImmutableSet<String> requests = attribution.quarantinedRequests().keySet();
+        Sets.difference(requests, loggedRequests)
                 .forEach(digest ->
                         events.write(LogEvent.REQUEST_QUARANTINED, digest, attribution.lossesOfRequest(digest)));
+        Sets.difference(loggedRequests, requests).forEach(digest -> events.write(LogEvent.REQUEST_RELEASED, digest));
+        loggedRequests = requests;
         final ImmutableSet<PromptPartId> parts = attribution.quarantinedParts();
         Sets.difference(parts, loggedParts)
                 .forEach(part -> events.write(LogEvent.PROMPT_PART_QUARANTINED, part, attribution.lossesOfPart(part)));
--- a/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
+++ b/src/main/java/org/wigeongrade/nodes/control/PullHandler.java
@@ -82,6 +82,8 @@
                         request.getCrashReport().getRefusedParts(),
                         request.getCrashReport().getQuarantinedParts(),
                         List.of(),
+                        List.of(),
+                        List.of(),
                         request.getCacheCursorTerm() != leaderState.term(),
                         nowNanos);
         return leaderState
--- a/src/main/thrift/fleet.thrift
+++ b/src/main/thrift/fleet.thrift
@@ -64,8 +64,12 @@
 // A request that is not sent again, because it was in flight at several endpoints that were lost.
 struct QuarantinedRequestRecord {
   1: string requestDigest
-  // Time until it may be sent again.
+  // Time until a trial may be granted; negative if it has passed.
   2: i64 remainingMs
+  // Trials that crashed another endpoint; absent in a message of an old build.
+  3: optional i32 failedTrials
+  // The entry VM that gets this record may send the request once.
+  4: optional bool onTrial
 }
 
 // What one entry VM saw of the complete responses to requests with a prompt part.
@@ -110,6 +114,10 @@
   14: optional i64 documentVersion
   // What the entry VM holds of an earlier leader's quarantine.
   15: optional list<QuarantinedRequestRecord> quarantinedRequests
+  // Digests of quarantined requests that were refused since the last pull.
+  16: optional list<string> refusedRequests
+  // Digests of quarantined requests whose trials ended with a complete response.
+  17: optional list<string> completedTrials
 }
 
 // A configuration as its difference from an earlier one.
