Hash a request once, however often its quarantine asks

While a quarantine is in force each send hashed the method, target and body of its request up to four times, and a request that waited for its trial again after each pull. The digest is kept with the request; its organisation is found before the first send and stays the same.

--- a/src/main/java/org/wigeongrade/fleet/entry/RequestQuarantine.java
+++ b/src/main/java/org/wigeongrade/fleet/entry/RequestQuarantine.java
@@ -7,7 +7,10 @@
 import org.wigeongrade.decisions.outcomes.QuarantinedRequests;
 import org.wigeongrade.ids.OrganisationName;
 
-/** Whether one request is known to crash endpoints. Used on the event loop only. */
+/**
+ * Whether one request is known to crash endpoints. Its organisation is found before anything is asked, and stays the same.
+ * Used on the event loop only.
+ */
 final class RequestQuarantine {
     /** Waits for a trial, of a pull each: one until the leader is asked, one for its reply, and as many that fail. */
     private static final int MAX_TRIAL_WAITS = 4;
@@ -15,6 +18,8 @@
     private final EntryServices services;
     private final CallerRequest request;
     private int trialWaits;
+    /** Kept, since a quarantine asks for it at each send, and a body may be large. */
+    private Optional<String> digest = Optional.empty();
 
     RequestQuarantine(EntryServices services, CallerRequest request) {
         this.services = services;
@@ -93,6 +98,13 @@
 
     /** Returns a hash of the request that is the same each time a caller sends it. */
     String digest(Optional<OrganisationName> organisation) {
+        if (digest.isEmpty()) {
+            digest = Optional.of(hash(organisation));
+        }
+        return digest.get();
+    }
+
+    private String hash(Optional<OrganisationName> organisation) {
         return Hashing.murmur3_128()
                 .newHasher()
                 .putString(organisation.map(OrganisationName::value).orElse("-"), StandardCharsets.UTF_8)
