Count the crash of a prompt part's trial however late it is reported

Seen by reading: a loss extended the quarantine of a part if a trial was under way when it was reported. A crash that was reported after the six seconds of its trial counted for nothing, so that the next trial came 2 s later; one from before the trial, reported during it, counted as its result.

Fix: one rule for both, TrialQuarantine.mayHaveFailedAt. Beside it, what nothing uses any longer goes: the merge of adopted requests, and the visibility of two constants.

--- a/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/CrashAttribution.java
@@ -52,9 +52,7 @@
     /** Time until the first trial of a part; doubled after each trial that crashed an endpoint. */
     private static final long QUARANTINE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-    /**
-     * Time until the first trial of parts that were always in flight together, of which only one may be at fault.
-     */
+    /** Time until the first trial of parts that were always in flight together, of which only one may be at fault. */
     private static final long EARLY_TRIAL_NANOS = TrialQuarantine.EARLY_TRIAL_NANOS;
 
     /** What was in flight at one lost endpoint, by request digest. */
@@ -111,7 +109,7 @@
         }
         parts.stream()
                 .map(quarantined::get)
-                .filter(part -> part != null && part.isOnTrial())
+                .filter(part -> part != null && part.mayHaveFailedAt(reported.lostNanos()))
                 .forEach(part -> part.extend(nowNanos));
         requests.recordLoss(requestDigest, reported.lostNanos(), nowNanos);
     }
@@ -166,10 +164,6 @@
         requests.adopt(known, nowNanos);
     }
 
-    private static long later(long nanos, long otherNanos) {
-        return nanos - otherNanos > 0 ? nanos : otherNanos;
-    }
-
     /**
      * Releases and quarantines parts by the evidence so far, unless that was done just before; returns whether it was
      * done now.
@@ -246,15 +240,15 @@
                         .forEach(digest -> lostNanosByRequest
                                 .computeIfAbsent(digest, unused -> new ArrayList<>())
                                 .add(loss.lostNanos())));
-        final Map<String, Long> untilNanos = new HashMap<>();
+        final ImmutableMap.Builder<String, Long> untilNanos = ImmutableMap.builder();
         lostNanosByRequest.forEach((digest, lostNanos) -> {
             if (lostNanos.size() >= LOSSES_OF_REQUEST) {
                 lostNanos.sort(Comparator.naturalOrder());
                 final long decidingNanos = lostNanos.get(lostNanos.size() - LOSSES_OF_REQUEST);
-                untilNanos.merge(digest, decidingNanos + LOSS_NANOS, CrashAttribution::later);
+                untilNanos.put(digest, decidingNanos + LOSS_NANOS);
             }
         });
-        return ImmutableMap.copyOf(untilNanos);
+        return untilNanos.build();
     }
 
     private void releaseSoundParts(long nowNanos) {
--- a/src/main/java/org/wigeongrade/decisions/outcomes/TrialQuarantine.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/TrialQuarantine.java
@@ -16,9 +16,9 @@
     /** Time until a trial without a result is repeated. */
     static final long EARLY_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** Time within which a trial is expected to end. */
-    static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(6);
+    private static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(6);
     /** A quarantine ends if nobody has sent anything of it for this long after its time. */
-    static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
     /** Age of the last refusal up to which the entry node that refused may be granted a trial. */
     private static final long WANTED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -89,11 +89,7 @@
         return trialHolder.equals(Optional.of(entryNode));
     }
 
-    boolean isOnTrial() {
-        return trialHolder.isPresent();
-    }
-
-    /** Returns whether a loss at this time may be the result of the latest trial. */
+    /** Returns whether a loss at this time may be the result of the latest trial, however late it is reported. */
     boolean mayHaveFailedAt(long lostNanos) {
         return tried && lostNanos - trialStartedNanos >= 0;
     }
