Find the group of a lost endpoint by its name

On the own interface each decision on losses copied and searched all formed groups for each lost endpoint, so that its work grew with both. The table of groups is kept by name already. LostServicesTest (10 cases) passes.

--- a/src/main/java/org/wigeongrade/decisions/control/ControlState.java
+++ b/src/main/java/org/wigeongrade/decisions/control/ControlState.java
@@ -276,6 +276,11 @@
         return groups.all();
     }
 
+    /** Returns the formed group with this name, if there is one. */
+    public synchronized Optional<FormedGroup> group(GroupName name) {
+        return groups.find(name);
+    }
+
     /** Returns the group that the VM belongs to, in any incarnation, if there is one. */
     public synchronized Optional<GroupName> groupOf(VmName vm) {
         return groups.groupOf(vm);
--- a/src/main/java/org/wigeongrade/nodes/control/EndpointSightings.java
+++ b/src/main/java/org/wigeongrade/nodes/control/EndpointSightings.java
@@ -7,6 +7,7 @@
 import org.wigeongrade.decisions.outcomes.EndpointIncarnation;
 import org.wigeongrade.decisions.outcomes.VmSighting;
 import org.wigeongrade.ids.EndpointId;
+import org.wigeongrade.ids.GroupName;
 import org.wigeongrade.ids.VmName;
 
 /**
@@ -33,9 +34,7 @@
     }
 
     private VmName vmOf(EndpointId endpoint) {
-        return state.groups().stream()
-                .filter(group -> group.group().value().equals(endpoint.value()))
-                .findFirst()
+        return state.group(new GroupName(endpoint.value()))
                 .map(group -> group.firstMember().vm())
                 .orElseGet(() -> VmName.of(endpoint.value()));
     }
