Count the reports of losses that a leader gives up

A leader keeps the losses of 512 endpoints, and 256 requests of each. Beyond that it gave reports up without a trace, where the nodes' own limits have a counter and an event. LossEvidence counts them, and event 1519 states the number of the term. LossEvidenceTest has five cases of the limits; there was nothing to ask before.

--- a/src/main/java/org/wigeongrade/decisions/outcomes/LossEvidence.java
+++ b/src/main/java/org/wigeongrade/decisions/outcomes/LossEvidence.java
@@ -19,7 +19,7 @@
  * <p>Invariants: a loss that only nodes in doubt of their links report counts no sooner than its incarnation is known to
  * have ended or has been silent for the time that heartbeats take; a loss counts no longer once its incarnation was heard
  * well after it; a loss that is not refuted counts after that time at the latest. The endpoints and the requests of each
- * are limited. Time is a parameter. Not thread safe.
+ * are limited, and what is given up is counted. Time is a parameter. Not thread safe.
  */
 public final class LossEvidence {
     /** Time after a loss for which signs of life may still be those from before it, delayed on their way. */
@@ -58,14 +58,21 @@
                     .build();
         }
 
-        void add(ReportedLoss loss) {
+        /** Returns whether the loss is known now. */
+        boolean add(ReportedLoss loss) {
             linksWorked |= !loss.linksDoubted();
             if (loss.lostNanos() - lostNanos > 0) {
                 lostNanos = loss.lostNanos();
             }
-            if (requests.size() < MAX_REQUESTS && requests.add(loss.requestDigest())) {
-                undecided.add(loss);
+            if (requests.contains(loss.requestDigest())) {
+                return true;
             }
+            if (requests.size() >= MAX_REQUESTS) {
+                return false;
+            }
+            requests.add(loss.requestDigest());
+            undecided.add(loss);
+            return true;
         }
     }
 
@@ -74,6 +81,7 @@
     private final Map<EndpointIncarnation, Lost> lostEndpoints = new LinkedHashMap<>();
     private long nextDecisionNanos = Long.MIN_VALUE / 2;
     private boolean reportedSinceDecision;
+    private int droppedLosses;
 
     /**
      * Creates the evidence of one leader's term.
@@ -89,16 +97,24 @@
     /** Adds a report; the same one may be added again. */
     public void record(ReportedLoss loss) {
         reportedSinceDecision = true;
-        lostEndpoints
+        final boolean known = lostEndpoints
                 .computeIfAbsent(loss.endpoint(), unused -> new Lost(loss.lostNanos()))
                 .add(loss);
+        if (!known) {
+            droppedLosses++;
+        }
         if (lostEndpoints.size() > MAX_ENDPOINTS) {
-            final Iterator<EndpointIncarnation> oldest = lostEndpoints.keySet().iterator();
-            oldest.next();
+            final Iterator<Lost> oldest = lostEndpoints.values().iterator();
+            droppedLosses += oldest.next().undecided.size();
             oldest.remove();
         }
     }
 
+    /** Returns how many reports were given up undecided, as too many endpoints or requests were lost. */
+    public int droppedLosses() {
+        return droppedLosses;
+    }
+
     /**
      * Decides what can be decided now. Does nothing if that was done just before and nothing was reported since.
      *
--- a/src/main/java/org/wigeongrade/logging/LogEvent.java
+++ b/src/main/java/org/wigeongrade/logging/LogEvent.java
@@ -105,6 +105,11 @@
             1518,
             Level.INFO,
             "the loss of endpoint {endpoint} {outcome}: {verdict}; {requests} requests were in flight"),
+    LOSSES_DROPPED(
+            1519,
+            Level.WARNING,
+            "{count} reports of lost requests were given up undecided in this term, as too many endpoints or requests"
+                    + " were lost"),
 
     REQUEST_REFUSED(1601, Level.INFO, "request {request} of organisation {organisation} refused with {code}: {cause}"),
     REQUEST_RETRIED(1602, Level.INFO, "request {request} retried on endpoint {endpoint}: {cause}"),
--- a/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
+++ b/src/main/java/org/wigeongrade/nodes/CrashQuarantine.java
@@ -31,6 +31,7 @@
     private final CrashAttribution attribution;
     private final Function<EndpointIncarnation, Optional<VmSighting>> sightings;
     private final EventLog events;
+    private int loggedDroppedLosses;
     private ImmutableSet<String> loggedRequests = ImmutableSet.of();
     private ImmutableSet<PromptPartId> loggedParts = ImmutableSet.of();
 
@@ -60,6 +61,10 @@
     /** Decides which reported losses were crashes, and returns what has changed. */
     public synchronized ImmutableList<LossEvidence.Decision> decideLosses(long nowNanos) {
         final ImmutableList<LossEvidence.Decision> decisions = evidence.decide(sightings, nowNanos);
+        if (evidence.droppedLosses() > loggedDroppedLosses) {
+            loggedDroppedLosses = evidence.droppedLosses();
+            events.write(LogEvent.LOSSES_DROPPED, loggedDroppedLosses);
+        }
         for (final LossEvidence.Decision decision : decisions) {
             if (decision.verdict().isCounted()) {
                 decision.losses().forEach(loss -> attribution.recordLoss(loss, nowNanos));
--- a/src/test/java/org/wigeongrade/decisions/outcomes/LossEvidenceTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/LossEvidenceTest.java
@@ -49,6 +49,31 @@
                         expected == LossVerdict.UNDECIDED ? ImmutableList.of() : ImmutableList.of(expected));
     }
 
+    /** Guards against reports that the leader gives up unseen, as its memory is limited. */
+    @ParameterizedTest
+    @CsvSource({
+        // lost endpoints, requests in flight at each, times that each is reported; reports that are given up
+        "512, 1, 2, 0",
+        "513, 1, 1, 1",
+        "514, 2, 1, 4",
+        "1, 256, 2, 0",
+        "1, 258, 1, 2",
+    })
+    void reportsBeyondTheLimitsAreCounted(int endpoints, int requests, int times, int dropped) {
+        for (int endpoint = 0; endpoint < endpoints; endpoint++) {
+            for (int report = 0; report < requests * times; report++) {
+                evidence.record(new ReportedLoss(
+                        new EndpointIncarnation(EndpointId.of("vm-" + endpoint), 5),
+                        "digest-" + report % requests,
+                        ImmutableSet.of(),
+                        nanos(LOST_MS),
+                        true));
+            }
+        }
+
+        assertThat(evidence.droppedLosses()).isEqualTo(dropped);
+    }
+
     /** A loss that a node reported in good faith kept a sound request back, though its endpoint went on. */
     @Test
     void lossThatCountedIsWithdrawnByALaterHeartbeat() {
