--- a/src/test/java/org/wigeongrade/decisions/outcomes/RequestTrialTest.java
+++ b/src/test/java/org/wigeongrade/decisions/outcomes/RequestTrialTest.java
@@ -111,6 +111,7 @@
         assertThat(sendsMs.size()).isAtLeast((int) (300_000 / arrivalMs) - 3);
     }
 
+    /** Guards against quarantines that are kept for ever, since only a trial or this ends them. */
     @Test
     void requestThatComesNoLongerIsForgotten() {
         start(3);
@@ -136,7 +137,7 @@
         assertThat(leader.quarantinedRequests(entries.get(0).name)).isEqualTo(known);
     }
 
-    /** A loss that was none releases the request, unless a trial has crashed an endpoint since. */
+    /** Guards against a sound request that is kept back by losses that were none; a trial that failed still counts. */
     @ParameterizedTest
     @CsvSource({"1, true", "75, false"})
     void withdrawnLossReleasesTheRequest(int seconds, boolean released) {
@@ -150,6 +151,7 @@
         assertThat(leader.quarantinedRequests().isEmpty()).isEqualTo(released);
     }
 
+    /** Guards against a crash that counts as a complete response, since both end the connection. */
     @ParameterizedTest
     @CsvSource({
         // whether the endpoint is lost after the response, whether the leader still lists it, and the time until a view
--- a/src/test/java/org/wigeongrade/fleet/entry/RequestQuarantineTest.java
+++ b/src/test/java/org/wigeongrade/fleet/entry/RequestQuarantineTest.java
@@ -99,7 +99,7 @@
         assertThat(arrivals.get()).isEqualTo(0);
     }
 
-    /** A request that was released while it waited for a trial is sent like any other one. */
+    /** Guards against a request that was released while it waited for a trial, and is refused all the same. */
     @Test
     void releasedRequestIsSent() throws Exception {
         show(quarantine(-1, false), List.of());
--- a/src/test/java/org/wigeongrade/nodes/CrashQuarantineTest.java
+++ b/src/test/java/org/wigeongrade/nodes/CrashQuarantineTest.java
@@ -28,8 +28,8 @@
     /** Each new leader let a quarantined request crash two more endpoints. */
     @ParameterizedTest
     @CsvSource({
-        // seconds from the second loss to each of the changes of leader, changes, seconds until the first trial or
-        // after it
+        // seconds from the second loss to each of the changes of leader, changes, and seconds until the first trial:
+        // negative once its time has passed, empty once the request is forgotten
         "1, 1, 59",
         "1, 4, 56",
         "25, 2, 10",
--- a/src/test/java/org/wigeongrade/nodes/log/ThriftLogTransportTest.java
+++ b/src/test/java/org/wigeongrade/nodes/log/ThriftLogTransportTest.java
@@ -16,6 +16,7 @@
 import org.wigeongrade.ids.NodeName;
 import org.wigeongrade.proof.LoopbackPorts;
 
+/** Tests the listener of the log's transport, which is restarted on its port again and again. */
 final class ThriftLogTransportTest {
     private static final int RESTARTS = 300;
     private static final int BUSY_THREADS_PER_PROCESSOR = 2;
